Decisions, tables and messages between nodes

The packages of the workspace, with the decisions as tables and systems over them and the messages between nodes.

--- /dev/null
+++ b/samphiredeck_core/src/burn.rs
@@ -0,0 +1,198 @@
+//! Burn of the error budget by workspace and class.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    declaration::{LatencyTarget, PriorityClass},
+    ids::WorkspaceName,
+};
+
+/// Length of one bucket.
+const BUCKET: Duration = Duration::from_secs(10);
+/// Buckets of the short window: five minutes.
+const SHORT_BUCKETS: usize = 30;
+/// Buckets of the long window: one hour.
+const LONG_BUCKETS: usize = 360;
+
+/// What one answer meant for the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTiming {
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Mean time between tokens.
+    pub between_tokens: Duration,
+    /// Whether the answer was given in full.
+    pub complete: bool,
+}
+
+impl AnswerTiming {
+    /// Whether the answer is within `target`.
+    #[must_use]
+    pub fn meets(&self, target: &LatencyTarget) -> bool {
+        self.complete
+            && self.first_token <= target.first_token
+            && self.between_tokens <= target.between_tokens
+    }
+}
+
+/// Counts of one bucket.
+#[derive(Clone, Copy, Debug, Default)]
+struct BucketRow {
+    /// Position of the bucket since the table started.
+    number: u64,
+    good: u64,
+    bad: u64,
+}
+
+/// Counts of one workspace and class.
+#[derive(Clone, Debug)]
+struct SeriesRow {
+    workspace: WorkspaceName,
+    class: PriorityClass,
+    /// Oldest first. At most [`LONG_BUCKETS`].
+    buckets: Vec<BucketRow>,
+}
+
+/// Burn of one workspace and class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BurnRow {
+    /// Whose target.
+    pub workspace: WorkspaceName,
+    /// Class of the target.
+    pub class: PriorityClass,
+    /// Answers within the target in the long window.
+    pub good: u64,
+    /// Answers outside the target in the long window, refusals included.
+    pub bad: u64,
+    /// Answers within the target in the short window.
+    pub short_good: u64,
+    /// Answers outside the target in the short window.
+    pub short_bad: u64,
+    /// Budget spent, as a multiple of what the target allows, in the short window.
+    pub short_burn: f64,
+    /// The same in the long window.
+    pub long_burn: f64,
+}
+
+/// Counts of answers within and outside their targets.
+#[derive(Debug)]
+pub struct BurnTable {
+    started: Instant,
+    /// Sorted by workspace and class, without duplicates.
+    rows: Vec<SeriesRow>,
+}
+
+impl BurnTable {
+    /// Starts counting at `now`.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self { started: now, rows: Vec::new() }
+    }
+
+    fn bucket_at(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.started).as_secs() / BUCKET.as_secs()
+    }
+
+    /// Counts one answer of `workspace`.
+    pub fn count(
+        &mut self,
+        workspace: &WorkspaceName,
+        class: PriorityClass,
+        good: bool,
+        now: Instant,
+    ) {
+        let number = self.bucket_at(now);
+        let key = (workspace, class);
+        let at = match self.rows.binary_search_by(|row| (&row.workspace, row.class).cmp(&key)) {
+            Ok(at) => at,
+            Err(at) => {
+                let row = SeriesRow { workspace: workspace.clone(), class, buckets: Vec::new() };
+                self.rows.insert(at, row);
+                at
+            }
+        };
+        let buckets = &mut self.rows[at].buckets;
+        if buckets.last().is_none_or(|last| last.number != number) {
+            buckets.push(BucketRow { number, ..BucketRow::default() });
+            if buckets.len() > LONG_BUCKETS {
+                buckets.remove(0);
+            }
+        }
+        if let Some(last) = buckets.last_mut() {
+            if good {
+                last.good += 1;
+            } else {
+                last.bad += 1;
+            }
+        }
+    }
+
+    /// Reports the burn of each workspace and class. `allowed` gives the share of answers that
+    /// may miss the target, between 0 and 1.
+    #[must_use]
+    pub fn report(
+        &self,
+        now: Instant,
+        allowed: impl Fn(&WorkspaceName, PriorityClass) -> f64,
+    ) -> Vec<BurnRow> {
+        let newest = self.bucket_at(now);
+        let rows = self.rows.iter().map(|row| {
+            let (short_good, short_bad) = sum_window(&row.buckets, newest, SHORT_BUCKETS);
+            let (good, bad) = sum_window(&row.buckets, newest, LONG_BUCKETS);
+            let share = allowed(&row.workspace, row.class);
+            BurnRow {
+                workspace: row.workspace.clone(),
+                class: row.class,
+                good,
+                bad,
+                short_good,
+                short_bad,
+                short_burn: burn_rate(short_good, short_bad, share),
+                long_burn: burn_rate(good, bad, share),
+            }
+        });
+        rows.collect()
+    }
+}
+
+fn sum_window(buckets: &[BucketRow], newest: u64, length: usize) -> (u64, u64) {
+    let recent = buckets.iter().filter(|bucket| bucket.number + length as u64 > newest);
+    recent.fold((0, 0), |(good, bad), bucket| (good + bucket.good, bad + bucket.bad))
+}
+
+/// Share of misses over the share that is allowed.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+pub fn burn_rate(good: u64, bad: u64, allowed: f64) -> f64 {
+    let all = good + bad;
+    if all == 0 || allowed <= 0.0 { 0.0 } else { bad as f64 / all as f64 / allowed }
+}
+
+/// Adds the rows of several nodes, keyed by workspace and class.
+#[must_use]
+pub fn merge_burn(
+    nodes: &[Vec<BurnRow>],
+    allowed: impl Fn(&WorkspaceName, PriorityClass) -> f64,
+) -> Vec<BurnRow> {
+    let mut merged: Vec<BurnRow> = Vec::new();
+    for row in nodes.iter().flatten() {
+        let key = (&row.workspace, row.class);
+        match merged.binary_search_by(|known| (&known.workspace, known.class).cmp(&key)) {
+            Ok(at) => {
+                merged[at].good += row.good;
+                merged[at].bad += row.bad;
+                merged[at].short_good += row.short_good;
+                merged[at].short_bad += row.short_bad;
+            }
+            Err(at) => merged.insert(at, row.clone()),
+        }
+    }
+    for row in &mut merged {
+        let share = allowed(&row.workspace, row.class);
+        row.short_burn = burn_rate(row.short_good, row.short_bad, share);
+        row.long_burn = burn_rate(row.good, row.bad, share);
+    }
+    merged
+}
--- /dev/null
+++ b/samphiredeck_core/src/declaration.rs
@@ -0,0 +1,603 @@
+//! Declarations: what operators keep in version control, raw and checked.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{
+    ids::{BackendName, IdError, KeyHash, ModelName, UpstreamId, WorkspaceName},
+    units::{Millis, TokenCount},
+};
+
+/// Most workspaces of one declaration.
+pub const WORKSPACES_MAX: usize = 4_096;
+/// Highest weight of a workspace.
+const WEIGHT_MAX: u32 = 1_000;
+/// Highest share of retries, in percent of first sends.
+const RETRY_PERCENT_MAX: u32 = 100;
+/// Longest latency target.
+const TARGET_MAX: Millis = Millis(600_000);
+
+/// Urgency class of a request. Earlier variants go first.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum PriorityClass {
+    /// A person waits for the first token.
+    Urgent,
+    /// A program waits for the whole answer.
+    #[default]
+    Prompt,
+    /// Nobody waits, but the answer must be complete. Recorded before it is accepted.
+    Patient,
+}
+
+impl PriorityClass {
+    /// All classes, most urgent first.
+    pub const ALL: [Self; 3] = [Self::Urgent, Self::Prompt, Self::Patient];
+
+    /// Position of the class in [`Self::ALL`].
+    #[must_use]
+    pub fn index(self) -> usize {
+        match self {
+            Self::Urgent => 0,
+            Self::Prompt => 1,
+            Self::Patient => 2,
+        }
+    }
+
+    /// Name as written in declarations and headers.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Urgent => "urgent",
+            Self::Prompt => "prompt",
+            Self::Patient => "patient",
+        }
+    }
+}
+
+impl Display for PriorityClass {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for PriorityClass {
+    type Err = DeclarationError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL.into_iter().find(|class| class.as_str() == text).ok_or_else(|| {
+            DeclarationError::new("class", format!("{text:?} is not urgent, prompt or patient"))
+        })
+    }
+}
+
+/// Declaration as read from a file, before any check.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct RawDeclaration {
+    /// Workspaces.
+    #[serde(default)]
+    pub workspaces: Vec<RawWorkspace>,
+    /// Models that workspaces may call.
+    #[serde(default)]
+    pub models: Vec<RawModel>,
+    /// Plain services that requests are routed to.
+    #[serde(default)]
+    pub services: Vec<RawBackend>,
+    /// Whether engines check fencing numbers.
+    #[serde(default)]
+    pub fencing: FencingMode,
+    /// Upstreams that get no new work until they are taken out of the list.
+    #[serde(default)]
+    pub drained: Vec<String>,
+}
+
+/// Workspace as read from a file.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct RawWorkspace {
+    /// Name, see [`WorkspaceName`].
+    pub name: String,
+    /// Hashes of the bearer keys, 64 hex digits each.
+    pub keys: Vec<String>,
+    /// Share of the capacity against other workspaces, 1 to 1000.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Most requests in flight on one node.
+    #[serde(default = "default_in_flight")]
+    pub max_in_flight: u32,
+    /// Retries in percent of first sends.
+    #[serde(default = "default_retry_percent")]
+    pub retry_percent: u32,
+    /// Models that may be called.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Services that may be called.
+    #[serde(default)]
+    pub services: Vec<String>,
+    /// Latency targets.
+    #[serde(default)]
+    pub targets: Vec<RawTarget>,
+    /// What counts most when cost and recomputed tokens pull apart.
+    #[serde(default)]
+    pub favour: CostFavour,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+fn default_in_flight() -> u32 {
+    256
+}
+fn default_retry_percent() -> u32 {
+    10
+}
+
+/// Latency target as read from a file.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct RawTarget {
+    /// Class that the target is for.
+    pub class: PriorityClass,
+    /// Bound on the first token.
+    pub first_token: Millis,
+    /// Bound between tokens.
+    pub between_tokens: Millis,
+    /// Share of answers within the target, in tenths of a percent.
+    pub share_permille: u32,
+}
+
+/// Model as read from a file.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct RawModel {
+    /// Name that callers use.
+    pub name: String,
+    /// Version to serve.
+    pub version: String,
+    /// Adapter over the model, if any.
+    #[serde(default)]
+    pub adapter: Option<String>,
+    /// Most tokens of one answer.
+    pub max_output: TokenCount,
+    /// Fewest runners that hold the model.
+    #[serde(default = "default_runners")]
+    pub min_runners: u32,
+}
+
+fn default_runners() -> u32 {
+    1
+}
+
+/// Service as read from a file.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct RawBackend {
+    /// Name of the service.
+    pub name: String,
+    /// Prefix of the paths that go to it.
+    pub path_prefix: String,
+    /// Whether a call may be repeated.
+    pub repeatable: bool,
+}
+
+/// Whether engines refuse orders that carry an old fencing number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FencingMode {
+    /// They refuse an old number.
+    #[default]
+    Checked,
+    /// They take any order, so a new holder waits until old ones can't arrive any more.
+    Ignored,
+}
+
+/// What a workspace weighs most.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CostFavour {
+    /// Cost at the latency target.
+    #[default]
+    Cost,
+    /// Few recomputed tokens.
+    Recompute,
+}
+
+/// Reason why a declaration or a field of it is refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{field}: {reason}")]
+pub struct DeclarationError {
+    field: String,
+    reason: String,
+}
+
+impl DeclarationError {
+    fn new(field: impl Into<String>, reason: impl Display) -> Self {
+        Self { field: field.into(), reason: reason.to_string() }
+    }
+}
+
+/// Declaration after all checks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Declaration {
+    /// Sorted by name, without duplicates.
+    workspaces: Vec<Workspace>,
+    /// Sorted by name, without duplicates.
+    models: Vec<Model>,
+    /// Sorted by path prefix, without duplicates.
+    backends: Vec<Backend>,
+    /// Sorted by hash, without duplicates. Each index is one of `workspaces`.
+    keys: Vec<(KeyHash, usize)>,
+    fencing: FencingMode,
+    /// Sorted, without duplicates.
+    drained: Vec<UpstreamId>,
+}
+
+/// Checked workspace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Workspace {
+    /// Key of the row.
+    pub name: WorkspaceName,
+    /// Share of the capacity, at least 1.
+    pub weight: u32,
+    /// Most requests in flight on one node, at least 1.
+    pub max_in_flight: u32,
+    /// Retries in percent of first sends.
+    pub retry_percent: u32,
+    /// Sorted, without duplicates. Each is declared.
+    pub models: Vec<ModelName>,
+    /// Sorted, without duplicates. Each is declared.
+    pub backends: Vec<BackendName>,
+    /// One for each class, by [`PriorityClass::index`].
+    pub targets: [LatencyTarget; 3],
+    /// What counts most.
+    pub favour: CostFavour,
+    /// Sorted hashes of the bearer keys.
+    pub keys: Vec<KeyHash>,
+}
+
+/// Latency target of one class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LatencyTarget {
+    /// Bound on the first token.
+    pub first_token: Duration,
+    /// Bound between tokens.
+    pub between_tokens: Duration,
+    /// Share of answers within the target, in tenths of a percent.
+    pub share_permille: u32,
+}
+
+impl LatencyTarget {
+    /// Target of a class that the declaration does not name.
+    #[must_use]
+    pub fn default_of(class: PriorityClass) -> Self {
+        let (first, between) = match class {
+            PriorityClass::Urgent => (370, 28),
+            PriorityClass::Prompt => (2_000, 60),
+            PriorityClass::Patient => (120_000, 1_000),
+        };
+        Self {
+            first_token: Duration::from_millis(first),
+            between_tokens: Duration::from_millis(between),
+            share_permille: 950,
+        }
+    }
+}
+
+/// Checked model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Key of the row.
+    pub name: ModelName,
+    /// Version to serve.
+    pub version: String,
+    /// Adapter over the model.
+    pub adapter: Option<String>,
+    /// Most tokens of one answer, at least 1.
+    pub max_output: TokenCount,
+    /// Fewest runners that hold the model.
+    pub min_runners: u32,
+}
+
+/// Checked service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// Name of the service.
+    pub name: BackendName,
+    /// Starts and ends with `/`.
+    pub path_prefix: String,
+    /// Whether a call may be repeated.
+    pub repeatable: bool,
+}
+
+impl Declaration {
+    /// Finds the workspace that `key` belongs to.
+    #[must_use]
+    pub fn authenticate(&self, key: KeyHash) -> Option<&Workspace> {
+        let at = self.keys.binary_search_by_key(&key, |(hash, _)| *hash).ok()?;
+        Some(&self.workspaces[self.keys[at].1])
+    }
+
+    /// Lists the workspaces, sorted by name.
+    #[must_use]
+    pub fn workspaces(&self) -> &[Workspace] {
+        &self.workspaces
+    }
+
+    /// Lists the models, sorted by name.
+    #[must_use]
+    pub fn models(&self) -> &[Model] {
+        &self.models
+    }
+
+    /// Lists the services, sorted by path prefix.
+    #[must_use]
+    pub fn backends(&self) -> &[Backend] {
+        &self.backends
+    }
+
+    /// Whether engines check fencing numbers.
+    #[must_use]
+    pub fn fencing(&self) -> FencingMode {
+        self.fencing
+    }
+
+    /// Lists the upstreams that get no new work.
+    #[must_use]
+    pub fn drained(&self) -> &[UpstreamId] {
+        &self.drained
+    }
+
+    /// Finds a workspace.
+    #[must_use]
+    pub fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        let at = self.workspaces.binary_search_by_key(&name, |row| &row.name).ok()?;
+        Some(&self.workspaces[at])
+    }
+
+    /// Finds a model.
+    #[must_use]
+    pub fn model(&self, name: &ModelName) -> Option<&Model> {
+        let at = self.models.binary_search_by_key(&name, |row| &row.name).ok()?;
+        Some(&self.models[at])
+    }
+
+    /// Finds the service that a path goes to: the longest prefix wins.
+    #[must_use]
+    pub fn backend_of(&self, path: &str) -> Option<&Backend> {
+        self.backends
+            .iter()
+            .filter(|row| path.starts_with(&row.path_prefix))
+            .max_by_key(|row| row.path_prefix.len())
+    }
+
+    /// Whether a request of `workspace` is treated alike by both declarations.
+    #[must_use]
+    pub fn treats_alike(&self, other: &Self, workspace: &WorkspaceName) -> bool {
+        let (Some(mine), Some(theirs)) = (self.workspace(workspace), other.workspace(workspace))
+        else {
+            return false;
+        };
+        let models = mine.models.iter().all(|name| self.model(name) == other.model(name));
+        let alike = self.backends == other.backends && self.drained == other.drained;
+        mine == theirs && models && alike
+    }
+}
+
+impl Workspace {
+    /// Whether the workspace may call `model`.
+    #[must_use]
+    pub fn may_call(&self, model: &ModelName) -> bool {
+        self.models.binary_search(model).is_ok()
+    }
+
+    /// Whether the workspace may call `backend`.
+    #[must_use]
+    pub fn may_use(&self, backend: &BackendName) -> bool {
+        self.backends.binary_search(backend).is_ok()
+    }
+}
+
+impl TryFrom<RawDeclaration> for Declaration {
+    type Error = DeclarationError;
+
+    fn try_from(raw: RawDeclaration) -> Result<Self, Self::Error> {
+        if raw.workspaces.len() > WORKSPACES_MAX {
+            let reason = format!("more than {WORKSPACES_MAX}");
+            return Err(DeclarationError::new("workspaces", reason));
+        }
+        let models = check_models(raw.models)?;
+        let backends = check_backends(raw.services)?;
+        let mut workspaces = Vec::with_capacity(raw.workspaces.len());
+        for (index, row) in raw.workspaces.iter().enumerate() {
+            workspaces.push(check_workspace(index, row, &models, &backends)?);
+        }
+        workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+        refuse_twins("workspaces", workspaces.iter().map(|row| row.name.as_str()))?;
+        let keys = collect_keys(&workspaces)?;
+        let drained = check_drained(raw.drained)?;
+        Ok(Self { workspaces, models, backends, keys, fencing: raw.fencing, drained })
+    }
+}
+
+/// Parses a JSON declaration and checks it.
+///
+/// # Errors
+///
+/// Returns the first field that is refused and why.
+pub fn parse_declaration(text: &str) -> Result<Declaration, DeclarationError> {
+    let raw: RawDeclaration =
+        serde_json::from_str(text).map_err(|error| DeclarationError::new("declaration", error))?;
+    Declaration::try_from(raw)
+}
+
+/// Refuses equal neighbours in a sorted list.
+fn refuse_twins<'a>(
+    field: &str,
+    names: impl Iterator<Item = &'a str>,
+) -> Result<(), DeclarationError> {
+    let mut last = None;
+    for name in names {
+        if last == Some(name) {
+            return Err(DeclarationError::new(field, format!("{name:?} is declared twice")));
+        }
+        last = Some(name);
+    }
+    Ok(())
+}
+
+fn check_models(raw: Vec<RawModel>) -> Result<Vec<Model>, DeclarationError> {
+    let mut models = Vec::with_capacity(raw.len());
+    for (index, row) in raw.into_iter().enumerate() {
+        let at = |field: &str| format!("models[{index}].{field}");
+        let name = row.name.parse().map_err(|error| DeclarationError::new(at("name"), error))?;
+        if row.max_output.0 == 0 {
+            return Err(DeclarationError::new(at("max_output"), "must be at least 1"));
+        }
+        if row.version.is_empty() {
+            return Err(DeclarationError::new(at("version"), "must not be empty"));
+        }
+        models.push(Model {
+            name,
+            version: row.version,
+            adapter: row.adapter,
+            max_output: row.max_output,
+            min_runners: row.min_runners,
+        });
+    }
+    models.sort_by(|a, b| a.name.cmp(&b.name));
+    refuse_twins("models", models.iter().map(|row| row.name.as_str()))?;
+    Ok(models)
+}
+
+fn check_backends(raw: Vec<RawBackend>) -> Result<Vec<Backend>, DeclarationError> {
+    let mut backends = Vec::with_capacity(raw.len());
+    for (index, row) in raw.into_iter().enumerate() {
+        let at = |field: &str| format!("services[{index}].{field}");
+        let name = row.name.parse().map_err(|error| DeclarationError::new(at("name"), error))?;
+        let prefix = row.path_prefix;
+        if !(prefix.starts_with('/') && prefix.ends_with('/') && prefix.len() > 2) {
+            let reason = format!("{prefix:?} must start and end with '/' and name a path");
+            return Err(DeclarationError::new(at("path_prefix"), reason));
+        }
+        if prefix.starts_with("/v1/") || prefix.starts_with("/admin/") {
+            let reason = format!("{prefix:?} belongs to the system itself");
+            return Err(DeclarationError::new(at("path_prefix"), reason));
+        }
+        backends.push(Backend { name, path_prefix: prefix, repeatable: row.repeatable });
+    }
+    backends.sort_by(|a, b| a.path_prefix.cmp(&b.path_prefix));
+    refuse_twins("services", backends.iter().map(|row| row.path_prefix.as_str()))?;
+    Ok(backends)
+}
+
+fn check_workspace(
+    index: usize,
+    raw: &RawWorkspace,
+    models: &[Model],
+    backends: &[Backend],
+) -> Result<Workspace, DeclarationError> {
+    let at = |field: &str| format!("workspaces[{index}].{field}");
+    let name = raw.name.parse().map_err(|error| DeclarationError::new(at("name"), error))?;
+    check_range(at("weight"), raw.weight, 1, WEIGHT_MAX)?;
+    check_range(at("max_in_flight"), raw.max_in_flight, 1, u32::MAX)?;
+    check_range(at("retry_percent"), raw.retry_percent, 0, RETRY_PERCENT_MAX)?;
+    let mut allowed = Vec::new();
+    for model in &raw.models {
+        let known = models.binary_search_by(|row| row.name.as_str().cmp(model));
+        let row = known.map_err(|_absent| {
+            DeclarationError::new(at("models"), format!("{model:?} is not declared"))
+        })?;
+        allowed.push(models[row].name.clone());
+    }
+    allowed.sort();
+    allowed.dedup();
+    let mut usable = Vec::new();
+    for service in &raw.services {
+        let row = backends.iter().find(|row| row.name.as_str() == service).ok_or_else(|| {
+            DeclarationError::new(at("services"), format!("{service:?} is not declared"))
+        })?;
+        usable.push(row.name.clone());
+    }
+    usable.sort();
+    usable.dedup();
+    let mut keys = Vec::new();
+    for key in &raw.keys {
+        keys.push(key.parse().map_err(|error| DeclarationError::new(at("keys"), error))?);
+    }
+    keys.sort();
+    keys.dedup();
+    let targets = check_targets(&at("targets"), &raw.targets)?;
+    Ok(Workspace {
+        name,
+        weight: raw.weight,
+        max_in_flight: raw.max_in_flight,
+        retry_percent: raw.retry_percent,
+        models: allowed,
+        backends: usable,
+        targets,
+        favour: raw.favour,
+        keys,
+    })
+}
+
+fn check_drained(raw: Vec<String>) -> Result<Vec<UpstreamId>, DeclarationError> {
+    let mut drained = Vec::with_capacity(raw.len());
+    for (index, id) in raw.into_iter().enumerate() {
+        let at = format!("drained[{index}]");
+        drained.push(id.try_into().map_err(|error: IdError| DeclarationError::new(at, error))?);
+    }
+    drained.sort();
+    drained.dedup();
+    Ok(drained)
+}
+
+fn check_range(field: String, value: u32, low: u32, high: u32) -> Result<(), DeclarationError> {
+    if (low..=high).contains(&value) {
+        return Ok(());
+    }
+    Err(DeclarationError::new(field, format!("{value} is not within {low} to {high}")))
+}
+
+fn check_targets(field: &str, raw: &[RawTarget]) -> Result<[LatencyTarget; 3], DeclarationError> {
+    let mut targets = PriorityClass::ALL.map(LatencyTarget::default_of);
+    for row in raw {
+        let within = |value: Millis| value.0 >= 1 && value <= TARGET_MAX;
+        if !within(row.first_token) || !within(row.between_tokens) {
+            let reason = format!("{}: must be 1ms to {TARGET_MAX}", row.class);
+            return Err(DeclarationError::new(field, reason));
+        }
+        if row.share_permille == 0 || row.share_permille >= 1_000 {
+            let reason = format!("{}: share_permille must be 1 to 999", row.class);
+            return Err(DeclarationError::new(field, reason));
+        }
+        targets[row.class.index()] = LatencyTarget {
+            first_token: row.first_token.duration(),
+            between_tokens: row.between_tokens.duration(),
+            share_permille: row.share_permille,
+        };
+    }
+    Ok(targets)
+}
+
+fn collect_keys(workspaces: &[Workspace]) -> Result<Vec<(KeyHash, usize)>, DeclarationError> {
+    let mut keys: Vec<(KeyHash, usize)> = Vec::new();
+    for (index, row) in workspaces.iter().enumerate() {
+        keys.extend(row.keys.iter().map(|key| (*key, index)));
+    }
+    keys.sort_unstable();
+    if let Some(pair) = keys.windows(2).find(|pair| pair[0].0 == pair[1].0) {
+        let name = &workspaces[pair[1].1].name;
+        let reason = format!("a key of {name} belongs to another workspace too");
+        return Err(DeclarationError::new("workspaces", reason));
+    }
+    Ok(keys)
+}
--- /dev/null
+++ b/samphiredeck_core/src/ids.rs
@@ -0,0 +1,268 @@
+//! Identifiers, checked once where they enter the system.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Longest name in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// Reason why a text is not an identifier.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum IdError {
+    /// The text is empty or longer than the limit.
+    #[error("must have 1 to {NAME_MAX_BYTES} bytes, has {0}")]
+    Length(usize),
+    /// The text holds a character outside `a-z 0-9 - _ .`.
+    #[error("holds {0:?}; only a-z, 0-9, '-', '_' and '.' are allowed")]
+    Character(char),
+    /// The text is not a number of the expected form.
+    #[error("{0:?} is not a number of the expected form")]
+    Number(String),
+}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    if text.is_empty() || text.len() > NAME_MAX_BYTES {
+        return Err(IdError::Length(text.len()));
+    }
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    match text.chars().find(|c| !allowed(*c)) {
+        Some(bad) => Err(IdError::Character(bad)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Borrows the text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number after this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self).map_err(|_parse| IdError::Number(text.to_owned()))
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names a node, stable over restarts.
+    NodeName
+);
+name_type!(
+    /// Names a failure domain.
+    DomainName
+);
+name_type!(
+    /// Names a workspace.
+    WorkspaceName
+);
+name_type!(
+    /// Names a model as callers ask for it.
+    ModelName
+);
+name_type!(
+    /// Names a declared plain service.
+    BackendName
+);
+name_type!(
+    /// Identifies one incarnation of an upstream, as the platform's list gives it.
+    UpstreamId
+);
+name_type!(
+    /// Names a machine class of the platform.
+    MachineClass
+);
+name_type!(
+    /// Names an operator.
+    OperatorName
+);
+
+number_type!(
+    /// Tells apart the runs of a node. Higher is newer.
+    Incarnation
+);
+number_type!(
+    /// Numbers accepted declarations. Only rises.
+    ConfigVersion
+);
+number_type!(
+    /// Numbers versions of a row at the table service. Zero means that the row does not exist.
+    RowVersion
+);
+number_type!(
+    /// Orders the holders of one lease. Upstreams that check it refuse an older one.
+    FenceNumber
+);
+
+/// Identifies a request and the node that accepted it first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestId {
+    node: NodeName,
+    number: u64,
+}
+
+impl RequestId {
+    /// Builds the id of request `number` of `node`.
+    #[must_use]
+    pub fn new(node: NodeName, number: u64) -> Self {
+        Self { node, number }
+    }
+
+    /// Borrows the name of the node that accepted the request first.
+    #[must_use]
+    pub fn node(&self) -> &NodeName {
+        &self.node
+    }
+}
+
+impl Display for RequestId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{:016x}", self.node, self.number)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bad = || IdError::Number(text.chars().take(NAME_MAX_BYTES).collect());
+        let (node, number) = text.split_once(':').ok_or_else(bad)?;
+        let hex = number.len() == 16
+            && number.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+        if !hex {
+            return Err(bad());
+        }
+        let number = u64::from_str_radix(number, 16).map_err(|_parse| bad())?;
+        Ok(Self { node: node.parse()?, number })
+    }
+}
+
+impl TryFrom<String> for RequestId {
+    type Error = IdError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<RequestId> for String {
+    fn from(id: RequestId) -> Self {
+        id.to_string()
+    }
+}
+
+/// Hash of a bearer key. The key itself is never kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Hashes a bearer key.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+impl Display for KeyHash {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(blake3::Hash::from_bytes(self.0).to_hex().as_str())
+    }
+}
+
+impl FromStr for KeyHash {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let hash = blake3::Hash::from_hex(text)
+            .map_err(|_parse| IdError::Number(text.chars().take(NAME_MAX_BYTES).collect()))?;
+        Ok(Self(*hash.as_bytes()))
+    }
+}
+
+impl TryFrom<String> for KeyHash {
+    type Error = IdError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<KeyHash> for String {
+    fn from(hash: KeyHash) -> Self {
+        hash.to_string()
+    }
+}
--- /dev/null
+++ b/samphiredeck_core/src/route.rs
@@ -0,0 +1,371 @@
+//! Choice of the upstream for one request.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    declaration::{CostFavour, PriorityClass},
+    ids::{DomainName, ModelName, UpstreamId},
+    limit::LimitTable,
+    prefix::{BLOCK_TOKENS, BlockHash, PrefixTable},
+    upstream::{MarketKind, UpstreamRow, UpstreamTable},
+};
+
+/// Age at which what a report says of other nodes' load counts half.
+const REPORT_HALF_AGE: Duration = Duration::from_secs(1);
+/// Block that decides where a prompt nobody has seen yet goes.
+const ROOT_BLOCK: usize = 7;
+/// Share of the prefill time that the preferred upstream of an unseen prompt is credited.
+const ROOT_CREDIT: f64 = 0.5;
+/// Window in which leaving marks of a failure domain raise its risk.
+const RISK_WINDOW: Duration = Duration::from_secs(60);
+/// Extra time per unit of load ratio, since a fuller batch decodes slower, in milliseconds.
+const BATCH_PENALTY_MS: f64 = 60.0;
+/// Share of the score that is drawn at random, so that nodes don't herd.
+const SCORE_NOISE: f64 = 0.05;
+/// Load, as a multiple of the slots, above which only urgent requests are placed.
+const FULL_RATIO: f64 = 1.0;
+/// Load, as a multiple of the slots, above which nothing is placed.
+const OVERFULL_RATIO: f64 = 1.25;
+/// Fallback for upstreams that report no prefill rate, in tokens a second.
+const DEFAULT_PREFILL_RATE: f64 = 4_000.0;
+/// Fallback for upstreams that report no decode rate, in tokens a second.
+const DEFAULT_DECODE_RATE: f64 = 40.0;
+
+/// How upstreams are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutePolicy {
+    /// By expected time, cache, price and risk.
+    #[default]
+    Scored,
+    /// Each in turn. A baseline.
+    RoundRobin,
+    /// The least reported load. A baseline.
+    LeastReported,
+    /// The less loaded of two drawn at random. A baseline.
+    RandomTwo,
+    /// The rendezvous choice of the prompt's leading blocks, whatever its load. A baseline.
+    AffinityUnbounded,
+}
+
+/// What a request needs of its upstream.
+#[derive(Clone, Debug)]
+pub struct RouteAsk<'a> {
+    /// Model that must be loaded.
+    pub model: &'a ModelName,
+    /// Leading blocks of the prompt.
+    pub blocks: &'a [BlockHash],
+    /// Tokens to be computed before the first new one, cached or not.
+    pub prompt_tokens: u64,
+    /// Tokens that the answer is expected to have.
+    pub output_tokens: u64,
+    /// Urgency.
+    pub class: PriorityClass,
+    /// What the workspace weighs most.
+    pub favour: CostFavour,
+    /// Upstreams that already failed this request.
+    pub exclude: &'a [UpstreamId],
+}
+
+/// Chosen upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteChoice {
+    /// Where to send.
+    pub upstream: UpstreamId,
+    /// Host and port.
+    pub address: String,
+    /// Failure domain of the upstream.
+    pub domain: DomainName,
+    /// Leading blocks expected in its cache.
+    pub cached_blocks: usize,
+    /// Expected time to the first token.
+    pub expected_first: Duration,
+    /// Price in millionths an hour.
+    pub price: u64,
+    /// Requests that the upstream runs at once, at least 1.
+    pub slots: u32,
+}
+
+/// State of the choice that outlives one request.
+#[derive(Debug, Default)]
+pub struct RouteState {
+    policy: RoutePolicy,
+    turn: usize,
+    /// Recent leaving marks by failure domain, oldest first.
+    marks: Vec<(DomainName, Instant)>,
+    /// Nodes that share the upstreams, this one included, at least 1.
+    nodes: u32,
+}
+
+impl RouteState {
+    /// Starts with `policy`.
+    #[must_use]
+    pub fn new(policy: RoutePolicy) -> Self {
+        Self { policy, nodes: 1, ..Self::default() }
+    }
+
+    /// Takes in how many nodes share the upstreams.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+    }
+
+    /// Notes that an upstream of `domain` was marked as leaving at `now`.
+    pub fn note_mark(&mut self, domain: DomainName, now: Instant) {
+        self.marks.retain(|(_, at)| now.saturating_duration_since(*at) < RISK_WINDOW);
+        self.marks.push((domain, now));
+    }
+
+    /// Counts the recent leaving marks of `domain`.
+    #[must_use]
+    pub fn recent_marks(&self, domain: &DomainName, now: Instant) -> usize {
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < RISK_WINDOW;
+        self.marks.iter().filter(|(name, at)| name == domain && recent(at)).count()
+    }
+}
+
+/// Everything known that a choice reads.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteView<'a> {
+    /// Upstreams.
+    pub upstreams: &'a UpstreamTable,
+    /// Cached prefixes.
+    pub prefixes: &'a PrefixTable,
+    /// Concurrency limits.
+    pub limits: &'a LimitTable,
+}
+
+/// Chooses the upstream for `ask`, or `None` where none may take it now.
+///
+/// `noise` is uniform in 0 to 1 and differs from call to call.
+#[must_use]
+pub fn choose(
+    state: &mut RouteState,
+    view: RouteView<'_>,
+    ask: &RouteAsk<'_>,
+    noise: f64,
+    now: Instant,
+) -> Option<RouteChoice> {
+    let candidates: Vec<&UpstreamRow> = view
+        .upstreams
+        .rows()
+        .iter()
+        .filter(|row| row.holds(ask.model) && row.accepts(now))
+        .filter(|row| !ask.exclude.contains(&row.listing.id))
+        .collect();
+    let chosen = match state.policy {
+        RoutePolicy::Scored => choose_scored(state, view, &candidates, ask, noise, now),
+        _ => choose_baseline(state, view, &candidates, ask, noise, now),
+    }?;
+    Some(describe(state, view, chosen, ask, now))
+}
+
+fn describe(
+    state: &RouteState,
+    view: RouteView<'_>,
+    row: &UpstreamRow,
+    ask: &RouteAsk<'_>,
+    now: Instant,
+) -> RouteChoice {
+    let cached = view.prefixes.depth(ask.blocks, &row.listing.id);
+    let first = expected_first_ms(state, row, ask, cached, mean_others(state, &[row], now), now);
+    RouteChoice {
+        upstream: row.listing.id.clone(),
+        address: row.listing.address.clone(),
+        domain: row.listing.domain.clone(),
+        cached_blocks: cached,
+        expected_first: Duration::from_secs_f64(first.max(0.0) / 1_000.0),
+        price: row.listing.price,
+        slots: row.load.slots.max(1),
+    }
+}
+
+/// Weighs the rendezvous rank of `upstream` for the prompt's root block.
+fn rendezvous(blocks: &[BlockHash], upstream: &UpstreamId) -> u64 {
+    let root = blocks.get(ROOT_BLOCK).or(blocks.last()).map_or(0, |block| block.0);
+    xxh3_64_with_seed(upstream.as_str().as_bytes(), root)
+}
+
+fn choose_baseline<'a>(
+    state: &mut RouteState,
+    view: RouteView<'_>,
+    candidates: &[&'a UpstreamRow],
+    ask: &RouteAsk<'_>,
+    noise: f64,
+    now: Instant,
+) -> Option<&'a UpstreamRow> {
+    let open: Vec<&UpstreamRow> = candidates
+        .iter()
+        .copied()
+        .filter(|row| view.limits.has_room(row, ask.class, now))
+        .collect();
+    if open.is_empty() {
+        return None;
+    }
+    let reported = |row: &UpstreamRow| u64::from(row.load.running + row.load.queued);
+    state.turn = state.turn.wrapping_add(1);
+    match state.policy {
+        RoutePolicy::Scored | RoutePolicy::RoundRobin => Some(open[state.turn % open.len()]),
+        RoutePolicy::LeastReported => open.into_iter().min_by_key(|row| reported(row)),
+        RoutePolicy::RandomTwo => {
+            let first = pick(open.len(), noise);
+            let second = pick(open.len(), (noise * 7_919.0).fract());
+            [open[first], open[second]].into_iter().min_by_key(|row| reported(row))
+        }
+        RoutePolicy::AffinityUnbounded => {
+            candidates.iter().copied().max_by_key(|row| rendezvous(ask.blocks, &row.listing.id))
+        }
+    }
+}
+
+/// Maps `noise` in 0 to 1 to a position below `len`.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "positions are small and never negative"
+)]
+fn pick(len: usize, noise: f64) -> usize {
+    ((noise * len as f64) as usize).min(len - 1)
+}
+
+fn choose_scored<'a>(
+    state: &RouteState,
+    view: RouteView<'_>,
+    candidates: &[&'a UpstreamRow],
+    ask: &RouteAsk<'_>,
+    noise: f64,
+    now: Instant,
+) -> Option<&'a UpstreamRow> {
+    let mean = mean_others(state, candidates, now);
+    let mean_price = mean_price(candidates);
+    let preferred = candidates
+        .iter()
+        .max_by_key(|row| rendezvous(ask.blocks, &row.listing.id))?
+        .listing
+        .id
+        .clone();
+    let mut best: Option<(f64, &UpstreamRow)> = None;
+    for (index, row) in candidates.iter().enumerate() {
+        if !view.limits.has_room(row, ask.class, now) || is_full(state, row, ask.class, mean, now) {
+            continue;
+        }
+        let cached = view.prefixes.depth(ask.blocks, &row.listing.id);
+        let mut score = expected_first_ms(state, row, ask, cached, mean, now);
+        if ask.favour == CostFavour::Recompute {
+            score += prefill_ms(row, ask, cached);
+        }
+        if cached == 0 && row.listing.id == preferred {
+            score -= prefill_ms(row, ask, 0) * ROOT_CREDIT;
+        }
+        score += price_ms(row, ask, mean_price);
+        score += risk_ms(state, row, ask, now);
+        let draw = (noise * 9_973.0 + f64::from(u32::try_from(index).unwrap_or(0)) * 0.618).fract();
+        score += score.abs() * SCORE_NOISE * draw;
+        if best.is_none_or(|(least, _)| score < least) {
+            best = Some((score, row));
+        }
+    }
+    best.map(|(_, row)| row)
+}
+
+/// Whether `row` is too full for a request of `class`.
+fn is_full(
+    state: &RouteState,
+    row: &UpstreamRow,
+    class: PriorityClass,
+    mean: f64,
+    now: Instant,
+) -> bool {
+    let bound = if class == PriorityClass::Urgent { OVERFULL_RATIO } else { FULL_RATIO };
+    load_estimate(state, row, mean, now) >= f64::from(row.load.slots.max(1)) * bound
+}
+
+/// Load that other nodes put on `row`, as of its report.
+fn reported_others(row: &UpstreamRow) -> f64 {
+    let total = row.load.running + row.load.queued;
+    f64::from(total.saturating_sub(row.in_flight_at_report))
+}
+
+/// Mean of what other nodes put on `rows`.
+fn mean_others(_state: &RouteState, rows: &[&UpstreamRow], _now: Instant) -> f64 {
+    let sum: f64 = rows.iter().map(|row| reported_others(row)).sum();
+    sum / f64::from(u32::try_from(rows.len().max(1)).unwrap_or(u32::MAX))
+}
+
+/// Estimates the load of `row` now.
+///
+/// Own requests count exactly. Those of others fade from the report towards the mean of all
+/// upstreams as the report ages, and others are taken to have sent as many since as this node.
+#[must_use]
+pub fn load_estimate(state: &RouteState, row: &UpstreamRow, mean: f64, now: Instant) -> f64 {
+    let age = row.reported_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+    let trust = 1.0 / (1.0 + age.as_secs_f64() / REPORT_HALF_AGE.as_secs_f64());
+    let others = reported_others(row) * trust + mean * (1.0 - trust);
+    let own_growth = f64::from(row.in_flight.saturating_sub(row.in_flight_at_report));
+    let likely_growth = own_growth * f64::from(state.nodes - 1) * (1.0 - trust).max(0.25);
+    f64::from(row.in_flight) + others + likely_growth.min(f64::from(row.load.slots))
+}
+
+fn rate_or(rate: u32, fallback: f64) -> f64 {
+    if rate == 0 { fallback } else { f64::from(rate) }
+}
+
+/// Time to compute the part of the prompt that is not cached.
+#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+fn prefill_ms(row: &UpstreamRow, ask: &RouteAsk<'_>, cached: usize) -> f64 {
+    let missing = ask.prompt_tokens.saturating_sub((cached * BLOCK_TOKENS) as u64);
+    missing as f64 * 1_000.0 / rate_or(row.load.prefill_rate, DEFAULT_PREFILL_RATE)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+fn expected_first_ms(
+    state: &RouteState,
+    row: &UpstreamRow,
+    ask: &RouteAsk<'_>,
+    cached: usize,
+    mean: f64,
+    now: Instant,
+) -> f64 {
+    let slots = f64::from(row.load.slots.max(1));
+    let load = load_estimate(state, row, mean, now);
+    let service_ms =
+        ask.output_tokens as f64 * 1_000.0 / rate_or(row.load.decode_rate, DEFAULT_DECODE_RATE);
+    let wait = (load + 1.0 - slots).max(0.0) * service_ms / slots;
+    prefill_ms(row, ask, cached) + wait + load / slots * BATCH_PENALTY_MS
+}
+
+/// Mean price of the candidates in millionths an hour.
+#[expect(clippy::cast_precision_loss, reason = "prices are far below 2^52")]
+fn mean_price(rows: &[&UpstreamRow]) -> f64 {
+    let sum: f64 = rows.iter().map(|row| row.listing.price as f64).sum();
+    sum / rows.len().max(1) as f64
+}
+
+/// Turns the price into time, by how patient the request is.
+#[expect(clippy::cast_precision_loss, reason = "prices are far below 2^52")]
+fn price_ms(row: &UpstreamRow, ask: &RouteAsk<'_>, mean_price: f64) -> f64 {
+    let weight = match ask.class {
+        PriorityClass::Urgent => 20.0,
+        PriorityClass::Prompt => 80.0,
+        PriorityClass::Patient => 400.0,
+    };
+    if mean_price <= 0.0 { 0.0 } else { weight * (row.listing.price as f64 / mean_price - 1.0) }
+}
+
+/// Turns the chance of losing the work into time.
+fn risk_ms(state: &RouteState, row: &UpstreamRow, ask: &RouteAsk<'_>, now: Instant) -> f64 {
+    if row.listing.market == MarketKind::OnDemand {
+        return 0.0;
+    }
+    let marks = state.recent_marks(&row.listing.domain, now);
+    let marks = f64::from(u32::try_from(marks.min(8)).unwrap_or(8));
+    let weight = match ask.class {
+        PriorityClass::Urgent => 5.0,
+        PriorityClass::Prompt => 10.0,
+        PriorityClass::Patient => 40.0,
+    };
+    (1.0 + marks) * weight
+}
