--- /dev/null
+++ b/samphirectl/tests/command_line.rs
@@ -0,0 +1,1 @@
+//! The operators' command line over the real binary.
--- /dev/null
+++ b/samphiredeck/src/caller/reply.rs
@@ -0,0 +1,203 @@
+//! Refusals and errors as callers see them.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
+
+use actix_web::{HttpRequest, HttpResponse, ResponseError, http::StatusCode};
+use samphiredeck_core::{
+    admission::{Refusal, RefusalReason},
+    engine_api::VERDICT_HEADER,
+    ids::{ModelName, RequestId},
+    verdict::RunVerdict,
+};
+use serde_json::json;
+
+use crate::run::RunFailure;
+
+/// Error of a request, with its verdict.
+#[derive(Clone, Debug)]
+pub struct CallerError {
+    status: StatusCode,
+    /// Short name of the reason.
+    reason: String,
+    /// Sentence for people.
+    message: String,
+    verdict: RunVerdict,
+    /// Seconds after which a new try has a chance, if any ever has.
+    retry_after_s: Option<u64>,
+    /// Request that the error is about.
+    request: Option<RequestId>,
+}
+
+impl CallerError {
+    fn new(status: StatusCode, reason: &str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            reason: reason.to_owned(),
+            message: message.into(),
+            verdict: RunVerdict::NotRun,
+            retry_after_s: None,
+            request: None,
+        }
+    }
+
+    /// A field of the request is wrong.
+    pub fn bad_field(field: &str, reason: impl Display) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "bad-field", format!("{field}: {reason}"))
+    }
+
+    /// The body is larger than `limit`.
+    pub fn too_large(limit: impl Display) -> Self {
+        let message = format!("body: larger than {limit}");
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", message)
+    }
+
+    /// There is no bearer key.
+    pub fn missing_key() -> Self {
+        let message = "authorization: a bearer key is needed";
+        Self::new(StatusCode::UNAUTHORIZED, "missing-key", message)
+    }
+
+    /// The bearer key belongs to nobody.
+    pub fn unknown_key() -> Self {
+        let message = "authorization: the key belongs to no workspace";
+        Self::new(StatusCode::UNAUTHORIZED, "unknown-key", message)
+    }
+
+    /// The workspace may not call the model, or it is not declared.
+    pub fn unknown_model(model: &ModelName) -> Self {
+        let message = format!("model: {model} is not declared for this workspace");
+        Self::new(StatusCode::NOT_FOUND, "unknown-model", message)
+    }
+
+    /// There is nothing at the path.
+    pub fn unknown_path(path: &str) -> Self {
+        let message = format!("path: nothing is declared for {path:?}");
+        Self::new(StatusCode::NOT_FOUND, "unknown-path", message)
+    }
+
+    /// Nothing is known of the request.
+    pub fn unknown_request(request: &RequestId) -> Self {
+        let message = format!("request: nothing is known of {request}");
+        let mut error = Self::new(StatusCode::NOT_FOUND, "unknown-request", message);
+        error.verdict = RunVerdict::MayHaveRun;
+        error
+    }
+
+    /// The idempotency key belongs to a request that says something else.
+    pub fn other_call() -> Self {
+        let message = "idempotency-key: belongs to a request with another body";
+        Self::new(StatusCode::CONFLICT, "other-request", message)
+    }
+
+    /// The table service can't be reached.
+    pub fn table_down() -> Self {
+        Refusal::new(RefusalReason::TableDown, Duration::from_secs(2)).into()
+    }
+
+    /// The node does not know the declaration.
+    pub fn unsure() -> Self {
+        Refusal::new(RefusalReason::Unsure, Duration::from_secs(1)).into()
+    }
+
+    /// The call may have run, and nobody can know.
+    pub fn may_have_run(reason: &str, message: impl Into<String>) -> Self {
+        let mut error = Self::new(StatusCode::BAD_GATEWAY, reason, message);
+        error.verdict = RunVerdict::MayHaveRun;
+        error
+    }
+
+    /// The call with the same key still runs.
+    pub fn still_running(request: &RequestId) -> Self {
+        let message = "idempotency-key: the request runs, ask again for its answer";
+        let mut error = Self::new(StatusCode::CONFLICT, "still-running", message);
+        error.verdict = RunVerdict::MayHaveRun;
+        error.retry_after_s = Some(1);
+        error.request = Some(request.clone());
+        error
+    }
+
+    /// Names the request that the error is about.
+    pub fn about(mut self, request: &RequestId) -> Self {
+        self.request = Some(request.clone());
+        self
+    }
+
+    /// Whether the request was checked against a declaration that is no longer in force.
+    pub fn is_stale(&self) -> bool {
+        self.reason == RefusalReason::Stale.as_str()
+    }
+
+    fn body(&self) -> serde_json::Value {
+        json!({
+            "error": { "reason": self.reason, "message": self.message },
+            "verdict": self.verdict,
+            "retry_after_s": self.retry_after_s,
+            "request": self.request,
+        })
+    }
+}
+
+impl From<Refusal> for CallerError {
+    fn from(refusal: Refusal) -> Self {
+        let failure = RunFailure {
+            reason: refusal.reason.as_str().to_owned(),
+            verdict: RunVerdict::NotRun,
+            retry_after_s: whole_seconds(refusal.retry_after),
+        };
+        failure.into()
+    }
+}
+
+impl From<RunFailure> for CallerError {
+    fn from(failure: RunFailure) -> Self {
+        let limited = [RefusalReason::WorkspaceFull, RefusalReason::QueueFull]
+            .map(RefusalReason::as_str)
+            .contains(&failure.reason.as_str());
+        let status = match failure.verdict {
+            RunVerdict::NotRun if limited => StatusCode::TOO_MANY_REQUESTS,
+            RunVerdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            RunVerdict::MayHaveRun | RunVerdict::Ran => StatusCode::BAD_GATEWAY,
+        };
+        let message = format!("request: given up, {}", failure.reason);
+        let mut error = Self::new(status, &failure.reason, message);
+        error.verdict = failure.verdict;
+        error.retry_after_s = Some(failure.retry_after_s);
+        error
+    }
+}
+
+impl Display for CallerError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.message, self.verdict)
+    }
+}
+
+impl ResponseError for CallerError {
+    fn status_code(&self) -> StatusCode {
+        self.status
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let mut response = HttpResponse::build(self.status);
+        response.insert_header((VERDICT_HEADER, self.verdict.to_string()));
+        if let Some(seconds) = self.retry_after_s {
+            response.insert_header(("retry-after", seconds.to_string()));
+        }
+        response.json(self.body())
+    }
+}
+
+/// Rounds up to whole seconds, at least one.
+pub fn whole_seconds(pause: Duration) -> u64 {
+    let part = u64::from(pause.subsec_nanos() > 0);
+    (pause.as_secs() + part).max(1)
+}
+
+/// Finds the bearer key of a request.
+pub fn bearer_key(request: &HttpRequest) -> Option<&str> {
+    let text = request.headers().get("authorization")?.to_str().ok()?;
+    text.strip_prefix("Bearer ").filter(|key| !key.is_empty())
+}
--- /dev/null
+++ b/samphiredeck/src/cli.rs
@@ -0,0 +1,45 @@
+//! Command line of the node.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// A node of samphiredeck, between callers and upstreams.
+#[derive(Debug, FromArgs)]
+pub struct NodeArgs {
+    #[argh(subcommand)]
+    pub command: NodeCommand,
+}
+
+/// What the program is to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum NodeCommand {
+    Run(RunArgs),
+    Check(CheckArgs),
+    Hash(HashArgs),
+}
+
+/// Run a node until it is told to stop.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct RunArgs {
+    /// settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Check a settings file and say what is wrong with it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Print the hash of a bearer key read from standard input.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hash-key")]
+#[expect(clippy::empty_structs_with_brackets, reason = "the parser's derive needs the brackets")]
+pub struct HashArgs {}
--- /dev/null
+++ b/samphiredeck/src/control.rs
@@ -0,0 +1,370 @@
+//! Control state of a node: one owner of all tables, events in, effects out.
+
+mod change;
+mod dispatch;
+mod peers;
+mod place;
+mod show;
+mod table;
+mod takeover;
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwapOption;
+use log::{debug, info};
+use samphiredeck_core::{
+    account::AccountTable,
+    admission::AdmissionQueue,
+    burn::BurnTable,
+    config_change::{ConfigHolding, ConfigInForce},
+    freshness::FreshnessGate,
+    group_commit::CommitLane,
+    ids::{DomainName, Incarnation, NodeName, RowVersion},
+    lease::LeaseWatch,
+    limit::LimitTable,
+    membership::{MarkTable, PeerTable},
+    prefix::PrefixTable,
+    retry::RetryTable,
+    route::{RoutePolicy, RouteState},
+    rows::MemberRow,
+    units::ByteSize,
+    upstream::UpstreamTable,
+};
+use samphiredeck_wire::seal::{PeerKey, ReplayGuard};
+use tokio::sync::oneshot;
+
+use crate::{
+    event::{ControlEffect, ControlEvent, MemberSeen},
+    logging::{CONFIG, NODE},
+    view::CounterView,
+};
+
+pub use self::dispatch::RunRow;
+
+/// Time between two ticks.
+pub const TICK_PERIOD: Duration = Duration::from_millis(20);
+/// Time between two reads of the configuration and member rows.
+const TABLE_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two reads of the list of instances.
+const CLOUD_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two reports of one upstream.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at tables that only grow stale slowly.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// Answers whoever asked. One that has gone away wants no answer.
+fn answer<T>(reply: oneshot::Sender<T>, value: T) {
+    if reply.send(value).is_err() {
+        debug!(target: NODE, "An answer is not wanted any more.");
+    }
+}
+
+/// Who this node is.
+#[derive(Clone, Debug)]
+pub struct NodeIdentity {
+    /// Name of the node.
+    pub name: NodeName,
+    /// Run of the node.
+    pub incarnation: Incarnation,
+    /// Failure domain of the node.
+    pub domain: DomainName,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// The platform's id of this node's instance.
+    pub instance: Option<String>,
+    /// Key for traffic between nodes.
+    pub key: PeerKey,
+}
+
+impl NodeIdentity {
+    /// Builds the member row of this run.
+    fn member_row(&self) -> MemberRow {
+        MemberRow {
+            node: self.name.clone(),
+            incarnation: self.incarnation,
+            domain: self.domain.clone(),
+            peer_address: self.peer_address.to_string(),
+            caller_address: self.caller_address.to_string(),
+            transaction: 0,
+            lapsed: false,
+        }
+    }
+}
+
+/// What the control state takes from the settings.
+#[derive(Clone, Debug)]
+pub struct ControlOptions {
+    /// How upstreams are chosen.
+    pub policy: RoutePolicy,
+    /// Whether this node may place models and ask for instances.
+    pub placement: bool,
+    /// Most bytes of finished answers kept.
+    pub kept_answers: ByteSize,
+    /// Nodes to ask while the table service is down.
+    pub seeds: Vec<(NodeName, SocketAddr)>,
+}
+
+/// How far a node is from its stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopPhase {
+    /// It serves.
+    Serving,
+    /// It says that it is not ready, and still admits.
+    Noticing,
+    /// It admits nothing.
+    Refusing,
+}
+
+/// Times of regular work.
+#[derive(Debug, Default)]
+struct RegularTimes {
+    table: Option<Instant>,
+    cloud: Option<Instant>,
+    heartbeat: Option<Instant>,
+    sweep: Option<Instant>,
+    fetch: Option<Instant>,
+    usage: Option<Instant>,
+    work: Option<Instant>,
+    placement: Option<Instant>,
+    rebind: Option<Instant>,
+}
+
+/// Whether `period` has passed since `last`, which is then moved to `now`.
+fn is_due(last: &mut Option<Instant>, period: Duration, now: Instant) -> bool {
+    if last.is_some_and(|at| now.saturating_duration_since(at) < period) {
+        return false;
+    }
+    *last = Some(now);
+    true
+}
+
+/// Every mutable table of a node.
+#[derive(Debug)]
+pub struct ControlState {
+    identity: NodeIdentity,
+    options: ControlOptions,
+    /// What traffic threads read. Follows `holding`.
+    snapshot: Arc<ArcSwapOption<ConfigInForce>>,
+    phase: StopPhase,
+    upstreams: UpstreamTable,
+    prefixes: PrefixTable,
+    limits: LimitTable,
+    retries: RetryTable,
+    queue: AdmissionQueue,
+    route: RouteState,
+    /// Sorted by ticket, without duplicates.
+    runs: Vec<RunRow>,
+    reports: Vec<dispatch::ReportRow>,
+    lane: CommitLane,
+    waiters: Vec<table::WaiterRow>,
+    last_operation: u64,
+    gate: FreshnessGate,
+    holding: ConfigHolding,
+    /// Row version of the accepted declaration, and the version it holds.
+    config_row: Option<(RowVersion, samphiredeck_core::ids::ConfigVersion)>,
+    /// Sorted by node, without duplicates.
+    members: Vec<MemberSeen>,
+    watch: LeaseWatch,
+    change: Option<change::ChangeInFlight>,
+    peers: PeerTable,
+    marks: MarkTable,
+    guard: ReplayGuard,
+    last_counter: u64,
+    pings: Vec<peers::PingRow>,
+    probes: Vec<peers::ProbeRow>,
+    placer: place::PlacerState,
+    accounts: AccountTable,
+    usage_saved: u64,
+    burn: BurnTable,
+    counters: CounterView,
+    times: RegularTimes,
+    /// Millionths of a second that differ from call to call, for draws.
+    noise: rand::rngs::SmallRng,
+    effects: Vec<ControlEffect>,
+}
+
+impl ControlState {
+    /// Builds the state of a node that starts at `now`.
+    pub fn new(
+        identity: NodeIdentity,
+        options: ControlOptions,
+        snapshot: Arc<ArcSwapOption<ConfigInForce>>,
+        now: Instant,
+    ) -> Self {
+        let lane = CommitLane::new(identity.member_row());
+        let route = RouteState::new(options.policy);
+        Self {
+            identity,
+            options,
+            snapshot,
+            phase: StopPhase::Serving,
+            upstreams: UpstreamTable::default(),
+            prefixes: PrefixTable::default(),
+            limits: LimitTable::default(),
+            retries: RetryTable::default(),
+            queue: AdmissionQueue::default(),
+            route,
+            runs: Vec::new(),
+            reports: Vec::new(),
+            lane,
+            waiters: Vec::new(),
+            last_operation: 0,
+            gate: FreshnessGate::default(),
+            holding: ConfigHolding::default(),
+            config_row: None,
+            members: Vec::new(),
+            watch: LeaseWatch::default(),
+            change: None,
+            peers: PeerTable::default(),
+            marks: MarkTable::default(),
+            guard: ReplayGuard::default(),
+            last_counter: 0,
+            pings: Vec::new(),
+            probes: Vec::new(),
+            placer: place::PlacerState::default(),
+            accounts: AccountTable::default(),
+            usage_saved: 0,
+            burn: BurnTable::new(now),
+            counters: CounterView::default(),
+            times: RegularTimes::default(),
+            noise: rand::SeedableRng::from_os_rng(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Handles one event and returns what is to be done.
+    pub fn handle(&mut self, event: ControlEvent, now: Instant) -> Vec<ControlEffect> {
+        match event {
+            ControlEvent::Admit(ask, reply) => self.admit_run(*ask, reply, now),
+            ControlEvent::CheckPatient { workspace, version, reply } => {
+                answer(reply, self.check_patient(&workspace, version, now));
+            }
+            ControlEvent::PlaceAgain { ticket, cause, reply } => {
+                self.place_again(ticket, cause, reply, now);
+            }
+            ControlEvent::WorkDone { ticket, work } => self.add_work(ticket, work),
+            ControlEvent::FirstToken { ticket, after } => self.note_first(ticket, after, now),
+            ControlEvent::EndRun { ticket, end } => self.end_run(ticket, &end, now),
+            ControlEvent::FindRun { request, reply } => self.find_run(&request, reply, now),
+            ControlEvent::PlaceCall { workspace, version, backend, exclude, reply } => {
+                let placed = self.place_call(&workspace, version, &backend, &exclude, now);
+                answer(reply, placed);
+            }
+            ControlEvent::EndCall { upstream, failed } => {
+                self.upstreams.note_ended(&upstream, failed, now);
+            }
+            ControlEvent::Write(ask, reply) => self.offer_write(ask, reply),
+            ControlEvent::IsRunning { node, incarnation, reply } => {
+                answer(reply, self.is_registered(&node, incarnation));
+            }
+            ControlEvent::WhoAmI(reply) => {
+                let identity = &self.identity;
+                answer(reply, (identity.name.clone(), identity.incarnation));
+            }
+            ControlEvent::Stamp { receiver, reply } => {
+                answer(reply, self.stamp(&receiver));
+            }
+            ControlEvent::Change(ask, reply) => self.begin_change(*ask, reply, now),
+            ControlEvent::Cancel { request, reply } => {
+                answer(reply, self.cancel_run(&request));
+            }
+            ControlEvent::View(reply) => answer(reply, Box::new(self.show(now))),
+            ControlEvent::LaneReply(reply) => self.on_lane_reply(reply, now),
+            ControlEvent::TableRead(asked_at, rows) => self.on_table_read(asked_at, rows, now),
+            ControlEvent::WorkRead(rows) => self.on_work_read(rows, now),
+            ControlEvent::CloudView(view) => self.on_cloud_view(view, now),
+            ControlEvent::Prices(prices) => self.placer.set_prices(prices),
+            ControlEvent::EngineReport(id, asked_at, report) => {
+                self.on_engine_report(&id, asked_at, *report, now);
+            }
+            ControlEvent::ServiceReport(id, asked_at, load) => {
+                self.on_load(&id, load, asked_at, now);
+            }
+            ControlEvent::LoadOrdered(plan, result) => self.on_load_ordered(&plan, result, now),
+            ControlEvent::StartOrdered(choice, outcome) => {
+                self.on_start_ordered(&choice, outcome, now);
+            }
+            ControlEvent::Datagram(bytes) => self.on_datagram(&bytes, now),
+            ControlEvent::PeerCall(stamp, request, reply) => {
+                self.on_peer_call(&stamp, request, reply, now);
+            }
+            ControlEvent::PeerAnswer { node, request, reply } => {
+                self.on_peer_answer(&node, &request, reply, now);
+            }
+            ControlEvent::Stop => self.advance_stop(),
+            ControlEvent::IsReady(reply) => answer(reply, self.is_ready(now)),
+            ControlEvent::IsDrained(reply) => drop(reply.send(self.is_drained())),
+            ControlEvent::HasLeft(reply) => drop(reply.send(self.lane.has_left())),
+            ControlEvent::Members(reply) => drop(reply.send(self.other_members())),
+            ControlEvent::HandOver => self.hand_over_runs(now),
+            ControlEvent::Deregister => self.deregister(now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Runs the regular systems and returns what is to be done.
+    pub fn tick(&mut self, now: Instant) -> Vec<ControlEffect> {
+        self.expire_waiting(now);
+        self.place_waiting(now);
+        self.tick_table(now);
+        self.tick_change(now);
+        self.tick_upstreams(now);
+        self.tick_peers(now);
+        self.tick_placement(now);
+        if is_due(&mut self.times.sweep, SWEEP_PERIOD, now) {
+            self.sweep(now);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        self.prefixes.expire(now);
+        self.marks.expire(now);
+        let upstreams = &self.upstreams;
+        self.limits.retain(|id| upstreams.position(id).is_some());
+        self.sweep_runs(now);
+    }
+
+    /// Goes one step towards the stop: not ready first, then nothing is admitted.
+    fn advance_stop(&mut self) {
+        match self.phase {
+            StopPhase::Serving => {
+                info!(target: NODE, "Stop begins, not ready any more.");
+                self.phase = StopPhase::Noticing;
+            }
+            StopPhase::Noticing => {
+                info!(target: NODE, "Nothing is admitted any more.");
+                self.phase = StopPhase::Refusing;
+                self.tell_leaving();
+            }
+            StopPhase::Refusing => {}
+        }
+    }
+
+    /// Whether the balancer may send new callers.
+    fn is_ready(&self, now: Instant) -> bool {
+        self.phase == StopPhase::Serving
+            && self.holding.in_force().is_some()
+            && !self.holding.is_behind()
+            && self.gate.is_fresh(&self.identity.name, now)
+    }
+
+    /// Lets the traffic threads see the declaration in force.
+    fn publish_config(&mut self) {
+        let Some(config) = self.holding.in_force() else { return };
+        info!(target: CONFIG, "Version {} is in force.", config.row.version);
+        self.upstreams.set_drained(config.declaration.drained());
+        self.snapshot.store(Some(Arc::new(config.clone())));
+    }
+
+    /// Draws a number that is uniform in 0 to 1.
+    fn draw(&mut self) -> f64 {
+        rand::Rng::random(&mut self.noise)
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/control/dispatch.rs
@@ -0,0 +1,740 @@
+//! Admission, placement and the table of runs.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use log::{debug, info, warn};
+use samphiredeck_core::{
+    account::WorkDone,
+    admission::{AdmissionAsk, Refusal, RefusalReason, TicketNumber},
+    declaration::{CostFavour, LatencyTarget, PriorityClass},
+    engine_api::{CacheChange, EngineReport},
+    ids::{BackendName, ConfigVersion, ModelName, RequestId, UpstreamId, WorkspaceName},
+    limit::LimitTable,
+    platform_api::{CloudView, InstanceRow},
+    prefix::{BLOCK_TOKENS, BlockHash, PrefixTable},
+    reclaim::{ReclaimMeans, StreamAtRisk, plan_reclaim},
+    route::{RouteAsk, RouteChoice, RouteState, RouteView, choose},
+    upstream::{LoadReport, UpstreamKind, UpstreamTable},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{CLOUD_PERIOD, ControlState, REPORT_PERIOD, StopPhase, is_due};
+use crate::{
+    event::{ControlEffect, LossCause, PlaceReply, RunAsk, RunEnd, RunFinding, RunPlacement},
+    logging::{PLATFORM, ROUTE, RUN},
+    run::{RunBuffer, RunSignal},
+};
+
+/// Time for which a finished answer is kept for callers that come back.
+const KEEP_FINISHED: Duration = Duration::from_secs(60);
+/// Time for which a run that lost its upstream waits for another.
+const PLACE_AGAIN_FOR: Duration = Duration::from_secs(60);
+/// Notice assumed for an upstream that says itself that it leaves.
+const UNTOLD_NOTICE: Duration = Duration::from_secs(5);
+/// Tokens of cache that one upstream sends a second.
+const MOVE_RATE: f64 = 40_000.0;
+/// Advice to callers that are refused since the node is unsure.
+const UNSURE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Where a run stands.
+#[derive(Debug)]
+enum RunStage {
+    /// It waits for a place.
+    Waiting(oneshot::Sender<PlaceReply>),
+    /// It runs at an upstream.
+    Placed { upstream: UpstreamId, since: Instant },
+    /// It has ended.
+    Ended { at: Instant },
+}
+
+/// One row of the table of runs.
+#[derive(Debug)]
+pub struct RunRow {
+    ticket: TicketNumber,
+    pub(super) request: RequestId,
+    pub(super) workspace: WorkspaceName,
+    pub(super) class: PriorityClass,
+    pub(super) model: ModelName,
+    blocks: Vec<BlockHash>,
+    prompt_tokens: u64,
+    output_tokens: u64,
+    weight: u32,
+    favour: CostFavour,
+    /// Upstream that failed last.
+    excluded: Vec<UpstreamId>,
+    /// Upstream that holds the cache already, until it was tried.
+    prefer: Option<UpstreamId>,
+    stage: RunStage,
+    pub(super) buffer: Arc<RunBuffer>,
+    pub(super) signals: mpsc::UnboundedSender<RunSignal>,
+    pub(super) admitted_at: Instant,
+}
+
+impl RunRow {
+    /// Whether the run has not ended.
+    pub(super) fn is_open(&self) -> bool {
+        !matches!(self.stage, RunStage::Ended { .. })
+    }
+
+    /// Upstream that the run is at.
+    pub(super) fn upstream(&self) -> Option<&UpstreamId> {
+        match &self.stage {
+            RunStage::Placed { upstream, .. } => Some(upstream),
+            RunStage::Waiting(_) | RunStage::Ended { .. } => None,
+        }
+    }
+
+    fn route_ask(&self) -> RouteAsk<'_> {
+        RouteAsk {
+            model: &self.model,
+            blocks: &self.blocks,
+            prompt_tokens: self.prompt_tokens + self.buffer.tokens(),
+            output_tokens: self.output_tokens,
+            class: self.class,
+            favour: self.favour,
+            exclude: &self.excluded,
+        }
+    }
+
+    fn admission_ask(&self, place_by: Instant) -> AdmissionAsk {
+        AdmissionAsk {
+            ticket: self.ticket,
+            workspace: self.workspace.clone(),
+            weight: self.weight,
+            max_in_flight: u32::MAX,
+            class: self.class,
+            model: self.model.clone(),
+            place_by,
+            tokens: self.prompt_tokens + self.output_tokens,
+        }
+    }
+}
+
+/// Reports asked of one upstream.
+#[derive(Debug)]
+pub(super) struct ReportRow {
+    upstream: UpstreamId,
+    asked_at: Instant,
+    /// Number of the next cache event.
+    next_event: u64,
+}
+
+/// Tables that a placement reads and writes.
+struct PlacingTables<'a> {
+    runs: &'a [RunRow],
+    route: &'a mut RouteState,
+    upstreams: &'a mut UpstreamTable,
+    prefixes: &'a mut PrefixTable,
+    limits: &'a LimitTable,
+}
+
+impl PlacingTables<'_> {
+    /// Places the run of `ticket`, or finds no room.
+    fn place(&mut self, ticket: TicketNumber, noise: f64, now: Instant) -> Option<RouteChoice> {
+        let at = self.runs.binary_search_by_key(&ticket, |row| row.ticket).ok()?;
+        let run = &self.runs[at];
+        if let Some(choice) = self.place_preferred(run, now) {
+            return Some(choice);
+        }
+        let view =
+            RouteView { upstreams: self.upstreams, prefixes: self.prefixes, limits: self.limits };
+        let mut ask = run.route_ask();
+        let mut choice = choose(self.route, view, &ask, noise, now);
+        if choice.is_none() && !ask.exclude.is_empty() && !self.has_other(&ask, now) {
+            // The upstream that failed is the only one, so it is tried again.
+            ask.exclude = &[];
+            let view = RouteView {
+                upstreams: self.upstreams,
+                prefixes: self.prefixes,
+                limits: self.limits,
+            };
+            choice = choose(self.route, view, &ask, noise, now);
+        }
+        let choice = choice?;
+        self.upstreams.note_sent(&choice.upstream);
+        self.prefixes.insert(&run.blocks, &choice.upstream, now);
+        Some(choice)
+    }
+
+    /// Places a run where its cache is, if that upstream still takes work.
+    fn place_preferred(&mut self, run: &RunRow, now: Instant) -> Option<RouteChoice> {
+        let row = self.upstreams.find(run.prefer.as_ref()?)?;
+        if !row.holds(&run.model) || !row.accepts(now) {
+            return None;
+        }
+        let choice = RouteChoice {
+            upstream: row.listing.id.clone(),
+            address: row.listing.address.clone(),
+            domain: row.listing.domain.clone(),
+            cached_blocks: run.blocks.len(),
+            expected_first: Duration::ZERO,
+            price: row.listing.price,
+            slots: row.load.slots.max(1),
+        };
+        self.upstreams.note_sent(&choice.upstream);
+        Some(choice)
+    }
+
+    fn has_other(&self, ask: &RouteAsk<'_>, now: Instant) -> bool {
+        self.upstreams.rows().iter().any(|row| {
+            row.holds(ask.model) && row.accepts(now) && !ask.exclude.contains(&row.listing.id)
+        })
+    }
+}
+
+impl ControlState {
+    fn run_position(&self, ticket: TicketNumber) -> Option<usize> {
+        self.runs.binary_search_by_key(&ticket, |row| row.ticket).ok()
+    }
+
+    /// Whether a request that was checked against `version` may be admitted.
+    fn check_gate(
+        &self,
+        workspace: &WorkspaceName,
+        version: ConfigVersion,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        if self.phase == StopPhase::Refusing {
+            return Err(Refusal::new(RefusalReason::Stopping, UNSURE_PAUSE));
+        }
+        if self.holding.in_force().is_some() && self.holding.version() != version {
+            return Err(Refusal::new(RefusalReason::Stale, UNSURE_PAUSE));
+        }
+        let fresh = self.gate.is_fresh(&self.identity.name, now);
+        if !fresh || !self.holding.admits(workspace, now) {
+            return Err(Refusal::new(RefusalReason::Unsure, UNSURE_PAUSE));
+        }
+        Ok(())
+    }
+
+    /// Whether patient work of `workspace` may be recorded.
+    pub(super) fn check_patient(
+        &self,
+        workspace: &WorkspaceName,
+        version: ConfigVersion,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        self.check_gate(workspace, version, now)?;
+        if self.lane.is_down() || self.lane.needs_registration() {
+            return Err(Refusal::new(RefusalReason::TableDown, UNSURE_PAUSE));
+        }
+        let config = self.holding.in_force();
+        let row = config.and_then(|config| config.declaration.workspace(workspace));
+        let most = row.map_or(usize::MAX, |row| row.max_in_flight as usize);
+        let open = self.runs.iter().filter(|run| run.is_open() && run.workspace == *workspace);
+        if open.count() >= most {
+            let wait = self.queue.expected_wait(PriorityClass::Patient);
+            return Err(Refusal::new(RefusalReason::WorkspaceFull, wait));
+        }
+        Ok(())
+    }
+
+    fn has_holder(&self, model: &ModelName, now: Instant) -> bool {
+        self.upstreams.rows().iter().any(|row| row.holds(model) && row.accepts(now))
+    }
+
+    pub(super) fn admit_run(
+        &mut self,
+        ask: RunAsk,
+        reply: oneshot::Sender<PlaceReply>,
+        now: Instant,
+    ) {
+        if !ask.accepted {
+            let gate = self.check_gate(&ask.workspace, ask.version, now);
+            let holder = self.has_holder(&ask.model, now);
+            let missing = || Refusal::new(RefusalReason::NoUpstream, UNSURE_PAUSE);
+            if let Err(refusal) = gate.and(if holder { Ok(()) } else { Err(missing()) }) {
+                self.refuse(&ask, reply, refusal, now);
+                return;
+            }
+        }
+        let declared = self.holding.in_force().and_then(|config| {
+            let row = config.declaration.workspace(&ask.workspace)?;
+            Some((row.weight, row.max_in_flight, row.favour, row.retry_percent))
+        });
+        let (weight, most, favour, percent) =
+            declared.unwrap_or((1, u32::MAX, CostFavour::default(), 0));
+        let waiting = AdmissionAsk {
+            ticket: ask.ticket,
+            workspace: ask.workspace.clone(),
+            weight,
+            max_in_flight: most,
+            class: ask.class,
+            model: ask.model.clone(),
+            place_by: ask.place_by,
+            tokens: ask.prompt_tokens + ask.output_tokens,
+        };
+        if ask.accepted {
+            self.queue.offer_again(waiting, now);
+        } else if let Err(refusal) = self.queue.offer(waiting, now) {
+            self.refuse(&ask, reply, refusal, now);
+            return;
+        }
+        self.retries.note_first(&ask.workspace, percent);
+        self.insert_run(ask, weight, favour, RunStage::Waiting(reply), now);
+        self.place_waiting(now);
+    }
+
+    fn insert_run(
+        &mut self,
+        ask: RunAsk,
+        weight: u32,
+        favour: CostFavour,
+        stage: RunStage,
+        now: Instant,
+    ) {
+        let row = RunRow {
+            ticket: ask.ticket,
+            request: ask.request,
+            workspace: ask.workspace,
+            class: ask.class,
+            model: ask.model,
+            blocks: ask.blocks,
+            prompt_tokens: ask.prompt_tokens,
+            output_tokens: ask.output_tokens,
+            weight,
+            favour,
+            excluded: Vec::new(),
+            prefer: ask.prefer,
+            stage,
+            buffer: ask.buffer,
+            signals: ask.signals,
+            admitted_at: now,
+        };
+        if let Err(at) = self.runs.binary_search_by_key(&row.ticket, |known| known.ticket) {
+            self.runs.insert(at, row);
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        ask: &RunAsk,
+        reply: oneshot::Sender<PlaceReply>,
+        refusal: Refusal,
+        now: Instant,
+    ) {
+        debug!(target: ROUTE, "Request {} refused: {}.", ask.request, refusal.reason.as_str());
+        if refusal.reason != RefusalReason::Stale {
+            self.count_refusal(&ask.workspace, ask.class, now);
+        }
+        drop(reply.send(Err(refusal)));
+    }
+
+    pub(super) fn count_refusal(
+        &mut self,
+        workspace: &WorkspaceName,
+        class: PriorityClass,
+        now: Instant,
+    ) {
+        self.counters.refused += 1;
+        self.burn.count(workspace, class, false, now);
+    }
+
+    /// Places what waits, in turn.
+    pub(super) fn place_waiting(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut noise = self.draw();
+        let mut tables = PlacingTables {
+            runs: &self.runs,
+            route: &mut self.route,
+            upstreams: &mut self.upstreams,
+            prefixes: &mut self.prefixes,
+            limits: &self.limits,
+        };
+        let placed = self.queue.place_waiting(now, |ask| {
+            noise = (noise + 0.618_033_988).fract();
+            tables.place(ask.ticket, noise, now)
+        });
+        for (ticket, choice) in placed {
+            self.tell_place(ticket, choice, now);
+        }
+    }
+
+    /// Tells a run its place. A run whose task is gone gives the place back.
+    fn tell_place(&mut self, ticket: TicketNumber, choice: RouteChoice, now: Instant) {
+        let Some(at) = self.run_position(ticket) else { return };
+        let placed = RunStage::Placed { upstream: choice.upstream.clone(), since: now };
+        let former = std::mem::replace(&mut self.runs[at].stage, placed);
+        let RunStage::Waiting(reply) = former else { return };
+        let placement = RunPlacement {
+            upstream: choice.upstream,
+            address: choice.address,
+            price: choice.price,
+            slots: choice.slots,
+        };
+        if reply.send(Ok(placement)).is_err() {
+            self.release(at, false, now);
+            self.runs[at].stage = RunStage::Ended { at: now };
+        }
+    }
+
+    /// Gives back the place of the run at position `at`.
+    fn release(&mut self, at: usize, failed: bool, now: Instant) {
+        let RunStage::Placed { upstream, since } = &self.runs[at].stage else { return };
+        let service = now.saturating_duration_since(*since);
+        self.upstreams.note_ended(upstream, failed, now);
+        self.queue.note_ended(&self.runs[at].workspace, service);
+    }
+
+    pub(super) fn place_again(
+        &mut self,
+        ticket: TicketNumber,
+        cause: LossCause,
+        reply: oneshot::Sender<PlaceReply>,
+        now: Instant,
+    ) {
+        let Some(at) = self.run_position(ticket) else { return };
+        self.release(at, cause != LossCause::Announced, now);
+        let class = self.runs[at].class;
+        match cause {
+            LossCause::Announced => self.counters.replaced += 1,
+            LossCause::Refused | LossCause::Failed => self.counters.retried += 1,
+        }
+        if cause == LossCause::Failed {
+            // Patient work finishes, whatever the budget says.
+            let workspace = self.runs[at].workspace.clone();
+            if class != PriorityClass::Patient && !self.retries.take(&workspace) {
+                self.runs[at].stage = RunStage::Ended { at: now };
+                let refusal = Refusal::new(RefusalReason::RetryBudget, UNSURE_PAUSE);
+                drop(reply.send(Err(refusal)));
+                return;
+            }
+        }
+        let run = &mut self.runs[at];
+        run.prefer = None;
+        run.excluded = run.upstream().cloned().into_iter().collect();
+        run.stage = RunStage::Waiting(reply);
+        let ask = self.runs[at].admission_ask(again_until(class, now));
+        self.queue.offer_again(ask, now);
+        self.place_waiting(now);
+    }
+
+    /// Refuses at once what can't be placed in time any more.
+    pub(super) fn expire_waiting(&mut self, now: Instant) {
+        for (ticket, refusal) in self.queue.expire(now) {
+            let Some(at) = self.run_position(ticket) else { continue };
+            let ended = RunStage::Ended { at: now };
+            let former = std::mem::replace(&mut self.runs[at].stage, ended);
+            let (workspace, class) = (self.runs[at].workspace.clone(), self.runs[at].class);
+            self.count_refusal(&workspace, class, now);
+            if let RunStage::Waiting(reply) = former {
+                drop(reply.send(Err(refusal)));
+            }
+        }
+    }
+
+    pub(super) fn add_work(&mut self, ticket: TicketNumber, work: WorkDone) {
+        let Some(at) = self.run_position(ticket) else { return };
+        let run = &self.runs[at];
+        self.accounts.add(&run.workspace, &run.model, work);
+    }
+
+    fn target_of(&self, workspace: &WorkspaceName, class: PriorityClass) -> LatencyTarget {
+        let config = self.holding.in_force();
+        let row = config.and_then(|config| config.declaration.workspace(workspace));
+        row.map_or_else(|| LatencyTarget::default_of(class), |row| row.targets[class.index()])
+    }
+
+    pub(super) fn note_first(&mut self, ticket: TicketNumber, after: Duration, now: Instant) {
+        let Some(at) = self.run_position(ticket) else { return };
+        let run = &self.runs[at];
+        // Patient answers are slow by choice and say nothing about the upstream's limit.
+        if run.class == PriorityClass::Patient {
+            return;
+        }
+        let target = self.target_of(&run.workspace, run.class);
+        let row = run.upstream().and_then(|id| self.upstreams.find(id));
+        if let Some(row) = row {
+            self.limits.observe(row, after, target.first_token, now);
+        }
+    }
+
+    pub(super) fn end_run(&mut self, ticket: TicketNumber, end: &RunEnd, now: Instant) {
+        let Some(at) = self.run_position(ticket) else { return };
+        if !self.runs[at].is_open() {
+            return;
+        }
+        self.release(at, end.failed, now);
+        self.queue.withdraw(ticket);
+        self.runs[at].stage = RunStage::Ended { at: now };
+        let run = &self.runs[at];
+        if let Some(timing) = end.timing {
+            let (workspace, class) = (run.workspace.clone(), run.class);
+            let target = self.target_of(&workspace, class);
+            self.burn.count(&workspace, class, timing.meets(&target), now);
+            if timing.complete {
+                self.counters.answered += 1;
+                self.accounts.count_answer(&workspace, &self.runs[at].model);
+            } else {
+                self.counters.failed += 1;
+            }
+        }
+        self.place_waiting(now);
+    }
+
+    pub(super) fn find_run(
+        &self,
+        request: &RequestId,
+        reply: oneshot::Sender<RunFinding>,
+        now: Instant,
+    ) {
+        let moved = |run: &&RunRow| run.buffer.state() == crate::run::RunState::Moved;
+        let here = self.runs.iter().rev().find(|run| run.request == *request);
+        let finding = match here.filter(|run| !moved(run)) {
+            Some(run) => RunFinding::Here {
+                buffer: Arc::clone(&run.buffer),
+                workspace: run.workspace.clone(),
+            },
+            None => RunFinding::Elsewhere { addresses: self.likely_addresses(request, now) },
+        };
+        drop(reply.send(finding));
+    }
+
+    fn likely_addresses(&self, request: &RequestId, now: Instant) -> Vec<String> {
+        let mut rows: Vec<_> =
+            self.peers.rows().iter().filter(|row| row.silence(now) < PLACE_AGAIN_FOR).collect();
+        rows.sort_by_key(|row| row.node != *request.node());
+        rows.into_iter().map(|row| row.caller_address.clone()).collect()
+    }
+
+    pub(super) fn cancel_run(&mut self, request: &RequestId) -> bool {
+        let run = self.runs.iter().find(|run| run.request == *request && run.is_open());
+        let Some(run) = run else { return false };
+        info!(target: RUN, "Request {request} cancelled by an operator.");
+        run.signals.send(RunSignal::Cancel).is_ok()
+    }
+
+    /// Chooses the upstream for a call to a plain service: the least loaded one.
+    pub(super) fn place_call(
+        &mut self,
+        workspace: &WorkspaceName,
+        version: ConfigVersion,
+        backend: &BackendName,
+        exclude: &[UpstreamId],
+        now: Instant,
+    ) -> PlaceReply {
+        self.check_gate(workspace, version, now)?;
+        let kind = UpstreamKind::Service(backend.clone());
+        let best = self
+            .upstreams
+            .rows()
+            .iter()
+            .filter(|row| row.listing.kind == kind && row.accepts(now))
+            .filter(|row| !exclude.contains(&row.listing.id))
+            .min_by_key(|row| (row.in_flight + row.load.running, row.listing.id.clone()));
+        let Some(row) = best else {
+            return Err(Refusal::new(RefusalReason::NoUpstream, UNSURE_PAUSE));
+        };
+        let placement = RunPlacement {
+            upstream: row.listing.id.clone(),
+            address: row.listing.address.clone(),
+            price: row.listing.price,
+            slots: row.load.slots.max(1),
+        };
+        self.upstreams.note_sent(&placement.upstream);
+        Ok(placement)
+    }
+
+    pub(super) fn tick_upstreams(&mut self, now: Instant) {
+        if is_due(&mut self.times.cloud, CLOUD_PERIOD, now) {
+            self.effects.push(ControlEffect::ReadCloud);
+        }
+        let upstreams = &self.upstreams;
+        self.reports.retain(|row| upstreams.position(&row.upstream).is_some());
+        for row in self.upstreams.rows() {
+            let id = &row.listing.id;
+            let known = self.reports.binary_search_by(|report| report.upstream.cmp(id));
+            let at = known.unwrap_or_else(|at| {
+                let long_ago = now.checked_sub(REPORT_PERIOD).unwrap_or(now);
+                let fresh = ReportRow { upstream: id.clone(), asked_at: long_ago, next_event: 0 };
+                self.reports.insert(at, fresh);
+                at
+            });
+            let report = &mut self.reports[at];
+            if now.saturating_duration_since(report.asked_at) < REPORT_PERIOD {
+                continue;
+            }
+            report.asked_at = now;
+            let (upstream, address) = (id.clone(), row.listing.address.clone());
+            self.effects.push(match row.listing.kind {
+                UpstreamKind::Engine => {
+                    ControlEffect::AskEngine { upstream, address, from: report.next_event }
+                }
+                UpstreamKind::Service(_) => ControlEffect::AskService { upstream, address },
+            });
+        }
+    }
+
+    pub(super) fn on_cloud_view(&mut self, view: Option<CloudView>, now: Instant) {
+        let Some(view) = view else { return };
+        self.placer.note_instances(&view.instances);
+        let listing = view.instances.iter().filter_map(InstanceRow::listing).collect();
+        for id in self.upstreams.apply_listing(listing, now) {
+            self.on_new_mark(&id, UNTOLD_NOTICE, now);
+        }
+        for notice in view.notices {
+            let left = Duration::from_millis(notice.left_ms);
+            if self.identity.instance.as_deref() == Some(notice.id.as_str()) {
+                self.effects.push(ControlEffect::BeginStop { left_ms: notice.left_ms });
+            } else if self.upstreams.mark_leaving(&notice.id, now) {
+                self.on_new_mark(&notice.id, left, now);
+            }
+        }
+        // A mark may have spread before the upstream was listed here.
+        for id in self.marks.all() {
+            if self.upstreams.mark_leaving(&id, now) {
+                self.on_new_mark(&id, UNTOLD_NOTICE, now);
+            }
+        }
+        if let Some(config) = self.holding.in_force() {
+            self.upstreams.set_drained(config.declaration.drained());
+        }
+    }
+
+    /// Acts on an upstream that was just found to leave: tells the others, moves its runs.
+    pub(super) fn on_new_mark(&mut self, id: &UpstreamId, notice: Duration, now: Instant) {
+        warn!(target: PLATFORM, "Upstream {id} is leaving.");
+        self.marks.insert(id.clone(), self.peers.rows().len() + 1, now);
+        if let Some(row) = self.upstreams.find(id) {
+            self.route.note_mark(row.listing.domain.clone(), now);
+        }
+        self.prefixes.forget(id);
+        self.move_runs(id, notice, now);
+    }
+
+    fn move_runs(&self, id: &UpstreamId, notice: Duration, now: Instant) {
+        let Some(row) = self.upstreams.find(id) else { return };
+        let streams: Vec<StreamAtRisk<TicketNumber>> = self
+            .runs
+            .iter()
+            .filter(|run| run.upstream() == Some(id))
+            .map(|run| risk_of(run, now))
+            .collect();
+        let prefill_rate = f64::from(row.load.prefill_rate);
+        let means = ReclaimMeans { notice, move_rate: MOVE_RATE, prefill_rate };
+        for (ticket, choice) in plan_reclaim(&streams, means) {
+            let Some(at) = self.run_position(ticket) else { continue };
+            let run = &self.runs[at];
+            info!(target: RUN, "Request {} leaves {id}: {choice:?}.", run.request);
+            let signal = RunSignal::Move { upstream: id.clone(), choice };
+            drop(run.signals.send(signal));
+        }
+    }
+
+    pub(super) fn on_engine_report(
+        &mut self,
+        id: &UpstreamId,
+        asked_at: Instant,
+        report: EngineReport,
+        now: Instant,
+    ) {
+        self.apply_cache_events(id, &report, now);
+        self.on_load(id, report.load, asked_at, now);
+    }
+
+    fn apply_cache_events(&mut self, id: &UpstreamId, report: &EngineReport, now: Instant) {
+        let Ok(at) = self.reports.binary_search_by(|row| row.upstream.cmp(id)) else { return };
+        let row = &mut self.reports[at];
+        if report.first_event > row.next_event {
+            // Events were lost, so nothing that was known of this cache can be relied on.
+            self.prefixes.forget(id);
+        }
+        let skip = row.next_event.saturating_sub(report.first_event);
+        row.next_event = row.next_event.max(report.first_event + report.events.len() as u64);
+        for event in report.events.iter().skip(usize::try_from(skip).unwrap_or(usize::MAX)) {
+            match event {
+                CacheChange::Stored { block } => self.prefixes.insert(&[*block], id, now),
+                CacheChange::Evicted { block } => self.prefixes.remove(*block, id),
+            }
+        }
+    }
+
+    pub(super) fn on_load(
+        &mut self,
+        id: &UpstreamId,
+        load: LoadReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        if self.upstreams.apply_report(id, load, asked_at) {
+            self.on_new_mark(id, UNTOLD_NOTICE, now);
+        }
+    }
+
+    /// Whether no run or call is open and no write waits.
+    pub(super) fn is_drained(&self) -> bool {
+        let calls = self.upstreams.rows().iter().any(|row| row.in_flight > 0);
+        !calls && !self.runs.iter().any(RunRow::is_open) && self.lane_is_settled()
+    }
+
+    /// Tells each open run who goes on with it.
+    pub(super) fn hand_over_runs(&mut self, now: Instant) {
+        for (ticket, refusal) in self.queue.drain(RefusalReason::Stopping) {
+            let Some(at) = self.run_position(ticket) else { continue };
+            let ended = RunStage::Ended { at: now };
+            if let RunStage::Waiting(reply) = std::mem::replace(&mut self.runs[at].stage, ended) {
+                drop(reply.send(Err(refusal)));
+            }
+        }
+        let targets = self.handover_targets(now);
+        let open = self.runs.iter().filter(|run| run.is_open());
+        for (index, run) in open.enumerate() {
+            let target = targets.get(index % targets.len().max(1)).cloned();
+            info!(target: RUN, "Request {} is handed over.", run.request);
+            drop(run.signals.send(RunSignal::HandOver(target)));
+        }
+    }
+
+    /// Drops finished answers that are old or too many, oldest first.
+    pub(super) fn sweep_runs(&mut self, now: Instant) {
+        self.runs.retain(|run| match run.stage {
+            RunStage::Ended { at } => now.saturating_duration_since(at) < KEEP_FINISHED,
+            RunStage::Waiting(_) | RunStage::Placed { .. } => true,
+        });
+        let limit = usize::try_from(self.options.kept_answers.0).unwrap_or(usize::MAX);
+        let mut kept = 0;
+        let mut drop_before = 0;
+        for (at, run) in self.runs.iter().enumerate().rev() {
+            kept += if run.is_open() { 0 } else { run.buffer.size() };
+            if kept > limit {
+                drop_before = at + 1;
+                break;
+            }
+        }
+        let mut position = 0;
+        self.runs.retain(|run| {
+            position += 1;
+            run.is_open() || position > drop_before
+        });
+    }
+}
+
+/// Time until which a run that lost its upstream waits for another.
+fn again_until(class: PriorityClass, now: Instant) -> Instant {
+    match class {
+        // Patient work waits as long as it takes.
+        PriorityClass::Patient => now + Duration::from_secs(86_400),
+        PriorityClass::Urgent | PriorityClass::Prompt => now + PLACE_AGAIN_FOR,
+    }
+}
+
+/// What a move of `run` has at stake.
+fn risk_of(run: &RunRow, now: Instant) -> StreamAtRisk<TicketNumber> {
+    let tokens = run.buffer.tokens();
+    let elapsed = now.saturating_duration_since(run.admitted_at).as_secs_f64().max(0.05);
+    #[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+    let token_rate = tokens as f64 / elapsed;
+    let blocks = (run.blocks.len() * BLOCK_TOKENS) as u64;
+    StreamAtRisk {
+        key: run.ticket,
+        class: run.class,
+        tokens_held: run.prompt_tokens.max(blocks) + tokens,
+        tokens_left: run.output_tokens.saturating_sub(tokens),
+        token_rate,
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/event.rs
@@ -0,0 +1,356 @@
+//! Events that the control thread handles, and the answers to them.
+
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use actix::Message;
+use samphiredeck_core::{
+    account::WorkDone,
+    admission::{Refusal, TicketNumber},
+    burn::AnswerTiming,
+    declaration::{PriorityClass, RawDeclaration},
+    engine_api::EngineReport,
+    group_commit::{LaneReply, OperationOutcome},
+    ids::{
+        BackendName, ConfigVersion, Incarnation, ModelName, NodeName, RequestId, RowVersion,
+        UpstreamId, WorkspaceName,
+    },
+    placement::{LoadPlan, StartChoice},
+    platform_api::{CloudView, PriceRow, RowCondition, RowView, RowWrite, StartOutcome, TableRows},
+    prefix::BlockHash,
+    rows::{MemberRow, WorkRow},
+    upstream::LoadReport,
+};
+use samphiredeck_wire::{
+    message::{PeerReply, PeerRequest},
+    seal::SenderStamp,
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    run::{RunBuffer, RunSignal},
+    view::NodeView,
+};
+
+/// Request to admit and place a run.
+#[derive(Debug)]
+pub struct RunAsk {
+    /// Key of the run.
+    pub ticket: TicketNumber,
+    /// Id of the request.
+    pub request: RequestId,
+    /// Version of the declaration that the request was checked against.
+    pub version: ConfigVersion,
+    /// Who pays.
+    pub workspace: WorkspaceName,
+    /// Urgency.
+    pub class: PriorityClass,
+    /// Model to run.
+    pub model: ModelName,
+    /// Leading blocks of the prompt.
+    pub blocks: Vec<BlockHash>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens that the answer may have.
+    pub output_tokens: u64,
+    /// Time by which the request must have been placed.
+    pub place_by: Instant,
+    /// Whether the request was accepted before, by this node or another.
+    pub accepted: bool,
+    /// Upstream that holds the request's cache already.
+    pub prefer: Option<UpstreamId>,
+    /// Where the answer goes.
+    pub buffer: Arc<RunBuffer>,
+    /// How the run is told to move.
+    pub signals: mpsc::UnboundedSender<RunSignal>,
+}
+
+/// Where a run goes.
+#[derive(Clone, Debug)]
+pub struct RunPlacement {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Host and port.
+    pub address: String,
+    /// Price in millionths an hour.
+    pub price: u64,
+    /// Requests that share the upstream.
+    pub slots: u32,
+}
+
+/// Why a run loses its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossCause {
+    /// The upstream leaves as announced, or makes room.
+    Announced,
+    /// The upstream refused it, or can't be reached, so that nothing ran.
+    Refused,
+    /// The upstream failed after the request may have run.
+    Failed,
+}
+
+/// End of a run.
+#[derive(Clone, Debug)]
+pub struct RunEnd {
+    /// Timing of the answer, or `None` for a run that its caller gave up.
+    pub timing: Option<AnswerTiming>,
+    /// Whether the upstream failed.
+    pub failed: bool,
+}
+
+/// What was found of a request.
+#[derive(Clone, Debug)]
+pub enum RunFinding {
+    /// It runs or ran here.
+    Here {
+        /// The answer.
+        buffer: Arc<RunBuffer>,
+        /// Who may read it.
+        workspace: WorkspaceName,
+    },
+    /// It may be at another node.
+    Elsewhere {
+        /// Callers' addresses of the nodes to ask, likeliest first.
+        addresses: Vec<String>,
+    },
+}
+
+/// Answer to a run that asks for a place.
+pub type PlaceReply = Result<RunPlacement, Refusal>;
+
+/// Change of the declaration that an operator asks for.
+#[derive(Debug)]
+pub struct ChangeAsk {
+    /// The new declaration.
+    pub declaration: RawDeclaration,
+    /// Version that it must follow.
+    pub expect: Option<ConfigVersion>,
+    /// Who asks.
+    pub author: String,
+    /// What the operator said of it.
+    pub note: String,
+}
+
+/// How a change ended.
+#[derive(Clone, Debug, serde::Serialize)]
+#[serde(rename_all = "kebab-case", tag = "outcome")]
+pub enum ChangeReply {
+    /// Accepted.
+    Accepted {
+        /// Its version.
+        version: ConfigVersion,
+        /// Members that did not confirm it and admit nothing that it treats otherwise.
+        unconfirmed: Vec<NodeName>,
+    },
+    /// Another change came first.
+    Conflict {
+        /// Version in force.
+        version: ConfigVersion,
+        /// Who made it.
+        author: String,
+        /// What its author said of it.
+        note: String,
+    },
+    /// Another change is under way.
+    Busy {
+        /// Node that coordinates it.
+        coordinator: NodeName,
+    },
+    /// The declaration is refused.
+    Invalid {
+        /// Field and reason.
+        reason: String,
+    },
+    /// The change was dropped, since these members did not acknowledge it.
+    Unacknowledged {
+        /// The members.
+        missing: Vec<NodeName>,
+    },
+    /// The table service can't be reached. Nothing has changed.
+    TableDown,
+    /// The outcome is not known yet.
+    Unknown {
+        /// Id of the change, to look for in the history.
+        change: String,
+    },
+}
+
+/// Conditional write on behalf of a request.
+#[derive(Debug)]
+pub struct WriteAsk {
+    /// Conditions on rows.
+    pub conditions: Vec<RowCondition>,
+    /// Writes to rows.
+    pub writes: Vec<RowWrite>,
+    /// Time at which it is given up if it was not sent.
+    pub give_up_at: Instant,
+}
+
+/// Outcome of a [`WriteAsk`] with the end of the lease under which it was made.
+#[derive(Clone, Debug)]
+pub struct WriteReply {
+    /// What became of it.
+    pub outcome: OperationOutcome,
+    /// End of the node's lease, if it is held.
+    pub lease_end: Option<Instant>,
+}
+
+/// Everything that the control thread reacts to.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub enum ControlEvent {
+    /// A caller's request asks to be admitted and placed.
+    Admit(Box<RunAsk>, oneshot::Sender<PlaceReply>),
+    /// Asks whether patient work of a workspace may be recorded.
+    CheckPatient {
+        workspace: WorkspaceName,
+        version: ConfigVersion,
+        reply: oneshot::Sender<Result<(), Refusal>>,
+    },
+    /// A run lost its upstream and asks for another.
+    PlaceAgain { ticket: TicketNumber, cause: LossCause, reply: oneshot::Sender<PlaceReply> },
+    /// A part of a run at one upstream has ended.
+    WorkDone { ticket: TicketNumber, work: WorkDone },
+    /// The first token came, this long after the request was sent.
+    FirstToken { ticket: TicketNumber, after: std::time::Duration },
+    /// A run has ended.
+    EndRun { ticket: TicketNumber, end: RunEnd },
+    /// A caller asks for a request by its id.
+    FindRun { request: RequestId, reply: oneshot::Sender<RunFinding> },
+    /// A call to a plain service asks for a place.
+    PlaceCall {
+        workspace: WorkspaceName,
+        version: ConfigVersion,
+        backend: BackendName,
+        exclude: Vec<UpstreamId>,
+        reply: oneshot::Sender<PlaceReply>,
+    },
+    /// A call to a plain service has ended.
+    EndCall { upstream: UpstreamId, failed: bool },
+    /// A request needs rows written.
+    Write(WriteAsk, oneshot::Sender<WriteReply>),
+    /// Asks whether that run of a node may still be at work.
+    IsRunning { node: NodeName, incarnation: Incarnation, reply: oneshot::Sender<bool> },
+    /// Asks for the name and the run of this node.
+    WhoAmI(oneshot::Sender<(NodeName, Incarnation)>),
+    /// Asks for the stamp of a message to another node.
+    Stamp { receiver: NodeName, reply: oneshot::Sender<SenderStamp> },
+    /// An operator changes the declaration.
+    Change(Box<ChangeAsk>, oneshot::Sender<ChangeReply>),
+    /// An operator cancels a request. Answers whether it runs here.
+    Cancel { request: RequestId, reply: oneshot::Sender<bool> },
+    /// An operator looks at the node.
+    View(oneshot::Sender<Box<NodeView>>),
+    /// The table service answered a commit.
+    LaneReply(LaneReply),
+    /// The table service answered the regular read sent at this time, or did not.
+    TableRead(Instant, Option<TableRows>),
+    /// Rows of recorded work were read for a takeover.
+    WorkRead(Option<TableRows>),
+    /// The cloud API answered, or did not.
+    CloudView(Option<CloudView>),
+    /// The price table was read.
+    Prices(Vec<PriceRow>),
+    /// An engine answered the report asked for at this time.
+    EngineReport(UpstreamId, Instant, Box<EngineReport>),
+    /// A service answered the report asked for at this time.
+    ServiceReport(UpstreamId, Instant, LoadReport),
+    /// An engine took or refused an order to load a model.
+    LoadOrdered(LoadPlan, Result<(), String>),
+    /// The cloud API answered an order for an instance.
+    StartOrdered(StartChoice, Option<StartOutcome>),
+    /// A datagram came.
+    Datagram(Vec<u8>),
+    /// A peer's question came over TCP.
+    PeerCall(SenderStamp, PeerRequest, oneshot::Sender<PeerReply>),
+    /// A peer answered a question, or did not.
+    PeerAnswer { node: NodeName, request: PeerCallKind, reply: Option<PeerReply> },
+    /// The node is told to stop.
+    Stop,
+    /// Asks whether the node may be sent new callers.
+    IsReady(oneshot::Sender<bool>),
+    /// Asks whether everything has ended, after a stop.
+    IsDrained(oneshot::Sender<bool>),
+    /// Asks whether the member row was given back.
+    HasLeft(oneshot::Sender<bool>),
+    /// Asks for the names and callers' addresses of the other members.
+    Members(oneshot::Sender<Vec<(String, String)>>),
+    /// The stop is over its bound: hand over what still runs.
+    HandOver,
+    /// The node leaves: give back the member row.
+    Deregister,
+}
+
+/// Which question a peer answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerCallKind {
+    /// Greeting at start.
+    Greet,
+    /// Farewell.
+    Leave,
+    /// Declaration, stage and marks.
+    FetchState,
+    /// Stage of this row version.
+    Stage(RowVersion),
+    /// Accepted version.
+    Accepted(ConfigVersion),
+    /// Dropped stage.
+    Dropped,
+}
+
+/// What the control thread wants done outside of it.
+#[derive(Debug)]
+pub enum ControlEffect {
+    /// Commit a transaction.
+    Commit(samphiredeck_core::platform_api::TableTransaction),
+    /// Read the configuration and member rows.
+    ReadTable,
+    /// Read the rows of recorded work.
+    ReadWork,
+    /// Read the list of instances and the notices.
+    ReadCloud,
+    /// Read the price table.
+    ReadPrices,
+    /// Ask an engine for its report.
+    AskEngine { upstream: UpstreamId, address: String, from: u64 },
+    /// Ask a service for its report.
+    AskService { upstream: UpstreamId, address: String },
+    /// Order an engine to load a model.
+    OrderLoad { plan: LoadPlan, address: String, order: samphiredeck_core::engine_api::EngineOrder },
+    /// Ask the cloud API for an instance.
+    OrderStart(StartChoice, String),
+    /// Send a datagram.
+    Send { to: SocketAddr, bytes: Vec<u8> },
+    /// Ask a peer over TCP.
+    AskPeer { node: NodeName, to: SocketAddr, kind: PeerCallKind, request: PeerRequest },
+    /// Use another local port for datagrams.
+    RebindSocket,
+    /// Run work that was taken over or handed over.
+    StartWork(Box<TakenWork>),
+    /// Stop the node, since the platform reclaims its instance.
+    BeginStop { left_ms: u64 },
+}
+
+/// Work that this node takes from another.
+#[derive(Debug)]
+pub struct TakenWork {
+    /// The work with what was generated so far.
+    pub row: WorkRow,
+    /// Version of the row, zero for work that is not recorded.
+    pub version: RowVersion,
+    /// Where the answer goes.
+    pub buffer: Arc<RunBuffer>,
+}
+
+/// Finds the member that a row view describes.
+pub fn parse_row<T: serde::de::DeserializeOwned>(view: &RowView) -> Option<T> {
+    serde_json::from_str(view.value.as_deref()?).ok()
+}
+
+/// Member row with its version.
+#[derive(Clone, Debug)]
+pub struct MemberSeen {
+    /// The row.
+    pub row: MemberRow,
+    /// Its version.
+    pub version: RowVersion,
+}
--- /dev/null
+++ b/samphiredeck/src/handle.rs
@@ -0,0 +1,82 @@
+//! Handle by which traffic threads speak to the control thread.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use actix::Addr;
+use arc_swap::ArcSwapOption;
+use samphiredeck_core::{
+    admission::{Refusal, RefusalReason, TicketNumber},
+    config_change::ConfigInForce,
+    ids::{NodeName, RequestId},
+};
+use tokio::sync::oneshot;
+
+use crate::{actor::ControlActor, event::ControlEvent};
+
+/// Advice to callers while the control thread has too much to do.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Handle on the control thread. Cheap to clone.
+#[derive(Clone)]
+pub struct ControlHandle {
+    address: Addr<ControlActor>,
+    snapshot: Arc<ArcSwapOption<ConfigInForce>>,
+    node: NodeName,
+    tickets: Arc<AtomicU64>,
+    /// First request number of this run of the node.
+    first_number: u64,
+}
+
+impl ControlHandle {
+    /// Builds the handle of node `node`, whose request numbers start at `first_number`.
+    pub fn new(
+        address: Addr<ControlActor>,
+        snapshot: Arc<ArcSwapOption<ConfigInForce>>,
+        node: NodeName,
+        first_number: u64,
+    ) -> Self {
+        Self { address, snapshot, node, tickets: Arc::new(AtomicU64::new(1)), first_number }
+    }
+
+    /// Declaration in force, if any.
+    pub fn config(&self) -> Option<Arc<ConfigInForce>> {
+        self.snapshot.load_full()
+    }
+
+    /// Draws the next ticket of this run of the node.
+    pub fn next_ticket(&self) -> TicketNumber {
+        TicketNumber(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Builds the id of the request that has `ticket`.
+    pub fn request_id(&self, ticket: TicketNumber) -> RequestId {
+        RequestId::new(self.node.clone(), self.first_number.wrapping_add(ticket.0))
+    }
+
+    /// Sends an event that nobody waits for.
+    pub fn tell(&self, event: ControlEvent) {
+        self.address.do_send(event);
+    }
+
+    /// Sends an event and waits for its answer. `None` means that the control thread is gone or
+    /// has too much to do.
+    pub async fn ask<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> ControlEvent,
+    ) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.address.try_send(event(sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Refusal while the control thread has too much to do.
+    pub fn busy() -> Refusal {
+        Refusal::new(RefusalReason::QueueFull, BUSY_PAUSE)
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/platform_client.rs
@@ -0,0 +1,137 @@
+//! Client of the platform: table service, object store and cloud API.
+//!
+//! This is the only module that speaks to the platform.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::{Client, ClientResponse, Connector, error::SendRequestError, http::StatusCode};
+use bytes::Bytes;
+use samphiredeck_core::{
+    group_commit::LaneReply,
+    platform_api::{
+        CloudView, PriceRow, StartOrder, StartOutcome, TableRead, TableRows, TableTransaction,
+    },
+};
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+/// Largest answer of the platform, in bytes.
+const ANSWER_MAX: usize = 64 * 1_024 * 1_024;
+
+/// Why a call to the platform failed.
+#[derive(Clone, Debug, Error)]
+pub enum PlatformError {
+    /// The call surely had no effect.
+    #[error("platform refused the call: {0}")]
+    Refused(String),
+    /// The call may have had an effect.
+    #[error("platform did not answer: {0}")]
+    Unanswered(String),
+}
+
+/// Client of the platform. Cheap to clone, bound to its thread.
+#[derive(Clone)]
+pub struct PlatformClient {
+    client: Client,
+    base: String,
+}
+
+impl PlatformClient {
+    /// Builds a client of the platform at `address`. Each call is bounded by `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        // Each call uses a connection of its own, since pooled ones may have gone silent.
+        let connector = Connector::new().conn_keep_alive(Duration::ZERO).timeout(timeout);
+        let client = Client::builder().connector(connector).timeout(timeout).finish();
+        Self { client, base: format!("http://{address}") }
+    }
+
+    /// Commits a transaction.
+    pub async fn commit(&self, transaction: &TableTransaction) -> LaneReply {
+        match self.post("/table/transaction", transaction).await {
+            Ok(outcome) => LaneReply::Decided(outcome),
+            Err(PlatformError::Refused(_)) => LaneReply::Refused,
+            Err(PlatformError::Unanswered(_)) => LaneReply::Unknown,
+        }
+    }
+
+    /// Reads rows as of one moment.
+    pub async fn read(&self, read: &TableRead) -> Result<TableRows, PlatformError> {
+        self.post("/table/read", read).await
+    }
+
+    /// Reads the lagging list of instances and the notices that run.
+    pub async fn view_cloud(&self) -> Result<CloudView, PlatformError> {
+        self.get("/cloud/instances").await
+    }
+
+    /// Reads the price table.
+    pub async fn prices(&self) -> Result<Vec<PriceRow>, PlatformError> {
+        self.get("/cloud/prices").await
+    }
+
+    /// Asks for an instance.
+    pub async fn start_instance(&self, order: &StartOrder) -> Result<StartOutcome, PlatformError> {
+        self.post("/cloud/start", order).await
+    }
+
+    /// Stores an object.
+    pub async fn put_object(&self, key: &str, body: String) -> Result<(), PlatformError> {
+        let request = self.client.put(format!("{}/objects/{key}", self.base));
+        let response = request.send_body(body).await.map_err(classify)?;
+        check_status(response.status())
+    }
+
+    /// Reads an object.
+    pub async fn get_object(&self, key: &str) -> Result<Bytes, PlatformError> {
+        let request = self.client.get(format!("{}/objects/{key}", self.base));
+        let mut response = request.send().await.map_err(classify)?;
+        check_status(response.status())?;
+        response.body().limit(ANSWER_MAX).await.map_err(unanswered)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+        let request = self.client.get(format!("{}{path}", self.base));
+        decode(request.send().await.map_err(classify)?).await
+    }
+
+    async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<T, PlatformError> {
+        let request = self.client.post(format!("{}{path}", self.base));
+        decode(request.send_json(body).await.map_err(classify)?).await
+    }
+}
+
+fn unanswered(error: impl std::fmt::Display) -> PlatformError {
+    PlatformError::Unanswered(error.to_string())
+}
+
+/// A connection that was never made carried nothing.
+fn classify(error: SendRequestError) -> PlatformError {
+    match error {
+        SendRequestError::Connect(error) => PlatformError::Refused(error.to_string()),
+        other => unanswered(other),
+    }
+}
+
+fn check_status(status: StatusCode) -> Result<(), PlatformError> {
+    if status.is_success() {
+        return Ok(());
+    }
+    // The rate limit is checked before a call is looked at. Any other failure tells nothing.
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        return Err(PlatformError::Refused(status.to_string()));
+    }
+    Err(unanswered(status))
+}
+
+async fn decode<T: DeserializeOwned, S>(mut response: ClientResponse<S>) -> Result<T, PlatformError>
+where
+    S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    check_status(response.status())?;
+    let body = response.body().limit(ANSWER_MAX).await.map_err(unanswered)?;
+    serde_json::from_slice(&body).map_err(unanswered)
+}
--- /dev/null
+++ b/samphiredeck/src/record.rs
@@ -0,0 +1,321 @@
+//! Record of patient work in the table service, kept by the run that owns it.
+
+use std::time::{Duration, Instant};
+
+use log::{info, warn};
+use samphiredeck_core::{
+    group_commit::OperationOutcome,
+    ids::{Incarnation, NodeName, RequestId, RowVersion, UpstreamId},
+    patient::{ROW_TEXT_MAX, is_checkpoint_due},
+    platform_api::{RowCondition, RowView, RowWrite},
+    rows::{ClaimRow, ClaimState, WorkRow, WorkState, claim_key, work_key},
+    verdict::RunVerdict,
+};
+use tokio::sync::oneshot::{self, error::TryRecvError};
+
+use crate::{
+    event::{ControlEvent, RunPlacement, WriteAsk, WriteReply, parse_row},
+    handle::ControlHandle,
+    logging::WORK,
+    platform_client::PlatformClient,
+    runner::RunSpec,
+};
+
+/// Time for which the first record of work may wait for the table service.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a checkpoint may wait.
+const CHECKPOINT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two tries to record the end of work.
+const CLOSE_PAUSE: Duration = Duration::from_millis(500);
+/// Tries to record the end of work.
+const CLOSE_TRIES: u32 = 600;
+
+/// How the first record of work went.
+#[derive(Debug)]
+pub enum RecordOutcome {
+    /// Recorded: the request is accepted.
+    Recorded(Box<WorkRecord>),
+    /// The key belongs to this earlier request, which says the same.
+    Known(RequestId),
+    /// The key belongs to a request that says something else.
+    OtherCall,
+    /// Not recorded, so nothing has happened.
+    NotRecorded,
+}
+
+/// Record of one piece of work that this node owns.
+pub struct WorkRecord {
+    row: WorkRow,
+    /// Version under which the row is held.
+    version: RowVersion,
+    saved_at: Instant,
+    saving: Option<oneshot::Receiver<WriteReply>>,
+    platform: PlatformClient,
+}
+
+impl std::fmt::Debug for WorkRecord {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("WorkRecord").field("request", &self.row.request).finish_non_exhaustive()
+    }
+}
+
+/// Builds the row of `spec` as this run of the node owns it.
+fn build_row(
+    spec: &RunSpec,
+    owner: NodeName,
+    incarnation: Incarnation,
+    text: String,
+    tokens: u64,
+    upstream: Option<&UpstreamId>,
+) -> WorkRow {
+    WorkRow {
+        request: spec.request.clone(),
+        workspace: spec.workspace.clone(),
+        class: spec.class,
+        owner,
+        incarnation,
+        path: spec.path.clone(),
+        body: spec.body.clone(),
+        text,
+        tokens,
+        upstream: upstream.map(ToString::to_string),
+        state: WorkState::Open,
+        verdict: RunVerdict::NotRun,
+        takeovers: 0,
+        object: None,
+    }
+}
+
+impl WorkRecord {
+    /// Records `spec` before it is accepted, with a claim on its idempotency key if it has one.
+    pub async fn create(
+        spec: &RunSpec,
+        idempotency: Option<(&str, String)>,
+        control: &ControlHandle,
+        platform: PlatformClient,
+    ) -> RecordOutcome {
+        let Some((owner, incarnation)) = control.ask(ControlEvent::WhoAmI).await else {
+            return RecordOutcome::NotRecorded;
+        };
+        let row = build_row(spec, owner.clone(), incarnation, String::new(), 0, None);
+        let key = work_key(&spec.request);
+        let mut ask = WriteAsk {
+            conditions: vec![RowCondition { key: key.clone(), version: RowVersion(0) }],
+            writes: vec![write_of(key, &row)],
+            give_up_at: Instant::now() + RECORD_TIMEOUT,
+        };
+        if let Some((text, digest)) = &idempotency {
+            let claim = ClaimRow {
+                request: spec.request.clone(),
+                node: owner,
+                incarnation,
+                digest: digest.clone(),
+                state: ClaimState::Claimed,
+            };
+            let key = claim_key(&spec.workspace, text);
+            ask.conditions.push(RowCondition { key: key.clone(), version: RowVersion(0) });
+            ask.writes.push(write_of(key, &claim));
+        }
+        let reply = control.ask(|reply| ControlEvent::Write(ask, reply)).await;
+        let digest = idempotency.map(|(_, digest)| digest);
+        match reply.map(|reply| reply.outcome) {
+            Some(OperationOutcome::Committed(version)) => {
+                RecordOutcome::Recorded(Box::new(Self::held(row, version, platform)))
+            }
+            Some(OperationOutcome::Conflict(rows)) => explain(&rows, digest.as_deref()),
+            Some(OperationOutcome::NotCommitted) | None => RecordOutcome::NotRecorded,
+        }
+    }
+
+    /// Record of work whose row this node has just written.
+    pub fn held(row: WorkRow, version: RowVersion, platform: PlatformClient) -> Self {
+        Self { row, version, saved_at: Instant::now(), saving: None, platform }
+    }
+
+    /// Row to hand over, and the version under which it is held.
+    pub fn for_handover(
+        record: Option<&Self>,
+        spec: &RunSpec,
+        text: String,
+        tokens: u64,
+        upstream: &UpstreamId,
+    ) -> (WorkRow, RowVersion) {
+        if let Some(record) = record {
+            let row = WorkRow {
+                text,
+                tokens,
+                upstream: Some(upstream.to_string()),
+                ..record.row.clone()
+            };
+            return (row, record.version);
+        }
+        let owner = spec.request.node().clone();
+        let row = build_row(spec, owner, Incarnation(0), text, tokens, Some(upstream));
+        (row, RowVersion(0))
+    }
+
+    /// Waits for a checkpoint in flight, which would change the version under the next owner.
+    pub async fn settle(&mut self) {
+        if let Some(saving) = self.saving.take()
+            && let Ok(reply) = saving.await
+        {
+            self.learn(&reply.outcome);
+        }
+    }
+
+    /// Takes over a row of another node, as the new owner. `None` means that another was first.
+    pub async fn adopt(
+        row: WorkRow,
+        version: RowVersion,
+        control: &ControlHandle,
+        platform: PlatformClient,
+    ) -> Option<Self> {
+        let (owner, incarnation) = control.ask(ControlEvent::WhoAmI).await?;
+        if row.owner == owner && row.incarnation == incarnation {
+            return Some(Self::held(row, version, platform));
+        }
+        let row = WorkRow { owner, incarnation, ..row };
+        let mut record = Self::held(row, version, platform);
+        let ask = record.write(RECORD_TIMEOUT);
+        let reply = control.ask(|reply| ControlEvent::Write(ask, reply)).await?;
+        match reply.outcome {
+            OperationOutcome::Committed(version) => {
+                record.version = version;
+                Some(record)
+            }
+            OperationOutcome::Conflict(_) | OperationOutcome::NotCommitted => None,
+        }
+    }
+
+    /// Saves what was generated, if it is time. Returns whether this node still owns the work.
+    pub fn checkpoint(
+        &mut self,
+        text: &str,
+        tokens: u64,
+        placement: &RunPlacement,
+        control: &ControlHandle,
+        now: Instant,
+    ) -> bool {
+        if let Some(saving) = &mut self.saving {
+            match saving.try_recv() {
+                Ok(reply) => {
+                    self.saving = None;
+                    if !self.learn(&reply.outcome) {
+                        return false;
+                    }
+                }
+                Err(TryRecvError::Empty) => return true,
+                Err(TryRecvError::Closed) => self.saving = None,
+            }
+        }
+        let small = text.len() <= ROW_TEXT_MAX;
+        if small && is_checkpoint_due(tokens, self.row.tokens, self.saved_at, now) {
+            self.row.text.clear();
+            self.row.text.push_str(text);
+            self.row.tokens = tokens;
+            self.row.upstream = Some(placement.upstream.to_string());
+            self.row.verdict = RunVerdict::MayHaveRun;
+            self.saved_at = now;
+            let (sender, receiver) = oneshot::channel();
+            control.tell(ControlEvent::Write(self.write(CHECKPOINT_TIMEOUT), sender));
+            self.saving = Some(receiver);
+        }
+        true
+    }
+
+    fn write(&self, give_up_after: Duration) -> WriteAsk {
+        let key = work_key(&self.row.request);
+        WriteAsk {
+            conditions: vec![RowCondition { key: key.clone(), version: self.version }],
+            writes: vec![write_of(key, &self.row)],
+            give_up_at: Instant::now() + give_up_after,
+        }
+    }
+
+    /// Takes in the outcome of a write. Returns whether this node still owns the work.
+    fn learn(&mut self, outcome: &OperationOutcome) -> bool {
+        match outcome {
+            OperationOutcome::Committed(version) => {
+                self.version = *version;
+                true
+            }
+            OperationOutcome::NotCommitted => true,
+            OperationOutcome::Conflict(_) => {
+                warn!(target: WORK, "Request {} has another owner.", self.row.request);
+                false
+            }
+        }
+    }
+
+    /// Records the whole answer, as long as it takes.
+    pub async fn close_whole(&mut self, text: String, tokens: u64, control: &ControlHandle) {
+        self.row.verdict = RunVerdict::Ran;
+        self.close(WorkState::Done, text, tokens, control).await;
+    }
+
+    /// Records that the work was cancelled.
+    pub async fn close_cancelled(&mut self, text: String, tokens: u64, control: &ControlHandle) {
+        self.close(WorkState::Cancelled, text, tokens, control).await;
+    }
+
+    async fn close(
+        &mut self,
+        state: WorkState,
+        text: String,
+        tokens: u64,
+        control: &ControlHandle,
+    ) {
+        self.settle().await;
+        self.row.state = state;
+        self.row.tokens = tokens;
+        self.store_text(text).await;
+        for _ in 0..CLOSE_TRIES {
+            let ask = self.write(CHECKPOINT_TIMEOUT);
+            let reply = control.ask(|reply| ControlEvent::Write(ask, reply)).await;
+            match reply.map(|reply| reply.outcome) {
+                Some(OperationOutcome::Committed(_)) => {
+                    info!(target: WORK, "Request {} is recorded as ended.", self.row.request);
+                    return;
+                }
+                Some(OperationOutcome::Conflict(_)) => return,
+                Some(OperationOutcome::NotCommitted) | None => {
+                    tokio::time::sleep(CLOSE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Puts a text that is too large for the row into the object store.
+    async fn store_text(&mut self, text: String) {
+        if text.len() <= ROW_TEXT_MAX {
+            self.row.text = text;
+            return;
+        }
+        let key = format!("work-{}", self.row.request);
+        for _ in 0..CLOSE_TRIES {
+            if self.platform.put_object(&key, text.clone()).await.is_ok() {
+                self.row.text.clear();
+                self.row.object = Some(key);
+                return;
+            }
+            tokio::time::sleep(CLOSE_PAUSE).await;
+        }
+        self.row.text = text;
+    }
+}
+
+fn write_of<T: serde::Serialize>(key: String, row: &T) -> RowWrite {
+    RowWrite { key, value: serde_json::to_string(row).ok() }
+}
+
+/// Tells whose the key is.
+fn explain(rows: &[RowView], digest: Option<&str>) -> RecordOutcome {
+    let claim = rows.iter().find_map(parse_row::<ClaimRow>);
+    match (claim, digest) {
+        (Some(claim), Some(digest)) if claim.digest == digest => {
+            RecordOutcome::Known(claim.request)
+        }
+        (Some(_), _) => RecordOutcome::OtherCall,
+        (None, _) => RecordOutcome::NotRecorded,
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/run.rs
@@ -0,0 +1,219 @@
+//! Answer of one run, shared by the task that produces it and the callers that read it.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use samphiredeck_core::{
+    answer::{AnswerAssembly, AnswerError, AnswerStep},
+    engine_api::EngineEvent,
+    ids::{NodeName, RequestId, UpstreamId},
+    reclaim::ReclaimChoice,
+    verdict::RunVerdict,
+};
+use tokio::sync::watch;
+
+/// What the control thread tells a run.
+#[derive(Clone, Debug)]
+pub enum RunSignal {
+    /// The upstream leaves.
+    Move {
+        /// Upstream that leaves.
+        upstream: UpstreamId,
+        /// What to do with the run.
+        choice: ReclaimChoice,
+    },
+    /// The node stops: hand the run to this peer, or give it up without one.
+    HandOver(Option<PeerTarget>),
+    /// An operator or the caller cancels it.
+    Cancel,
+}
+
+/// Node that takes a run over.
+#[derive(Clone, Debug)]
+pub struct PeerTarget {
+    /// Name.
+    pub node: NodeName,
+    /// Address for nodes, IP and port.
+    pub address: std::net::SocketAddr,
+}
+
+/// How far a run has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunState {
+    /// It waits or runs.
+    Open,
+    /// The answer is whole.
+    Whole,
+    /// It was given up.
+    Failed(RunFailure),
+    /// Another node goes on with it.
+    Moved,
+}
+
+/// Why a run was given up, and what the caller may do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunFailure {
+    /// Short name of the reason.
+    pub reason: String,
+    /// Whether it may have run.
+    pub verdict: RunVerdict,
+    /// Seconds after which a new try has a chance.
+    pub retry_after_s: u64,
+}
+
+/// Guarded part of a [`RunBuffer`].
+#[derive(Debug)]
+struct BufferInner {
+    assembly: AnswerAssembly,
+    state: RunState,
+    cached: u64,
+    /// Whether the request is accepted, so that a caller may be told so.
+    accepted: bool,
+    /// Callers that read now.
+    readers: usize,
+    /// Time at which the last caller went away.
+    deserted_at: Option<Instant>,
+}
+
+/// What a reader gets.
+#[derive(Clone, Debug)]
+pub struct BufferRead {
+    /// Text beyond what the reader had.
+    pub text: String,
+    /// Tokens of the whole answer so far.
+    pub tokens: u64,
+    /// Prompt tokens found in cache.
+    pub cached: u64,
+    /// Why the answer ended, once it is whole.
+    pub finish: Option<String>,
+    /// How far the run has come.
+    pub state: RunState,
+}
+
+/// Answer of one run.
+#[derive(Debug)]
+pub struct RunBuffer {
+    inner: Mutex<BufferInner>,
+    /// Counts changes, so that readers can wait for the next one.
+    changes: watch::Sender<u64>,
+}
+
+impl RunBuffer {
+    /// Starts the answer to `request` with what an earlier run generated.
+    pub fn new(request: RequestId, text: String, tokens: u64) -> Self {
+        let inner = BufferInner {
+            assembly: AnswerAssembly::new(request, text, tokens),
+            state: RunState::Open,
+            cached: 0,
+            accepted: false,
+            readers: 0,
+            deserted_at: None,
+        };
+        Self { inner: Mutex::new(inner), changes: watch::Sender::new(0) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BufferInner> {
+        // The data is valid after every single step, so a panic elsewhere can't have torn it.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn announce(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Adds an event of the upstream.
+    pub fn push(&self, event: &EngineEvent) -> Result<AnswerStep, AnswerError> {
+        let step = {
+            let mut inner = self.lock();
+            let step = inner.assembly.push(event)?;
+            if let AnswerStep::Accepted { cached, .. } = step {
+                inner.cached = cached;
+            }
+            step
+        };
+        if step == AnswerStep::Added {
+            self.announce();
+        }
+        Ok(step)
+    }
+
+    /// Notes that the request is accepted.
+    pub fn accept(&self) {
+        self.lock().accepted = true;
+        self.announce();
+    }
+
+    /// Whether the request is accepted.
+    pub fn is_accepted(&self) -> bool {
+        self.lock().accepted
+    }
+
+    /// Ends the run. Only the first end counts.
+    pub fn finish(&self, state: RunState) {
+        {
+            let mut inner = self.lock();
+            if inner.state == RunState::Open {
+                inner.state = state;
+            }
+        }
+        self.announce();
+    }
+
+    /// Number of tokens so far.
+    pub fn tokens(&self) -> u64 {
+        self.lock().assembly.tokens()
+    }
+
+    /// Text so far and its number of tokens.
+    pub fn snapshot(&self) -> (String, u64) {
+        let inner = self.lock();
+        (inner.assembly.text().to_owned(), inner.assembly.tokens())
+    }
+
+    /// How far the run has come.
+    pub fn state(&self) -> RunState {
+        self.lock().state.clone()
+    }
+
+    /// Bytes that the answer takes.
+    pub fn size(&self) -> usize {
+        self.lock().assembly.text().len()
+    }
+
+    /// Reads what is beyond the first `offset` bytes.
+    pub fn read(&self, offset: usize) -> BufferRead {
+        let inner = self.lock();
+        let text = inner.assembly.text();
+        BufferRead {
+            text: text.get(offset..).unwrap_or_default().to_owned(),
+            tokens: inner.assembly.tokens(),
+            cached: inner.cached,
+            finish: inner.assembly.finish().map(str::to_owned),
+            state: inner.state.clone(),
+        }
+    }
+
+    /// Starts to read.
+    pub fn attach(&self) -> watch::Receiver<u64> {
+        let mut inner = self.lock();
+        inner.readers += 1;
+        inner.deserted_at = None;
+        self.changes.subscribe()
+    }
+
+    /// Stops to read at `now`.
+    pub fn detach(&self, now: Instant) {
+        let mut inner = self.lock();
+        inner.readers = inner.readers.saturating_sub(1);
+        if inner.readers == 0 {
+            inner.deserted_at = Some(now);
+        }
+    }
+
+    /// Time since which nobody reads, if nobody does and somebody did.
+    pub fn deserted_at(&self) -> Option<Instant> {
+        self.lock().deserted_at
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/runner.rs
@@ -0,0 +1,584 @@
+//! Task of one run: places it, streams from the upstream, and moves it when it must.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures_util::StreamExt;
+use log::{debug, info, warn};
+use samphiredeck_core::{
+    account::WorkDone,
+    admission::{Refusal, RefusalReason, TicketNumber},
+    answer::AnswerStep,
+    burn::AnswerTiming,
+    declaration::PriorityClass,
+    engine_api::GenerateRequest,
+    ids::{ConfigVersion, ModelName, RequestId, UpstreamId, WorkspaceName},
+    prefix::{count_tokens, hash_blocks},
+    reclaim::ReclaimChoice,
+    rows::WorkRow,
+    units::Millis,
+    verdict::RunVerdict,
+};
+use tokio::{
+    sync::mpsc,
+    time::{interval, timeout},
+};
+
+use crate::{
+    caller::{reply::whole_seconds, request::parse_prompt},
+    engine_client::{EngineClient, EngineError, EventStream, GenerateCall},
+    event::{ControlEvent, LossCause, RunAsk, RunEnd, RunPlacement, TakenWork},
+    handle::ControlHandle,
+    logging::RUN,
+    peer_link::ask_peer,
+    platform_client::PlatformClient,
+    record::WorkRecord,
+    run::{PeerTarget, RunBuffer, RunFailure, RunSignal, RunState},
+};
+
+/// Time between two looks for readers and checkpoints.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// First pause after failures without progress.
+const PAUSE_FIRST: Duration = Duration::from_millis(20);
+/// Longest pause after failures without progress.
+const PAUSE_LONGEST: Duration = Duration::from_millis(500);
+/// Time for which resumed work waits for a place.
+const RESUME_PATIENCE: Duration = Duration::from_secs(86_400);
+/// Failures in a row without progress after which work that is not patient is given up.
+const FAILURES_MAX: u32 = 40;
+
+/// What is run, as checked.
+#[derive(Clone, Debug)]
+pub struct RunSpec {
+    /// Id of the request.
+    pub request: RequestId,
+    /// Who pays.
+    pub workspace: WorkspaceName,
+    /// Version of the declaration that the request was checked against.
+    pub version: ConfigVersion,
+    /// Urgency.
+    pub class: PriorityClass,
+    /// Model to run.
+    pub model: ModelName,
+    /// Text of the prompt.
+    pub prompt: String,
+    /// Most tokens of the answer.
+    pub max_tokens: u64,
+    /// Path that was called.
+    pub path: String,
+    /// Body as received.
+    pub body: String,
+    /// Time by which it must have been placed.
+    pub place_by: Instant,
+    /// Time at which the request arrived.
+    pub arrived_at: Instant,
+    /// Whether it was accepted before, by this node or another.
+    pub accepted: bool,
+    /// Upstream that holds its cache already.
+    pub prefer: Option<UpstreamId>,
+}
+
+/// What all runs of a thread share.
+#[derive(Clone)]
+pub struct RunTools {
+    /// The control thread.
+    pub control: ControlHandle,
+    /// The engines.
+    pub engines: EngineClient,
+    /// Key for traffic between nodes.
+    pub key: samphiredeck_wire::seal::PeerKey,
+    /// Time between two events of a stream after which the connection counts as dead.
+    pub stream_idle: Millis,
+    /// Time without a reader after which an answer that nobody recorded is cancelled.
+    pub caller_idle: Millis,
+}
+
+/// How a part of a run at one upstream ended.
+#[derive(Debug)]
+enum PartEnd {
+    /// The answer is whole.
+    Whole,
+    /// The stream broke off or never began.
+    Lost(EngineError),
+    /// The upstream let go of the run.
+    Evicted,
+    /// The upstream leaves.
+    Move(ReclaimChoice),
+    /// Another node goes on, or none does.
+    HandOver(Option<PeerTarget>),
+    /// Nobody wants the answer any more.
+    Cancelled,
+    /// Another node owns the recorded work.
+    Disowned,
+}
+
+/// Counts of a part of a run at one upstream.
+#[derive(Debug)]
+struct PartCount {
+    began_at: Instant,
+    tokens_before: u64,
+    cached: u64,
+    recomputed: u64,
+}
+
+/// Task of one run.
+pub struct RunTask {
+    tools: RunTools,
+    spec: RunSpec,
+    ticket: TicketNumber,
+    buffer: Arc<RunBuffer>,
+    signals: mpsc::UnboundedReceiver<RunSignal>,
+    sender: mpsc::UnboundedSender<RunSignal>,
+    record: Option<WorkRecord>,
+    /// Whether any upstream may have received the request.
+    verdict: RunVerdict,
+    /// Whether prompt tokens were counted.
+    prompt_counted: bool,
+    /// Sends so far.
+    sends: u32,
+    /// Failures in a row without progress.
+    failures: u32,
+    first_token_at: Option<Instant>,
+    last_token_at: Option<Instant>,
+}
+
+impl RunTask {
+    /// Builds the task of `spec`, whose answer goes to `buffer`.
+    pub fn new(
+        tools: RunTools,
+        spec: RunSpec,
+        ticket: TicketNumber,
+        buffer: Arc<RunBuffer>,
+        record: Option<WorkRecord>,
+    ) -> Self {
+        let (sender, signals) = mpsc::unbounded_channel();
+        // What an earlier run generated was sent to an upstream once already.
+        let resumed = spec.accepted && buffer.tokens() > 0;
+        Self {
+            tools,
+            spec,
+            ticket,
+            buffer,
+            signals,
+            sender,
+            record,
+            verdict: if resumed { RunVerdict::MayHaveRun } else { RunVerdict::NotRun },
+            prompt_counted: resumed,
+            sends: u32::from(resumed),
+            failures: 0,
+            first_token_at: None,
+            last_token_at: None,
+        }
+    }
+
+    /// Runs work that was recorded or handed over before.
+    pub async fn resume(taken: TakenWork, tools: RunTools, platform: PlatformClient) {
+        let TakenWork { row, version, buffer } = taken;
+        let request = row.request.clone();
+        let spec = match spec_of(&row) {
+            Ok(spec) => spec,
+            Err(reason) => {
+                warn!(target: RUN, "Request {request} can't be resumed: {reason}.");
+                return;
+            }
+        };
+        let mut record = None;
+        if version.0 > 0 {
+            record = WorkRecord::adopt(row, version, &tools.control, platform).await;
+            if record.is_none() {
+                info!(target: RUN, "Request {request} has another owner.");
+                return;
+            }
+        }
+        let ticket = tools.control.next_ticket();
+        Self::new(tools, spec, ticket, buffer, record).drive().await;
+    }
+
+    /// Runs to the end.
+    pub async fn drive(mut self) {
+        let placed = self.place_first().await;
+        let mut placement = match placed {
+            Ok(placement) => placement,
+            Err(refusal) => return self.give_up(refusal, None),
+        };
+        self.buffer.accept();
+        loop {
+            let part = self.run_part(&placement).await;
+            placement = match part {
+                PartEnd::Whole => return self.complete().await,
+                PartEnd::Cancelled => return self.cancel(&placement).await,
+                PartEnd::Disowned => return self.end_moved(),
+                PartEnd::HandOver(target) => {
+                    if self.hand_over(target, &placement).await {
+                        return;
+                    }
+                    placement
+                }
+                PartEnd::Move(choice) => match self.move_run(placement, choice).await {
+                    Ok(placement) => placement,
+                    Err(refusal) => return self.give_up(refusal, None),
+                },
+                PartEnd::Evicted => match self.place_again(LossCause::Announced).await {
+                    Ok(placement) => placement,
+                    Err(refusal) => return self.give_up(refusal, None),
+                },
+                PartEnd::Lost(error) => match self.recover(placement, error).await {
+                    Ok(placement) => placement,
+                    Err(refusal) => return self.give_up(refusal, None),
+                },
+            };
+        }
+    }
+
+    async fn place_first(&mut self) -> Result<RunPlacement, Refusal> {
+        let ask = RunAsk {
+            ticket: self.ticket,
+            request: self.spec.request.clone(),
+            version: self.spec.version,
+            workspace: self.spec.workspace.clone(),
+            class: self.spec.class,
+            model: self.spec.model.clone(),
+            blocks: hash_blocks(self.spec.model.as_str(), &self.spec.prompt),
+            prompt_tokens: count_tokens(&self.spec.prompt),
+            output_tokens: self.spec.max_tokens,
+            place_by: self.spec.place_by,
+            accepted: self.spec.accepted,
+            prefer: self.spec.prefer.clone(),
+            buffer: Arc::clone(&self.buffer),
+            signals: self.sender.clone(),
+        };
+        let control = self.tools.control.clone();
+        let reply = control.ask(|reply| ControlEvent::Admit(Box::new(ask), reply)).await;
+        reply.unwrap_or_else(|| Err(ControlHandle::busy()))
+    }
+
+    async fn place_again(&mut self, cause: LossCause) -> Result<RunPlacement, Refusal> {
+        let ticket = self.ticket;
+        let ask = |reply| ControlEvent::PlaceAgain { ticket, cause, reply };
+        let reply = self.tools.control.ask(ask).await;
+        reply.unwrap_or_else(|| Err(ControlHandle::busy()))
+    }
+
+    /// Goes on after a stream that broke off: on a fresh connection to the same upstream once,
+    /// which costs nothing there, and elsewhere after that.
+    async fn recover(
+        &mut self,
+        placement: RunPlacement,
+        error: EngineError,
+    ) -> Result<RunPlacement, Refusal> {
+        debug!(
+            target: RUN,
+            "Request {} lost {}: {error}.", self.spec.request, placement.upstream
+        );
+        self.failures += 1;
+        if self.failures >= FAILURES_MAX && self.spec.class != PriorityClass::Patient {
+            return Err(Refusal::new(RefusalReason::RetryBudget, PAUSE_LONGEST));
+        }
+        let refused = error.verdict == RunVerdict::NotRun;
+        if !refused && self.failures == 1 {
+            return Ok(placement);
+        }
+        if self.failures > 2 {
+            let doubled = PAUSE_FIRST.saturating_mul(1 << self.failures.min(10));
+            let pause = doubled.min(PAUSE_LONGEST).mul_f64(rand::random_range(0.5..1.0));
+            tokio::time::sleep(pause).await;
+        }
+        self.place_again(if refused { LossCause::Refused } else { LossCause::Failed }).await
+    }
+
+    /// Runs at one upstream until something ends it, and accounts for it.
+    async fn run_part(&mut self, placement: &RunPlacement) -> PartEnd {
+        let mut count = PartCount {
+            began_at: Instant::now(),
+            tokens_before: self.buffer.tokens(),
+            cached: 0,
+            recomputed: 0,
+        };
+        let end = match self.send(placement).await {
+            Ok(stream) => {
+                self.verdict = RunVerdict::MayHaveRun;
+                self.follow(stream, placement, &mut count).await
+            }
+            Err(error) => {
+                self.verdict = self.verdict.join(error.verdict);
+                PartEnd::Lost(error)
+            }
+        };
+        self.account(placement, &count);
+        end
+    }
+
+    async fn send(&mut self, placement: &RunPlacement) -> Result<EventStream, EngineError> {
+        let (generated, tokens) = self.buffer.snapshot();
+        let body = GenerateRequest {
+            model: self.spec.model.clone(),
+            prompt: self.spec.prompt.clone(),
+            max_tokens: self.spec.max_tokens,
+            generated,
+        };
+        let resend = self.sends > 0;
+        self.sends += 1;
+        let call = GenerateCall {
+            address: &placement.address,
+            request: &self.spec.request,
+            class: self.spec.class,
+            body: &body,
+            resume_offset: resend.then_some(tokens),
+            fresh: resend,
+        };
+        self.tools.engines.generate(call).await
+    }
+
+    async fn follow(
+        &mut self,
+        mut stream: EventStream,
+        placement: &RunPlacement,
+        count: &mut PartCount,
+    ) -> PartEnd {
+        let idle = self.tools.stream_idle.duration();
+        let mut look = interval(LOOK_PERIOD);
+        loop {
+            tokio::select! {
+                event = timeout(idle, stream.next()) => {
+                    let event = match event {
+                        Ok(Some(Ok(event))) => event,
+                        Ok(Some(Err(error))) => return PartEnd::Lost(error),
+                        Ok(None) => return lost("stream ended without its end mark"),
+                        Err(_) => return lost("stream is silent"),
+                    };
+                    match self.buffer.push(&event) {
+                        Ok(AnswerStep::Nothing) => {}
+                        Ok(AnswerStep::Accepted { cached, recomputed }) => {
+                            count.cached = cached;
+                            count.recomputed = recomputed;
+                        }
+                        Ok(AnswerStep::Added) => self.note_token(count),
+                        Ok(AnswerStep::Whole) => return PartEnd::Whole,
+                        Ok(AnswerStep::Evicted) => return PartEnd::Evicted,
+                        Err(error) => return lost(error),
+                    }
+                }
+                signal = self.signals.recv() => {
+                    if let Some(end) = end_of(signal, placement) {
+                        return end;
+                    }
+                }
+                _ = look.tick() => {
+                    if let Some(end) = self.look(placement) {
+                        return end;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_token(&mut self, count: &PartCount) {
+        let now = Instant::now();
+        self.failures = 0;
+        self.last_token_at = Some(now);
+        if self.first_token_at.is_none() {
+            self.first_token_at = Some(now);
+            let after = now.duration_since(count.began_at);
+            self.tools.control.tell(ControlEvent::FirstToken { ticket: self.ticket, after });
+        }
+    }
+
+    /// Looks for readers that are gone and for a checkpoint that is due.
+    fn look(&mut self, placement: &RunPlacement) -> Option<PartEnd> {
+        let now = Instant::now();
+        let Some(record) = &mut self.record else {
+            let idle = self.tools.caller_idle.duration();
+            let gone = self.buffer.deserted_at();
+            let deserted = gone.is_some_and(|at| now.saturating_duration_since(at) >= idle);
+            return deserted.then_some(PartEnd::Cancelled);
+        };
+        let (text, tokens) = self.buffer.snapshot();
+        let owned = record.checkpoint(&text, tokens, placement, &self.tools.control, now);
+        (!owned).then_some(PartEnd::Disowned)
+    }
+
+    fn account(&mut self, placement: &RunPlacement, count: &PartCount) {
+        let prompt = if self.prompt_counted || self.verdict == RunVerdict::NotRun {
+            0
+        } else {
+            self.prompt_counted = true;
+            count_tokens(&self.spec.prompt)
+        };
+        let busy = count.began_at.elapsed().as_millis();
+        let work = WorkDone {
+            prompt,
+            cached: count.cached,
+            generated: self.buffer.tokens() - count.tokens_before,
+            recomputed: count.recomputed,
+            busy_ms: u64::try_from(busy).unwrap_or(u64::MAX),
+            price: placement.price,
+            slots: placement.slots,
+        };
+        self.tools.control.tell(ControlEvent::WorkDone { ticket: self.ticket, work });
+    }
+
+    /// Moves to another upstream, with the cache where that was chosen and works.
+    async fn move_run(
+        &mut self,
+        placement: RunPlacement,
+        choice: ReclaimChoice,
+    ) -> Result<RunPlacement, Refusal> {
+        let engines = self.tools.engines.clone();
+        let request = self.spec.request.clone();
+        let cache = if choice == ReclaimChoice::Export {
+            engines.export_cache(&placement.address, &request).await.ok()
+        } else {
+            drop(engines.cancel(&placement.address, &request).await);
+            None
+        };
+        let next = self.place_again(LossCause::Announced).await?;
+        let Some(cache) = cache else { return Ok(next) };
+        match engines.import_cache(&next.address, &cache).await {
+            Ok(()) => debug!(target: RUN, "Request {request} moved to {}.", next.upstream),
+            // The next part computes anew what could not be moved.
+            Err(error) => warn!(target: RUN, "Cache of {request} not moved: {error}."),
+        }
+        Ok(next)
+    }
+
+    /// Lets another node go on. Returns whether this task is over.
+    async fn hand_over(&mut self, target: Option<PeerTarget>, placement: &RunPlacement) -> bool {
+        let Some(target) = target else {
+            let refusal = Refusal::new(RefusalReason::Stopping, PAUSE_LONGEST);
+            self.give_up(refusal, Some(placement));
+            return true;
+        };
+        if let Some(record) = &mut self.record {
+            record.settle().await;
+        }
+        let (text, tokens) = self.buffer.snapshot();
+        let (row, version) = WorkRecord::for_handover(
+            self.record.as_ref(),
+            &self.spec,
+            text,
+            tokens,
+            &placement.upstream,
+        );
+        let request = samphiredeck_wire::message::PeerRequest::Handover {
+            work: samphiredeck_wire::message::JsonText::new(&row),
+            version,
+        };
+        let stamp = self
+            .tools
+            .control
+            .ask(|reply| ControlEvent::Stamp { receiver: target.node.clone(), reply })
+            .await;
+        let Some(stamp) = stamp else { return false };
+        let own = stamp.node.clone();
+        let reply = ask_peer(&self.tools.key, &own, stamp, target.address, &request).await;
+        if matches!(reply, Some(samphiredeck_wire::message::PeerReply::Taken { .. })) {
+            info!(target: RUN, "Request {} goes on at {}.", self.spec.request, target.node);
+            self.end_moved();
+            return true;
+        }
+        warn!(target: RUN, "Node {} did not take {}.", target.node, self.spec.request);
+        false
+    }
+
+    fn end(&self, timing: Option<AnswerTiming>, failed: bool) {
+        let end = RunEnd { timing, failed };
+        self.tools.control.tell(ControlEvent::EndRun { ticket: self.ticket, end });
+    }
+
+    fn end_moved(&self) {
+        self.buffer.finish(RunState::Moved);
+        self.end(None, false);
+    }
+
+    async fn cancel(mut self, placement: &RunPlacement) {
+        info!(target: RUN, "Request {} is cancelled.", self.spec.request);
+        drop(self.tools.engines.cancel(&placement.address, &self.spec.request).await);
+        if let Some(record) = &mut self.record {
+            let (text, tokens) = self.buffer.snapshot();
+            record.close_cancelled(text, tokens, &self.tools.control).await;
+        }
+        let verdict = self.verdict;
+        let reason = "cancelled".to_owned();
+        let failure = RunFailure { reason, verdict, retry_after_s: 1 };
+        self.buffer.finish(RunState::Failed(failure));
+        self.end(None, false);
+    }
+
+    fn give_up(&self, refusal: Refusal, placement: Option<&RunPlacement>) {
+        if self.record.is_some() {
+            // Recorded work stays open, and the next owner goes on with it.
+            return self.end_moved();
+        }
+        let failure = RunFailure {
+            reason: refusal.reason.as_str().to_owned(),
+            verdict: self.verdict,
+            retry_after_s: whole_seconds(refusal.retry_after),
+        };
+        debug!(target: RUN, "Request {} given up: {}.", self.spec.request, failure.reason);
+        let was_accepted = self.buffer.is_accepted();
+        self.buffer.finish(RunState::Failed(failure));
+        let failed = was_accepted.then_some(AnswerTiming {
+            first_token: Duration::MAX,
+            between_tokens: Duration::MAX,
+            complete: false,
+        });
+        self.end(failed, placement.is_none());
+    }
+
+    async fn complete(mut self) {
+        self.buffer.finish(RunState::Whole);
+        let first = self.first_token_at.unwrap_or(self.spec.arrived_at);
+        let last = self.last_token_at.unwrap_or(first);
+        let gaps = u32::try_from(self.buffer.tokens().saturating_sub(1)).unwrap_or(u32::MAX);
+        let timing = AnswerTiming {
+            first_token: first.saturating_duration_since(self.spec.arrived_at),
+            between_tokens: last.saturating_duration_since(first) / gaps.max(1),
+            complete: true,
+        };
+        if let Some(record) = &mut self.record {
+            let (text, tokens) = self.buffer.snapshot();
+            record.close_whole(text, tokens, &self.tools.control).await;
+        }
+        self.end(Some(timing), false);
+    }
+}
+
+/// Rebuilds what is run from its record.
+fn spec_of(row: &WorkRow) -> Result<RunSpec, String> {
+    let asked = parse_prompt(&row.path, row.body.as_bytes()).map_err(|error| error.to_string())?;
+    let now = Instant::now();
+    Ok(RunSpec {
+        request: row.request.clone(),
+        workspace: row.workspace.clone(),
+        version: ConfigVersion(0),
+        class: row.class,
+        model: asked.model,
+        prompt: asked.prompt,
+        max_tokens: asked.max_tokens,
+        path: row.path.clone(),
+        body: row.body.clone(),
+        place_by: now + RESUME_PATIENCE,
+        arrived_at: now,
+        accepted: true,
+        prefer: row.upstream.as_ref().and_then(|id| id.parse().ok()),
+    })
+}
+
+fn lost(reason: impl std::fmt::Display) -> PartEnd {
+    PartEnd::Lost(EngineError::may_have_run(reason))
+}
+
+/// What a signal means for a run at `placement`.
+fn end_of(signal: Option<RunSignal>, placement: &RunPlacement) -> Option<PartEnd> {
+    match signal? {
+        RunSignal::Move { choice: ReclaimChoice::Finish, .. } => None,
+        // A signal about an upstream that the run has left already is late.
+        RunSignal::Move { upstream, choice } => {
+            (upstream == placement.upstream).then_some(PartEnd::Move(choice))
+        }
+        RunSignal::HandOver(target) => Some(PartEnd::HandOver(target)),
+        RunSignal::Cancel => Some(PartEnd::Cancelled),
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/service_client.rs
@@ -0,0 +1,131 @@
+//! Client of the plain services.
+//!
+//! This is the only module that speaks to them.
+
+use std::time::Duration;
+
+use awc::{Client, Connector, error::SendRequestError, http::StatusCode};
+use bytes::Bytes;
+use samphiredeck_core::{
+    engine_api::{REQUEST_HEADER, VERDICT_HEADER},
+    ids::RequestId,
+    upstream::LoadReport,
+    verdict::RunVerdict,
+};
+use thiserror::Error;
+
+/// Bound on making a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bound on a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Largest answer of a service, in bytes.
+const ANSWER_MAX: usize = 16 * 1_024 * 1_024;
+
+/// Why a call failed, and whether it may have run.
+#[derive(Clone, Debug, Error)]
+#[error("{reason} ({verdict})")]
+pub struct CallError {
+    /// What happened.
+    pub reason: String,
+    /// Whether the call may have run.
+    pub verdict: RunVerdict,
+}
+
+/// Whole answer of a service.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// One send of a call to a service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall<'a> {
+    /// Host and port of the service.
+    pub address: &'a str,
+    /// Request that is run.
+    pub request: &'a RequestId,
+    /// HTTP method.
+    pub method: &'a awc::http::Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Media type of the body.
+    pub content_type: &'a str,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Bound on the whole call.
+    pub timeout: Duration,
+}
+
+/// Client of the services. Each call uses a connection of its own, since a pooled one that has
+/// gone silent would leave the outcome unknown.
+#[derive(Clone)]
+pub struct ServiceClient {
+    client: Client,
+}
+
+impl ServiceClient {
+    /// Builds a client.
+    pub fn new() -> Self {
+        let connector =
+            Connector::new().timeout(CONNECT_TIMEOUT).conn_keep_alive(Duration::ZERO).limit(0);
+        Self { client: Client::builder().connector(connector).finish() }
+    }
+
+    /// Sends a call once and returns its whole answer.
+    pub async fn call(&self, call: ServiceCall<'_>) -> Result<CallAnswer, CallError> {
+        let request = self
+            .client
+            .request(call.method.clone(), format!("http://{}{}", call.address, call.path))
+            .timeout(call.timeout)
+            .insert_header((REQUEST_HEADER, call.request.to_string()))
+            .insert_header(("content-type", call.content_type));
+        let mut response = request.send_body(call.body).await.map_err(classify)?;
+        let header = |name: &str| {
+            let value = response.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        if header(REQUEST_HEADER).as_deref() != Some(call.request.to_string().as_str()) {
+            return Err(may_have_run("answer belongs to another request"));
+        }
+        let said = header(VERDICT_HEADER).and_then(|text| text.parse().ok());
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE && said == Some(RunVerdict::NotRun)
+        {
+            let reason = "service refused the call".to_owned();
+            return Err(CallError { reason, verdict: RunVerdict::NotRun });
+        }
+        let content_type =
+            header("content-type").unwrap_or_else(|| "application/octet-stream".to_owned());
+        let status = response.status().as_u16();
+        // A body that ends early is an error here, so a short answer never passes as whole.
+        let body = response.body().limit(ANSWER_MAX).await;
+        let body = body.map_err(may_have_run)?;
+        Ok(CallAnswer { status, content_type, body })
+    }
+}
+
+fn may_have_run(reason: impl std::fmt::Display) -> CallError {
+    CallError { reason: reason.to_string(), verdict: RunVerdict::MayHaveRun }
+}
+
+/// A connection that was never made carried nothing.
+fn classify(error: SendRequestError) -> CallError {
+    match error {
+        SendRequestError::Connect(error) => {
+            CallError { reason: error.to_string(), verdict: RunVerdict::NotRun }
+        }
+        other => may_have_run(other),
+    }
+}
+
+/// Asks a service for its load.
+pub async fn fetch_load(client: &Client, address: &str) -> Option<LoadReport> {
+    let request = client.get(format!("http://{address}/report")).timeout(REPORT_TIMEOUT);
+    let mut response = request.send().await.ok()?;
+    let body = response.body().limit(ANSWER_MAX).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/samphiredeck/src/view.rs
@@ -0,0 +1,142 @@
+//! What a node shows to operators.
+
+use samphiredeck_core::{
+    account::AccountRow,
+    burn::BurnRow,
+    declaration::PriorityClass,
+    ids::{ConfigVersion, DomainName, Incarnation, NodeName, RequestId, UpstreamId, WorkspaceName},
+};
+use serde::Serialize;
+
+/// State of one node.
+#[derive(Clone, Debug, Serialize)]
+pub struct NodeView {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Run of the node.
+    pub incarnation: Incarnation,
+    /// Failure domain of the node.
+    pub domain: DomainName,
+    /// Version in force.
+    pub version: ConfigVersion,
+    /// Whether the node admits requests.
+    pub admitting: bool,
+    /// Whether the node is stopping.
+    pub stopping: bool,
+    /// Whether the table service answers.
+    pub table_up: bool,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that run.
+    pub running: usize,
+    /// Members that it knows, itself included.
+    pub members: Vec<NodeName>,
+    /// Members that it has heard of recently.
+    pub alive: Vec<NodeName>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamView>,
+    /// Runs.
+    pub runs: Vec<RunView>,
+    /// Work done by this run of the node.
+    pub accounts: Vec<AccountRow>,
+    /// Burn of error budgets.
+    pub burn: Vec<BurnRow>,
+    /// Counters.
+    pub counters: CounterView,
+}
+
+/// Upstream as a node sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct UpstreamView {
+    /// Incarnation of the upstream.
+    pub id: UpstreamId,
+    /// `engine`, or the name of the service.
+    pub kind: String,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// `accepting`, `leaving`, `drained` or `silent`.
+    pub state: &'static str,
+    /// Requests of this node in flight there.
+    pub in_flight: u32,
+    /// Requests that it reports as running.
+    pub running: u32,
+    /// Requests that it reports as waiting.
+    pub queued: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Price in millionths an hour.
+    pub price: u64,
+    /// Models that it holds.
+    pub models: Vec<String>,
+}
+
+/// Run as a node sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunView {
+    /// Request.
+    pub request: RequestId,
+    /// Who pays.
+    pub workspace: WorkspaceName,
+    /// Urgency.
+    pub class: PriorityClass,
+    /// Model.
+    pub model: String,
+    /// Upstream, or nothing while it waits.
+    pub upstream: Option<UpstreamId>,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Milliseconds since it was admitted.
+    pub age_ms: u64,
+}
+
+/// Counters of a node.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CounterView {
+    /// Requests answered in full.
+    pub answered: u64,
+    /// Requests refused before they ran.
+    pub refused: u64,
+    /// Requests that failed after they may have run.
+    pub failed: u64,
+    /// Sends beyond the first of a request, after failures.
+    pub retried: u64,
+    /// Runs moved by export and import of their cache.
+    pub moved: u64,
+    /// Runs resumed or recomputed elsewhere after an announced loss.
+    pub replaced: u64,
+    /// Work taken over from nodes that are gone.
+    pub taken_over: u64,
+    /// Runs handed over by nodes that stopped.
+    pub handed_in: u64,
+    /// Messages between nodes that were refused.
+    pub bad_messages: u64,
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Bytes sent in datagrams.
+    pub datagram_bytes: u64,
+    /// Transactions sent to the table service.
+    pub transactions: u64,
+    /// Reads sent to the table service.
+    pub table_reads: u64,
+}
+
+impl CounterView {
+    /// Names and values, always in the same order.
+    pub fn pairs(&self) -> [(&'static str, u64); 13] {
+        [
+            ("requests.answered", self.answered),
+            ("requests.refused", self.refused),
+            ("requests.failed", self.failed),
+            ("requests.retried", self.retried),
+            ("runs.moved", self.moved),
+            ("runs.replaced", self.replaced),
+            ("runs.taken_over", self.taken_over),
+            ("runs.handed_in", self.handed_in),
+            ("peers.bad_messages", self.bad_messages),
+            ("peers.datagrams", self.datagrams_sent),
+            ("peers.datagram_bytes", self.datagram_bytes),
+            ("table.transactions", self.transactions),
+            ("table.reads", self.table_reads),
+        ]
+    }
+}
--- /dev/null
+++ b/samphiredeck/tests/command_line.rs
@@ -0,0 +1,1 @@
+//! The node's command line over the real binary.
--- a/samphiredeck_core/src/admission.rs
+++ b/samphiredeck_core/src/admission.rs
@@ -42,6 +42,10 @@
     TableDown,
     /// The node is stopping.
     Stopping,
+    /// The request was checked against a declaration that is no longer in force.
+    Stale,
+    /// The retry budget of the workspace is spent.
+    RetryBudget,
 }
 
 impl RefusalReason {
@@ -56,6 +60,8 @@
             Self::Unsure => "configuration-unsure",
             Self::TableDown => "table-down",
             Self::Stopping => "stopping",
+            Self::Stale => "configuration-stale",
+            Self::RetryBudget => "retry-budget",
         }
     }
 }
@@ -225,6 +231,14 @@
         Ok(())
     }
 
+    /// Lets a request that was accepted before wait for another upstream, first in its lane.
+    ///
+    /// No limit applies, since an accepted request is never refused for a limit.
+    pub fn offer_again(&mut self, ask: AdmissionAsk, now: Instant) {
+        self.share(&ask.workspace).waiting += 1;
+        self.lane(&ask).waiting.push_front(WaitRow { ask, since: now });
+    }
+
     fn lane(&mut self, ask: &AdmissionAsk) -> &mut LaneRow {
         let key = (&ask.workspace, ask.class, &ask.model);
         let at = match self.lanes.binary_search_by(|lane| lane.key().cmp(&key)) {
--- a/samphiredeck_core/src/answer.rs
+++ b/samphiredeck_core/src/answer.rs
@@ -92,6 +92,7 @@
     /// Returns why the event can't belong to the answer, which is then left as it was.
     pub fn push(&mut self, event: &EngineEvent) -> Result<AnswerStep, AnswerError> {
         let (EngineEvent::Accepted { request, .. }
+        | EngineEvent::Waiting { request }
         | EngineEvent::Token { request, .. }
         | EngineEvent::End { request, .. }
         | EngineEvent::Evicted { request }) = event;
@@ -102,6 +103,7 @@
             EngineEvent::Accepted { cached, recomputed, .. } => {
                 Ok(AnswerStep::Accepted { cached: *cached, recomputed: *recomputed })
             }
+            EngineEvent::Waiting { .. } => Ok(AnswerStep::Nothing),
             EngineEvent::Token { offset, text, .. } => self.push_token(*offset, text),
             EngineEvent::End { tokens, reason, .. } => self.push_end(*tokens, reason),
             EngineEvent::Evicted { .. } => Ok(AnswerStep::Evicted),
--- a/samphiredeck_core/src/burn.rs
+++ b/samphiredeck_core/src/burn.rs
@@ -62,6 +62,8 @@
     pub workspace: WorkspaceName,
     /// Class of the target.
     pub class: PriorityClass,
+    /// Share of answers that may miss the target, between 0 and 1.
+    pub allowed: f64,
     /// Answers within the target in the long window.
     pub good: u64,
     /// Answers outside the target in the long window, refusals included.
@@ -145,6 +147,7 @@
             BurnRow {
                 workspace: row.workspace.clone(),
                 class: row.class,
+                allowed: share,
                 good,
                 bad,
                 short_good,
@@ -172,10 +175,7 @@
 
 /// Adds the rows of several nodes, keyed by workspace and class.
 #[must_use]
-pub fn merge_burn(
-    nodes: &[Vec<BurnRow>],
-    allowed: impl Fn(&WorkspaceName, PriorityClass) -> f64,
-) -> Vec<BurnRow> {
+pub fn merge_burn(nodes: &[Vec<BurnRow>]) -> Vec<BurnRow> {
     let mut merged: Vec<BurnRow> = Vec::new();
     for row in nodes.iter().flatten() {
         let key = (&row.workspace, row.class);
@@ -190,9 +190,8 @@
         }
     }
     for row in &mut merged {
-        let share = allowed(&row.workspace, row.class);
-        row.short_burn = burn_rate(row.short_good, row.short_bad, share);
-        row.long_burn = burn_rate(row.good, row.bad, share);
+        row.short_burn = burn_rate(row.short_good, row.short_bad, row.allowed);
+        row.long_burn = burn_rate(row.good, row.bad, row.allowed);
     }
     merged
 }
--- a/samphiredeck_core/src/engine_api.rs
+++ b/samphiredeck_core/src/engine_api.rs
@@ -31,7 +31,7 @@
     pub generated: String,
 }
 
-/// One event of an engine's stream.
+/// One event of an engine's stream. Some event comes at least every 300 ms.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum EngineEvent {
@@ -44,6 +44,11 @@
         /// Tokens computed although they had been computed before.
         recomputed: u64,
     },
+    /// The request waits or is being computed. Keeps the stream from seeming dead.
+    Waiting {
+        /// Request that it belongs to.
+        request: RequestId,
+    },
     /// One token.
     Token {
         /// Request that it belongs to.
--- a/samphiredeck_core/src/group_commit.rs
+++ b/samphiredeck_core/src/group_commit.rs
@@ -90,6 +90,8 @@
     /// Number that the member row gets.
     transaction: u64,
     sent_at: Instant,
+    /// Whether it deletes the member row.
+    leaving: bool,
 }
 
 /// State of the lane's only transaction.
@@ -105,6 +107,8 @@
     Resolving { batch: FlightBatch, asked: bool, question: u64 },
     /// The member row was taken. The node must register with a new incarnation.
     Expelled,
+    /// The node gave back its member row and writes nothing more.
+    Left,
 }
 
 /// The only way by which a node writes to the table.
@@ -120,6 +124,8 @@
     backoff: BackoffState,
     lease: LeaseHolding,
     last_transaction: u64,
+    /// Whether the next transaction that takes all waiting operations deletes the member row.
+    leaving: bool,
 }
 
 impl CommitLane {
@@ -135,6 +141,7 @@
             backoff: BackoffState::new(PAUSE_FIRST, PAUSE_LONGEST),
             lease: LeaseHolding::default(),
             last_transaction: 0,
+            leaving: false,
         }
     }
 
@@ -177,6 +184,17 @@
         self.lease.drop_lease();
     }
 
+    /// Gives back the member row with the last of the waiting operations.
+    pub fn begin_leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether the member row was given back, or never written.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        matches!(self.stage, LaneStage::Left | LaneStage::Unregistered)
+    }
+
     /// Whether the table counts as down.
     #[must_use]
     pub fn is_down(&self) -> bool {
@@ -224,16 +242,15 @@
         if self.next_at.is_some_and(|at| now < at) {
             return None;
         }
+        let has_work = self.has_work(now);
         let transaction = match &mut self.stage {
-            LaneStage::Idle if !self.waiting.is_empty() || self.lease.is_due(now) => {
-                self.next_batch(now)
-            }
+            LaneStage::Idle if has_work => self.next_batch(now),
             LaneStage::Resolving { asked, question, .. } if !*asked => {
                 *asked = true;
                 self.last_transaction += 1;
                 *question = self.last_transaction;
                 let number = *question;
-                self.build(&[], number)
+                self.build(&[], number, false)
             }
             _ => return None,
         };
@@ -241,6 +258,10 @@
         Some(transaction)
     }
 
+    fn has_work(&self, now: Instant) -> bool {
+        !self.waiting.is_empty() || self.lease.is_due(now) || self.leaving
+    }
+
     fn next_batch(&mut self, now: Instant) -> TableTransaction {
         let mut operations: Vec<CommitOperation> = Vec::new();
         while operations.len() < BATCH_MAX {
@@ -254,12 +275,19 @@
         }
         self.last_transaction += 1;
         let transaction = self.last_transaction;
-        let built = self.build(&operations, transaction);
-        self.stage = LaneStage::Flying(FlightBatch { operations, transaction, sent_at: now });
+        let leaving = self.leaving && self.waiting.is_empty();
+        let built = self.build(&operations, transaction, leaving);
+        let batch = FlightBatch { operations, transaction, sent_at: now, leaving };
+        self.stage = LaneStage::Flying(batch);
         built
     }
 
-    fn build(&self, operations: &[CommitOperation], number: u64) -> TableTransaction {
+    fn build(
+        &self,
+        operations: &[CommitOperation],
+        number: u64,
+        leaving: bool,
+    ) -> TableTransaction {
         let key = member_key(&self.member.node);
         let mut row = self.member.clone();
         row.transaction = number;
@@ -270,7 +298,7 @@
         }
         let condition = RowCondition { key: key.clone(), version: self.member_version };
         transaction.conditions.push(condition);
-        let value = serde_json::to_string(&row).ok();
+        let value = if leaving { None } else { serde_json::to_string(&row).ok() };
         transaction.writes.push(RowWrite { key, value });
         transaction
     }
@@ -354,6 +382,10 @@
         self.member.transaction = batch.transaction;
         self.member_version = version;
         self.lease.renew(batch.sent_at);
+        if batch.leaving {
+            self.lease.drop_lease();
+            self.stage = LaneStage::Left;
+        }
         let committed = OperationOutcome::Committed(version);
         batch.operations.into_iter().map(|op| (op.number, committed.clone())).collect()
     }
@@ -392,6 +424,9 @@
         rows: &[RowView],
     ) -> Vec<(OperationNumber, OperationOutcome)> {
         let view = self.own_row(rows).cloned();
+        if batch.leaving && view.as_ref().is_some_and(|view| view.value.is_none()) {
+            return self.settle_committed(batch, RowVersion(0));
+        }
         let found = view.as_ref().and_then(|view| parse_member(view.value.as_deref()));
         let (Some(view), Some(found)) = (view, found) else { return self.expel(batch) };
         if found.incarnation != self.member.incarnation {
--- a/samphiredeck_core/src/lease.rs
+++ b/samphiredeck_core/src/lease.rs
@@ -13,6 +13,8 @@
 pub const RENEW_PERIOD: Duration = Duration::from_secs(2);
 /// Time that a taker waits beyond the lease.
 pub const LEASE_GUARD: Duration = Duration::from_secs(2);
+/// Time between two reads after which nothing is concluded from rows that did not change.
+const READ_GAP: Duration = Duration::from_secs(3);
 /// Longest time that an order to an engine may be in flight.
 pub const ORDER_FLIGHT: Duration = Duration::from_secs(5);
 
@@ -65,6 +67,8 @@
 /// Leases of others, as seen through reads of their rows.
 #[derive(Debug, Default)]
 pub struct LeaseWatch {
+    /// Time of the last read.
+    observed_at: Option<Instant>,
     /// Sorted by holder, without duplicates.
     rows: Vec<WatchRow>,
 }
@@ -73,7 +77,13 @@
     /// Takes in the rows that one read showed, read at `now`. Holders without a row are dropped.
     pub fn observe(&mut self, mut seen: Vec<(NodeName, RowVersion)>, now: Instant) {
         seen.sort();
-        let old = std::mem::take(&mut self.rows);
+        let mut old = std::mem::take(&mut self.rows);
+        // While the table is down no holder can renew, so the wait starts over after a gap.
+        let gap = self.observed_at.is_none_or(|at| now.saturating_duration_since(at) > READ_GAP);
+        if gap {
+            old.clear();
+        }
+        self.observed_at = Some(now);
         let since = |holder: &NodeName, version: RowVersion| {
             old.iter()
                 .find(|row| row.holder == *holder && row.version == version)
--- /dev/null
+++ b/samphiredeck_standins/src/engine.rs
@@ -0,0 +1,215 @@
+//! Stand-in for a model engine: batching, prefix cache, priorities, resume and KV moves.
+
+mod cache;
+mod model;
+
+use std::{
+    io,
+    net::TcpListener,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use samphiredeck_core::{
+    declaration::PriorityClass,
+    engine_api::{
+        CLASS_HEADER, EngineEvent, EngineOrder, GenerateRequest, KvExport, OFFSET_HEADER,
+        OrderAction, REQUEST_HEADER, VERDICT_HEADER,
+    },
+    ids::{ModelName, RequestId},
+    verdict::RunVerdict,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+pub use self::model::{EngineOptions, EngineStats};
+use self::model::{EngineState, StreamAsk};
+
+/// Time between two steps of the batch.
+const STEP: Duration = Duration::from_millis(2);
+/// Bytes of exported cache for each token, far fewer than a real cache has.
+const EXPORT_BYTES_PER_TOKEN: usize = 4;
+
+/// How the engine misbehaves, as set by a test.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Streams that give events of another request.
+    pub crossed: u32,
+    /// Streams that are cut after this many tokens.
+    pub cut: u32,
+    /// Tokens after which they are cut.
+    pub cut_after: u64,
+    /// Streams that end without their end mark.
+    pub no_end: u32,
+    /// Streams whose every event comes twice.
+    pub doubled: u32,
+    /// Streams that go silent after a few tokens.
+    pub silent: u32,
+    /// Whether the engine leaves, as far as this test is concerned.
+    pub leaving: bool,
+    /// Whether it says so itself.
+    pub announce: bool,
+    /// Milliseconds until the process ends.
+    pub die_after_ms: Option<u64>,
+}
+
+/// State shared by the handlers.
+type SharedState = web::Data<Arc<Mutex<EngineState>>>;
+
+fn lock(state: &Mutex<EngineState>) -> MutexGuard<'_, EngineState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn refuse(verdict: RunVerdict, reason: &str) -> HttpResponse {
+    HttpResponse::ServiceUnavailable()
+        .insert_header((VERDICT_HEADER, verdict.to_string()))
+        .body(reason.to_owned())
+}
+
+fn text_header(request: &HttpRequest, name: &str) -> Option<String> {
+    request.headers().get(name)?.to_str().ok().map(str::to_owned)
+}
+
+async fn generate(
+    request: HttpRequest,
+    body: web::Json<GenerateRequest>,
+    state: SharedState,
+) -> HttpResponse {
+    let id = text_header(&request, REQUEST_HEADER).and_then(|text| text.parse().ok());
+    let Some(id): Option<RequestId> = id else {
+        return HttpResponse::BadRequest().body("no request id");
+    };
+    let class = text_header(&request, CLASS_HEADER)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(PriorityClass::Prompt);
+    let offset = text_header(&request, OFFSET_HEADER).and_then(|text| text.parse().ok());
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let ask = StreamAsk { request: id.clone(), class, offset, body: body.into_inner(), sender };
+    let taken = lock(&state).take(ask, Instant::now());
+    if let Err(reason) = taken {
+        return refuse(RunVerdict::NotRun, reason);
+    }
+    let events = unfold(receiver, |mut receiver| async move {
+        let event: Option<EngineEvent> = receiver.recv().await?;
+        // The channel carries `None` where a fault cuts the stream.
+        let text = serde_json::to_string(&event?).ok()?;
+        Some((Ok::<_, actix_web::Error>(Bytes::from(format!("data: {text}\n\n"))), receiver))
+    });
+    HttpResponse::Ok()
+        .insert_header((REQUEST_HEADER, id.to_string()))
+        .insert_header(("content-type", "text/event-stream"))
+        .streaming(events)
+}
+
+async fn cancel(path: web::Path<String>, state: SharedState) -> HttpResponse {
+    if let Ok(id) = path.parse() {
+        lock(&state).cancel(&id);
+    }
+    HttpResponse::Ok().finish()
+}
+
+/// Options of a question for a report.
+#[derive(Debug, Deserialize)]
+struct ReportOptions {
+    from: u64,
+}
+
+async fn report(options: web::Query<ReportOptions>, state: SharedState) -> HttpResponse {
+    HttpResponse::Ok().json(lock(&state).report(options.from, Instant::now()))
+}
+
+async fn export_cache(path: web::Path<String>, state: SharedState) -> HttpResponse {
+    let exported = path.parse().ok().and_then(|id: RequestId| {
+        let (model, tokens) = lock(&state).export(&id)?;
+        Some((id, model, tokens))
+    });
+    let Some((request, model, tokens)) = exported else {
+        return HttpResponse::NotFound().finish();
+    };
+    wait_for_move(&state, tokens).await;
+    let length = usize::try_from(tokens).unwrap_or(0) * EXPORT_BYTES_PER_TOKEN;
+    HttpResponse::Ok().json(KvExport { request, model, tokens, data: "k".repeat(length) })
+}
+
+async fn wait_for_move(state: &SharedState, tokens: u64) {
+    let rate = lock(state).options().move_rate.max(1);
+    tokio::time::sleep(Duration::from_millis(tokens * 1_000 / rate)).await;
+}
+
+async fn import_cache(body: web::Json<KvExport>, state: SharedState) -> HttpResponse {
+    lock(&state).import(&body);
+    HttpResponse::Ok().finish()
+}
+
+async fn take_order(body: web::Json<EngineOrder>, state: SharedState) -> HttpResponse {
+    let pause = {
+        let mut state = lock(&state);
+        if !state.check_fence(body.fence) {
+            return HttpResponse::Conflict()
+                .insert_header((VERDICT_HEADER, RunVerdict::NotRun.to_string()))
+                .body("old fencing number");
+        }
+        state.options().load_time
+    };
+    tokio::time::sleep(pause).await;
+    let mut state = lock(&state);
+    match &body.action {
+        OrderAction::Load { model, .. } => state.load_model(model.clone()),
+        OrderAction::Unload { model } => state.unload_model(model),
+    }
+    HttpResponse::Ok().finish()
+}
+
+async fn set_faults(body: web::Json<EngineFaults>, state: SharedState) -> HttpResponse {
+    if let Some(left) = body.die_after_ms {
+        actix_web::rt::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(left)).await;
+            std::process::exit(0);
+        });
+    }
+    lock(&state).set_faults(body.into_inner(), Instant::now());
+    HttpResponse::Ok().finish()
+}
+
+async fn view_stats(state: SharedState) -> HttpResponse {
+    HttpResponse::Ok().json(lock(&state).stats())
+}
+
+/// Serves an engine on `listener` until the process ends.
+///
+/// # Errors
+///
+/// Returns why the server can't run.
+pub async fn serve(
+    listener: TcpListener,
+    options: EngineOptions,
+    models: Vec<ModelName>,
+) -> io::Result<()> {
+    let shared = Arc::new(Mutex::new(EngineState::new(options, models, Instant::now())));
+    let stepped = Arc::clone(&shared);
+    actix_web::rt::spawn(async move {
+        let mut clock = tokio::time::interval(STEP);
+        loop {
+            clock.tick().await;
+            lock(&stepped).step(Instant::now());
+        }
+    });
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(Arc::clone(&shared)))
+            .app_data(web::JsonConfig::default().limit(64 * 1_024 * 1_024))
+            .route("/generate", web::post().to(generate))
+            .route("/requests/{id}/cancel", web::post().to(cancel))
+            .route("/report", web::get().to(report))
+            .route("/kv/{id}/export", web::post().to(export_cache))
+            .route("/kv", web::post().to(import_cache))
+            .route("/orders", web::post().to(take_order))
+            .route("/control/faults", web::post().to(set_faults))
+            .route("/control/stats", web::get().to(view_stats))
+    });
+    server.workers(1).listen(listener)?.run().await
+}
--- /dev/null
+++ b/samphiredeck_standins/tests/thin_path.rs
@@ -0,0 +1,74 @@
+//! The whole path through real processes: platform, engines, three nodes and the operators'
+//! program.
+
+use std::{process::Command, time::Duration};
+
+use samphiredeck_standins::{
+    launch::{EngineSpec, LocalSystem, NodeSpec},
+    probe::{ChatAsk, operator_key},
+};
+
+/// Bound on the start of the system.
+const START: Duration = Duration::from_secs(20);
+
+fn example(name: &str) -> String {
+    format!("{}/../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+fn samphirectl(system: &LocalSystem, words: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(system.operator_program())
+        .args(["--node", &system.node_address(0).to_string()])
+        .args(words)
+        .env("SAMPHIREDECK_OPERATOR_KEY", operator_key())
+        .output()
+        .expect("samphirectl runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
+    (output.status.code(), text)
+}
+
+async fn start() -> eyre::Result<LocalSystem> {
+    let mut system = LocalSystem::start(&[])?;
+    for (name, domain) in [("engine-1", "suva-a"), ("engine-2", "suva-b")] {
+        system.add_engine(&EngineSpec::new(name, domain), None).await?;
+    }
+    for (name, domain) in [("entry-1", "suva-a"), ("entry-2", "suva-b"), ("entry-3", "nadi-a")] {
+        system.add_node(NodeSpec::new(name, domain))?;
+    }
+    system.wait_ready(START).await?;
+    system.wait_upstreams(2, START).await?;
+    Ok(system)
+}
+
+#[actix_web::test]
+async fn whole_answer_through_any_node_after_an_apply() -> eyre::Result<()> {
+    let mut system = start().await?;
+    let (code, text) = samphirectl(&system, &["apply", &example("vakatoka/declaration.json")]);
+    assert_eq!(code, Some(0), "{text}");
+    for index in 0..3 {
+        let view = system.probe.view(system.node_address(index)).await?;
+        assert_eq!(view["version"], 1, "node {index}: {view}");
+    }
+    for index in 0..3 {
+        let ask = ChatAsk::new(&format!("receipt from node {index}"), 20);
+        let end = system.probe.chat(system.node_address(index), &ask).await;
+        assert!(end.is_right(&ask), "node {index}: {end:?}");
+    }
+    // SIGTERM in the middle of an answer cuts nothing.
+    let address = system.node_address(1);
+    let probe = system.probe.clone();
+    let running = actix_web::rt::spawn(async move {
+        let ask = ChatAsk::new("a long tale of a ferry", 60);
+        let end = probe.chat(address, &ask).await;
+        (ask, end)
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    system.nodes[1].process.signal("TERM")?;
+    let (ask, end) = running.await?;
+    assert!(end.is_right(&ask), "{end:?}");
+    assert!(system.nodes[1].process.wait_end(START), "the stopped node did not end in order");
+    let (code, text) = samphirectl(&system, &["nodes"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("entry-3") && !text.contains("entry-2"), "{text}");
+    Ok(())
+}
--- a/samphiredeck_wire/src/message.rs
+++ b/samphiredeck_wire/src/message.rs
@@ -117,6 +117,8 @@
         stage: Option<(JsonText<StageRow>, RowVersion)>,
         /// All leaving marks.
         marks: Vec<UpstreamId>,
+        /// Member rows as last read.
+        members: Vec<JsonText<MemberRow>>,
     },
     /// The receiver runs the request that was handed over.
     Taken {
