--- a/samphiredeck_standins/src/lib.rs
+++ b/samphiredeck_standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod platform;
 pub mod probe;
 pub mod proxy;
+pub mod scene;
 pub mod service;
 pub mod tokens;
