Tell a closed connection from one that was never made

Cause: a service that cut its answer was reported to the caller as not run, although it had run once. The HTTP client reports a connection that closes after the request was written with the same outer error as one that could not be made.

Ruled out: the stand-in (it counted one run), the retry loop (the first send was already judged wrongly).

Change: only failures to make a connection count as not run, in one place for all clients.

Before: each_fault_of_a_service_gets_a_true_verdict and a_key_whose_outcome_is_unknown_is_never_sent_again failed with the verdict not-run after one run. After: both pass, with the rest of tests/once.rs.

Conclusion: a refusal that says not run is true for the faults in the table.

--- a/samphiredeck/src/engine_client.rs
+++ b/samphiredeck/src/engine_client.rs
@@ -19,6 +19,8 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::transport::is_unsent;
+
 /// Bound on making a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bound on the head of an engine's answer.
@@ -175,10 +177,7 @@
 
 /// A connection that was never made carried nothing.
 fn classify(error: SendRequestError) -> EngineError {
-    match error {
-        SendRequestError::Connect(error) => EngineError::not_run(error),
-        other => EngineError::may_have_run(other),
-    }
+    if is_unsent(&error) { EngineError::not_run(error) } else { EngineError::may_have_run(error) }
 }
 
 /// An engine that refuses says itself whether the request ran.
--- a/samphiredeck/src/main.rs
+++ b/samphiredeck/src/main.rs
@@ -19,6 +19,7 @@
 mod service_client;
 mod settings;
 mod stop;
+mod transport;
 mod view;
 
 use std::{io::Read, process::ExitCode};
--- a/samphiredeck/src/platform_client.rs
+++ b/samphiredeck/src/platform_client.rs
@@ -15,6 +15,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
+use crate::transport::is_unsent;
+
 /// Largest answer of the platform, in bytes.
 const ANSWER_MAX: usize = 64 * 1_024 * 1_024;
 
@@ -110,10 +112,7 @@
 
 /// A connection that was never made carried nothing.
 fn classify(error: SendRequestError) -> PlatformError {
-    match error {
-        SendRequestError::Connect(error) => PlatformError::Refused(error.to_string()),
-        other => unanswered(other),
-    }
+    if is_unsent(&error) { PlatformError::Refused(error.to_string()) } else { unanswered(error) }
 }
 
 fn check_status(status: StatusCode) -> Result<(), PlatformError> {
--- a/samphiredeck/src/service_client.rs
+++ b/samphiredeck/src/service_client.rs
@@ -14,6 +14,8 @@
 };
 use thiserror::Error;
 
+use crate::transport::is_unsent;
+
 /// Bound on making a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bound on a report.
@@ -114,11 +116,10 @@
 
 /// A connection that was never made carried nothing.
 fn classify(error: SendRequestError) -> CallError {
-    match error {
-        SendRequestError::Connect(error) => {
-            CallError { reason: error.to_string(), verdict: RunVerdict::NotRun }
-        }
-        other => may_have_run(other),
+    if is_unsent(&error) {
+        CallError { reason: error.to_string(), verdict: RunVerdict::NotRun }
+    } else {
+        may_have_run(error)
     }
 }
 
