--- a/samphiredeck/src/control.rs
+++ b/samphiredeck/src/control.rs
@@ -161,6 +161,8 @@
     /// Sorted by ticket, without duplicates.
     runs: Vec<RunRow>,
     reports: Vec<dispatch::ReportRow>,
+    /// In order of arrival.
+    held_back: Vec<dispatch::HeldBack>,
     lane: CommitLane,
     waiters: Vec<table::WaiterRow>,
     last_operation: u64,
@@ -212,6 +214,7 @@
             route,
             runs: Vec::new(),
             reports: Vec::new(),
+            held_back: Vec::new(),
             lane,
             waiters: Vec::new(),
             last_operation: 0,
@@ -310,6 +313,7 @@
 
     /// Runs the regular systems and returns what is to be done.
     pub fn tick(&mut self, now: Instant) -> Vec<ControlEffect> {
+        self.release_held_back(now);
         self.expire_waiting(now);
         self.place_waiting(now);
         self.tick_table(now);
--- a/samphiredeck/src/control/dispatch.rs
+++ b/samphiredeck/src/control/dispatch.rs
@@ -113,6 +113,14 @@
     }
 }
 
+/// Retry that waits for its workspace's budget.
+#[derive(Debug)]
+pub(super) struct HeldBack {
+    ticket: TicketNumber,
+    /// Time until which it waits.
+    until: Instant,
+}
+
 /// Reports asked of one upstream.
 #[derive(Debug)]
 pub(super) struct ReportRow {
@@ -273,7 +281,7 @@
             self.refuse(&ask, reply, refusal, now);
             return;
         }
-        self.retries.note_first(&ask.workspace, percent);
+        self.retries.note_first(&ask.workspace, percent, now);
         self.insert_run(ask, weight, favour, RunStage::Waiting(reply), now);
         self.place_waiting(now);
     }
@@ -395,25 +403,40 @@
             LossCause::Announced => self.counters.replaced += 1,
             LossCause::Refused | LossCause::Failed => self.counters.retried += 1,
         }
-        if cause == LossCause::Failed {
-            // Patient work finishes, whatever the budget says.
-            let workspace = self.runs[at].workspace.clone();
-            if class != PriorityClass::Patient && !self.retries.take(&workspace) {
-                self.runs[at].stage = RunStage::Ended { at: now };
-                let refusal = Refusal::new(RefusalReason::RetryBudget, UNSURE_PAUSE);
-                drop(reply.send(Err(refusal)));
-                return;
-            }
-        }
         let run = &mut self.runs[at];
         run.prefer = None;
         run.excluded = run.upstream().cloned().into_iter().collect();
         run.stage = RunStage::Waiting(reply);
-        let ask = self.runs[at].admission_ask(again_until(class, now));
+        let until = again_until(class, now);
+        // Only a request that may have run costs upstreams work once more.
+        let workspace = self.runs[at].workspace.clone();
+        if cause == LossCause::Failed && !self.retries.take(&workspace, now) {
+            self.held_back.push(HeldBack { ticket, until });
+            return;
+        }
+        let ask = self.runs[at].admission_ask(until);
         self.queue.offer_again(ask, now);
         self.place_waiting(now);
     }
 
+    /// Lets retries that wait for their workspace's budget go on, oldest first.
+    pub(super) fn release_held_back(&mut self, now: Instant) {
+        for held in std::mem::take(&mut self.held_back) {
+            let Some(at) = self.run_position(held.ticket) else { continue };
+            if !self.runs[at].is_open() {
+                continue;
+            }
+            let workspace = self.runs[at].workspace.clone();
+            // Past its time the request is refused by the queue at once.
+            if now < held.until && !self.retries.take(&workspace, now) {
+                self.held_back.push(held);
+                continue;
+            }
+            let ask = self.runs[at].admission_ask(held.until);
+            self.queue.offer_again(ask, now);
+        }
+    }
+
     /// Refuses at once what can't be placed in time any more.
     pub(super) fn expire_waiting(&mut self, now: Instant) {
         for (ticket, refusal) in self.queue.expire(now) {
--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -23,7 +23,7 @@
 };
 use tokio::{
     sync::mpsc,
-    time::{interval, timeout},
+    time::{interval, timeout_at},
 };
 
 use crate::{
@@ -339,9 +339,12 @@
     ) -> PartEnd {
         let idle = self.tools.stream_idle.duration();
         let mut look = interval(LOOK_PERIOD);
+        // Kept over the rounds of the loop, which signals and looks go through as well.
+        let mut silent_at = tokio::time::Instant::now() + idle;
         loop {
             tokio::select! {
-                event = timeout(idle, stream.next()) => {
+                event = timeout_at(silent_at, stream.next()) => {
+                    silent_at = tokio::time::Instant::now() + idle;
                     let event = match event {
                         Ok(Some(Ok(event))) => event,
                         Ok(Some(Err(error))) => return PartEnd::Lost(error),
--- a/samphiredeck_core/src/admission.rs
+++ b/samphiredeck_core/src/admission.rs
@@ -259,7 +259,7 @@
 
     /// Returns the lane whose turn it is, leaving out those in `blocked`.
     fn next_lane(&self, blocked: &[bool], now: Instant) -> Option<usize> {
-        let mut best: Option<(u8, f64, usize)> = None;
+        let mut best: Option<((u8, f64, Instant), usize)> = None;
         for (at, lane) in self.lanes.iter().enumerate() {
             let Some(head) = lane.waiting.front().filter(|_| !blocked[at]) else { continue };
             let aged = now.saturating_duration_since(head.since) >= PATIENT_AGE_MAX;
@@ -271,11 +271,13 @@
             };
             let share = self.shares.binary_search_by(|row| row.workspace.cmp(&lane.workspace));
             let used = share.map_or(self.floor, |at| self.shares[at].used);
-            if best.is_none_or(|(least, less, _)| (rank, used) < (least, less)) {
-                best = Some((rank, used, at));
+            // Within a share the oldest goes first, so that aged patient work can't starve.
+            let key = (rank, used, head.since);
+            if best.is_none_or(|(least, _)| key < least) {
+                best = Some((key, at));
             }
         }
-        best.map(|(_, _, at)| at)
+        best.map(|(_, at)| at)
     }
 
     /// Places waiting requests in turn. `place` returns what was decided, or `None` where no
--- /dev/null
+++ b/samphiredeck_core/tests/commit_lane.rs
@@ -0,0 +1,251 @@
+//! Contract of the commit lane: every outcome is known before anything is decided.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use samphiredeck_core::{
+    group_commit::{CommitLane, CommitOperation, LaneReply, OperationNumber, OperationOutcome},
+    ids::{Incarnation, RowVersion},
+    platform_api::{RowCondition, RowView, RowWrite, TableTransaction, TransactionOutcome},
+    rows::{MemberRow, member_key},
+};
+
+/// Table that holds rows in memory and commits as the platform does.
+#[derive(Default)]
+struct MemoryTable {
+    rows: Vec<RowView>,
+    last: u64,
+}
+
+impl MemoryTable {
+    fn view(&self, key: &str) -> RowView {
+        let found = self.rows.iter().find(|row| row.key == key).cloned();
+        found.unwrap_or(RowView { key: key.to_owned(), version: RowVersion(0), value: None })
+    }
+
+    fn commit(&mut self, transaction: &TableTransaction) -> TransactionOutcome {
+        let failed: Vec<RowView> = transaction
+            .conditions
+            .iter()
+            .map(|condition| (condition.version, self.view(&condition.key)))
+            .filter(|(version, view)| *version != view.version)
+            .map(|(_, view)| view)
+            .collect();
+        if !failed.is_empty() {
+            return TransactionOutcome::Conflict { rows: failed };
+        }
+        self.last += 1;
+        for write in &transaction.writes {
+            self.rows.retain(|row| row.key != write.key);
+            if let Some(value) = &write.value {
+                let (key, value) = (write.key.clone(), Some(value.clone()));
+                self.rows.push(RowView { key, version: RowVersion(self.last), value });
+            }
+        }
+        TransactionOutcome::Committed { version: RowVersion(self.last) }
+    }
+}
+
+fn member(incarnation: u64) -> MemberRow {
+    MemberRow {
+        node: "entry-1".parse().expect("a name"),
+        incarnation: Incarnation(incarnation),
+        domain: "suva-a".parse().expect("a name"),
+        peer_address: "127.0.0.1:1".to_owned(),
+        caller_address: "127.0.0.1:2".to_owned(),
+        transaction: 0,
+        lapsed: false,
+    }
+}
+
+fn operation(number: u64, key: &str, now: Instant) -> CommitOperation {
+    CommitOperation {
+        number: OperationNumber(number),
+        conditions: vec![RowCondition { key: key.to_owned(), version: RowVersion(0) }],
+        writes: vec![RowWrite { key: key.to_owned(), value: Some(number.to_string()) }],
+        give_up_at: now + Duration::from_secs(60),
+    }
+}
+
+fn new_lane() -> CommitLane {
+    let mut lane = CommitLane::new(member(7));
+    lane.register(RowVersion(0));
+    lane
+}
+
+/// What happens to one transaction.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    Refused,
+    LostBefore,
+    LostAfter,
+}
+
+/// Drives the lane until nothing waits, with the given fates, then with none.
+fn drive(
+    lane: &mut CommitLane,
+    table: &mut MemoryTable,
+    fates: &[Fate],
+    now: &mut Instant,
+) -> Vec<(OperationNumber, OperationOutcome)> {
+    let mut outcomes = Vec::new();
+    let mut fates = fates.iter();
+    for _ in 0..500 {
+        *now += Duration::from_secs(3);
+        let Some(transaction) = lane.poll(*now) else {
+            if lane.is_settled() {
+                break;
+            }
+            continue;
+        };
+        let reply = match fates.next().unwrap_or(&Fate::Answered) {
+            Fate::Answered => LaneReply::Decided(table.commit(&transaction)),
+            Fate::Refused => LaneReply::Refused,
+            Fate::LostBefore => LaneReply::Unknown,
+            Fate::LostAfter => {
+                table.commit(&transaction);
+                LaneReply::Unknown
+            }
+        };
+        outcomes.extend(lane.on_reply(reply, *now, 0.5));
+        if lane.is_settled() && fates.len() == 0 {
+            break;
+        }
+    }
+    outcomes
+}
+
+#[test]
+fn a_lost_answer_is_read_back_before_anything_is_decided() {
+    let cases = [
+        ("answered", vec![Fate::Answered]),
+        ("refused", vec![Fate::Refused]),
+        ("lost before", vec![Fate::LostBefore]),
+        ("lost after", vec![Fate::LostAfter]),
+        ("lost after, question lost before", vec![Fate::LostAfter, Fate::LostBefore]),
+        ("lost after, question lost after", vec![Fate::LostAfter, Fate::LostAfter]),
+        ("lost before, question lost after", vec![Fate::LostBefore, Fate::LostAfter]),
+        ("all lost after", vec![Fate::LostAfter; 6]),
+        ("all lost before", vec![Fate::LostBefore; 6]),
+    ];
+    for (name, fates) in cases {
+        let mut now = Instant::now();
+        let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+        lane.offer(operation(1, "claim/a", now)).expect("room");
+        let outcomes = drive(&mut lane, &mut table, &fates, &mut now);
+        assert_eq!(outcomes.len(), 1, "{name}: {outcomes:?}");
+        assert!(matches!(outcomes[0].1, OperationOutcome::Committed(_)), "{name}: {outcomes:?}");
+        assert_eq!(table.view("claim/a").value.as_deref(), Some("1"), "{name}");
+    }
+}
+
+#[test]
+fn a_conflict_fails_only_the_operation_that_it_belongs_to() {
+    let mut now = Instant::now();
+    let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+    table.commit(&TableTransaction {
+        conditions: Vec::new(),
+        writes: vec![RowWrite { key: "claim/taken".to_owned(), value: Some("x".to_owned()) }],
+    });
+    for (number, key) in [(1, "claim/a"), (2, "claim/taken"), (3, "claim/b")] {
+        lane.offer(operation(number, key, now)).expect("room");
+    }
+    let mut outcomes = drive(&mut lane, &mut table, &[], &mut now);
+    outcomes.sort_by_key(|(number, _)| *number);
+    assert!(matches!(outcomes[0].1, OperationOutcome::Committed(_)));
+    assert!(
+        matches!(&outcomes[1].1, OperationOutcome::Conflict(rows) if rows[0].key == "claim/taken")
+    );
+    assert!(matches!(outcomes[2].1, OperationOutcome::Committed(_)));
+}
+
+#[test]
+fn two_operations_on_one_row_see_each_other() {
+    let mut now = Instant::now();
+    let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+    lane.offer(operation(1, "claim/a", now)).expect("room");
+    lane.offer(operation(2, "claim/a", now)).expect("room");
+    let outcomes = drive(&mut lane, &mut table, &[], &mut now);
+    assert!(matches!(outcomes[0].1, OperationOutcome::Committed(_)));
+    assert!(matches!(outcomes[1].1, OperationOutcome::Conflict(_)));
+}
+
+#[test]
+fn a_node_whose_row_was_taken_writes_nothing_more() {
+    for lost in [false, true] {
+        let mut now = Instant::now();
+        let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+        drive(&mut lane, &mut table, &[], &mut now);
+        let key = member_key(&member(7).node);
+        let taken = MemberRow { lapsed: true, ..lane.member().clone() };
+        table.commit(&TableTransaction {
+            conditions: Vec::new(),
+            writes: vec![RowWrite { key, value: serde_json::to_string(&taken).ok() }],
+        });
+        lane.offer(operation(1, "claim/a", now)).expect("room");
+        let fates = if lost { vec![Fate::LostAfter] } else { Vec::new() };
+        let outcomes = drive(&mut lane, &mut table, &fates, &mut now);
+        assert_eq!(outcomes, [(OperationNumber(1), OperationOutcome::NotCommitted)]);
+        assert!(lane.is_expelled());
+        assert_eq!(table.view("claim/a").value, None);
+        assert!(!lane.lease().holds(now), "an expelled node holds no lease");
+    }
+}
+
+#[test]
+fn leaving_deletes_the_member_row_also_when_its_answer_is_lost() {
+    for fates in [vec![], vec![Fate::LostAfter], vec![Fate::LostBefore]] {
+        let mut now = Instant::now();
+        let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+        drive(&mut lane, &mut table, &[], &mut now);
+        lane.offer(operation(1, "usage/a", now)).expect("room");
+        lane.begin_leave();
+        let outcomes = drive(&mut lane, &mut table, &fates, &mut now);
+        assert!(matches!(outcomes[0].1, OperationOutcome::Committed(_)), "{outcomes:?}");
+        assert!(lane.has_left());
+        assert_eq!(table.view(&member_key(&member(7).node)).version, RowVersion(0));
+    }
+}
+
+#[test]
+fn the_lease_counts_from_before_the_renewal_was_sent() {
+    let sent = Instant::now();
+    let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+    let transaction = lane.poll(sent).expect("the first renewal is due");
+    let outcome = table.commit(&transaction);
+    lane.on_reply(LaneReply::Decided(outcome), sent + Duration::from_secs(5), 0.5);
+    assert!(lane.lease().holds(sent + Duration::from_secs(5)));
+    assert!(!lane.lease().holds(sent + Duration::from_secs(6)));
+}
+
+proptest! {
+    #[test]
+    fn outcomes_agree_with_the_table(
+        fates in proptest::collection::vec(0_u8..4, 0..12),
+        keys in proptest::collection::vec(0_u8..4, 1..12),
+    ) {
+        let fates: Vec<Fate> = fates
+            .into_iter()
+            .map(|fate| match fate {
+                0 => Fate::Answered,
+                1 => Fate::Refused,
+                2 => Fate::LostBefore,
+                _ => Fate::LostAfter,
+            })
+            .collect();
+        let mut now = Instant::now();
+        let (mut lane, mut table) = (new_lane(), MemoryTable::default());
+        for (number, key) in keys.iter().enumerate() {
+            let op = operation(number as u64, &format!("claim/{key}"), now);
+            lane.offer(op).expect("room");
+        }
+        let outcomes = drive(&mut lane, &mut table, &fates, &mut now);
+        prop_assert_eq!(outcomes.len(), keys.len());
+        for (number, outcome) in outcomes {
+            let key = format!("claim/{}", keys[usize::try_from(number.0).expect("small")]);
+            let own = table.view(&key).value.as_deref() == Some(number.0.to_string().as_str());
+            prop_assert_eq!(matches!(outcome, OperationOutcome::Committed(_)), own);
+        }
+    }
+}
--- /dev/null
+++ b/samphiredeck_core/tests/routing.rs
@@ -0,0 +1,262 @@
+//! Routing: affinity with bounded load, leaving upstreams, prices, reclaim choices.
+
+use std::time::{Duration, Instant};
+
+use samphiredeck_core::{
+    account::{AccountTable, WorkDone},
+    declaration::{CostFavour, PriorityClass},
+    ids::UpstreamId,
+    limit::LimitTable,
+    prefix::{BlockHash, PrefixTable, count_tokens, hash_blocks},
+    reclaim::{ReclaimChoice, ReclaimMeans, StreamAtRisk, plan_reclaim, spread_survivors},
+    route::{RouteAsk, RouteChoice, RoutePolicy, RouteState, RouteView, choose},
+    upstream::{LoadReport, MarketKind, UpstreamKind, UpstreamListing, UpstreamTable},
+};
+
+/// Upstreams and what is known of them.
+struct Fleet {
+    upstreams: UpstreamTable,
+    prefixes: PrefixTable,
+    limits: LimitTable,
+    state: RouteState,
+    now: Instant,
+}
+
+fn id(number: usize) -> UpstreamId {
+    format!("engine-{number}").parse().expect("a name")
+}
+
+fn listing(number: usize) -> UpstreamListing {
+    UpstreamListing {
+        id: id(number),
+        kind: UpstreamKind::Engine,
+        address: format!("127.0.0.1:{}", 9_000 + number),
+        domain: format!("domain-{}", number % 4).parse().expect("a name"),
+        class: "a-large".parse().expect("a name"),
+        market: MarketKind::Reclaimable,
+        price: 1_000_000,
+        leaving: false,
+    }
+}
+
+fn load(running: u32) -> LoadReport {
+    LoadReport {
+        running,
+        slots: 16,
+        prefill_rate: 8_000,
+        decode_rate: 50,
+        models: vec!["tala-8b".parse().expect("a name")],
+        ..LoadReport::default()
+    }
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let mut upstreams = UpstreamTable::default();
+        upstreams.apply_listing((0..count).map(listing).collect(), now);
+        for number in 0..count {
+            upstreams.apply_report(&id(number), load(0), now);
+        }
+        Self {
+            upstreams,
+            prefixes: PrefixTable::default(),
+            limits: LimitTable::default(),
+            state: RouteState::new(RoutePolicy::Scored),
+            now,
+        }
+    }
+
+    fn choose(&mut self, prompt: &str, class: PriorityClass, noise: f64) -> Option<RouteChoice> {
+        let model = "tala-8b".parse().expect("a name");
+        let blocks = hash_blocks("tala-8b", prompt);
+        let ask = RouteAsk {
+            model: &model,
+            blocks: &blocks,
+            prompt_tokens: count_tokens(prompt),
+            output_tokens: 100,
+            class,
+            favour: CostFavour::Cost,
+            exclude: &[],
+        };
+        let view = RouteView {
+            upstreams: &self.upstreams,
+            prefixes: &self.prefixes,
+            limits: &self.limits,
+        };
+        let choice = choose(&mut self.state, view, &ask, noise, self.now)?;
+        self.upstreams.note_sent(&choice.upstream);
+        self.prefixes.insert(&blocks, &choice.upstream, self.now);
+        Some(choice)
+    }
+}
+
+fn prompt(name: &str) -> String {
+    format!("{name} ").repeat(400)
+}
+
+#[test]
+fn a_prompt_that_was_seen_goes_where_its_prefix_is() {
+    let mut fleet = Fleet::new(12);
+    let first = fleet.choose(&prompt("vehicle history"), PriorityClass::Prompt, 0.1).expect("room");
+    for noise in [0.0, 0.3, 0.6, 0.99] {
+        let next = fleet.choose(&prompt("vehicle history"), PriorityClass::Prompt, noise);
+        assert_eq!(next.expect("room").upstream, first.upstream);
+    }
+}
+
+#[test]
+fn two_nodes_send_an_unseen_prompt_to_the_same_upstream() {
+    for name in ["a", "b", "c", "d", "e"] {
+        let one = Fleet::new(12).choose(&prompt(name), PriorityClass::Prompt, 0.2).expect("room");
+        let two = Fleet::new(12).choose(&prompt(name), PriorityClass::Prompt, 0.9).expect("room");
+        assert_eq!(one.upstream, two.upstream, "{name}");
+    }
+}
+
+#[test]
+fn affinity_never_overloads_one_upstream() {
+    let mut fleet = Fleet::new(12);
+    let mut placed = vec![0_u32; 12];
+    for number in 0_u32..150 {
+        let noise = f64::from(number) / 150.0;
+        let Some(choice) = fleet.choose(&prompt("one hot prefix"), PriorityClass::Prompt, noise)
+        else {
+            break;
+        };
+        let at = (0..12).find(|at| id(*at) == choice.upstream).expect("known");
+        placed[at] += 1;
+    }
+    assert!(placed.iter().all(|count| *count <= 16), "{placed:?}");
+    assert!(placed.iter().sum::<u32>() > 130, "{placed:?}");
+}
+
+#[test]
+fn load_that_others_report_is_avoided() {
+    let mut fleet = Fleet::new(4);
+    for number in 0..3 {
+        fleet.upstreams.apply_report(&id(number), load(15), fleet.now);
+    }
+    for noise in [0.1, 0.5, 0.9] {
+        let choice = fleet.choose("short", PriorityClass::Urgent, noise).expect("room");
+        assert_eq!(choice.upstream, id(3));
+    }
+}
+
+#[test]
+fn a_leaving_or_silent_or_drained_upstream_gets_nothing() {
+    let mut fleet = Fleet::new(3);
+    assert!(fleet.upstreams.mark_leaving(&id(0), fleet.now));
+    // The list says live later, which does not clear the mark.
+    fleet.upstreams.apply_listing(vec![listing(0)], fleet.now);
+    fleet.upstreams.set_drained(&[id(1)]);
+    for noise in [0.0, 0.4, 0.8] {
+        let choice = fleet.choose("text", PriorityClass::Urgent, noise).expect("room");
+        assert_eq!(choice.upstream, id(2));
+    }
+    fleet.now += Duration::from_secs(4);
+    assert!(fleet.choose("text", PriorityClass::Urgent, 0.1).is_none(), "reports have ceased");
+}
+
+#[test]
+fn patient_work_goes_to_the_cheaper_upstream_and_urgent_to_the_idle_one() {
+    let mut fleet = Fleet::new(2);
+    let cheap = UpstreamListing { price: 300_000, ..listing(0) };
+    fleet.upstreams.apply_listing(vec![cheap, listing(1)], fleet.now);
+    fleet.upstreams.apply_report(&id(0), load(12), fleet.now);
+    let patient = fleet.choose("text", PriorityClass::Patient, 0.5).expect("room");
+    assert_eq!(patient.upstream, id(0));
+    let urgent = fleet.choose("text", PriorityClass::Urgent, 0.5).expect("room");
+    assert_eq!(urgent.upstream, id(1));
+}
+
+#[test]
+fn a_block_counts_with_all_blocks_before_it() {
+    let one = hash_blocks("m", &prompt("same start"));
+    let mut other = prompt("same start");
+    other.replace_range(0..1, "x");
+    let other = hash_blocks("m", &other);
+    assert!(one.iter().zip(&other).all(|(a, b)| a != b));
+    assert_ne!(one, hash_blocks("n", &prompt("same start")));
+    let mut table = PrefixTable::default();
+    table.insert(&one[..3], &id(0), Instant::now());
+    assert_eq!(table.depth(&one, &id(0)), 3);
+    table.remove(one[2], &id(0));
+    assert_eq!(table.depth(&one, &id(0)), 2);
+    table.forget(&id(0));
+    assert_eq!(table.depth(&one, &id(0)), 0);
+    assert_eq!(table.depth(&[BlockHash(1)], &id(0)), 0);
+}
+
+#[test]
+fn the_longest_histories_are_moved_first_as_far_as_the_notice_allows() {
+    let stream = |key: u32, class, held: u64, left: u64| StreamAtRisk {
+        key,
+        class,
+        tokens_held: held,
+        tokens_left: left,
+        token_rate: 40.0,
+    };
+    let means =
+        ReclaimMeans { notice: Duration::from_secs(2), move_rate: 10_000.0, prefill_rate: 8_000.0 };
+    let streams = [
+        stream(1, PriorityClass::Patient, 9_000, 5_000),
+        stream(2, PriorityClass::Urgent, 1_000, 5_000),
+        stream(3, PriorityClass::Patient, 4_000, 5_000),
+        stream(4, PriorityClass::Prompt, 5_000, 20),
+        stream(5, PriorityClass::Prompt, 50, 5_000),
+    ];
+    let plan = plan_reclaim(&streams, means);
+    let choice = |key: u32| plan.iter().find(|(known, _)| *known == key).expect("planned").1;
+    assert_eq!(choice(2), ReclaimChoice::Export, "urgent first");
+    assert_eq!(choice(1), ReclaimChoice::Export, "then the most tokens");
+    assert_eq!(choice(3), ReclaimChoice::Recompute, "no time is left");
+    assert_eq!(choice(4), ReclaimChoice::Finish, "it is through within the notice");
+    assert_eq!(choice(5), ReclaimChoice::Recompute, "hardly anything to lose");
+}
+
+#[test]
+fn survivors_are_not_stampeded() {
+    let room = [(id(0), 2), (id(1), 5), (id(2), 1)];
+    let places = spread_survivors(10, &room);
+    let count = |wanted: usize| places.iter().flatten().filter(|at| **at == id(wanted)).count();
+    assert_eq!((count(0), count(1), count(2)), (2, 5, 1));
+    assert_eq!(places.iter().filter(|place| place.is_none()).count(), 2);
+}
+
+#[test]
+fn latency_adapts_the_limit() {
+    let mut fleet = Fleet::new(1);
+    let target = Duration::from_millis(370);
+    let row = fleet.upstreams.find(&id(0)).expect("known").clone();
+    let before = fleet.limits.limit_of(&row);
+    for second in 0..10 {
+        let at = fleet.now + Duration::from_secs(second);
+        fleet.limits.observe(&row, Duration::from_secs(2), target, at);
+    }
+    let after = fleet.limits.limit_of(&row);
+    assert!(after < before * 0.5, "{before} to {after}");
+    let mut busy = row.clone();
+    busy.in_flight = 16;
+    for second in 10..200 {
+        let at = fleet.now + Duration::from_secs(second);
+        fleet.limits.observe(&busy, Duration::from_millis(100), target, at);
+    }
+    assert!(fleet.limits.limit_of(&busy) > after * 1.5);
+}
+
+#[test]
+fn cost_follows_price_time_and_share() {
+    let work = WorkDone { busy_ms: 3_600_000, price: 2_000_000, slots: 4, ..WorkDone::default() };
+    assert_eq!(work.cost(), 500_000_000);
+    let (workspace, model) = ("a".parse().expect("a name"), "m".parse().expect("a name"));
+    let mut accounts = AccountTable::default();
+    accounts.add(&workspace, &model, WorkDone { prompt: 10, generated: 5, recomputed: 2, ..work });
+    accounts.count_answer(&workspace, &model);
+    let mut sum = AccountTable::default();
+    sum.merge(accounts.rows());
+    sum.merge(accounts.rows());
+    let row = &sum.rows()[0];
+    assert_eq!((row.answers, row.prompt, row.generated, row.recomputed), (2, 20, 10, 4));
+    assert_eq!(row.cost, 1_000_000_000);
+}
--- /dev/null
+++ b/samphiredeck_core/tests/sharing.rs
@@ -0,0 +1,165 @@
+//! Admission: shares by weight, classes, ages, refusals at once.
+
+use std::time::{Duration, Instant};
+
+use samphiredeck_core::{
+    admission::{AdmissionAsk, AdmissionQueue, RefusalReason, TicketNumber},
+    declaration::PriorityClass,
+    retry::RetryTable,
+};
+
+fn ask(
+    ticket: u64,
+    workspace: &str,
+    weight: u32,
+    class: PriorityClass,
+    now: Instant,
+) -> AdmissionAsk {
+    AdmissionAsk {
+        ticket: TicketNumber(ticket),
+        workspace: workspace.parse().expect("a name"),
+        weight,
+        max_in_flight: 1_000,
+        class,
+        model: "m".parse().expect("a name"),
+        place_by: now + Duration::from_secs(60),
+        tokens: 100,
+    }
+}
+
+/// Places up to `room` waiting requests and returns their tickets.
+fn place(queue: &mut AdmissionQueue, room: usize, now: Instant) -> Vec<u64> {
+    let mut left = room;
+    let placed = queue.place_waiting(now, |_| {
+        left = left.checked_sub(1)?;
+        Some(())
+    });
+    placed.into_iter().map(|(ticket, ())| ticket.0).collect()
+}
+
+#[test]
+fn capacity_is_shared_by_weight() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    for ticket in 0..200 {
+        let (workspace, weight) = if ticket % 2 == 0 { ("heavy", 3) } else { ("light", 1) };
+        queue.offer(ask(ticket, workspace, weight, PriorityClass::Prompt, now), now).expect("room");
+    }
+    let placed = place(&mut queue, 80, now);
+    let heavy = placed.iter().filter(|ticket| *ticket % 2 == 0).count();
+    assert!((58..=62).contains(&heavy), "{heavy} of 80 for three quarters of the weight");
+}
+
+#[test]
+fn a_workspace_that_was_idle_gets_no_credit_for_it() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    for ticket in 0..100 {
+        queue.offer(ask(ticket, "busy", 1, PriorityClass::Prompt, now), now).expect("room");
+    }
+    place(&mut queue, 50, now);
+    for ticket in 100..150 {
+        queue.offer(ask(ticket, "late", 1, PriorityClass::Prompt, now), now).expect("room");
+    }
+    let placed = place(&mut queue, 40, now);
+    let late = placed.iter().filter(|ticket| **ticket >= 100).count();
+    assert!((18..=22).contains(&late), "{late} of 40");
+}
+
+#[test]
+fn urgent_goes_first_and_patient_work_ages() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    for (ticket, class) in
+        [(1, PriorityClass::Patient), (2, PriorityClass::Prompt), (3, PriorityClass::Urgent)]
+    {
+        queue.offer(ask(ticket, "a", 1, class, now), now).expect("room");
+    }
+    assert_eq!(place(&mut queue, 1, now), [3]);
+    // After its age bound patient work stands in line with prompt work.
+    let later = now + Duration::from_secs(25);
+    queue.offer(ask(4, "b", 1, PriorityClass::Prompt, later), later).expect("room");
+    queue.offer(ask(5, "a", 1, PriorityClass::Prompt, later), later).expect("room");
+    let placed = place(&mut queue, 3, later);
+    assert!(placed.contains(&1), "{placed:?}");
+}
+
+#[test]
+fn what_can_not_be_in_time_is_refused_on_arrival_with_an_honest_advice() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    queue.offer(ask(0, "a", 1, PriorityClass::Urgent, now), now).expect("room");
+    place(&mut queue, 1, now);
+    queue.note_ended(&"a".parse().expect("a name"), Duration::from_secs(10));
+    for ticket in 1..=5 {
+        queue.offer(ask(ticket, "a", 1, PriorityClass::Urgent, now), now).expect("room");
+    }
+    let mut hasty = ask(9, "a", 1, PriorityClass::Urgent, now);
+    hasty.place_by = now + Duration::from_secs(1);
+    let refusal = queue.offer(hasty, now).expect_err("five times ten seconds are ahead");
+    assert_eq!(refusal.reason, RefusalReason::Infeasible);
+    assert!((40..=60).contains(&refusal.retry_after.as_secs()), "{refusal:?}");
+}
+
+#[test]
+fn what_waits_past_its_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    let mut hasty = ask(1, "a", 1, PriorityClass::Urgent, now);
+    hasty.place_by = now + Duration::from_millis(300);
+    queue.offer(hasty, now).expect("room");
+    assert!(queue.expire(now + Duration::from_millis(299)).is_empty());
+    let expired = queue.expire(now + Duration::from_millis(300));
+    assert_eq!(expired.len(), 1);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_workspace_may_not_exceed_its_limit_but_accepted_work_is_never_refused() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    for ticket in 0..3 {
+        let mut limited = ask(ticket, "a", 1, PriorityClass::Prompt, now);
+        limited.max_in_flight = 2;
+        let offered = queue.offer(limited.clone(), now);
+        assert_eq!(offered.is_ok(), ticket < 2, "{ticket}");
+        if let Err(refusal) = offered {
+            assert_eq!(refusal.reason, RefusalReason::WorkspaceFull);
+            queue.offer_again(limited, now);
+        }
+    }
+    assert_eq!(place(&mut queue, 9, now).len(), 3);
+}
+
+#[test]
+fn one_model_without_room_does_not_hold_up_another() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    queue.offer(ask(1, "a", 1, PriorityClass::Prompt, now), now).expect("room");
+    let mut other = ask(2, "a", 1, PriorityClass::Prompt, now);
+    other.model = "n".parse().expect("a name");
+    queue.offer(other, now).expect("room");
+    let placed = queue.place_waiting(now, |ask| (ask.model.as_str() == "n").then_some(()));
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].0, TicketNumber(2));
+}
+
+#[test]
+fn retries_are_a_share_of_first_sends() {
+    let now = Instant::now();
+    let mut table = RetryTable::default();
+    let workspace = "a".parse().expect("a name");
+    let mut first = 0;
+    while table.take(&workspace, now) {
+        first += 1;
+    }
+    for _ in 0..1_000 {
+        table.note_first(&workspace, 10, now);
+    }
+    let mut after = 0;
+    while table.take(&workspace, now) {
+        after += 1;
+    }
+    assert!(first <= 10 && (95..=100).contains(&after), "{first}, {after}");
+    assert!(table.take(&workspace, now + Duration::from_secs(1)), "one is earned each second");
+}
