--- a/samphiredeck/src/control.rs
+++ b/samphiredeck/src/control.rs
@@ -11,7 +11,7 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use arc_swap::ArcSwapOption;
@@ -56,6 +56,11 @@
 /// Time between two looks at tables that only grow stale slowly.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
+/// Seconds since 1970 by this machine's clock.
+fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
 /// Answers whoever asked. One that has gone away wants no answer.
 fn answer<T>(reply: oneshot::Sender<T>, value: T) {
     if reply.send(value).is_err() {
@@ -93,6 +98,7 @@
             caller_address: self.caller_address.to_string(),
             transaction: 0,
             lapsed: false,
+            lapsed_at: 0,
         }
     }
 }
--- a/samphiredeck/src/control/change.rs
+++ b/samphiredeck/src/control/change.rs
@@ -1,6 +1,6 @@
 //! Changes of the declaration that this node coordinates.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use samphiredeck_core::{
@@ -17,7 +17,7 @@
 use samphiredeck_wire::message::{JsonText, PeerRequest};
 use tokio::sync::oneshot;
 
-use super::{ControlState, table::Waiter};
+use super::{ControlState, table::Waiter, unix_seconds};
 use crate::{
     event::{ChangeAsk, ChangeReply, ControlEffect, PeerCallKind, parse_row},
     logging::CONFIG,
@@ -75,13 +75,12 @@
         }
         let version = self.holding.version().next();
         let change = format!("{}-{}-{version}", self.identity.name, self.identity.incarnation);
-        let seconds = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let config = ConfigRow {
             version,
             change,
             author: ask.author,
             note: ask.note,
-            accepted_at: seconds.as_secs(),
+            accepted_at: unix_seconds(),
             declaration: ask.declaration,
         };
         let stage = StageRow {
--- a/samphiredeck/src/control/dispatch.rs
+++ b/samphiredeck/src/control/dispatch.rs
@@ -669,12 +669,22 @@
         }
         let skip = row.next_event.saturating_sub(report.first_event);
         row.next_event = row.next_event.max(report.first_event + report.events.len() as u64);
+        let (mut stored, mut evicted) = (Vec::new(), Vec::new());
         for event in report.events.iter().skip(usize::try_from(skip).unwrap_or(usize::MAX)) {
+            // A block may come and go several times in one report; its last change counts.
             match event {
-                CacheChange::Stored { block } => self.prefixes.insert(&[*block], id, now),
-                CacheChange::Evicted { block } => self.prefixes.remove(*block, id),
+                CacheChange::Stored { block } => {
+                    evicted.retain(|known| known != block);
+                    stored.push(*block);
+                }
+                CacheChange::Evicted { block } => {
+                    stored.retain(|known| known != block);
+                    evicted.push(*block);
+                }
             }
         }
+        self.prefixes.remove(&evicted, id);
+        self.prefixes.insert(&stored, id, now);
     }
 
     pub(super) fn on_load(
--- a/samphiredeck/src/control/takeover.rs
+++ b/samphiredeck/src/control/takeover.rs
@@ -8,10 +8,10 @@
     ids::NodeName,
     patient::{choose_taker, is_orphan, take_over},
     platform_api::{RowCondition, RowWrite, TableRows},
-    rows::{MEMBER_PREFIX, MemberRow, WORK_PREFIX, WorkRow, member_key, work_key},
+    rows::{FORGET_LAPSED_S, MEMBER_PREFIX, MemberRow, WORK_PREFIX, WorkRow, member_key, work_key},
 };
 
-use super::{ControlState, is_due, table::Waiter};
+use super::{ControlState, is_due, table::Waiter, unix_seconds};
 use crate::{
     event::{ControlEffect, parse_row},
     logging::WORK,
@@ -38,6 +38,23 @@
         if looker && is_due(&mut self.times.work, WORK_PERIOD, now) {
             self.counters.table_reads += 1;
             self.effects.push(ControlEffect::ReadWork);
+            self.forget_lapsed(now);
+        }
+    }
+
+    /// Removes the rows of members whose lease was taken long ago.
+    fn forget_lapsed(&mut self, now: Instant) {
+        let today = unix_seconds();
+        let old: Vec<RowCondition> = self
+            .members
+            .iter()
+            .filter(|seen| seen.row.lapsed)
+            .filter(|seen| today.saturating_sub(seen.row.lapsed_at) >= FORGET_LAPSED_S)
+            .map(|seen| RowCondition { key: member_key(&seen.row.node), version: seen.version })
+            .collect();
+        for condition in old {
+            let writes = vec![RowWrite { key: condition.key.clone(), value: None }];
+            self.offer_own(vec![condition], writes, Waiter::Nobody, now);
         }
     }
 
@@ -53,7 +70,7 @@
     /// Takes the member row from a node, so that it can write nothing more as that run.
     fn mark_lapsed(&mut self, node: &NodeName, now: Instant) {
         let Some(seen) = self.members.iter().find(|seen| seen.row.node == *node) else { return };
-        let row = MemberRow { lapsed: true, ..seen.row.clone() };
+        let row = MemberRow { lapsed: true, lapsed_at: unix_seconds(), ..seen.row.clone() };
         let key = member_key(node);
         let conditions = vec![RowCondition { key: key.clone(), version: seen.version }];
         let writes = vec![RowWrite { key, value: serde_json::to_string(&row).ok() }];
--- a/samphiredeck/tests/command_line.rs
+++ b/samphiredeck/tests/command_line.rs
@@ -40,9 +40,12 @@
     }
 }
 
+/// Name of the case, field that is told, and what breaks the settings.
+type FaultCase = (&'static str, &'static str, fn(&mut Value));
+
 #[test]
 fn each_fault_names_its_field() {
-    let cases: [(&str, &str, fn(&mut Value)); 14] = [
+    let cases: [FaultCase; 14] = [
         ("name", "node.name", |v| v["node"]["name"] = json!("Entry 1")),
         ("domain", "node.domain", |v| v["node"]["domain"] = json!("")),
         ("unknown", "settings", |v| v["node"]["zone"] = json!("x")),
--- a/samphiredeck_core/src/prefix.rs
+++ b/samphiredeck_core/src/prefix.rs
@@ -12,9 +12,9 @@
 /// Tokens of one cache block.
 pub const BLOCK_TOKENS: usize = 32;
 /// Most blocks of one prompt that take part in routing.
-pub const BLOCKS_MAX: usize = 64;
-/// Most rows of a [`PrefixTable`].
-const ROWS_MAX: usize = 65_536;
+pub const BLOCKS_MAX: usize = 512;
+/// Most blocks that are known of one upstream.
+const BLOCKS_PER_UPSTREAM: usize = 16_384;
 /// Time after which a guess that no cache event has confirmed is dropped.
 const GUESS_LIFETIME: Duration = Duration::from_secs(120);
 
@@ -42,41 +42,68 @@
     prompt.len().div_ceil(BYTES_PER_TOKEN) as u64
 }
 
-/// One block at one upstream.
+/// Blocks that one upstream holds.
 #[derive(Clone, Debug)]
-struct PrefixRow {
-    block: BlockHash,
+struct HolderRow {
     upstream: UpstreamId,
-    seen_at: Instant,
+    /// Sorted by block, without duplicates, each with the time at which it was last confirmed.
+    /// At most [`BLOCKS_PER_UPSTREAM`].
+    blocks: Vec<(BlockHash, Instant)>,
 }
 
 /// Which upstreams hold which blocks, as far as events and own sends tell.
 #[derive(Debug, Default)]
 pub struct PrefixTable {
-    /// Sorted by block and upstream, without duplicates. At most [`ROWS_MAX`] rows.
-    rows: Vec<PrefixRow>,
+    /// Sorted by upstream, without duplicates.
+    rows: Vec<HolderRow>,
 }
 
 impl PrefixTable {
+    fn row(&self, upstream: &UpstreamId) -> Option<&HolderRow> {
+        let at = self.rows.binary_search_by(|row| row.upstream.cmp(upstream)).ok()?;
+        Some(&self.rows[at])
+    }
+
+    fn row_mut(&mut self, upstream: &UpstreamId) -> &mut HolderRow {
+        let at = match self.rows.binary_search_by(|row| row.upstream.cmp(upstream)) {
+            Ok(at) => at,
+            Err(at) => {
+                let row = HolderRow { upstream: upstream.clone(), blocks: Vec::new() };
+                self.rows.insert(at, row);
+                at
+            }
+        };
+        &mut self.rows[at]
+    }
+
     /// Notes that `upstream` holds `blocks` as of `now`.
     pub fn insert(&mut self, blocks: &[BlockHash], upstream: &UpstreamId, now: Instant) {
+        let held = &mut self.row_mut(upstream).blocks;
+        let mut fresh = Vec::new();
         for block in blocks {
-            match self.position(*block, upstream) {
-                Ok(at) => self.rows[at].seen_at = now,
-                Err(at) if self.rows.len() < ROWS_MAX => {
-                    let row = PrefixRow { block: *block, upstream: upstream.clone(), seen_at: now };
-                    self.rows.insert(at, row);
-                }
-                Err(_) => return,
+            match held.binary_search_by_key(block, |row| row.0) {
+                Ok(at) => held[at].1 = now,
+                Err(_) => fresh.push((*block, now)),
             }
         }
+        if fresh.is_empty() || held.len() + fresh.len() > BLOCKS_PER_UPSTREAM {
+            return;
+        }
+        // One sort for all is cheaper than moving the tail for each.
+        held.append(&mut fresh);
+        held.sort_unstable_by_key(|row| row.0);
+        held.dedup_by_key(|row| row.0);
     }
 
-    /// Notes that `upstream` has dropped `block`.
-    pub fn remove(&mut self, block: BlockHash, upstream: &UpstreamId) {
-        if let Ok(at) = self.position(block, upstream) {
-            self.rows.remove(at);
+    /// Notes that `upstream` has dropped `blocks`.
+    pub fn remove(&mut self, blocks: &[BlockHash], upstream: &UpstreamId) {
+        if blocks.is_empty() {
+            return;
         }
+        let mut gone = blocks.to_vec();
+        gone.sort_unstable();
+        let held = &mut self.row_mut(upstream).blocks;
+        held.retain(|(block, _)| gone.binary_search(block).is_err());
     }
 
     /// Drops all that is known of `upstream`, as after a gap in its events.
@@ -84,36 +111,33 @@
         self.rows.retain(|row| row.upstream != *upstream);
     }
 
-    /// Drops rows that nothing has confirmed for long.
+    /// Drops blocks that nothing has confirmed for long.
     pub fn expire(&mut self, now: Instant) {
-        self.rows.retain(|row| now.saturating_duration_since(row.seen_at) < GUESS_LIFETIME);
+        for row in &mut self.rows {
+            row.blocks.retain(|(_, at)| now.saturating_duration_since(*at) < GUESS_LIFETIME);
+        }
+        self.rows.retain(|row| !row.blocks.is_empty());
     }
 
     /// Counts the leading blocks of `blocks` that `upstream` holds.
+    ///
+    /// A cache lets go of the ends of prompts first, so the depth is found by halving.
     #[must_use]
     pub fn depth(&self, blocks: &[BlockHash], upstream: &UpstreamId) -> usize {
-        // The hash of a block covers all blocks before it, so a binary search over depth would
-        // do, but evictions leave holes; the deepest block present counts.
+        let Some(row) = self.row(upstream) else { return 0 };
         blocks
-            .iter()
-            .rposition(|block| self.position(*block, upstream).is_ok())
-            .map_or(0, |at| at + 1)
+            .partition_point(|block| row.blocks.binary_search_by_key(block, |held| held.0).is_ok())
     }
 
-    /// Counts the rows.
+    /// Counts the blocks over all upstreams.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.rows.iter().map(|row| row.blocks.len()).sum()
     }
 
     /// Whether nothing is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
-
-    fn position(&self, block: BlockHash, upstream: &UpstreamId) -> Result<usize, usize> {
-        self.rows
-            .binary_search_by(|row| row.block.cmp(&block).then_with(|| row.upstream.cmp(upstream)))
+        self.len() == 0
     }
 }
--- a/samphiredeck_core/src/rows.rs
+++ b/samphiredeck_core/src/rows.rs
@@ -10,6 +10,10 @@
     verdict::RunVerdict,
 };
 
+/// Time after which the row of a member whose lease was taken is removed, in seconds.
+///
+/// Until then the member counts for majorities, since it may be alive and cut off.
+pub const FORGET_LAPSED_S: u64 = 86_400;
 /// Prefix of the keys of [`MemberRow`]s.
 pub const MEMBER_PREFIX: &str = "member/";
 /// Key of the [`ConfigRow`] in force.
@@ -72,6 +76,9 @@
     pub transaction: u64,
     /// Whether the lease was taken from the node, which must register anew.
     pub lapsed: bool,
+    /// Time at which it was taken, in seconds since 1970 by the taker's clock.
+    #[serde(default)]
+    pub lapsed_at: u64,
 }
 
 /// Accepted declaration.
--- a/samphiredeck_core/tests/commit_lane.rs
+++ b/samphiredeck_core/tests/commit_lane.rs
@@ -55,6 +55,7 @@
         caller_address: "127.0.0.1:2".to_owned(),
         transaction: 0,
         lapsed: false,
+        lapsed_at: 0,
     }
 }
 
--- a/samphiredeck_core/tests/configuration.rs
+++ b/samphiredeck_core/tests/configuration.rs
@@ -179,7 +179,7 @@
         if at_once {
             continue;
         }
-        let early = now + SILENT_FOR - Duration::from_millis(1);
+        let early = now + SILENT_FOR.saturating_sub(Duration::from_millis(1));
         assert_ne!(round.step(early), ChangeStep::Accept, "{case:?} too early");
         let silent = round.step(now + SILENT_FOR);
         assert_eq!(silent == ChangeStep::Accept, after_silence, "{case:?}: {silent:?}");
--- a/samphiredeck_core/tests/routing.rs
+++ b/samphiredeck_core/tests/routing.rs
@@ -181,7 +181,7 @@
     let mut table = PrefixTable::default();
     table.insert(&one[..3], &id(0), Instant::now());
     assert_eq!(table.depth(&one, &id(0)), 3);
-    table.remove(one[2], &id(0));
+    table.remove(&one[2..3], &id(0));
     assert_eq!(table.depth(&one, &id(0)), 2);
     table.forget(&id(0));
     assert_eq!(table.depth(&one, &id(0)), 0);
--- /dev/null
+++ b/samphiredeck_standins/examples/bench_node.rs
@@ -0,0 +1,227 @@
+//! What a node adds: the same load straight to an instant engine and through one node, side by
+//! side, and the memory of open streams.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use awc::{Client, Connector};
+use hdrhistogram::Histogram;
+use samphiredeck_standins::{
+    launch::{EngineSpec, LocalSystem, NodeSpec},
+    scene::{START, example_declaration},
+};
+use serde_json::{Value, json};
+
+/// Idle time for which the load keeps its connections.
+const KEEP: Duration = Duration::from_secs(5);
+
+/// Measure latency, throughput and memory of one node on loopback.
+#[derive(Debug, FromArgs)]
+struct BenchArgs {
+    /// seconds of each part
+    #[argh(option, default = "6")]
+    seconds: u64,
+    /// callers that find the saturation rate
+    #[argh(option, default = "32")]
+    callers: usize,
+    /// tokens of each answer
+    #[argh(option, default = "8")]
+    tokens: u64,
+    /// open streams whose memory is measured
+    #[argh(option, default = "1000")]
+    streams: usize,
+}
+
+/// Where the load goes and how it is said there.
+#[derive(Clone)]
+struct LoadTarget {
+    url: String,
+    body: Value,
+    numbers: Rc<Cell<u64>>,
+}
+
+impl LoadTarget {
+    fn engine(address: SocketAddr, tokens: u64) -> Self {
+        let body = json!({
+            "model": "tala-8b", "prompt": "user: hello\n", "max_tokens": tokens, "generated": "",
+        });
+        Self { url: format!("http://{address}/generate"), body, numbers: Rc::default() }
+    }
+
+    fn node(address: SocketAddr, tokens: u64) -> Self {
+        let body = json!({
+            "model": "tala-8b", "stream": true, "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": "hello" }],
+        });
+        Self { url: format!("http://{address}/v1/chat/completions"), body, numbers: Rc::default() }
+    }
+
+    /// Sends one request and reads its whole answer. Returns whether it was right.
+    async fn send(&self, client: &Client) -> bool {
+        self.numbers.set(self.numbers.get() + 1);
+        let call = client
+            .post(&self.url)
+            .insert_header(("authorization", "Bearer wharf-key"))
+            .insert_header(("x-priority", "urgent"))
+            .insert_header(("x-request-id", format!("bench:{:016x}", self.numbers.get())));
+        let Ok(mut response) = call.send_json(&self.body).await else { return false };
+        response.body().await.is_ok() && response.status().is_success()
+    }
+}
+
+fn new_client() -> Client {
+    let connector = Connector::new().conn_keep_alive(KEEP).limit(0);
+    Client::builder().connector(connector).disable_timeout().finish()
+}
+
+/// Asks as fast as `callers` can. Returns requests a second.
+async fn saturate(target: &LoadTarget, callers: usize, length: Duration) -> f64 {
+    let done = Rc::new(Cell::new(0_u32));
+    let client = new_client();
+    let until = Instant::now() + length;
+    let tasks = (0..callers).map(|_| {
+        let (target, client, done) = (target.clone(), client.clone(), Rc::clone(&done));
+        actix_web::rt::spawn(async move {
+            while Instant::now() < until {
+                if target.send(&client).await {
+                    done.set(done.get() + 1);
+                }
+            }
+        })
+    });
+    let tasks: Vec<_> = tasks.collect();
+    for task in tasks {
+        drop(task.await);
+    }
+    f64::from(done.get()) / length.as_secs_f64()
+}
+
+/// Asks at a steady rate. Returns the latencies in microseconds.
+async fn pace(target: &LoadTarget, rate: f64, length: Duration) -> Histogram<u64> {
+    let mut latencies = Histogram::new(3).expect("three digits are sound");
+    let client = new_client();
+    let began = Instant::now();
+    let mut tasks = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        tokio::time::sleep_until((began + at).into()).await;
+        let (target, client) = (target.clone(), client.clone());
+        tasks.push(actix_web::rt::spawn(async move {
+            let sent = Instant::now();
+            target.send(&client).await.then(|| sent.elapsed())
+        }));
+        at += Duration::from_secs_f64(1.0 / rate);
+    }
+    for task in tasks {
+        if let Ok(Some(time)) = task.await {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            latencies.saturating_record(micros);
+        }
+    }
+    latencies
+}
+
+async fn start_system() -> eyre::Result<LocalSystem> {
+    let mut system = LocalSystem::start(&[])?;
+    let spec = EngineSpec {
+        args: ["--instant", "--slots", "4096"].iter().map(|arg| (*arg).to_owned()).collect(),
+        ..EngineSpec::new("engine-1", "suva-a")
+    };
+    system.add_engine(&spec, None).await?;
+    let settings = json!({ "limits": { "workers": 1 }, "log": { "level": "warn" } });
+    system.add_node(NodeSpec { settings, ..NodeSpec::new("entry-1", "suva-a") })?;
+    system.wait_ready(START).await?;
+    system.wait_upstreams(1, START).await?;
+    let mut declaration = example_declaration();
+    declaration["workspaces"][0]["max_in_flight"] = json!(100_000);
+    system.probe.change(system.node_address(0), &declaration, None).await?;
+    Ok(system)
+}
+
+#[actix_web::main]
+async fn main() -> eyre::Result<()> {
+    let args: BenchArgs = argh::from_env();
+    let length = Duration::from_secs(args.seconds);
+    let system = start_system().await?;
+    let node = &system.nodes[0].process;
+    println!("at rest: {:.1} MiB", mebibytes(node.resident_bytes()));
+    let engine = LoadTarget::engine(system.engines[0].address(), args.tokens);
+    let through = LoadTarget::node(system.node_address(0), args.tokens);
+    let straight_rate = saturate(&engine, args.callers, length).await;
+    let before = node.processor_time();
+    let through_rate = saturate(&through, args.callers, length).await;
+    let cores = node.processor_time().saturating_sub(before).as_secs_f64() / length.as_secs_f64();
+    println!("straight to the engine: {straight_rate:.0} requests/s");
+    println!(
+        "through the node: {through_rate:.0} requests/s with {cores:.2} cores of the node, {:.0} requests/s and {:.0} tokens/s per core",
+        through_rate / cores,
+        through_rate / cores * tokens_as_rate(args.tokens),
+    );
+    let rate = through_rate / 2.0;
+    for round in 1..=3 {
+        let straight = pace(&engine, rate, length).await;
+        let added = pace(&through, rate, length).await;
+        println!(
+            "round {round} at {rate:.0}/s: straight p50 {} p99 {} us, through p50 {} p99 {} us, added p50 {} p99 {} us",
+            straight.value_at_quantile(0.5),
+            straight.value_at_quantile(0.99),
+            added.value_at_quantile(0.5),
+            added.value_at_quantile(0.99),
+            added.value_at_quantile(0.5).saturating_sub(straight.value_at_quantile(0.5)),
+            added.value_at_quantile(0.99).saturating_sub(straight.value_at_quantile(0.99)),
+        );
+    }
+    measure_streams(args.streams).await
+}
+
+#[expect(clippy::cast_precision_loss, reason = "shown to one digit")]
+fn mebibytes(bytes: u64) -> f64 {
+    bytes as f64 / 1_048_576.0
+}
+
+fn tokens_as_rate(tokens: u64) -> f64 {
+    f64::from(u32::try_from(tokens).unwrap_or(u32::MAX))
+}
+
+/// Opens many slow streams through a fresh node and looks at its memory.
+async fn measure_streams(streams: usize) -> eyre::Result<()> {
+    let mut system = LocalSystem::start(&[])?;
+    let args = ["--slots", "100000", "--decode", "5", "--slowdown", "0"];
+    let spec = EngineSpec {
+        args: args.iter().map(|arg| (*arg).to_owned()).collect(),
+        ..EngineSpec::new("engine-1", "suva-a")
+    };
+    system.add_engine(&spec, None).await?;
+    let settings = json!({ "limits": { "workers": 1 }, "log": { "level": "warn" } });
+    system.add_node(NodeSpec { settings, ..NodeSpec::new("entry-1", "suva-a") })?;
+    system.wait_ready(START).await?;
+    system.wait_upstreams(1, START).await?;
+    let mut declaration = example_declaration();
+    declaration["workspaces"][0]["max_in_flight"] = json!(100_000);
+    system.probe.change(system.node_address(0), &declaration, None).await?;
+    let rest = system.nodes[0].process.resident_bytes();
+    let target = LoadTarget::node(system.node_address(0), 100);
+    let client = new_client();
+    let tasks: Vec<_> = (0..streams)
+        .map(|_| {
+            let (target, client) = (target.clone(), client.clone());
+            actix_web::rt::spawn(async move { target.send(&client).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let open = system.nodes[0].process.resident_bytes();
+    println!(
+        "{streams} open streams: {:.1} MiB over {:.1} MiB at rest",
+        mebibytes(open.saturating_sub(rest)),
+        mebibytes(rest)
+    );
+    for task in tasks {
+        task.abort();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/samphiredeck_standins/examples/cluster_cost.rs
@@ -0,0 +1,104 @@
+//! What nodes cost each other: datagrams, bytes, processor time, memory and table calls, by size.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use samphiredeck_standins::{
+    launch::{EngineSpec, LocalSystem, NodeSpec},
+    scene::{DOMAINS, START},
+};
+use serde_json::{Value, json};
+
+/// Measure the cost of control at several sizes.
+#[derive(Debug, FromArgs)]
+struct CostArgs {
+    /// seconds that are measured
+    #[argh(option, default = "8")]
+    seconds: u64,
+    /// numbers of nodes, with commas between
+    #[argh(option, default = "String::from(\"3,6,12,24\")")]
+    nodes: String,
+    /// numbers of upstreams before three nodes, with commas between
+    #[argh(option, default = "String::from(\"4,16,64\")")]
+    upstreams: String,
+}
+
+/// Sums over all nodes at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+struct CostSums {
+    datagrams: f64,
+    bytes: f64,
+    writes: f64,
+    reads: f64,
+    processor: f64,
+    memory: f64,
+}
+
+#[actix_web::main]
+async fn main() -> eyre::Result<()> {
+    let args: CostArgs = argh::from_env();
+    println!("per node and second");
+    println!("nodes upstreams datagrams   bytes   writes   reads   core%   MiB");
+    for nodes in numbers(&args.nodes) {
+        measure(nodes, 0, args.seconds).await?;
+    }
+    for upstreams in numbers(&args.upstreams) {
+        measure(3, upstreams, args.seconds).await?;
+    }
+    Ok(())
+}
+
+fn numbers(text: &str) -> Vec<usize> {
+    text.split(',').filter_map(|word| word.parse().ok()).collect()
+}
+
+/// Starts a system and prints what each node costs.
+async fn measure(nodes: usize, upstreams: usize, seconds: u64) -> eyre::Result<()> {
+    let mut system = LocalSystem::start(&["--writes", "2000", "--reads", "20000"])?;
+    for number in 0..upstreams {
+        let spec = EngineSpec::new(&format!("engine-{number}"), DOMAINS[number % 4]);
+        system.add_engine(&spec, None).await?;
+    }
+    for number in 0..nodes {
+        let settings = json!({ "log": { "level": "warn" }, "limits": { "workers": 1 } });
+        let spec =
+            NodeSpec { settings, ..NodeSpec::new(&format!("entry-{number}"), DOMAINS[number % 4]) };
+        system.add_node(spec)?;
+    }
+    system.wait_ready(START).await?;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = sum_up(&system).await?;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    let after = sum_up(&system).await?;
+    let each = count(nodes) * Duration::from_secs(seconds).as_secs_f64();
+    println!(
+        "{nodes:5} {upstreams:9} {:9.1} {:7.0} {:8.2} {:7.2} {:7.2} {:5.1}",
+        (after.datagrams - before.datagrams) / each,
+        (after.bytes - before.bytes) / each,
+        (after.writes - before.writes) / each,
+        (after.reads - before.reads) / each,
+        (after.processor - before.processor) * 100.0 / each,
+        after.memory / count(nodes),
+    );
+    Ok(())
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "shown to two digits")]
+async fn sum_up(system: &LocalSystem) -> eyre::Result<CostSums> {
+    let mut sums = CostSums::default();
+    for node in &system.nodes {
+        let view: Value = system.probe.view(node.process.address()).await?;
+        let counter = |name: &str| view["counters"][name].as_f64().unwrap_or(0.0);
+        sums.datagrams += counter("datagrams_sent");
+        sums.bytes += counter("datagram_bytes");
+        sums.writes += counter("transactions");
+        sums.reads += counter("table_reads");
+        sums.processor += node.process.processor_time().as_secs_f64();
+        sums.memory += node.process.resident_bytes() as f64 / 1_048_576.0;
+    }
+    Ok(sums)
+}
--- a/samphiredeck_standins/examples/engine_standin.rs
+++ b/samphiredeck_standins/examples/engine_standin.rs
@@ -42,6 +42,9 @@
     /// tokens of cache moved a second
     #[argh(option, default = "40000")]
     move_rate: u64,
+    /// round trip to the nodes in milliseconds
+    #[argh(option, default = "0")]
+    delay: u64,
     /// answer at once
     #[argh(switch)]
     instant: bool,
@@ -68,6 +71,7 @@
         check_fence: !args.ignore_fence,
         load_time: Duration::from_millis(args.load_time),
         move_rate: args.move_rate,
+        delay: Duration::from_millis(args.delay),
         instant: args.instant,
     };
     Ok(serve(listener, options, models).await?)
--- /dev/null
+++ b/samphiredeck_standins/examples/experiment.rs
@@ -0,0 +1,461 @@
+//! Replays one seeded workload under each routing policy and compares what callers got.
+//!
+//! Each policy gets a system of its own: platform, engines, services and eight nodes as
+//! processes. A run has a calm part, a wave of reclaims in one failure domain with replacements,
+//! and an overload.
+
+use std::{
+    fs,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use eyre::{bail, ensure};
+use hdrhistogram::Histogram;
+use plotters::prelude::{
+    BLACK, ChartBuilder, Circle, Color, IntoDrawingArea, LineSeries, Palette, Palette99,
+    PathElement, SVGBackend, WHITE,
+};
+use samphiredeck_core::{
+    account::AccountRow,
+    prefix::{BLOCK_TOKENS, BlockHash, count_tokens, hash_blocks},
+    upstream::MarketKind,
+};
+use samphiredeck_standins::{
+    engine::{EngineFaults, EngineStats},
+    launch::{EngineSpec, LocalSystem, NodeSpec},
+    platform::ReclaimOrder,
+    probe::{ChatAsk, ChatEnd, Probe},
+    tokens::chat_prompt,
+    workload::{UserKind, WorkItem, WorkloadMix},
+};
+use serde_json::{Value, json};
+
+/// Policies, the system's own first.
+const POLICIES: [&str; 5] =
+    ["scored", "round-robin", "least-reported", "random-two", "affinity-unbounded"];
+/// Nodes before the engines.
+const NODES: usize = 8;
+/// Notice of the reclaims in milliseconds.
+const NOTICE_MS: u64 = 3_000;
+/// Bound on the start of a system.
+const START: Duration = Duration::from_secs(40);
+/// Bound on what is still open when the last request was asked.
+const SETTLE: Duration = Duration::from_secs(90);
+/// Classes in the order of the report.
+const CLASSES: [&str; 3] = ["urgent", "prompt", "patient"];
+/// Bounds on the first token and between tokens by class, in milliseconds.
+const TARGETS_MS: [(u64, u64); 3] = [(370, 28), (2_000, 60), (120_000, 1_000)];
+/// Billionths in one unit of the platform's currency.
+const COST_UNIT: f64 = 1e9;
+
+/// Compare routing policies over one seeded workload.
+#[derive(Debug, FromArgs)]
+struct ExperimentArgs {
+    /// user whose workload is replayed: vakatoka or peachstate
+    #[argh(option, default = "String::from(\"vakatoka\")")]
+    user: String,
+    /// seed of the workload
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// requests a second in the calm part
+    #[argh(option, default = "40.0")]
+    rate: f64,
+    /// factor of the overload
+    #[argh(option, default = "2.5")]
+    overload: f64,
+    /// seconds of the calm part; the wave and the overload take half of it each
+    #[argh(option, default = "16")]
+    calm: u64,
+    /// policies to run, with commas between; all where none is named
+    #[argh(option)]
+    policies: Option<String>,
+    /// folder for tables and plots
+    #[argh(option, default = "PathBuf::from(\"reports\")")]
+    out: PathBuf,
+}
+
+/// What one policy gave.
+struct PolicyOutcome {
+    policy: String,
+    first: Vec<Histogram<u64>>,
+    between: Vec<Histogram<u64>>,
+    asked: [u64; 3],
+    in_target: [u64; 3],
+    /// The same for the overload alone.
+    overload: ([u64; 3], [u64; 3]),
+    overload_first: Vec<Histogram<u64>>,
+    refused: u64,
+    lost: u64,
+    /// Prompt tokens asked.
+    prompt: u64,
+    /// Tokens computed beyond the first time each block was.
+    recomputed: u64,
+    /// Recomputed after a loss, as the nodes account for it.
+    interrupted: u64,
+    cost: f64,
+    /// Tokens that the nodes' accounts and the engines' counts differ by, in tenths of a percent.
+    account_gap_permille: u64,
+}
+
+#[actix_web::main]
+async fn main() -> eyre::Result<()> {
+    let args: ExperimentArgs = argh::from_env();
+    let user = match args.user.as_str() {
+        "vakatoka" => UserKind::Vakatoka,
+        "peachstate" => UserKind::Peachstate,
+        other => bail!("user: {other:?} is neither vakatoka nor peachstate"),
+    };
+    fs::create_dir_all(&args.out)?;
+    let wanted = args.policies.clone();
+    let policies: Vec<&str> =
+        wanted.as_deref().map_or(POLICIES.to_vec(), |text| text.split(',').collect());
+    let mut outcomes = Vec::new();
+    for policy in policies {
+        eprintln!("running {policy}");
+        outcomes.push(run_policy(user, policy, &args).await?);
+    }
+    let table = write_table(user, &args, &outcomes);
+    println!("{table}");
+    fs::write(args.out.join(format!("{}-{}.txt", args.user, args.seed)), &table)?;
+    draw_plot(&args, &outcomes)
+}
+
+/// Draws the workload: calm, wave, overload.
+fn draw_workload(user: UserKind, args: &ExperimentArgs) -> (Vec<WorkItem>, Duration, Duration) {
+    let mut mix = WorkloadMix::new(user, args.seed);
+    let calm = Duration::from_secs(args.calm);
+    let wave_end = calm + calm / 2;
+    let end = wave_end + calm / 2;
+    let mut items = mix.fill(Duration::ZERO, wave_end, args.rate);
+    items.extend(mix.fill(wave_end, end, args.rate * args.overload));
+    (items, calm, wave_end)
+}
+
+async fn start_system(user: UserKind, policy: &str) -> eyre::Result<LocalSystem> {
+    let mut system = LocalSystem::start(&["--list-lag", "3000"])?;
+    for number in 0..user.runners() {
+        system.add_engine(&engine_spec(user, number, &format!("engine-{number}")), None).await?;
+    }
+    for number in 0..4 {
+        let name = format!("service-{number}");
+        system.add_service(&name, "ledger", user.domains()[number], None).await?;
+    }
+    for number in 0..NODES {
+        let settings = json!({
+            "routing": { "policy": policy },
+            "limits": { "workers": 1 },
+            "log": { "level": "warn" },
+        });
+        let domain = user.domains()[number % 4];
+        let spec = NodeSpec { settings, ..NodeSpec::new(&format!("entry-{number}"), domain) };
+        system.add_node(spec)?;
+    }
+    system.wait_ready(START).await?;
+    system.wait_upstreams(user.runners() + 4, START).await?;
+    let path =
+        format!("{}/../examples/{}/declaration.json", env!("CARGO_MANIFEST_DIR"), user.folder());
+    let declaration: Value = serde_json::from_str(&fs::read_to_string(path)?)?;
+    let (status, body) = system.probe.change(system.node_address(0), &declaration, None).await?;
+    ensure!(status == 200, "{body}");
+    Ok(system)
+}
+
+/// Engines differ in price by failure domain, and every fourth is bought on demand.
+fn engine_spec(user: UserKind, number: usize, name: &str) -> EngineSpec {
+    let domain = number % 4;
+    let on_demand = number % 4 == 3;
+    let args = [
+        "--slots",
+        "8",
+        "--cache",
+        "1024",
+        "--decode",
+        "60",
+        "--slowdown",
+        "0.4",
+        "--prefill",
+        "12000",
+        "--report-lag",
+        "400",
+        "--delay",
+    ];
+    let mut args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+    args.push(user.round_trip_ms().to_string());
+    EngineSpec {
+        args,
+        market: if on_demand { MarketKind::OnDemand } else { MarketKind::Reclaimable },
+        price: [900_000, 1_100_000, 1_300_000, 3_000_000][domain],
+        models: user.model().to_owned(),
+        ..EngineSpec::new(name, user.domains()[domain])
+    }
+}
+
+async fn run_policy(
+    user: UserKind,
+    policy: &str,
+    args: &ExperimentArgs,
+) -> eyre::Result<PolicyOutcome> {
+    let (items, wave_at, overload_at) = draw_workload(user, args);
+    let mut system = start_system(user, policy).await?;
+    let nodes: Vec<_> = (0..NODES).map(|index| system.node_address(index)).collect();
+    let began = Instant::now();
+    let probe = Probe::new();
+    let calls: Vec<_> = items
+        .iter()
+        .enumerate()
+        .map(|(number, item)| {
+            let (probe, address, item) = (probe.clone(), nodes[number % NODES], item.clone());
+            let model = user.model().to_owned();
+            actix_web::rt::spawn(async move {
+                tokio::time::sleep_until((began + item.at).into()).await;
+                let ask = ChatAsk {
+                    key: item.key.to_owned(),
+                    model,
+                    class: item.class,
+                    content: item.content,
+                    max_tokens: item.tokens,
+                    idempotency: None,
+                };
+                let end = probe.chat(address, &ask).await;
+                (ask, end)
+            })
+        })
+        .collect();
+    let lost_engines = reclaim_wave(user, &mut system, began + wave_at).await?;
+    let mut ends = Vec::new();
+    for (item, call) in items.iter().zip(calls) {
+        let (ask, end) = tokio::time::timeout(SETTLE, call).await??;
+        ends.push((item.at >= overload_at, ask, end));
+    }
+    // The accounts are saved every few seconds.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let mut stats = lost_engines;
+    for engine in &system.engines {
+        let counted: eyre::Result<EngineStats> =
+            system.probe.get_json(engine.address(), "/control/stats").await;
+        stats.extend(counted);
+    }
+    let accounts: Vec<AccountRow> = system.probe.get_json(nodes[0], "/admin/usage").await?;
+    Ok(sum_up(policy, user, &ends, &stats, &accounts))
+}
+
+/// Reclaims the engines of the first failure domain and starts replacements after a while.
+/// Returns the counts of the reclaimed ones, taken just before they are gone.
+async fn reclaim_wave(
+    user: UserKind,
+    system: &mut LocalSystem,
+    at: Instant,
+) -> eyre::Result<Vec<EngineStats>> {
+    tokio::time::sleep_until(at.into()).await;
+    let gone: Vec<usize> = (0..user.runners()).filter(|number| number % 4 == 0).collect();
+    let mut ids = Vec::new();
+    for index in &gone {
+        let engine = &system.engines[*index];
+        let faults = EngineFaults { leaving: true, ..EngineFaults::default() };
+        system.probe.post_json(engine.address(), "/control/faults", &faults).await?;
+        ids.push(engine.name.parse()?);
+    }
+    let order = ReclaimOrder { ids, left_ms: NOTICE_MS };
+    system.probe.post_json(system.platform.address(), "/control/reclaim", &order).await?;
+    tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
+    let mut stats = Vec::new();
+    for index in &gone {
+        let address = system.engines[*index].address();
+        stats.push(system.probe.get_json(address, "/control/stats").await?);
+        system.engines[*index].signal("KILL")?;
+    }
+    for index in gone {
+        let name = format!("engine-{index}-b");
+        system.add_engine(&engine_spec(user, index, &name), None).await?;
+    }
+    Ok(stats)
+}
+
+fn new_histograms() -> Vec<Histogram<u64>> {
+    let build = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are sound");
+    CLASSES.iter().map(|_| build()).collect()
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX).max(1)
+}
+
+fn sum_up(
+    policy: &str,
+    user: UserKind,
+    ends: &[(bool, ChatAsk, ChatEnd)],
+    stats: &[EngineStats],
+    accounts: &[AccountRow],
+) -> PolicyOutcome {
+    let mut outcome = PolicyOutcome {
+        policy: policy.to_owned(),
+        first: new_histograms(),
+        between: new_histograms(),
+        asked: [0; 3],
+        in_target: [0; 3],
+        overload: ([0; 3], [0; 3]),
+        overload_first: new_histograms(),
+        refused: 0,
+        lost: 0,
+        prompt: 0,
+        recomputed: 0,
+        interrupted: accounts.iter().map(|row| row.recomputed).sum(),
+        #[expect(clippy::cast_precision_loss, reason = "shown to four digits")]
+        cost: accounts.iter().map(|row| row.cost).sum::<u64>() as f64 / COST_UNIT,
+        account_gap_permille: 0,
+    };
+    let mut blocks: Vec<BlockHash> = Vec::new();
+    let mut needed = 0;
+    for (overload, ask, end) in ends {
+        let class = CLASSES.iter().position(|class| *class == ask.class).unwrap_or(0);
+        count_end(&mut outcome, class, *overload, ask, end);
+        if end.status != 200 {
+            continue;
+        }
+        let prompt = chat_prompt(&ask.content);
+        let held = hash_blocks(user.model(), &prompt);
+        outcome.prompt += count_tokens(&prompt);
+        // What follows the last whole block is computed for each request.
+        needed += count_tokens(&prompt) - (held.len() * BLOCK_TOKENS) as u64;
+        blocks.extend(held);
+    }
+    blocks.sort_unstable();
+    blocks.dedup();
+    needed += (blocks.len() * BLOCK_TOKENS) as u64;
+    let computed: u64 = stats.iter().map(|row| row.computed + row.recomputed).sum();
+    outcome.recomputed = computed.saturating_sub(needed);
+    let engines: u64 = stats.iter().map(|row| row.generated).sum();
+    let nodes: u64 = accounts.iter().map(|row| row.generated).sum();
+    outcome.account_gap_permille = engines.abs_diff(nodes) * 1_000 / engines.max(1);
+    outcome
+}
+
+fn count_end(
+    outcome: &mut PolicyOutcome,
+    class: usize,
+    overload: bool,
+    ask: &ChatAsk,
+    end: &ChatEnd,
+) {
+    outcome.asked[class] += 1;
+    outcome.overload.0[class] += u64::from(overload);
+    if end.status != 200 {
+        outcome.refused += 1;
+        return;
+    }
+    if !end.is_right(ask) {
+        outcome.lost += 1;
+        return;
+    }
+    let first = end.first_token.unwrap_or(end.total);
+    let gaps = u32::try_from(ask.max_tokens.saturating_sub(1).max(1)).unwrap_or(u32::MAX);
+    let between = end.tail / gaps;
+    outcome.first[class].saturating_record(micros(first));
+    outcome.between[class].saturating_record(micros(between));
+    if overload {
+        outcome.overload_first[class].saturating_record(micros(first));
+    }
+    let (first_ms, between_ms) = TARGETS_MS[class];
+    if first <= Duration::from_millis(first_ms) && between <= Duration::from_millis(between_ms) {
+        outcome.in_target[class] += 1;
+        outcome.overload.1[class] += u64::from(overload);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "shown to four digits")]
+fn share(part: u64, whole: u64) -> f64 {
+    part as f64 * 100.0 / whole.max(1) as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "shown to four digits")]
+fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+#[expect(clippy::cast_precision_loss, reason = "shown to four digits")]
+fn permille_as_percent(permille: u64) -> f64 {
+    permille as f64 / 10.0
+}
+
+#[expect(clippy::cast_precision_loss, reason = "shown to four digits")]
+fn cost_per_thousand(outcome: &PolicyOutcome) -> f64 {
+    let answers: u64 = outcome.in_target.iter().sum();
+    outcome.cost * 1_000.0 / answers.max(1) as f64
+}
+
+fn write_table(user: UserKind, args: &ExperimentArgs, outcomes: &[PolicyOutcome]) -> String {
+    use std::fmt::Write as _;
+    let mut text = format!(
+        "{} seed {} rate {}/s overload x{} calm {} s, {NODES} nodes, {} engines\n",
+        args.user,
+        args.seed,
+        args.rate,
+        args.overload,
+        args.calm,
+        user.runners()
+    );
+    for outcome in outcomes {
+        let _ = writeln!(text, "\n{}", outcome.policy);
+        for (class, name) in CLASSES.iter().enumerate() {
+            let (first, between) = (&outcome.first[class], &outcome.between[class]);
+            let _ = writeln!(
+                text,
+                "  {name:8} first p50 {:8.1} p95 {:8.1} p99 {:8.1} ms  between p50 {:5.1} p95 {:5.1} p99 {:5.1} ms  in target {:5.1}%  overload: p95 {:8.1} ms, in target {:5.1}%",
+                millis(first, 0.5),
+                millis(first, 0.95),
+                millis(first, 0.99),
+                millis(between, 0.5),
+                millis(between, 0.95),
+                millis(between, 0.99),
+                share(outcome.in_target[class], outcome.asked[class]),
+                millis(&outcome.overload_first[class], 0.95),
+                share(outcome.overload.1[class], outcome.overload.0[class]),
+            );
+        }
+        let _ = writeln!(
+            text,
+            "  cost per 1000 answers in target {:.4}  recomputed {:.1}% of prompt ({} tokens, {} after losses)  refused {}  lost {}  accounts off by {:.1}%",
+            cost_per_thousand(outcome),
+            share(outcome.recomputed, outcome.prompt),
+            outcome.recomputed,
+            outcome.interrupted,
+            outcome.refused,
+            outcome.lost,
+            permille_as_percent(outcome.account_gap_permille),
+        );
+    }
+    text
+}
+
+/// Draws the first token of urgent requests by quantile, a line for each policy.
+fn draw_plot(args: &ExperimentArgs, outcomes: &[PolicyOutcome]) -> eyre::Result<()> {
+    let path = args.out.join(format!("{}-{}.svg", args.user, args.seed));
+    let area = SVGBackend::new(&path, (900, 540)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let quantiles: Vec<f64> = (1..100).map(|percent| f64::from(percent) / 100.0).collect();
+    let worst =
+        outcomes.iter().map(|outcome| millis(&outcome.first[0], 0.99)).fold(500.0, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(format!("{}: first token of urgent requests", args.user), ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..1.0, 0.0..worst.min(3_000.0))?;
+    chart.configure_mesh().x_desc("share of requests").y_desc("milliseconds").draw()?;
+    for (index, outcome) in outcomes.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let points = quantiles.iter().map(|at| (*at, millis(&outcome.first[0], *at)));
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(outcome.policy.clone())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+    }
+    let target = [(0.95, 370.0)];
+    chart.draw_series(target.iter().map(|point| Circle::new(*point, 4, BLACK.filled())))?;
+    chart.configure_series_labels().border_style(BLACK).draw()?;
+    area.present()?;
+    eprintln!("plot at {}", path.display());
+    Ok(())
+}
--- /dev/null
+++ b/samphiredeck_standins/examples/slopes.rs
@@ -0,0 +1,304 @@
+//! Cost of single decisions and tables as they grow, in one process and without sockets.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use samphiredeck_core::{
+    admission::{AdmissionAsk, AdmissionQueue, TicketNumber},
+    config_change::{ConfigHolding, empty_config},
+    declaration::{CostFavour, Declaration, PriorityClass, RawDeclaration, RawModel, RawWorkspace},
+    freshness::FreshnessGate,
+    ids::{ConfigVersion, Incarnation, KeyHash, NodeName, RowVersion, UpstreamId},
+    lease::LeaseWatch,
+    limit::LimitTable,
+    membership::{MarkTable, PeerTable},
+    prefix::{PrefixTable, count_tokens, hash_blocks},
+    route::{RouteAsk, RoutePolicy, RouteState, RouteView, choose},
+    rows::{ConfigRow, MemberRow},
+    units::TokenCount,
+    upstream::{LoadReport, MarketKind, UpstreamKind, UpstreamListing, UpstreamTable},
+};
+use samphiredeck_wire::{
+    message::{HeartbeatBody, PeerDatagram},
+    seal::{PeerKey, SenderStamp, open, seal},
+};
+
+/// Rounds whose median is printed.
+const ROUNDS: usize = 15;
+
+/// Returns the median time of one of `calls` calls, in nanoseconds.
+fn time_each(calls: u32, mut call: impl FnMut(u32)) -> u128 {
+    let mut times: Vec<Duration> = (0..ROUNDS)
+        .map(|_| {
+            let began = Instant::now();
+            for number in 0..calls {
+                call(number);
+            }
+            began.elapsed() / calls
+        })
+        .collect();
+    times.sort();
+    times[ROUNDS / 2].as_nanos()
+}
+
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+}
+
+fn listing(number: usize) -> UpstreamListing {
+    UpstreamListing {
+        id: format!("engine-{number:05}").parse().expect("a name"),
+        kind: UpstreamKind::Engine,
+        address: format!("10.0.{}.{}:8000", number / 250, number % 250),
+        domain: format!("domain-{}", number % 8).parse().expect("a name"),
+        class: "a-large".parse().expect("a name"),
+        market: MarketKind::Reclaimable,
+        price: 1_000_000 + number as u64 % 7,
+        leaving: false,
+    }
+}
+
+fn fleet(count: usize, now: Instant) -> UpstreamTable {
+    let mut upstreams = UpstreamTable::default();
+    upstreams.apply_listing((0..count).map(listing).collect(), now);
+    for number in 0..count {
+        let load = LoadReport {
+            running: u32::try_from(number % 9).unwrap_or(0),
+            slots: 16,
+            prefill_rate: 8_000,
+            decode_rate: 50,
+            models: vec!["tala-8b".parse().expect("a name")],
+            ..LoadReport::default()
+        };
+        upstreams.apply_report(&listing(number).id, load, now);
+    }
+    upstreams
+}
+
+fn measure_routing() {
+    println!("routing: one decision by candidates, a prompt of 2,000 tokens");
+    let model = "tala-8b".parse().expect("a name");
+    let prompt = "a long history of a vehicle ".repeat(290);
+    let blocks = hash_blocks("tala-8b", &prompt);
+    let hashing = time_each(200, |_| drop(black_box(hash_blocks("tala-8b", black_box(&prompt)))));
+    println!("  hashing its {} blocks: {hashing} ns", blocks.len());
+    for count in [16, 100, 1_000, 7_600] {
+        let now = Instant::now();
+        let before = resident_kib();
+        let upstreams = fleet(count, now);
+        let mut prefixes = PrefixTable::default();
+        for number in (0..count).step_by(4) {
+            prefixes.insert(&blocks[..blocks.len() / 2], &listing(number).id, now);
+        }
+        let memory = resident_kib().saturating_sub(before);
+        let limits = LimitTable::default();
+        let mut state = RouteState::new(RoutePolicy::Scored);
+        state.set_nodes(8);
+        let ask = RouteAsk {
+            model: &model,
+            blocks: &blocks,
+            prompt_tokens: count_tokens(&prompt),
+            output_tokens: 200,
+            class: PriorityClass::Urgent,
+            favour: CostFavour::Cost,
+            exclude: &[],
+        };
+        let nanos = time_each(if count > 500 { 20 } else { 500 }, |number| {
+            let view = RouteView { upstreams: &upstreams, prefixes: &prefixes, limits: &limits };
+            let noise = f64::from(number % 97) / 97.0;
+            black_box(choose(&mut state, view, &ask, noise, now));
+        });
+        println!("  {count:5} candidates: {nanos:8} ns, tables {memory} KiB");
+    }
+}
+
+fn measure_admission() {
+    println!("admission: one request placed, by workspaces that wait");
+    for count in [10, 100, 1_000] {
+        let now = Instant::now();
+        let nanos = time_each(1, |_| {
+            let mut queue = AdmissionQueue::default();
+            for number in 0..count {
+                let ask = AdmissionAsk {
+                    ticket: TicketNumber(number),
+                    workspace: format!("workspace-{number}").parse().expect("a name"),
+                    weight: 1,
+                    max_in_flight: 10,
+                    class: PriorityClass::Urgent,
+                    model: "tala-8b".parse().expect("a name"),
+                    place_by: now + Duration::from_secs(5),
+                    tokens: 100,
+                };
+                queue.offer(ask, now).expect("room");
+            }
+            black_box(queue.place_waiting(now, |_| Some(())));
+        });
+        println!("  {count:5} workspaces: {} ns", nanos / u128::from(count));
+    }
+}
+
+fn member(number: usize) -> MemberRow {
+    MemberRow {
+        node: format!("entry-{number:05}").parse().expect("a name"),
+        incarnation: Incarnation(1_796_000_000_000),
+        domain: format!("domain-{}", number % 8).parse().expect("a name"),
+        peer_address: format!("10.1.{}.{}:7400", number / 250, number % 250),
+        caller_address: format!("10.1.{}.{}:8400", number / 250, number % 250),
+        transaction: 1_000,
+        lapsed: false,
+        lapsed_at: 0,
+    }
+}
+
+fn measure_membership() {
+    println!("membership: tables and regular work by nodes");
+    for count in [10, 100, 1_000, 2_900] {
+        let now = Instant::now();
+        let before = resident_kib();
+        let members: Vec<MemberRow> = (0..count).map(member).collect();
+        let mut peers = PeerTable::default();
+        for row in &members {
+            peers.upsert(row, now);
+        }
+        let mut gate = FreshnessGate::default();
+        gate.set_members(members.iter().map(|row| row.node.clone()).collect());
+        let memory = resident_kib().saturating_sub(before);
+        let round = time_each(100, |_| drop(black_box(peers.next_targets())));
+        let suspects = time_each(20, |_| drop(black_box(peers.suspects(now))));
+        let own = members[0].node.clone();
+        let majority = time_each(20, |_| {
+            black_box(gate.hears_majority(&own, now));
+        });
+        let text: Vec<String> =
+            members.iter().map(|row| serde_json::to_string(row).expect("a row")).collect();
+        let bytes: usize = text.iter().map(String::len).sum();
+        let parse = time_each(3, |_| {
+            for row in &text {
+                black_box(serde_json::from_str::<MemberRow>(row).expect("a row"));
+            }
+        });
+        let mut watch = LeaseWatch::default();
+        let observe = time_each(2, |number| {
+            let seen: Vec<(NodeName, RowVersion)> = members
+                .iter()
+                .map(|row| (row.node.clone(), RowVersion(u64::from(number) + 1)))
+                .collect();
+            watch.observe(seen, now);
+        });
+        println!(
+            "  {count:5} nodes: {memory} KiB, round {round} ns, suspects {suspects} ns, majority {majority} ns, read of all rows {bytes} B parsed in {parse} ns and watched in {observe} ns"
+        );
+    }
+}
+
+fn measure_datagrams() {
+    let key = PeerKey::derive("a secret of the nodes");
+    let stamp = SenderStamp {
+        node: "entry-00001".parse().expect("a name"),
+        incarnation: Incarnation(1_796_000_000_000),
+        counter: 1_000_000,
+        receiver: "entry-00002".parse().expect("a name"),
+    };
+    println!("datagrams: sealed and opened, by leaving marks");
+    for marks in [0, 4, 16] {
+        let marks: Vec<UpstreamId> = (0..marks).map(|number| listing(number).id).collect();
+        let body = HeartbeatBody {
+            version: ConfigVersion(30_000),
+            stage: RowVersion(0),
+            load: 40,
+            marks: marks.clone(),
+            marks_digest: 7,
+        };
+        let message = PeerDatagram::Ping { number: 1, body };
+        let bytes = seal(&key, &stamp, &message).expect("encodes");
+        let sealing = time_each(1_000, |_| drop(black_box(seal(&key, &stamp, &message))));
+        let opening = time_each(1_000, |_| {
+            drop(black_box(open::<PeerDatagram>(&key, &stamp.receiver, &bytes)));
+        });
+        println!(
+            "  {:2} marks: {} B, sealed in {sealing} ns, opened in {opening} ns",
+            marks.len(),
+            bytes.len()
+        );
+    }
+    let now = Instant::now();
+    let mut table = MarkTable::default();
+    for number in 0..950 {
+        table.insert(listing(number).id, 2_900, now);
+    }
+    let batch = time_each(10, |_| drop(black_box(table.take_batch())));
+    let digest = time_each(10, |_| {
+        black_box(table.digest());
+    });
+    println!("  a failure domain's 950 marks: batch {batch} ns, digest {digest} ns");
+}
+
+fn declaration(workspaces: usize) -> RawDeclaration {
+    RawDeclaration {
+        workspaces: (0..workspaces)
+            .map(|number| RawWorkspace {
+                name: format!("workspace-{number:05}"),
+                keys: vec![KeyHash::of(&format!("key-{number}")).to_string()],
+                weight: 1,
+                max_in_flight: 100,
+                retry_percent: 10,
+                models: vec!["tala-8b".to_owned()],
+                services: Vec::new(),
+                targets: Vec::new(),
+                favour: CostFavour::default(),
+            })
+            .collect(),
+        models: vec![RawModel {
+            name: "tala-8b".to_owned(),
+            version: "1".to_owned(),
+            adapter: None,
+            max_output: TokenCount(4_096),
+            min_runners: 9,
+        }],
+        ..RawDeclaration::default()
+    }
+}
+
+fn measure_declarations() {
+    println!("declarations: parsed, checked and put in force, by workspaces");
+    for count in [10, 100, 1_000] {
+        let raw = declaration(count);
+        let text = serde_json::to_string(&raw).expect("a declaration");
+        let parse = time_each(3, |_| {
+            let raw: RawDeclaration = serde_json::from_str(&text).expect("a declaration");
+            black_box(Declaration::try_from(raw).expect("sound"));
+        });
+        let mut holding = ConfigHolding::default();
+        let mut version = 0;
+        let force = time_each(3, |_| {
+            version += 1;
+            let row = ConfigRow {
+                version: ConfigVersion(version),
+                declaration: raw.clone(),
+                ..empty_config()
+            };
+            holding.learn_accepted(row).expect("sound");
+        });
+        let checked = Declaration::try_from(raw).expect("sound");
+        let key = KeyHash::of("key-7");
+        let authenticate = time_each(1_000, |_| {
+            black_box(checked.authenticate(black_box(key)));
+        });
+        println!(
+            "  {count:5} workspaces: {} B, parsed and checked in {parse} ns, in force in {force} ns, a key found in {authenticate} ns",
+            text.len()
+        );
+    }
+}
+
+fn main() {
+    measure_routing();
+    measure_admission();
+    measure_membership();
+    measure_datagrams();
+    measure_declarations();
+}
--- a/samphiredeck_standins/src/engine.rs
+++ b/samphiredeck_standins/src/engine.rs
@@ -87,6 +87,10 @@
         .and_then(|text| text.parse().ok())
         .unwrap_or(PriorityClass::Prompt);
     let offset = text_header(&request, OFFSET_HEADER).and_then(|text| text.parse().ok());
+    let delay = lock(&state).options().delay;
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
     let (sender, receiver) = mpsc::unbounded_channel();
     let ask = StreamAsk { request: id.clone(), class, offset, body: body.into_inner(), sender };
     let taken = lock(&state).take(ask, Instant::now());
--- a/samphiredeck_standins/src/engine/cache.rs
+++ b/samphiredeck_standins/src/engine/cache.rs
@@ -37,32 +37,42 @@
 
     /// Counts the leading blocks that are held, and marks them as used.
     pub(super) fn touch(&mut self, blocks: &[BlockHash]) -> usize {
-        let mut depth = 0;
-        for block in blocks {
-            let Ok(at) = self.blocks.binary_search_by_key(block, |row| row.0) else { break };
+        let held = |block: &BlockHash| self.blocks.binary_search_by_key(block, |row| row.0);
+        let depth = blocks.iter().take_while(|block| held(block).is_ok()).count();
+        self.mark_used(&blocks[..depth]);
+        depth
+    }
+
+    /// Marks blocks as used, the first one as the last, so that ends of prompts go first.
+    fn mark_used(&mut self, blocks: &[BlockHash]) {
+        for block in blocks.iter().rev() {
             self.uses += 1;
-            self.blocks[at].1 = self.uses;
-            depth += 1;
+            if let Ok(at) = self.blocks.binary_search_by_key(block, |row| row.0) {
+                self.blocks[at].1 = self.uses;
+            }
         }
-        depth
     }
 
     /// Holds `blocks`, and lets go of others where there is no room.
     pub(super) fn insert(&mut self, blocks: &[BlockHash], now: Instant) {
         for block in blocks {
-            self.uses += 1;
-            match self.blocks.binary_search_by_key(block, |row| row.0) {
-                Ok(at) => self.blocks[at].1 = self.uses,
-                Err(at) => {
-                    self.blocks.insert(at, (*block, self.uses));
-                    self.note(CacheChange::Stored { block: *block }, now);
-                }
+            if let Err(at) = self.blocks.binary_search_by_key(block, |row| row.0) {
+                self.blocks.insert(at, (*block, 0));
+                self.note(CacheChange::Stored { block: *block }, now);
             }
         }
-        while self.blocks.len() > self.capacity {
-            let oldest = self.blocks.iter().enumerate().min_by_key(|(_, row)| row.1);
-            let Some((at, _)) = oldest else { break };
-            let (block, _) = self.blocks.remove(at);
+        self.mark_used(blocks);
+        let excess = self.blocks.len().saturating_sub(self.capacity);
+        if excess == 0 {
+            return;
+        }
+        let mut by_use: Vec<u64> = self.blocks.iter().map(|row| row.1).collect();
+        by_use.sort_unstable();
+        let oldest_kept = by_use[excess];
+        let (gone, kept) = self.blocks.iter().partition(|row| row.1 < oldest_kept);
+        self.blocks = kept;
+        let gone: Vec<(BlockHash, u64)> = gone;
+        for (block, _) in gone {
             self.note(CacheChange::Evicted { block }, now);
         }
     }
--- a/samphiredeck_standins/src/engine/model.rs
+++ b/samphiredeck_standins/src/engine/model.rs
@@ -52,6 +52,8 @@
     pub load_time: Duration,
     /// Tokens of cache that are moved a second.
     pub move_rate: u64,
+    /// Round trip to the nodes, added before each answer.
+    pub delay: Duration,
     /// Whether answers come at once, to measure what is around the engine.
     pub instant: bool,
 }
@@ -69,6 +71,7 @@
             check_fence: true,
             load_time: Duration::from_millis(500),
             move_rate: 40_000,
+            delay: Duration::ZERO,
             instant: false,
         }
     }
@@ -138,6 +141,8 @@
     last_event: Instant,
     detached_at: Option<Instant>,
     fault: StreamFault,
+    /// Whether the end mark was due, given or not.
+    ended: bool,
 }
 
 /// State of an engine.
@@ -264,6 +269,7 @@
             last_event: now,
             detached_at: None,
             fault,
+            ended: false,
         };
         row.emit(EngineEvent::Accepted { request: row.request.clone(), cached, recomputed });
         row
@@ -421,7 +427,7 @@
             }
         }
         self.stats.generated += generated;
-        self.streams.retain(|row| row.generated < row.body.max_tokens);
+        self.streams.retain(|row| !row.ended);
     }
 
     fn note_load(&mut self, now: Instant) {
@@ -504,6 +510,7 @@
     }
 
     fn end(&mut self) {
+        self.ended = true;
         if self.fault == StreamFault::NoEnd || self.is_mute() {
             drop(self.sender.send(None));
             return;
--- a/samphiredeck_standins/src/lib.rs
+++ b/samphiredeck_standins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod scene;
 pub mod service;
 pub mod tokens;
+pub mod workload;
--- a/samphiredeck_standins/tests/stop.rs
+++ b/samphiredeck_standins/tests/stop.rs
@@ -121,7 +121,7 @@
     for caller in callers {
         caller.await?;
     }
-    let ends = load.ends.borrow();
+    let ends = load.ends.take();
     let wrong: Vec<_> = ends.iter().filter(|(_, ask, end)| !end.is_right(ask)).collect();
     ensure!(wrong.is_empty(), "{} of {}: {:?}", wrong.len(), ends.len(), wrong[0]);
     let firsts = |from: Option<Instant>, to: Instant| -> Vec<Duration> {
