Ready only with an upstream, tests of what nodes tell each other, and what stood unused

A node said that it was ready before it had read the list of upstreams, and refused what the balancer then sent; it waits for an upstream that accepts work now.

The stand-in's crossed streams carried the right text under a wrong id, so each_fault_of_an_engine_still_ends_in_the_whole_answer passed with the comparison of ids taken out. They carry somebody else's text now.

spread_survivors was called by nothing but its test: moved streams are spread by the queue and the limits. Both are gone, with parameters that nothing read.

--- a/samphiredeck/src/caller.rs
+++ b/samphiredeck/src/caller.rs
@@ -151,7 +151,7 @@
                 debug!(target: CALLER, "The declaration changed, checking once more.");
             }
             Err(error) => return Err(error),
-            Ok(started) => return respond(&tools, started, &ask, request.path()).await,
+            Ok(started) => return respond(started, &ask, request.path()).await,
         }
     }
 }
@@ -257,7 +257,6 @@
 }
 
 async fn respond(
-    tools: &CallerTools,
     started: StartedRun,
     ask: &PromptAsk,
     path: &str,
@@ -277,8 +276,7 @@
             if ask.stream {
                 Ok(answer_stream(buffer, format, 0))
             } else {
-                let keep = tools.runs.caller_idle.duration();
-                answer_whole(buffer, format, keep).await
+                answer_whole(buffer, format).await
             }
         }
     }
--- a/samphiredeck/src/caller/answer.rs
+++ b/samphiredeck/src/caller/answer.rs
@@ -208,7 +208,6 @@
 pub async fn answer_whole(
     buffer: Arc<RunBuffer>,
     format: StreamFormat,
-    _keep: Duration,
 ) -> Result<HttpResponse, CallerError> {
     let mut reader = ReaderGuard::new(Arc::clone(&buffer));
     loop {
--- a/samphiredeck/src/caller/attach.rs
+++ b/samphiredeck/src/caller/attach.rs
@@ -59,7 +59,7 @@
     match tools.runs.control.ask(find).await {
         Some(RunFinding::Here { buffer, workspace: owner }) => {
             check_owner(&id, &owner, &workspace)?;
-            serve(&tools, buffer, &id, options).await
+            serve(buffer, &id, options).await
         }
         Some(RunFinding::Elsewhere { addresses }) => {
             if request.headers().contains_key(FORWARDED_HEADER) {
@@ -84,7 +84,6 @@
 }
 
 async fn serve(
-    tools: &CallerTools,
     buffer: std::sync::Arc<RunBuffer>,
     id: &RequestId,
     options: ReadOptions,
@@ -94,7 +93,7 @@
     if options.stream {
         return Ok(answer_stream(buffer, format, options.offset));
     }
-    answer_whole(buffer, format, tools.runs.caller_idle.duration()).await
+    answer_whole(buffer, format).await
 }
 
 /// Asks other nodes, likeliest first, and passes the answer of the one that knows on.
@@ -175,7 +174,7 @@
             if options.stream {
                 Ok(answer_stream(buffer, format, options.offset))
             } else {
-                answer_whole(buffer, format, std::time::Duration::ZERO).await
+                answer_whole(buffer, format).await
             }
         }
     }
--- a/samphiredeck/src/control.rs
+++ b/samphiredeck/src/control.rs
@@ -163,6 +163,8 @@
     snapshot: Arc<ArcSwapOption<ConfigInForce>>,
     phase: StopPhase,
     upstreams: UpstreamTable,
+    /// Whether the list was read and an upstream accepted work, or none was listed. Stays set.
+    warmed_up: bool,
     prefixes: PrefixTable,
     limits: LimitTable,
     retries: RetryTable,
@@ -219,6 +221,7 @@
             snapshot,
             phase: StopPhase::Serving,
             upstreams: UpstreamTable::default(),
+            warmed_up: false,
             prefixes: PrefixTable::default(),
             limits: LimitTable::default(),
             retries: RetryTable::default(),
@@ -267,6 +270,7 @@
             }
             ControlEvent::WorkDone { ticket, work } => self.add_work(ticket, work),
             ControlEvent::FirstToken { ticket, after } => self.note_first(ticket, after, now),
+            ControlEvent::CountMoved => self.counters.moved += 1,
             ControlEvent::EndRun { ticket, end } => self.end_run(ticket, &end, now),
             ControlEvent::FindRun { request, reply } => self.find_run(&request, reply, now),
             ControlEvent::PlaceCall { workspace, version, backend, exclude, reply } => {
@@ -368,6 +372,7 @@
     /// Whether the balancer may send new callers.
     fn is_ready(&self, now: Instant) -> bool {
         self.phase == StopPhase::Serving
+            && self.warmed_up
             && self.holding.in_force().is_some()
             && !self.holding.is_behind()
             && self.gate.is_fresh(&self.identity.name, now)
--- a/samphiredeck/src/control/fleet.rs
+++ b/samphiredeck/src/control/fleet.rs
@@ -89,6 +89,8 @@
         if let Some(config) = self.holding.in_force() {
             self.upstreams.set_drained(config.declaration.drained());
         }
+        let rows = self.upstreams.rows();
+        self.warmed_up |= rows.is_empty() || rows.iter().any(|row| row.accepts(now));
     }
 
     /// Acts on an upstream that was just found to leave: tells the others, moves its runs.
--- a/samphiredeck/src/event.rs
+++ b/samphiredeck/src/event.rs
@@ -212,6 +212,8 @@
     WorkDone { ticket: TicketNumber, work: WorkDone },
     /// The first token came, this long after the request was sent.
     FirstToken { ticket: TicketNumber, after: std::time::Duration },
+    /// A run was moved with its cache.
+    CountMoved,
     /// A run has ended.
     EndRun { ticket: TicketNumber, end: RunEnd },
     /// A caller asks for a request by its id.
--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -271,7 +271,10 @@
         let next = self.place_again(LossCause::Announced).await?;
         let Some(cache) = cache else { return Ok(next) };
         match engines.import_cache(&next.address, &cache).await {
-            Ok(()) => debug!(target: RUN, "Request {request} moved to {}.", next.upstream),
+            Ok(()) => {
+                debug!(target: RUN, "Request {request} moved to {}.", next.upstream);
+                self.tools.control.tell(ControlEvent::CountMoved);
+            }
             // The next part computes anew what could not be moved.
             Err(error) => warn!(target: RUN, "Cache of {request} not moved: {error}."),
         }
--- a/samphiredeck_core/src/limit.rs
+++ b/samphiredeck_core/src/limit.rs
@@ -48,7 +48,7 @@
 
     /// Whether one more request of `class` fits at `row`.
     #[must_use]
-    pub fn has_room(&self, row: &UpstreamRow, class: PriorityClass, _now: Instant) -> bool {
+    pub fn has_room(&self, row: &UpstreamRow, class: PriorityClass) -> bool {
         let share = if class == PriorityClass::Urgent { 1.0 } else { NORMAL_SHARE };
         f64::from(row.in_flight) < (self.limit_of(row) * share).max(1.0)
     }
--- a/samphiredeck_core/src/reclaim.rs
+++ b/samphiredeck_core/src/reclaim.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{declaration::PriorityClass, ids::UpstreamId};
+use crate::declaration::PriorityClass;
 
 /// Part of the notice that is kept back for what goes slower than expected.
 const NOTICE_MARGIN: f64 = 0.25;
@@ -82,20 +82,3 @@
     }
     plan
 }
-
-/// Spreads moved streams over survivors: each goes where the most room is left.
-///
-/// `room` holds each survivor's free slots; streams beyond all room get no place yet and wait.
-#[must_use]
-pub fn spread_survivors(count: usize, room: &[(UpstreamId, u32)]) -> Vec<Option<UpstreamId>> {
-    let mut free: Vec<(UpstreamId, u32)> = room.to_vec();
-    let mut places = Vec::with_capacity(count);
-    for _ in 0..count {
-        let best = free.iter_mut().max_by(|a, b| a.1.cmp(&b.1).then(b.0.cmp(&a.0)));
-        places.push(best.filter(|(_, left)| *left > 0).map(|(id, left)| {
-            *left -= 1;
-            id.clone()
-        }));
-    }
-    places
-}
--- a/samphiredeck_core/src/route.rs
+++ b/samphiredeck_core/src/route.rs
@@ -178,7 +178,7 @@
         .collect();
     let chosen = match state.policy {
         RoutePolicy::Scored => choose_scored(state, view, &candidates, ask, noise, now),
-        _ => choose_baseline(state, view, &candidates, ask, noise, now),
+        _ => choose_baseline(state, view, &candidates, ask, noise),
     }?;
     Some(describe(state, view, chosen, ask, now))
 }
@@ -191,7 +191,7 @@
     now: Instant,
 ) -> RouteChoice {
     let cached = view.prefixes.depth(ask.blocks, &row.listing.id);
-    let first = expected_first_ms(state, row, ask, cached, mean_others(state, &[row], now), now);
+    let first = expected_first_ms(state, row, ask, cached, mean_others(&[row]), now);
     RouteChoice {
         upstream: row.listing.id.clone(),
         address: row.listing.address.clone(),
@@ -234,7 +234,7 @@
     }
     let Some(deepest) = depths.iter().map(|(_, depth)| *depth).max() else { return false };
     let open = |row: &UpstreamRow| {
-        view.limits.has_room(row, ask.class, now) && !is_full(state, row, ask.class, mean, now)
+        view.limits.has_room(row, ask.class) && !is_full(state, row, ask.class, mean, now)
     };
     let best_open = depths.iter().filter(|(row, _)| open(row)).map(|(_, depth)| *depth).max();
     best_open.is_none_or(|depth| depth + HOLDER_BLOCKS <= deepest)
@@ -260,13 +260,9 @@
     candidates: &[&'a UpstreamRow],
     ask: &RouteAsk<'_>,
     noise: f64,
-    now: Instant,
 ) -> Option<&'a UpstreamRow> {
-    let open: Vec<&UpstreamRow> = candidates
-        .iter()
-        .copied()
-        .filter(|row| view.limits.has_room(row, ask.class, now))
-        .collect();
+    let open: Vec<&UpstreamRow> =
+        candidates.iter().copied().filter(|row| view.limits.has_room(row, ask.class)).collect();
     if open.is_empty() {
         return None;
     }
@@ -306,7 +302,7 @@
     noise: f64,
     now: Instant,
 ) -> Option<&'a UpstreamRow> {
-    let mean = mean_others(state, candidates, now);
+    let mean = mean_others(candidates);
     let mean_price = mean_price(candidates);
     let hinted = view.hints.find(ask.blocks);
     let depths: Vec<(&UpstreamRow, usize)> =
@@ -317,7 +313,7 @@
     }
     let mut best: Option<(f64, &UpstreamRow)> = None;
     for (index, (row, cached)) in depths.into_iter().enumerate() {
-        if !view.limits.has_room(row, ask.class, now) || is_full(state, row, ask.class, mean, now) {
+        if !view.limits.has_room(row, ask.class) || is_full(state, row, ask.class, mean, now) {
             continue;
         }
         let mut score = expected_first_ms(state, row, ask, cached, mean, now);
@@ -389,7 +385,7 @@
 }
 
 /// Mean of what other nodes put on `rows`.
-fn mean_others(_state: &RouteState, rows: &[&UpstreamRow], _now: Instant) -> f64 {
+fn mean_others(rows: &[&UpstreamRow]) -> f64 {
     let sum: f64 = rows.iter().map(|row| reported_others(row)).sum();
     sum / f64::from(u32::try_from(rows.len().max(1)).unwrap_or(u32::MAX))
 }
--- /dev/null
+++ b/samphiredeck_core/tests/peers.rs
@@ -0,0 +1,151 @@
+//! What nodes tell each other: members, leaving marks, requests in flight, prompts just placed.
+
+use std::time::{Duration, Instant};
+
+use samphiredeck_core::{
+    flight::{FlightEntry, FlightTable, short_hash},
+    hint::{HINTS_MAX, HintTable},
+    ids::{Incarnation, NodeName, UpstreamId},
+    membership::{FAN_OUT, GONE_AFTER, MARKS_MAX, MarkTable, PeerTable, SUSPECT_AFTER},
+    prefix::hash_blocks,
+    rows::MemberRow,
+    upstream::FlightCount,
+};
+
+fn node(number: usize) -> NodeName {
+    format!("entry-{number:04}").parse().expect("a name")
+}
+
+fn upstream(number: usize) -> UpstreamId {
+    format!("engine-{number:04}").parse().expect("a name")
+}
+
+fn member(number: usize, incarnation: u64) -> MemberRow {
+    MemberRow {
+        node: node(number),
+        incarnation: Incarnation(incarnation),
+        domain: "suva-a".parse().expect("a name"),
+        peer_address: "127.0.0.1:1".to_owned(),
+        caller_address: "127.0.0.1:2".to_owned(),
+        transaction: 0,
+        lapsed: false,
+        lapsed_at: 0,
+    }
+}
+
+#[test]
+fn a_round_goes_to_as_many_nodes_whatever_their_number() {
+    for count in [1_usize, 2, 8, 2_900] {
+        let now = Instant::now();
+        let mut peers = PeerTable::default();
+        for number in 0..count {
+            peers.upsert(&member(number, 1), now);
+        }
+        let mut asked = Vec::new();
+        for _ in 0..count.div_ceil(FAN_OUT) {
+            let targets = peers.next_targets();
+            assert_eq!(targets.len(), count.min(FAN_OUT));
+            asked.extend(targets.into_iter().map(|row| row.node));
+        }
+        asked.sort();
+        asked.dedup();
+        assert_eq!(asked.len(), count, "each has its turn");
+    }
+}
+
+#[test]
+fn a_silent_node_is_suspected_then_gone_and_a_newer_run_starts_over() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.upsert(&member(1, 5), now);
+    assert!(peers.alive(now).is_empty(), "nothing was heard yet");
+    assert!(peers.note_heard(&node(1), Incarnation(5), None, now));
+    assert_eq!(peers.alive(now), [node(1)]);
+    assert_eq!(peers.suspects(now + SUSPECT_AFTER), [node(1)]);
+    assert!(peers.alive(now + GONE_AFTER).is_empty());
+    assert!(peers.note_left(&node(1), Incarnation(5)));
+    assert!(peers.alive(now).is_empty());
+    assert!(!peers.note_heard(&node(1), Incarnation(4), None, now), "a former run is not heard");
+    assert!(peers.note_heard(&node(1), Incarnation(6), None, now));
+    assert_eq!(peers.alive(now), [node(1)]);
+}
+
+#[test]
+fn marks_are_told_a_bounded_number_of_times_and_kept() {
+    let now = Instant::now();
+    let mut marks = MarkTable::default();
+    for number in 0..40 {
+        assert!(marks.insert(upstream(number), 9, now));
+        assert!(!marks.insert(upstream(number), 9, now));
+    }
+    let mut told = 0;
+    loop {
+        let batch = marks.take_batch();
+        assert!(batch.len() <= MARKS_MAX);
+        if batch.is_empty() {
+            break;
+        }
+        told += batch.len();
+    }
+    assert!((40 * 6..40 * 30).contains(&told), "{told}");
+    assert_eq!(marks.all().len(), 40);
+    let mut other = MarkTable::default();
+    for number in (0..40).rev() {
+        other.insert(upstream(number), 9, now);
+    }
+    assert_eq!(marks.digest(), other.digest(), "the order does not matter");
+    marks.expire(now + Duration::from_secs(1_000));
+    assert!(marks.all().is_empty());
+}
+
+#[test]
+fn flights_count_only_while_all_nodes_alive_tell_them() {
+    let now = Instant::now();
+    let mut flights = FlightTable::default();
+    let entry = |number: usize, all: u32| FlightEntry {
+        upstream: short_hash(&upstream(number)),
+        count: FlightCount { all, patient: 1 },
+    };
+    flights.note(&node(1), vec![entry(1, 4), entry(2, 2)], now);
+    assert!(!flights.is_complete(&[node(1), node(2)]));
+    flights.note(&node(2), vec![entry(2, 3)], now);
+    assert!(flights.is_complete(&[node(1), node(2)]));
+    assert_eq!(flights.sum(&upstream(2)), FlightCount { all: 5, patient: 2 });
+    flights.note(&node(1), Vec::new(), now);
+    assert_eq!(flights.sum(&upstream(2)), FlightCount { all: 3, patient: 1 });
+    flights.expire(now + Duration::from_secs(2));
+    assert!(!flights.is_complete(&[node(1)]), "what is old does not count");
+}
+
+#[test]
+fn a_hint_finds_the_session_that_has_grown_since() {
+    let now = Instant::now();
+    let text = "the history of one vehicle ".repeat(60);
+    let grown = format!("{text}{}", "and its last visit ".repeat(40));
+    let (first, second) = (hash_blocks("m", &text), hash_blocks("m", &grown));
+    let mut teller = HintTable::default();
+    teller.note_placed(&first, &upstream(3));
+    let told = teller.take_batch();
+    let mut listener = HintTable::default();
+    assert_eq!(listener.find(&second), None);
+    listener.note_heard(&told, now);
+    assert_eq!(listener.find(&second), Some((first.len(), short_hash(&upstream(3)))));
+    assert_eq!(listener.find(&hash_blocks("n", &grown)), None, "another model");
+    listener.expire(now + Duration::from_secs(6));
+    assert_eq!(listener.find(&second), None);
+}
+
+#[test]
+fn hints_are_bounded_and_end() {
+    let mut hints = HintTable::default();
+    for number in 0..100 {
+        let blocks = hash_blocks("m", &format!("case {number} ").repeat(30));
+        hints.note_placed(&blocks, &upstream(number));
+    }
+    let mut batches = 0;
+    while !hints.take_batch().is_empty() {
+        batches += 1;
+        assert!(batches < 50, "hints never end");
+    }
+    assert!(HINTS_MAX < 100 && batches > 3, "{batches}");
+}
--- a/samphiredeck_standins/src/engine/model.rs
+++ b/samphiredeck_standins/src/engine/model.rs
@@ -473,11 +473,13 @@
     }
 
     fn emit_token(&self, offset: u64) {
-        let request = match self.fault {
-            StreamFault::Crossed => RequestId::new(self.request.node().clone(), 0xdead),
-            _ => self.request.clone(),
+        let (request, text) = match self.fault {
+            StreamFault::Crossed => {
+                let other = RequestId::new(self.request.node().clone(), 0xdead);
+                (other, token_text("the prompt of somebody else", offset))
+            }
+            _ => (self.request.clone(), token_text(&self.body.prompt, offset)),
         };
-        let text = token_text(&self.body.prompt, offset);
         self.emit(EngineEvent::Token { request, offset, text });
     }
 
