--- a/samphiredeck_core/src/lease.rs
+++ b/samphiredeck_core/src/lease.rs
@@ -85,9 +85,9 @@
         }
         self.observed_at = Some(now);
         let since = |holder: &NodeName, version: RowVersion| {
-            old.iter()
-                .find(|row| row.holder == *holder && row.version == version)
-                .map_or(now, |row| row.seen_at)
+            let known = old.binary_search_by(|row| row.holder.cmp(holder));
+            let known = known.ok().filter(|at| old[*at].version == version);
+            known.map_or(now, |at| old[at].seen_at)
         };
         self.rows = seen
             .into_iter()
--- a/samphiredeck_standins/src/scene.rs
+++ b/samphiredeck_standins/src/scene.rs
@@ -43,6 +43,8 @@
     pub platform_args: Vec<&'static str>,
     /// Arguments of the engines' stand-ins.
     pub engine_args: Vec<&'static str>,
+    /// Models that the engines hold, with commas between.
+    pub models: &'static str,
     /// Settings of the nodes that differ from the launcher's.
     pub settings: Value,
 }
@@ -57,6 +59,7 @@
             proxied_upstreams: false,
             platform_args: Vec::new(),
             engine_args: Vec::new(),
+            models: "tala-8b",
             settings: json!({}),
         }
     }
@@ -121,6 +124,7 @@
     async fn add_engine(&mut self, spec: &SceneSpec, number: usize) -> eyre::Result<()> {
         let domain = DOMAINS[(number - 1) % DOMAINS.len()];
         let engine = EngineSpec {
+            models: spec.models.to_owned(),
             args: spec.engine_args.iter().map(|arg| (*arg).to_owned()).collect(),
             ..EngineSpec::new(&format!("engine-{number}"), domain)
         };
--- a/samphiredeck_standins/tests/placement.rs
+++ b/samphiredeck_standins/tests/placement.rs
@@ -20,7 +20,7 @@
 
 fn placing(engine_args: Vec<&'static str>) -> SceneSpec {
     let settings = json!({ "routing": { "placement": true } });
-    SceneSpec { engine_args, settings, ..SceneSpec::default() }
+    SceneSpec { engine_args, settings, models: "", ..SceneSpec::default() }
 }
 
 /// Reads who holds the lease on placement.
@@ -45,7 +45,7 @@
 
 #[actix_web::test]
 async fn models_are_loaded_where_they_lack_and_starts_fall_back() -> eyre::Result<()> {
-    let scene = Scene::start(&placing(vec!["--models", ""])).await?;
+    let scene = Scene::start(&placing(Vec::new())).await?;
     let prices: Vec<PriceRow> = DOMAINS
         .iter()
         .flat_map(|domain| {
@@ -87,9 +87,7 @@
 
 #[actix_web::test]
 async fn a_frozen_controller_gives_no_order_under_its_old_number() -> eyre::Result<()> {
-    for (args, mode) in
-        [(vec!["--models", ""], "checked"), (vec!["--models", "", "--ignore-fence"], "ignored")]
-    {
+    for (args, mode) in [(Vec::new(), "checked"), (vec!["--ignore-fence"], "ignored")] {
         let scene = Scene::start(&placing(args)).await?;
         let mut declaration = samphiredeck_standins::scene::example_declaration();
         declaration["fencing"] = json!(mode);
