--- a/samphiredeck/src/control/dispatch.rs
+++ b/samphiredeck/src/control/dispatch.rs
@@ -145,12 +145,6 @@
         if choice.is_none() && !ask.exclude.is_empty() && !self.has_other(&ask, now) {
             // The upstream that failed is the only one, so it is tried again.
             ask.exclude = &[];
-            let view = RouteView {
-                upstreams: self.upstreams,
-                prefixes: self.prefixes,
-                hints: self.hints,
-                limits: self.limits,
-            };
             choice = choose(self.route, view, &ask, noise, now);
         }
         let choice = choice?;
