--- a/samphiredeck/src/cli.rs
+++ b/samphiredeck/src/cli.rs
@@ -16,6 +16,7 @@
 #[argh(subcommand)]
 pub enum NodeCommand {
     Run(RunArgs),
+    Forward(ForwardArgs),
     Check(CheckArgs),
     Hash(HashArgs),
 }
@@ -29,10 +30,22 @@
     pub settings: PathBuf,
 }
 
+/// Run a node that forwards requests to the platform's upstreams, until it is told to stop.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "forward")]
+pub struct ForwardArgs {
+    /// settings file of a forwarding node
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
 /// Check a settings file and say what is wrong with it.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckArgs {
+    /// the settings are those of a forwarding node
+    #[argh(switch)]
+    pub forward: bool,
     /// settings file
     #[argh(positional)]
     pub settings: PathBuf,
--- /dev/null
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -0,0 +1,107 @@
+//! What a forwarding node believes: the only mutable state that decisions are made from.
+
+use std::rc::Rc;
+
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        catalog::ForwardCatalog,
+        clock::AgreedClock,
+        duty::DutyLease,
+        freshness::ProofAge,
+        ledger::{StartLedger, WindowNumber},
+        members::{MemberTable, NodeBeat},
+        quota::QuotaTable,
+        repeat::RepeatTable,
+        roster::UpstreamRoster,
+        work::WorkMeter,
+    },
+    ids::{Incarnation, WorkspaceName},
+};
+
+use crate::forward::{clock, settings::ForwardSettings};
+
+/// Nodes that are assumed to share budgets and quotas until the members are known. Above the size
+/// of small deployments, so that a node alone with an unread table takes little.
+const NODES_ASSUMED: u32 = 16;
+/// Time for which a request may have run before it is counted. Counts of a window are complete
+/// this long after its end.
+const COUNT_DELAY_MS: i64 = 1_000;
+
+/// Beliefs of this run of the node.
+#[derive(Debug)]
+pub struct ForwardBeliefs {
+    /// Newest configuration that was read.
+    pub catalog: Option<Rc<ForwardCatalog>>,
+    /// Age of the knowledge that `catalog` is the newest.
+    pub proof: ProofAge,
+    /// Upstreams.
+    pub roster: UpstreamRoster,
+    /// Nodes.
+    pub members: MemberTable,
+    /// Parts of the workspaces' limits.
+    pub quotas: QuotaTable,
+    /// Budget of repeated sends.
+    pub repeats: RepeatTable,
+    /// Requests that began to run here.
+    pub ledger: StartLedger,
+    /// Work that arrived here.
+    pub work: WorkMeter,
+    /// Time of day that the nodes agree on.
+    pub clock: AgreedClock,
+    /// Which node acts for all.
+    pub duty: DutyLease,
+}
+
+impl ForwardBeliefs {
+    /// Starts without any knowledge.
+    pub fn new(settings: &ForwardSettings, incarnation: Incarnation) -> Self {
+        let bounds = settings.bounds;
+        Self {
+            catalog: None,
+            proof: ProofAge::new(bounds.revoke.map(|bound| bound.duration())),
+            roster: UpstreamRoster::default(),
+            members: MemberTable::default(),
+            quotas: QuotaTable::new(bounds.quota, 1.0 / f64::from(NODES_ASSUMED)),
+            repeats: RepeatTable::new(bounds.repeat, NODES_ASSUMED),
+            ledger: StartLedger::default(),
+            work: WorkMeter::default(),
+            clock: AgreedClock::default(),
+            duty: DutyLease::new(settings.name.clone(), incarnation, bounds.lease.duration()),
+        }
+    }
+
+    /// Counts a request of `workspace` that began to run at `began_at`.
+    pub fn count_start(
+        &mut self,
+        workspace: &WorkspaceName,
+        began_at: BootTime,
+        settings: &ForwardSettings,
+    ) -> bool {
+        let Some(true_ms) = self.clock.true_ms(began_at) else { return false };
+        let window = WindowNumber::of(true_ms, settings.bounds.usage_window.duration());
+        self.ledger.count(window, workspace);
+        true
+    }
+
+    /// What this node publishes at `now`.
+    pub fn beat(&self, incarnation: Incarnation, now: BootTime) -> NodeBeat {
+        let demand = self.quotas.demand(now).into_iter();
+        NodeBeat {
+            incarnation,
+            offset_ms: self.clock.own_offset(now, clock::wall_ms()).map(|offset| offset.0),
+            counted_to_ms: self.clock.true_ms(now).map(|at| at - COUNT_DELAY_MS),
+            windows: self.ledger.windows().to_vec(),
+            demand: demand.map(|row| (row.workspace, row.rate)).collect(),
+            work: self.work.rates(now),
+        }
+    }
+
+    /// Most connections that this node may have to one upstream out of `all`.
+    pub fn connection_part(&self, all: u32, now: BootTime) -> u32 {
+        /// Share of the connections that nodes use, since their counts of each other lag.
+        const USED_PERCENT: u32 = 85;
+        let nodes = self.members.count(now);
+        (all.saturating_mul(USED_PERCENT) / 100 / nodes).max(2)
+    }
+}
--- /dev/null
+++ b/samphiredeck/src/forward/call.rs
@@ -0,0 +1,438 @@
+//! One request of a caller, from its arrival to the answer that it gets.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header::CONNECTION};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use rand::random;
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        catalog::{ForwardCatalog, RepeatRule, RouteRow, WorkspaceRow},
+        quota::QuotaTable,
+        waiting::retry_after,
+        work::engine_work,
+    },
+    ids::{KeyHash, PoolName, WorkspaceName},
+    verdict::RunVerdict,
+};
+use samphiredeck_platform::call::{CallerFields, decode_caller, encode_refusal};
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::forward::{
+    answer::AnswerBody,
+    attempt::{CallProgress, UpstreamAnswer, attempt},
+    clock,
+    gauges::{LatencyLabels, OutcomeLabels},
+    node::{ForwardNode, StopPhase},
+    relay::relay_stream,
+};
+
+/// Time that a caller is assumed to wait if it does not say.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(15);
+/// Most bytes of bodies that are held at once. A quarter of the memory of the users' smallest
+/// instances.
+const HELD_BYTES_MAX: usize = 40 * 1_024 * 1_024;
+/// Tokens of output that a request without an estimate is counted for.
+const OUTPUT_DEFAULT: u64 = 64;
+/// Time after which callers come back to a node that can't serve: it is not ready by then, and
+/// they reach another.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(400);
+
+/// Why a request gets an answer of the node's own.
+#[derive(Clone, Debug)]
+pub struct CallRefusal {
+    /// Status.
+    pub status: StatusCode,
+    /// Short name of the reason, for the log and for people.
+    pub reason: &'static str,
+    /// When to come back, if the request has not run.
+    pub retry_after: Option<Duration>,
+}
+
+impl CallRefusal {
+    /// Refuses a request that can't be served whoever asks again.
+    pub fn wrong(status: StatusCode, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
+    /// Refuses a request that has not run, for now.
+    pub fn unrun(reason: &'static str, retry_after: Duration) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self { status, reason, retry_after: Some(retry_after) }
+    }
+
+    /// Gives up a request that may have run.
+    pub fn unknown(status: StatusCode, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+}
+
+/// Story of one request, for the log and the metrics. Its drop without an end means that the
+/// caller has left.
+#[derive(Debug)]
+pub struct CallTrace {
+    /// Node that serves it.
+    pub node: Rc<ForwardNode>,
+    /// Identity of this try of the caller.
+    pub request: String,
+    /// Time of arrival.
+    pub arrived: BootTime,
+    route: String,
+    workspace: String,
+    pool: String,
+    ended: bool,
+}
+
+impl CallTrace {
+    fn begin(node: Rc<ForwardNode>, request: String, arrived: BootTime) -> Self {
+        node.gauges.in_flight.inc();
+        let (route, workspace, pool) = (String::new(), String::new(), String::new());
+        Self { node, request, arrived, route, workspace, pool, ended: false }
+    }
+
+    /// Milliseconds since the arrival.
+    pub fn age_ms(&self) -> u128 {
+        clock::now().since(self.arrived).as_millis()
+    }
+
+    fn latency_labels(&self) -> LatencyLabels {
+        LatencyLabels { route: self.route.clone(), pool: self.pool.clone() }
+    }
+
+    /// Notes the first sign of an answer.
+    pub fn note_first_sign(&self) {
+        let seconds = clock::now().since(self.arrived).as_secs_f64();
+        self.node.gauges.first_sign.get_or_create(&self.latency_labels()).observe(seconds);
+    }
+
+    /// Notes the end.
+    pub fn end(&mut self, outcome: &str, status: u16, reason: &str) {
+        self.ended = true;
+        let labels = OutcomeLabels {
+            route: self.route.clone(),
+            workspace: self.workspace.clone(),
+            pool: self.pool.clone(),
+            outcome: outcome.to_owned(),
+        };
+        let gauges = &self.node.gauges;
+        gauges.requests.get_or_create(&labels).inc();
+        let seconds = clock::now().since(self.arrived).as_secs_f64();
+        gauges.whole.get_or_create(&self.latency_labels()).observe(seconds);
+        let fields = json!({
+            "request": self.request, "outcome": outcome, "status": status, "reason": reason,
+            "route": self.route, "workspace": self.workspace, "pool": self.pool,
+            "age_ms": self.age_ms(),
+        });
+        self.node.journal.note("end", fields);
+    }
+}
+
+impl Drop for CallTrace {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end("caller-left", 0, "");
+        }
+        self.node.gauges.in_flight.dec();
+    }
+}
+
+/// Request that may be sent to an upstream.
+#[derive(Debug)]
+pub struct AdmittedCall {
+    /// What the caller said.
+    pub fields: CallerFields,
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub uri: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: RouteRow,
+    /// Pool that serves it.
+    pub pool: PoolName,
+    /// Whether the pool's upstreams are engines.
+    pub engine: bool,
+    /// Connections that the pool's upstreams accept from all nodes.
+    pub max_connections: u32,
+    /// Workspace, if the route is not public.
+    pub workspace: Option<WorkspaceName>,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Units taken from the workspace's limit.
+    pub cost: f64,
+    /// Time at which the final answer is given.
+    pub ends_at: BootTime,
+    /// Version of the configuration that admitted it.
+    pub version: u64,
+}
+
+impl AdmittedCall {
+    /// Whether the request may run at most once.
+    pub fn runs_once(&self) -> bool {
+        self.route.repeat == RepeatRule::Once
+    }
+
+    /// Tokens of the answer, as far as the caller knows.
+    pub fn output_tokens(&self) -> u64 {
+        let most = self.fields.tokens.map_or(OUTPUT_DEFAULT, |(_, output)| output);
+        self.fields.output_hint.map_or(most, |hint| hint.min(most))
+    }
+}
+
+/// Bytes of a caller's body that are held until the request has ended.
+#[derive(Debug)]
+struct HeldBytes {
+    node: Rc<ForwardNode>,
+    bytes: usize,
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.node.held_bytes.set(self.node.held_bytes.get() - self.bytes);
+    }
+}
+
+/// Serves one request.
+pub async fn serve_call(
+    node: Rc<ForwardNode>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = clock::now();
+    let fields = match decode_caller(request.headers()) {
+        Ok(fields) => fields,
+        Err(error) => {
+            node.journal.note("unreadable", json!({ "reason": error.to_string() }));
+            let refusal = CallRefusal::wrong(StatusCode::BAD_REQUEST, "unreadable request");
+            return answer_refusal(&node, "", &refusal);
+        }
+    };
+    let mut trace = CallTrace::begin(Rc::clone(&node), fields.request.clone(), arrived);
+    match receive_call(&mut trace, fields, request).await {
+        Ok((call, held)) => answer_call(call, trace, held).await,
+        Err(refusal) => end_refused(&mut trace, &refusal),
+    }
+}
+
+/// Admits the request and reads its body.
+async fn receive_call(
+    trace: &mut CallTrace,
+    fields: CallerFields,
+    request: Request<Incoming>,
+) -> Result<(AdmittedCall, HeldBytes), CallRefusal> {
+    let node = Rc::clone(&trace.node);
+    let (head, body) = request.into_parts();
+    let catalog = current_catalog(&node, trace)?;
+    let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+    let Some(route) = catalog.find_route(&name, head.uri.path()).cloned() else {
+        return Err(CallRefusal::wrong(StatusCode::NOT_FOUND, "no route"));
+    };
+    trace.route.clone_from(&route.name);
+    let workspace = find_workspace(&catalog, &route, &fields)?;
+    trace.workspace = workspace.map(|row| row.name.to_string()).unwrap_or_default();
+    let deadline = fields.deadline.unwrap_or(DEADLINE_DEFAULT);
+    let ends_at = trace.arrived + deadline.min(route.timeout);
+    let held = read_body(&node, &catalog, body, ends_at).await?;
+    let (body, held) = held;
+    let tokens = fields.tokens.map(|(prompt, output)| prompt + output);
+    let cost = workspace.map_or(0.0, |row| QuotaTable::cost_of(row, tokens));
+    let pool_name = route.pick_pool(random()).clone();
+    trace.pool = pool_name.to_string();
+    let pool = catalog.find_pool(&pool_name);
+    let engine = pool.is_some_and(|pool| pool.engine);
+    let call = AdmittedCall {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        engine,
+        max_connections: pool.map_or(u32::MAX, |pool| pool.max_connections),
+        workspace: workspace.map(|row| row.name.clone()),
+        priority: workspace.and_then(|row| row.priority).unwrap_or(route.priority),
+        cost,
+        ends_at,
+        version: catalog.version().0,
+        pool: pool_name,
+        fields,
+        route,
+    };
+    take_quota(trace, workspace, &call)?;
+    let mut beliefs = node.beliefs();
+    beliefs.repeats.note_first(&call.pool, trace.arrived);
+    if engine {
+        let prompt = call.fields.parts.last().map_or(0, |part| part.tokens);
+        let work = engine_work(prompt, call.output_tokens());
+        beliefs.work.note(&call.pool, work, trace.arrived);
+    }
+    Ok((call, held))
+}
+
+/// Configuration in force, while the node may go by it.
+fn current_catalog(
+    node: &ForwardNode,
+    trace: &CallTrace,
+) -> Result<Rc<ForwardCatalog>, CallRefusal> {
+    let beliefs = node.beliefs();
+    let now = clock::now();
+    match &beliefs.catalog {
+        Some(catalog) if beliefs.proof.permits(now) => Ok(Rc::clone(catalog)),
+        known => {
+            let fields = json!({
+                "request": trace.request,
+                "version": known.as_ref().map(|catalog| catalog.version().0),
+                "config_age_ms": beliefs.proof.age(now).map(|age| age.as_millis()),
+            });
+            node.journal.note("stale-config", fields);
+            let wait = ELSEWHERE_AFTER.mul_f64(0.75 + random::<f64>() / 2.0);
+            Err(CallRefusal::unrun("configuration not known to be the newest", wait))
+        }
+    }
+}
+
+fn find_workspace<'a>(
+    catalog: &'a ForwardCatalog,
+    route: &RouteRow,
+    fields: &CallerFields,
+) -> Result<Option<&'a WorkspaceRow>, CallRefusal> {
+    if route.public || !catalog.needs_keys() {
+        return Ok(None);
+    }
+    let key = fields.key.as_deref().map(KeyHash::of);
+    match key.and_then(|key| catalog.find_workspace(key)) {
+        Some(row) => Ok(Some(row)),
+        None => Err(CallRefusal::wrong(StatusCode::UNAUTHORIZED, "unknown key")),
+    }
+}
+
+async fn read_body(
+    node: &Rc<ForwardNode>,
+    catalog: &ForwardCatalog,
+    body: Incoming,
+    ends_at: BootTime,
+) -> Result<(Bytes, HeldBytes), CallRefusal> {
+    let limit = catalog.limits().body_bytes;
+    let too_large = || CallRefusal::wrong(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    let declared = hyper::body::Body::size_hint(&body).exact();
+    if declared.is_some_and(|bytes| usize::try_from(bytes).is_ok_and(|bytes| bytes > limit)) {
+        return Err(too_large());
+    }
+    if node.held_bytes.get() > HELD_BYTES_MAX {
+        return Err(CallRefusal::unrun("too many bytes held", ELSEWHERE_AFTER));
+    }
+    let left = ends_at.since(clock::now());
+    let collected = timeout(left, Limited::new(body, limit).collect()).await;
+    let bytes = match collected {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
+        Ok(Err(_cut)) => {
+            return Err(CallRefusal::wrong(StatusCode::BAD_REQUEST, "body cut off"));
+        }
+        Err(_late) => {
+            return Err(CallRefusal::wrong(StatusCode::REQUEST_TIMEOUT, "body came too slowly"));
+        }
+    };
+    node.held_bytes.set(node.held_bytes.get() + bytes.len());
+    let held = HeldBytes { node: Rc::clone(node), bytes: bytes.len() };
+    Ok((bytes, held))
+}
+
+fn take_quota(
+    trace: &CallTrace,
+    workspace: Option<&WorkspaceRow>,
+    call: &AdmittedCall,
+) -> Result<(), CallRefusal> {
+    let Some(workspace) = workspace else { return Ok(()) };
+    let taken = trace.node.beliefs().quotas.take(workspace, call.cost, trace.arrived);
+    taken.map_err(|wait| {
+        let fields = json!({
+            "request": trace.request, "workspace": workspace.name.as_str(), "cost": call.cost,
+            "rate": workspace.rate, "version": call.version, "wait_ms": wait.as_millis(),
+        });
+        trace.node.journal.note("over-quota", fields);
+        CallRefusal {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            reason: "over the workspace's limit",
+            retry_after: Some(wait.mul_f64(1.0 + random::<f64>() / 4.0)),
+        }
+    })
+}
+
+async fn answer_call(
+    call: AdmittedCall,
+    mut trace: CallTrace,
+    held: HeldBytes,
+) -> Response<AnswerBody> {
+    let mut progress = CallProgress::default();
+    match attempt(&call, &mut progress, &trace, None).await {
+        Ok(UpstreamAnswer::Whole(whole)) => {
+            trace.note_first_sign();
+            let outcome = if whole.status.is_success() { "served" } else { "upstream-failed" };
+            trace.end(outcome, whole.status.as_u16(), "");
+            let body = AnswerBody::whole(whole.body);
+            build_answer(&trace.node, whole.status, whole.headers, body)
+        }
+        Ok(UpstreamAnswer::Stream(stream)) => {
+            trace.note_first_sign();
+            let node = Rc::clone(&trace.node);
+            let (status, headers) = (stream.status, stream.headers.clone());
+            let (sender, body) = AnswerBody::stream();
+            actix_web::rt::spawn(async move {
+                relay_stream(call, progress, trace, stream, sender).await;
+                drop(held);
+            });
+            build_answer(&node, status, headers, body)
+        }
+        Err(refusal) => {
+            if progress.verdict == RunVerdict::NotRun
+                && let Some(workspace) = &call.workspace
+            {
+                trace.node.beliefs().quotas.give_back(workspace, call.cost);
+            }
+            end_refused(&mut trace, &refusal)
+        }
+    }
+}
+
+/// Time after which a caller with `left` should come back when the wait is `excess` too long.
+pub fn come_back(excess: Duration, left: Duration) -> Duration {
+    retry_after(excess, left, random())
+}
+
+fn end_refused(trace: &mut CallTrace, refusal: &CallRefusal) -> Response<AnswerBody> {
+    let outcome = if refusal.retry_after.is_some() { "refused" } else { "failed" };
+    trace.end(outcome, refusal.status.as_u16(), refusal.reason);
+    answer_refusal(&trace.node, &trace.request, refusal)
+}
+
+fn answer_refusal(
+    node: &ForwardNode,
+    request: &str,
+    refusal: &CallRefusal,
+) -> Response<AnswerBody> {
+    let headers = encode_refusal(request, refusal.retry_after);
+    let body = AnswerBody::whole(Bytes::from_static(refusal.reason.as_bytes()));
+    build_answer(node, refusal.status, headers, body)
+}
+
+fn build_answer(
+    node: &ForwardNode,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    if node.phase() >= StopPhase::Leaving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- /dev/null
+++ b/samphiredeck/src/forward/duty.rs
@@ -0,0 +1,410 @@
+//! Work of the node that acts for all: reports of usage and orders for upstreams.
+
+use std::{rc::Rc, time::Duration};
+
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        capacity::{CapacityOrder, CapacityPlan, DomainStock},
+        catalog::PoolRow,
+        duty::{DUTY_FLIGHT, DutyRecord, DutyStep},
+        ledger::{WindowCounts, WindowNumber},
+    },
+    ids::{DomainName, FenceNumber, PoolName, RowVersion},
+};
+use samphiredeck_platform::{
+    orders::{OrderOutcome, decode_order, encode_order, encode_usage},
+    store::{ChangeOutcome, StoreChange, StoreKey, StoreRow},
+};
+use samphiredeck_wire::record::{
+    DUTY_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record, usage_key,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::forward::{
+    clock,
+    node::{ForwardNode, StopPhase},
+    platform_link::{CallError, PlatformLink},
+};
+
+/// Time between two looks at what is to be done.
+const TICK: Duration = Duration::from_millis(200);
+/// Bound on a write to the store.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time between two rounds of orders.
+const ORDER_PERIOD: Duration = Duration::from_millis(600);
+/// Pause after a report or an order that got no answer or was turned away.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Time after the end of a window at which the counts of all nodes should have been published:
+/// two of their periods.
+const COUNTS_PUBLISHED_MS: i64 = 1_200;
+/// Time before a report is due at which it is sent with the counts there are.
+const DUE_MARGIN_MS: i64 = 3_500;
+/// Windows whose agreed usage is kept in the store.
+const AGREED_KEPT: i64 = 12;
+/// Windows before the newest for which this node looks for a missing report.
+const WINDOWS_BACK: i64 = 4;
+
+/// Duties of this node while it holds the lease.
+struct DutyDesk {
+    node: Rc<ForwardNode>,
+    store: PlatformLink,
+    orders: Option<PlatformLink>,
+    /// Plans by pool, sorted.
+    plans: Vec<(PoolName, CapacityPlan)>,
+    /// Windows that were reported under the current fence.
+    reported: Vec<WindowNumber>,
+    /// Fence under which `plans` and `reported` were made.
+    fence: Option<FenceNumber>,
+    ordered_at: BootTime,
+    /// Time until which nothing is sent to the platform's API.
+    paused_until: BootTime,
+}
+
+/// Takes, renews and uses the duty until the node stops.
+pub async fn hold_duty(node: Rc<ForwardNode>) {
+    let settings = node.settings();
+    let mut desk = DutyDesk {
+        store: PlatformLink::new(settings.platform.store),
+        orders: settings.platform.orders.map(PlatformLink::new),
+        node,
+        plans: Vec::new(),
+        reported: Vec::new(),
+        fence: None,
+        ordered_at: BootTime::default(),
+        paused_until: BootTime::default(),
+    };
+    drop(settings);
+    while desk.node.phase() == StopPhase::Serving {
+        desk.keep_lease().await;
+        desk.note_fence();
+        if desk.fence.is_some() && clock::now() >= desk.paused_until {
+            desk.report_usage().await;
+            desk.order_upstreams().await;
+        }
+        sleep(TICK).await;
+    }
+}
+
+fn shared_key(key: &str) -> StoreKey {
+    StoreKey { table: SHARED_TABLE.to_owned(), key: key.to_owned() }
+}
+
+impl DutyDesk {
+    /// Number under which this node may act now.
+    fn may_act(&self) -> Option<FenceNumber> {
+        self.node.beliefs().duty.fence(clock::now())
+    }
+
+    async fn keep_lease(&mut self) {
+        let step = {
+            let beliefs = self.node.beliefs();
+            // A node that can't serve has no picture of the whole to act on.
+            if beliefs.catalog.is_none() {
+                return;
+            }
+            beliefs.duty.next_step(clock::now())
+        };
+        let DutyStep::Write(record, version) = step else { return };
+        let value = match encode_record(&record) {
+            Ok(value) => value,
+            Err(error) => {
+                let fields = json!({ "reason": error.to_string() });
+                self.node.journal.note("duty-unwritable", fields);
+                return;
+            }
+        };
+        let change = StoreChange {
+            expected: vec![(shared_key(DUTY_KEY), version)],
+            writes: vec![(shared_key(DUTY_KEY), value)],
+            removals: Vec::new(),
+        };
+        let sent_at = clock::now();
+        let outcome = self.store.change(&change, WRITE_TIMEOUT).await;
+        self.take_lease_outcome(record, outcome, sent_at);
+    }
+
+    fn take_lease_outcome(
+        &mut self,
+        record: DutyRecord,
+        outcome: Result<ChangeOutcome, CallError>,
+        sent_at: BootTime,
+    ) {
+        let mut beliefs = self.node.beliefs();
+        match outcome {
+            Ok(ChangeOutcome::Done(version)) => {
+                if record.renewals == 0 {
+                    let fields = json!({ "fence": record.fence.0, "row": version.0 });
+                    self.node.journal.note("duty-won", fields);
+                }
+                beliefs.duty.note_written(record, version, sent_at);
+            }
+            Ok(ChangeOutcome::Conflict(rows)) => {
+                let (record, version) = read_duty(&rows);
+                let holder = record.as_ref().map(|record| record.holder.to_string());
+                let fields = json!({ "holder": holder, "row": version.0 });
+                self.node.journal.note("duty-conflict", fields);
+                beliefs.duty.observe(record, version, clock::now());
+            }
+            Err(error) => {
+                if error.is_unknown() {
+                    beliefs.duty.forget_view();
+                }
+                let unknown = error.is_unknown();
+                let fields = json!({ "reason": error.to_string(), "unknown": unknown });
+                self.node.journal.note("duty-unrenewed", fields);
+            }
+        }
+    }
+
+    /// Notes a change of the fence. A new holder knows nothing of what was ordered or reported.
+    fn note_fence(&mut self) {
+        let fence = self.may_act();
+        if fence == self.fence {
+            return;
+        }
+        let shown = fence.map_or(0, |fence| i64::try_from(fence.0).unwrap_or(i64::MAX));
+        self.node.gauges.duty_fence.set(shown);
+        if fence.is_none() {
+            let fields = json!({ "fence": self.fence.map(|fence| fence.0) });
+            self.node.journal.note("duty-lost", fields);
+        }
+        self.plans.clear();
+        self.reported.clear();
+        self.fence = fence;
+    }
+
+    /// Agrees on and reports the usage of the windows that are over.
+    async fn report_usage(&mut self) {
+        let settings = self.node.settings();
+        let length = settings.bounds.usage_window.duration();
+        let Some(now_ms) = self.node.beliefs().clock.true_ms(clock::now()) else { return };
+        let newest = WindowNumber::of(now_ms, length);
+        for back in (1..=WINDOWS_BACK).rev() {
+            let window = WindowNumber(newest.0 - back);
+            if self.reported.contains(&window) {
+                continue;
+            }
+            let end_ms = window.end_ms(length);
+            let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
+            let (complete, sum) = {
+                let beliefs = self.node.beliefs();
+                let complete = beliefs.members.is_counted(end_ms, clock::now());
+                (complete, beliefs.members.sum_window(window))
+            };
+            let settled = complete && now_ms >= end_ms + COUNTS_PUBLISHED_MS;
+            if !settled && now_ms < end_ms + due - DUE_MARGIN_MS {
+                continue;
+            }
+            if sum.counts.is_empty() {
+                // Nothing ran, or nobody has told yet.
+                continue;
+            }
+            let Some(agreed) = self.agree_usage(sum, complete).await else { return };
+            if !self.send_usage(&agreed, now_ms - end_ms).await {
+                return;
+            }
+        }
+    }
+
+    /// Returns the counts of the window that all nodes stand by from now on.
+    async fn agree_usage(&mut self, sum: WindowCounts, complete: bool) -> Option<WindowCounts> {
+        self.may_act()?;
+        let key = shared_key(&usage_key(sum.window));
+        let old = WindowNumber(sum.window.0 - AGREED_KEPT);
+        let value = match encode_record(&sum) {
+            Ok(value) => value,
+            Err(error) => {
+                self.node.journal.note("usage-unwritable", json!({ "reason": error.to_string() }));
+                return None;
+            }
+        };
+        let change = StoreChange {
+            expected: vec![(key.clone(), RowVersion(0))],
+            writes: vec![(key, value)],
+            removals: vec![shared_key(&usage_key(old))],
+        };
+        match self.store.change(&change, WRITE_TIMEOUT).await {
+            Ok(ChangeOutcome::Done(version)) => {
+                let total: u64 = sum.counts.iter().map(|row| row.count).sum();
+                let fields = json!({
+                    "window": sum.window.0, "requests": total, "complete": complete,
+                    "row": version.0,
+                });
+                self.node.journal.note("usage-agreed", fields);
+                Some(sum)
+            }
+            Ok(ChangeOutcome::Conflict(rows)) => {
+                let agreed = rows.iter().find_map(|row| {
+                    match decode_record(&row.key, row.value.as_deref()?) {
+                        Ok(Some(SharedRecord::Usage(counts))) => Some(counts),
+                        _ => None,
+                    }
+                });
+                if agreed.is_none() {
+                    let fields = json!({ "window": sum.window.0, "reason": "agreed row unreadable" });
+                    self.node.journal.note("usage-unagreed", fields);
+                }
+                agreed
+            }
+            Err(error) => {
+                // The next round finds the row if this one was written after all.
+                let fields = json!({ "window": sum.window.0, "reason": error.to_string() });
+                self.node.journal.note("usage-unagreed", fields);
+                self.paused_until = clock::now() + RETRY_PAUSE;
+                None
+            }
+        }
+    }
+
+    /// Sends agreed counts. Returns whether the platform took them.
+    async fn send_usage(&mut self, counts: &WindowCounts, age_ms: i64) -> bool {
+        let Some(fence) = self.may_act() else { return false };
+        let settings = self.node.settings();
+        let Some(link) = self.orders.as_mut() else { return false };
+        let answer = match encode_usage(counts, &settings.name, fence) {
+            Ok(call) => link.call(call, DUTY_FLIGHT).await,
+            Err(error) => Err(error.into()),
+        };
+        let outcome = answer.map(|(status, _)| decode_order(status));
+        let accepted = matches!(outcome, Ok(OrderOutcome::Accepted));
+        let fields = json!({
+            "window": counts.window.0, "fence": fence.0, "age_ms": age_ms,
+            "outcome": describe(&outcome),
+        });
+        self.node.journal.note("usage-reported", fields);
+        if accepted {
+            self.reported.push(counts.window);
+            let kept = usize::try_from(AGREED_KEPT).unwrap_or(usize::MAX);
+            let excess = self.reported.len().saturating_sub(kept);
+            self.reported.drain(..excess);
+        } else {
+            self.paused_until = clock::now() + RETRY_PAUSE;
+        }
+        accepted
+    }
+
+    /// Orders upstreams for each pool whose number can be chosen.
+    async fn order_upstreams(&mut self) {
+        let now = clock::now();
+        if now.since(self.ordered_at) < ORDER_PERIOD {
+            return;
+        }
+        self.ordered_at = now;
+        let Some(catalog) = self.node.beliefs().catalog.clone() else { return };
+        for pool in catalog.pools() {
+            let orders = self.plan_orders(pool, now);
+            for order in orders {
+                if !self.send_order(pool, &order).await {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn plan(&mut self, pool: &PoolName) -> &mut CapacityPlan {
+        let at = match self.plans.binary_search_by(|(name, _)| name.cmp(pool)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.plans.insert(at, (pool.clone(), CapacityPlan::default()));
+                at
+            }
+        };
+        &mut self.plans[at].1
+    }
+
+    fn plan_orders(&mut self, pool: &PoolRow, now: BootTime) -> Vec<CapacityOrder> {
+        let Some(rule) = &pool.scaling else { return Vec::new() };
+        let (stocks, work) = {
+            let beliefs = self.node.beliefs();
+            // A list that was not read for long says nothing of what serves now.
+            let listed = beliefs.roster.read_at().is_some_and(|at| now.since(at) < LIST_AGE_MAX);
+            if !listed {
+                return Vec::new();
+            }
+            let domains = rule.prices.iter().map(|(domain, _)| domain.clone());
+            let stock = |domain: DomainName| {
+                let here = |reclaimable: bool| {
+                    let rows = beliefs.roster.rows().iter();
+                    let count = rows
+                        .filter(|row| {
+                            row.entry.pool == pool.name
+                                && row.entry.domain == domain
+                                && row.is_accepting()
+                                && row.entry.reclaimable == reclaimable
+                        })
+                        .count();
+                    u32::try_from(count).unwrap_or(u32::MAX)
+                };
+                let (reclaimable, on_demand) = (here(true), here(false));
+                DomainStock { domain, reclaimable, on_demand }
+            };
+            let stocks: Vec<DomainStock> = domains.map(stock).collect();
+            (stocks, beliefs.members.work(&pool.name, now))
+        };
+        let orders = self.plan(&pool.name).next_orders(rule, &stocks, work, now);
+        if !orders.is_empty() {
+            let stock: Vec<_> = stocks
+                .iter()
+                .map(|row| json!([row.domain.as_str(), row.reclaimable, row.on_demand]))
+                .collect();
+            let fields = json!({ "pool": pool.name.as_str(), "work_ms_s": work, "stock": stock });
+            self.node.journal.note("capacity", fields);
+        }
+        orders
+    }
+
+    /// Sends one order. Returns whether the platform answered for it.
+    async fn send_order(&mut self, pool: &PoolRow, order: &CapacityOrder) -> bool {
+        let Some(fence) = self.may_act() else { return false };
+        let settings = self.node.settings();
+        let Some(link) = self.orders.as_mut() else { return false };
+        let answer = match encode_order(&pool.name, order, &settings.name, fence) {
+            Ok(call) => link.call(call, DUTY_FLIGHT).await,
+            Err(error) => Err(error.into()),
+        };
+        let outcome = answer.map(|(status, _)| decode_order(status));
+        let fields = json!({
+            "pool": pool.name.as_str(), "domain": order.domain.as_str(),
+            "reclaimable": order.reclaimable, "count": order.count, "fence": fence.0,
+            "outcome": describe(&outcome),
+        });
+        self.node.journal.note("order", fields);
+        let now = clock::now();
+        match outcome {
+            Ok(OrderOutcome::Accepted) => self.plan(&pool.name).note_accepted(order),
+            Ok(OrderOutcome::Unavailable) => self.plan(&pool.name).note_refused(order, now),
+            Ok(OrderOutcome::Refused(_)) | Err(_) => {
+                self.paused_until = now + RETRY_PAUSE;
+                return false;
+            }
+        }
+        true
+    }
+}
+
+/// Age of the list of upstreams from which no orders are made.
+const LIST_AGE_MAX: Duration = Duration::from_secs(3);
+
+fn describe(outcome: &Result<OrderOutcome, CallError>) -> String {
+    match outcome {
+        Ok(OrderOutcome::Accepted) => "accepted".to_owned(),
+        Ok(OrderOutcome::Unavailable) => "unavailable".to_owned(),
+        Ok(OrderOutcome::Refused(status)) => format!("refused with {status}"),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Duty row among the rows that a conflict returned.
+fn read_duty(rows: &[StoreRow]) -> (Option<DutyRecord>, RowVersion) {
+    let row = rows.iter().find(|row| row.key == DUTY_KEY);
+    let version = row.map_or(RowVersion(0), |row| row.version);
+    let record = row.and_then(|row| row.value.as_deref()).and_then(|value| {
+        match decode_record(DUTY_KEY, value) {
+            Ok(Some(SharedRecord::Duty(record))) => Some(record),
+            _ => None,
+        }
+    });
+    (record, version)
+}
--- /dev/null
+++ b/samphiredeck/src/forward/watch.rs
@@ -0,0 +1,308 @@
+//! Readers of the platform's store: the configuration, the upstreams' list, the shared rows.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::random;
+use samphiredeck_core::{
+    backoff::BackoffState,
+    boot_time::BootTime,
+    forward::roster::{ListedUpstream, RosterChange},
+    ids::RowVersion,
+};
+use samphiredeck_platform::{
+    catalog::decode_catalog,
+    store::{
+        CATALOG_KEY, OPERATOR_TABLE, StoreChange, StoreKey, StoreRow, StoreRows, UPSTREAM_TABLE,
+        decode_rows, encode_watch, is_history_lost,
+    },
+    upstreams::decode_upstream,
+};
+use samphiredeck_wire::record::{
+    DUTY_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record, node_key,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::forward::{
+    clock,
+    gauges::CallLabels,
+    node::{ForwardNode, StopPhase},
+    platform_link::{CallError, PlatformLink},
+};
+
+/// Time for which the store may hold back an answer about the configuration. Well below the
+/// admission age, so that one lost answer does not stop the node.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// Bound on an answer beyond the time for which it may be held back.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time between two reads of the upstreams' list: with the answer, well below the users' bound of
+/// two seconds on new work for upstreams that leave.
+const LIST_PERIOD: Duration = Duration::from_millis(700);
+/// Time between two reads of the shared rows.
+const SHARED_PERIOD: Duration = Duration::from_millis(1_500);
+/// Reads of the shared rows for each write of this node's own row.
+const READS_PER_BEAT: u32 = 2;
+/// First and longest pause after a call that failed.
+const PAUSE_FIRST: Duration = Duration::from_millis(150);
+const PAUSE_LONGEST: Duration = Duration::from_millis(900);
+/// Share of a period by which it varies, so that nodes don't call together.
+const PERIOD_NOISE: f64 = 0.2;
+
+/// A dependency as one reader sees it: logs when it is lost and when it is back.
+struct Dependency<'a> {
+    node: &'a ForwardNode,
+    purpose: &'static str,
+    pause: BackoffState,
+    lost_at: Option<BootTime>,
+}
+
+impl<'a> Dependency<'a> {
+    fn new(node: &'a ForwardNode, purpose: &'static str) -> Self {
+        let pause = BackoffState::new(PAUSE_FIRST, PAUSE_LONGEST);
+        Self { node, purpose, pause, lost_at: None }
+    }
+
+    fn count(&self, outcome: &'static str) {
+        let labels = CallLabels { purpose: self.purpose, outcome };
+        self.node.gauges.calls.get_or_create(&labels).inc();
+    }
+
+    fn answered(&mut self) {
+        self.count("answered");
+        self.pause.reset();
+        if let Some(lost_at) = self.lost_at.take() {
+            let lost_ms = clock::now().since(lost_at).as_millis();
+            let fields = json!({ "what": self.purpose, "after_ms": lost_ms });
+            self.node.journal.note("dependency-back", fields);
+        }
+    }
+
+    /// Notes a failure and waits before the next try.
+    async fn failed(&mut self, error: &CallError) {
+        self.count("failed");
+        if self.lost_at.is_none() {
+            self.lost_at = Some(clock::now());
+            let fields = json!({ "what": self.purpose, "reason": error.to_string() });
+            self.node.journal.note("dependency-lost", fields);
+        }
+        sleep(self.pause.next_pause(random())).await;
+    }
+}
+
+async fn sleep_about(period: Duration) {
+    sleep(period.mul_f64(1.0 + (random::<f64>() - 0.5) * PERIOD_NOISE)).await;
+}
+
+/// Keeps the configuration up to date.
+pub async fn watch_config(node: Rc<ForwardNode>) {
+    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut store = Dependency::new(&node, "configuration");
+    let mut known: Option<RowVersion> = None;
+    loop {
+        let asked_at = clock::now();
+        let answer = match known {
+            None => link.read_table(OPERATOR_TABLE, ANSWER_TIMEOUT).await,
+            Some(after) => ask_changes(&mut link, after).await,
+        };
+        match answer {
+            Ok(answer) => {
+                store.answered();
+                known = Some(answer.newest);
+                take_config(&node, &answer, asked_at);
+            }
+            Err(error) => {
+                if matches!(&error, CallError::Wire(wire) if is_history_lost(wire)) {
+                    known = None;
+                }
+                store.failed(&error).await;
+            }
+        }
+    }
+}
+
+async fn ask_changes(link: &mut PlatformLink, after: RowVersion) -> Result<StoreRows, CallError> {
+    let call = encode_watch(OPERATOR_TABLE, after, CONFIG_WAIT);
+    let (status, body) = link.call(call, CONFIG_WAIT + ANSWER_TIMEOUT).await?;
+    Ok(decode_rows(status, &body)?)
+}
+
+/// Takes in what the store said of the configuration when asked at `asked_at`.
+fn take_config(node: &ForwardNode, answer: &StoreRows, asked_at: BootTime) {
+    let mut beliefs = node.beliefs();
+    let received_at = clock::now();
+    for row in answer.rows.iter().filter(|row| row.key == CATALOG_KEY) {
+        let decoded = row.value.as_deref().map(decode_catalog);
+        let held = beliefs.catalog.as_ref().map(|catalog| catalog.version());
+        match decoded {
+            Some(Ok(catalog)) if Some(catalog.version()) > held => {
+                let fields = json!({
+                    "version": catalog.version().0, "row": row.version.0,
+                    "before": held.map(|version| version.0),
+                    "routes": catalog.routes().len(),
+                    "answered_in_ms": received_at.since(asked_at).as_millis(),
+                });
+                node.journal.note("config", fields);
+                node.gauges.config_version.set(i64::try_from(catalog.version().0).unwrap_or(0));
+                beliefs.catalog = Some(Rc::new(catalog));
+            }
+            Some(Ok(_older)) => {}
+            Some(Err(error)) => {
+                let fields = json!({ "row": row.version.0, "reason": error.to_string() });
+                node.journal.note("config-unreadable", fields);
+            }
+            None => {
+                node.journal.note("config-unreadable", json!({ "row": row.version.0 }));
+            }
+        }
+    }
+    beliefs.proof.note(asked_at);
+}
+
+/// Keeps the list of upstreams up to date.
+pub async fn watch_upstreams(node: Rc<ForwardNode>) {
+    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut store = Dependency::new(&node, "upstreams");
+    loop {
+        let asked_at = clock::now();
+        match link.read_table(UPSTREAM_TABLE, ANSWER_TIMEOUT).await {
+            Ok(answer) => {
+                store.answered();
+                take_upstreams(&node, &answer, asked_at);
+                sleep_about(LIST_PERIOD).await;
+            }
+            Err(error) => store.failed(&error).await,
+        }
+    }
+}
+
+/// Decodes the entries that name an upstream and logs the others.
+fn decode_entries(node: &ForwardNode, rows: &[StoreRow]) -> Vec<ListedUpstream> {
+    let mut list = Vec::with_capacity(rows.len());
+    for row in rows {
+        match row.value.as_deref().map(|value| decode_upstream(&row.key, value)) {
+            Some(Ok(entry)) => list.push(entry),
+            Some(Err(error)) => {
+                let fields = json!({
+                    "entry": row.key, "row": row.version.0, "reason": error.to_string()
+                });
+                node.journal.note("entry-unreadable", fields);
+            }
+            None => {
+                let fields = json!({ "entry": row.key, "row": row.version.0 });
+                node.journal.note("entry-unreadable", fields);
+            }
+        }
+    }
+    list
+}
+
+fn take_upstreams(node: &ForwardNode, answer: &StoreRows, asked_at: BootTime) {
+    let list = decode_entries(node, &answer.rows);
+    let now = clock::now();
+    let mut beliefs = node.beliefs();
+    beliefs.clock.sample(asked_at, now, answer.clock_ms);
+    let changes = beliefs.roster.apply_list(list, asked_at, now);
+    for change in changes {
+        let (what, upstream) = match &change {
+            RosterChange::Joined(id) => ("joined", id),
+            RosterChange::Leaving(id) => ("leaving", id),
+            RosterChange::Gone(id) => ("gone", id),
+            RosterChange::Returned(id) => ("returned", id),
+        };
+        let entry = beliefs.roster.find(upstream).map(|row| &row.entry);
+        let fields = json!({
+            "upstream": upstream.as_str(), "change": what,
+            "pool": entry.map(|entry| entry.pool.as_str()),
+            "domain": entry.map(|entry| entry.domain.as_str()),
+            "reclaimable": entry.map(|entry| entry.reclaimable),
+            "born_ms": entry.and_then(|entry| entry.born_ms),
+            "leaves_in_ms": entry.and_then(|entry| entry.leaves_in).map(|left| left.as_millis()),
+            "list_age_ms": now.since(asked_at).as_millis(),
+        });
+        node.journal.note("upstream", fields);
+    }
+}
+
+/// Reads the rows that the nodes share and writes this node's own.
+pub async fn share_rows(node: Rc<ForwardNode>) {
+    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut store = Dependency::new(&node, "shared rows");
+    let mut reads = 0;
+    loop {
+        match link.read_table(SHARED_TABLE, ANSWER_TIMEOUT).await {
+            Ok(answer) => {
+                store.answered();
+                take_shared(&node, &answer.rows, reads == 0);
+                if reads % READS_PER_BEAT == 0 && node.phase() == StopPhase::Serving {
+                    write_beat(&node, &mut link, &mut store).await;
+                }
+                reads += 1;
+                sleep_about(SHARED_PERIOD).await;
+            }
+            Err(error) => store.failed(&error).await,
+        }
+    }
+}
+
+/// Takes in the shared rows. `first` says that this run of the node reads them for the first time.
+fn take_shared(node: &ForwardNode, rows: &[StoreRow], first: bool) {
+    let settings = node.settings();
+    let now = clock::now();
+    let mut beliefs = node.beliefs();
+    let mut members = Vec::new();
+    let mut duty = (None, RowVersion(0));
+    for row in rows {
+        let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
+        match decoded {
+            Some(Ok(Some(SharedRecord::Node(name, beat)))) => {
+                if first && name == settings.name {
+                    beliefs.ledger.adopt(&beat.windows);
+                }
+                members.push((name, row.version, beat));
+            }
+            Some(Ok(Some(SharedRecord::Duty(record)))) => duty = (Some(record), row.version),
+            Some(Ok(Some(SharedRecord::Usage(_)) | None)) | None => {}
+            Some(Err(error)) => {
+                // A duty row that can't be read is overwritten by nobody.
+                if row.key == DUTY_KEY {
+                    duty.1 = row.version;
+                }
+                let fields = json!({ "key": row.key, "reason": error.to_string() });
+                node.journal.note("shared-unreadable", fields);
+            }
+        }
+    }
+    let count_before = beliefs.members.count(now);
+    beliefs.members.observe(members, now);
+    let count = beliefs.members.count(now);
+    if count != count_before {
+        node.journal.note("members", json!({ "count": count, "before": count_before }));
+    }
+    if !(duty.0.is_none() && duty.1 != RowVersion(0)) {
+        beliefs.duty.observe(duty.0, duty.1, now);
+    }
+    beliefs.repeats.set_nodes(count);
+    let demands = beliefs.members.demands(now);
+    beliefs.quotas.share(&settings.name, &demands);
+    let offsets = beliefs.members.offsets(now);
+    beliefs.clock.agree(offsets);
+    node.gauges.nodes.set(i64::from(count));
+}
+
+async fn write_beat(node: &ForwardNode, link: &mut PlatformLink, store: &mut Dependency<'_>) {
+    let settings = node.settings();
+    let beat = node.beliefs().beat(node.incarnation, clock::now());
+    let value = match encode_record(&beat) {
+        Ok(value) => value,
+        Err(error) => {
+            node.journal.note("beat-unwritable", json!({ "reason": error.to_string() }));
+            return;
+        }
+    };
+    let key = StoreKey { table: SHARED_TABLE.to_owned(), key: node_key(&settings.name) };
+    let change = StoreChange { writes: vec![(key, value)], ..StoreChange::default() };
+    match link.change(&change, ANSWER_TIMEOUT).await {
+        Ok(_) => store.answered(),
+        Err(error) => store.failed(&error).await,
+    }
+}
--- a/samphiredeck/src/main.rs
+++ b/samphiredeck/src/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod engine_client;
 mod event;
+mod forward;
 mod handle;
 mod logging;
 mod metrics;
@@ -29,6 +30,7 @@
 
 use crate::{
     cli::{NodeArgs, NodeCommand},
+    forward::{run_forward, settings::load_forward},
     settings::load_settings,
 };
 
@@ -42,6 +44,8 @@
     let args: NodeArgs = argh::from_env();
     let done = match args.command {
         NodeCommand::Run(run) => run_node(&run.settings),
+        NodeCommand::Forward(forward) => run_forward(&forward.settings),
+        NodeCommand::Check(check) if check.forward => check_forward(&check.settings),
         NodeCommand::Check(check) => check_settings(&check.settings),
         NodeCommand::Hash(_) => hash_key(),
     };
@@ -66,6 +70,12 @@
     Ok(())
 }
 
+fn check_forward(path: &std::path::Path) -> eyre::Result<()> {
+    let settings = load_forward(path)?;
+    println!("settings of node {} in {} are sound", settings.name, settings.domain);
+    Ok(())
+}
+
 fn hash_key() -> eyre::Result<()> {
     let mut key = String::new();
     std::io::stdin().read_to_string(&mut key)?;
--- /dev/null
+++ b/samphiredeck_core/src/forward/duty.rs
@@ -0,0 +1,146 @@
+//! Which node acts for the whole system.
+//!
+//! Answers a platform that does not check who acts: the holder counts its lease from before it
+//! sent the renewal and stops a flight's length before its end, and a successor waits from the
+//! last change that it saw for the lease, the flight and a guard. Each holder has a higher number.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    boot_time::BootTime,
+    ids::{FenceNumber, Incarnation, NodeName, RowVersion},
+};
+
+/// Time between renewals: three may fail before the lease ends.
+pub const DUTY_RENEW: Duration = Duration::from_millis(800);
+/// Longest time that an order or a report may be under way. Its connection is ended then.
+pub const DUTY_FLIGHT: Duration = Duration::from_millis(800);
+/// Time that a successor waits beyond lease and flight, for clocks that run at different speeds.
+const DUTY_GUARD: Duration = Duration::from_millis(700);
+
+/// Content of the row that names the holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyRecord {
+    /// Node that holds the duty.
+    pub holder: NodeName,
+    /// Run of that node.
+    pub incarnation: Incarnation,
+    /// Higher than that of all holders before.
+    pub fence: FenceNumber,
+    /// Counts the renewals, so that each one changes the row.
+    pub renewals: u64,
+}
+
+/// What a node does next about the duty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DutyStep {
+    /// Nothing.
+    Wait,
+    /// Write this record if the row still has this version.
+    Write(DutyRecord, RowVersion),
+}
+
+/// Row as it was read last.
+#[derive(Clone, Debug)]
+struct SeenRecord {
+    record: Option<DutyRecord>,
+    version: RowVersion,
+    /// Time of the first read that showed `version`, or of the end of an outage after it.
+    since: BootTime,
+}
+
+/// Duty as one node sees it.
+#[derive(Clone, Debug)]
+pub struct DutyLease {
+    node: NodeName,
+    incarnation: Incarnation,
+    length: Duration,
+    seen: Option<SeenRecord>,
+    /// Number under which this node holds the duty and the time before its last renewal was sent.
+    held: Option<(FenceNumber, BootTime)>,
+}
+
+impl DutyLease {
+    /// Starts without a view of the row. Holders keep the duty for `length` after a renewal.
+    #[must_use]
+    pub fn new(node: NodeName, incarnation: Incarnation, length: Duration) -> Self {
+        Self { node, incarnation, length, seen: None, held: None }
+    }
+
+    /// Takes in the row as read at `now`. A read that was overtaken by a newer one changes nothing.
+    pub fn observe(&mut self, record: Option<DutyRecord>, version: RowVersion, now: BootTime) {
+        if self.seen.as_ref().is_some_and(|seen| version < seen.version) {
+            return;
+        }
+        let own = record.as_ref().is_some_and(|record| self.is_own(record));
+        if !own {
+            self.held = None;
+        }
+        let known = self.seen.as_ref().filter(|seen| seen.version == version);
+        let since = known.map_or(now, |seen| seen.since);
+        self.seen = Some(SeenRecord { record, version, since });
+    }
+
+    fn is_own(&self, record: &DutyRecord) -> bool {
+        record.holder == self.node && record.incarnation == self.incarnation
+    }
+
+    /// Notes that `record`, sent at `sent_at`, was written as version `version`.
+    pub fn note_written(&mut self, record: DutyRecord, version: RowVersion, sent_at: BootTime) {
+        self.held = Some((record.fence, sent_at));
+        self.seen = Some(SeenRecord { record: Some(record), version, since: sent_at });
+    }
+
+    /// Forgets the view of the row after a write whose outcome is unknown. A lease that is held
+    /// runs on to its end, which no lost answer can bring forward.
+    pub fn forget_view(&mut self) {
+        self.seen = None;
+    }
+
+    /// Whether the row has to be read before anything can be decided.
+    #[must_use]
+    pub fn needs_view(&self) -> bool {
+        self.seen.is_none()
+    }
+
+    /// Decides what to do at `now`.
+    #[must_use]
+    pub fn next_step(&self, now: BootTime) -> DutyStep {
+        let Some(seen) = &self.seen else { return DutyStep::Wait };
+        let Some(record) = &seen.record else {
+            return DutyStep::Write(self.first_record(FenceNumber(1)), seen.version);
+        };
+        if self.is_own(record) {
+            let renewed_at = self.held.map_or(seen.since, |(_, at)| at);
+            if now.since(renewed_at) < DUTY_RENEW {
+                return DutyStep::Wait;
+            }
+            let renewed = DutyRecord { renewals: record.renewals + 1, ..record.clone() };
+            return DutyStep::Write(renewed, seen.version);
+        }
+        if now.since(seen.since) < self.length + DUTY_FLIGHT + DUTY_GUARD {
+            return DutyStep::Wait;
+        }
+        DutyStep::Write(self.first_record(record.fence.next()), seen.version)
+    }
+
+    fn first_record(&self, fence: FenceNumber) -> DutyRecord {
+        let (holder, incarnation) = (self.node.clone(), self.incarnation);
+        DutyRecord { holder, incarnation, fence, renewals: 0 }
+    }
+
+    /// Number under which this node may act at `now`, if it may.
+    #[must_use]
+    pub fn fence(&self, now: BootTime) -> Option<FenceNumber> {
+        let (fence, renewed_at) = self.held?;
+        (now.since(renewed_at) + DUTY_FLIGHT < self.length).then_some(fence)
+    }
+
+    /// Holder as read last.
+    #[must_use]
+    pub fn holder(&self) -> Option<&DutyRecord> {
+        self.seen.as_ref()?.record.as_ref()
+    }
+}
--- /dev/null
+++ b/samphiredeck_core/src/forward/freshness.rs
@@ -0,0 +1,61 @@
+//! Whether the configuration may still be the newest one.
+//!
+//! Answers revoked keys and changes that a node can't see: a node that the platform's store turns
+//! away stops to admit before the bound on revocation has passed.
+
+use std::time::Duration;
+
+use crate::boot_time::BootTime;
+
+/// Margin between the age at which nothing is admitted any more and the bound on revocation.
+/// Covers the way of a request to an upstream after its last check.
+pub const ADMIT_MARGIN: Duration = Duration::from_millis(400);
+/// Share of the admission age after which a node reports itself not ready, so that callers reach
+/// other nodes before it has to refuse.
+const READY_SHARE: f64 = 0.8;
+
+/// Age of a node's knowledge of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct ProofAge {
+    /// Time at which the last answered question about the newest version was sent.
+    asked_at: Option<BootTime>,
+    /// Age from which nothing may be admitted.
+    bound: Duration,
+}
+
+impl ProofAge {
+    /// Starts without any knowledge. `revoke` is the bound on revocation, if there is one.
+    #[must_use]
+    pub fn new(revoke: Option<Duration>) -> Self {
+        let bound = revoke.map_or(Duration::MAX, |bound| bound.saturating_sub(ADMIT_MARGIN));
+        Self { asked_at: None, bound }
+    }
+
+    /// Notes the answer to a question that was sent at `asked_at`.
+    pub fn note(&mut self, asked_at: BootTime) {
+        self.asked_at = self.asked_at.max(Some(asked_at));
+    }
+
+    /// Age at `now`, or nothing if there was no answer yet.
+    #[must_use]
+    pub fn age(&self, now: BootTime) -> Option<Duration> {
+        self.asked_at.map(|at| now.since(at))
+    }
+
+    /// Whether requests may be admitted at `now`.
+    #[must_use]
+    pub fn permits(&self, now: BootTime) -> bool {
+        self.age(now).is_some_and(|age| age < self.bound)
+    }
+
+    /// Whether the node should take new connections at `now`.
+    #[must_use]
+    pub fn is_ready(&self, now: BootTime) -> bool {
+        let bound = if self.bound == Duration::MAX {
+            self.bound
+        } else {
+            self.bound.mul_f64(READY_SHARE)
+        };
+        self.age(now).is_some_and(|age| age < bound)
+    }
+}
--- /dev/null
+++ b/samphiredeck_core/src/forward/members.rs
@@ -0,0 +1,150 @@
+//! Nodes of the system, as their rows in the platform's store show them.
+//!
+//! A node counts as alive while its row changes. What it published stays in use for a while after
+//! its end, since the requests that it counted have run.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    boot_time::BootTime,
+    forward::{
+        clock::ClockOffset,
+        ledger::{WindowCounts, WindowNumber},
+        quota::DemandRow,
+    },
+    ids::{Incarnation, NodeName, PoolName, RowVersion, WorkspaceName},
+};
+
+/// Time without a change of its row after which a node counts as gone: three times the period of
+/// its writes, with the time that a read may be behind.
+const MEMBER_LIFETIME: Duration = Duration::from_secs(8);
+
+/// Work that one node has sent to a pool, in upstream-milliseconds a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolWork {
+    /// Pool that does the work.
+    pub pool: PoolName,
+    /// Upstream-milliseconds of work that arrived a second.
+    pub rate: f64,
+}
+
+/// What a node publishes about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeBeat {
+    /// Tells apart the runs of one node name.
+    pub incarnation: Incarnation,
+    /// Difference of its time of day to the store's clock, in milliseconds, if it knows the latter.
+    pub offset_ms: Option<i64>,
+    /// Time up to which `windows` are complete, in milliseconds after 1970, if it knows that time.
+    pub counted_to_ms: Option<i64>,
+    /// Requests that began to run.
+    pub windows: Vec<WindowCounts>,
+    /// Units a second that each workspace asked for.
+    pub demand: Vec<(WorkspaceName, f64)>,
+    /// Work that arrived for each pool.
+    pub work: Vec<PoolWork>,
+}
+
+/// One row of a [`MemberTable`].
+#[derive(Clone, Debug)]
+pub struct MemberRow {
+    /// Key of the row.
+    pub node: NodeName,
+    /// Version of the row that holds `beat`.
+    pub version: RowVersion,
+    /// Time of the first read that showed `version`.
+    pub seen_at: BootTime,
+    /// What the node published last.
+    pub beat: NodeBeat,
+}
+
+/// Nodes known to this node.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    /// Sorted by node, without duplicates.
+    rows: Vec<MemberRow>,
+}
+
+impl MemberTable {
+    /// Takes in the rows that one read showed at `now`.
+    pub fn observe(&mut self, seen: Vec<(NodeName, RowVersion, NodeBeat)>, now: BootTime) {
+        let old = std::mem::take(&mut self.rows);
+        self.rows = seen
+            .into_iter()
+            .map(|(node, version, beat)| {
+                let known = old.binary_search_by(|row| row.node.cmp(&node)).ok();
+                let known = known.map(|at| &old[at]).filter(|row| row.version == version);
+                let seen_at = known.map_or(now, |row| row.seen_at);
+                MemberRow { node, version, seen_at, beat }
+            })
+            .collect();
+        self.rows.sort_by(|a, b| a.node.cmp(&b.node));
+        self.rows.dedup_by(|a, b| a.node == b.node);
+    }
+
+    /// Rows of nodes that are alive at `now`.
+    pub fn alive(&self, now: BootTime) -> impl Iterator<Item = &MemberRow> {
+        self.rows.iter().filter(move |row| now.since(row.seen_at) < MEMBER_LIFETIME)
+    }
+
+    /// Nodes whose row has not changed for `silence` at `now`, with the version of their row.
+    #[must_use]
+    pub fn silent(&self, silence: Duration, now: BootTime) -> Vec<(NodeName, RowVersion)> {
+        let old = self.rows.iter().filter(|row| now.since(row.seen_at) >= silence);
+        old.map(|row| (row.node.clone(), row.version)).collect()
+    }
+
+    /// Number of nodes that are alive at `now`, at least 1.
+    #[must_use]
+    pub fn count(&self, now: BootTime) -> u32 {
+        u32::try_from(self.alive(now).count()).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Clock offsets of the nodes that are alive at `now`.
+    #[must_use]
+    pub fn offsets(&self, now: BootTime) -> Vec<ClockOffset> {
+        self.alive(now).filter_map(|row| row.beat.offset_ms.map(ClockOffset)).collect()
+    }
+
+    /// Demand that each node alive at `now` published.
+    #[must_use]
+    pub fn demands(&self, now: BootTime) -> Vec<(NodeName, Vec<DemandRow>)> {
+        let rows = |beat: &NodeBeat| {
+            let demand = beat.demand.iter();
+            demand
+                .map(|(workspace, rate)| DemandRow { workspace: workspace.clone(), rate: *rate })
+                .collect()
+        };
+        self.alive(now).map(|row| (row.node.clone(), rows(&row.beat))).collect()
+    }
+
+    /// Work that arrives for `pool` a second over all nodes alive at `now`.
+    #[must_use]
+    pub fn work(&self, pool: &PoolName, now: BootTime) -> f64 {
+        let of = |row: &MemberRow| {
+            let work = row.beat.work.iter().find(|work| work.pool == *pool);
+            work.map_or(0.0, |work| work.rate)
+        };
+        self.alive(now).map(of).sum()
+    }
+
+    /// Sums what all nodes, also those that are gone, counted for `window`.
+    #[must_use]
+    pub fn sum_window(&self, window: WindowNumber) -> WindowCounts {
+        let mut sum = WindowCounts::new(window);
+        for row in &self.rows {
+            for counts in row.beat.windows.iter().filter(|counts| counts.window == window) {
+                sum.merge(counts);
+            }
+        }
+        sum
+    }
+
+    /// Whether each node alive at `now` has published all that it counted before `end_ms`.
+    #[must_use]
+    pub fn is_counted(&self, end_ms: i64, now: BootTime) -> bool {
+        self.alive(now).all(|row| row.beat.counted_to_ms.is_some_and(|to| to >= end_ms))
+    }
+}
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -136,6 +136,10 @@
     /// Names a declared plain service.
     BackendName
 );
+name_type!(
+    /// Names a pool of upstreams that serve the same work.
+    PoolName
+);
 name_type!(
     /// Identifies one incarnation of an upstream, as the platform's list gives it.
     UpstreamId
--- a/samphiredeck_wire/src/lib.rs
+++ b/samphiredeck_wire/src/lib.rs
@@ -4,4 +4,5 @@
 //! counter and body, so that forged, altered and replayed ones are refused.
 
 pub mod message;
+pub mod record;
 pub mod seal;
