--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -12,8 +12,10 @@
 mod ingress;
 mod journal;
 mod node;
+mod peers;
 mod platform_link;
 mod pool;
+mod quota;
 mod relay;
 pub mod settings;
 mod watch;
@@ -102,7 +104,7 @@
 fn note_start(node: &ForwardNode) {
     let settings = node.settings();
     let fields = json!({
-        "domain": settings.domain.as_str(), "incarnation": node.incarnation.0,
+        "domain": settings.domain.as_str(), 
         "caller": settings.listen.caller.to_string(), "store": settings.platform.store.to_string(),
         "program": env!("CARGO_PKG_VERSION"),
     });
--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -1,6 +1,6 @@
 //! What a forwarding node believes: the only mutable state that decisions are made from.
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use samphiredeck_core::{
     boot_time::BootTime,
@@ -11,7 +11,7 @@
         freshness::ProofAge,
         ledger::{StartLedger, WindowNumber},
         members::{MemberTable, NodeBeat},
-        quota::QuotaTable,
+        quota::{ContactTable, QuotaHome, QuotaPurse},
         repeat::RepeatTable,
         roster::UpstreamRoster,
         work::WorkMeter,
@@ -39,8 +39,12 @@
     pub roster: UpstreamRoster,
     /// Nodes.
     pub members: MemberTable,
-    /// Parts of the workspaces' limits.
-    pub quotas: QuotaTable,
+    /// Buckets of the workspaces that have their home here.
+    pub home: QuotaHome,
+    /// This node's parts of what is allowed beyond the limits.
+    pub purse: QuotaPurse,
+    /// Signs of life of other nodes.
+    pub contacts: ContactTable,
     /// Budget of repeated sends.
     pub repeats: RepeatTable,
     /// Requests that began to run here.
@@ -55,19 +59,21 @@
 
 impl ForwardBeliefs {
     /// Starts without any knowledge.
-    pub fn new(settings: &ForwardSettings, incarnation: Incarnation) -> Self {
+    pub fn new(settings: &ForwardSettings) -> Self {
         let bounds = settings.bounds;
         Self {
             catalog: None,
             proof: ProofAge::new(bounds.revoke.map(|bound| bound.duration())),
             roster: UpstreamRoster::default(),
             members: MemberTable::default(),
-            quotas: QuotaTable::new(bounds.quota, 1.0 / f64::from(NODES_ASSUMED)),
+            home: QuotaHome::new(bounds.quota),
+            purse: QuotaPurse::new(bounds.quota, NODES_ASSUMED),
+            contacts: ContactTable::default(),
             repeats: RepeatTable::new(bounds.repeat, NODES_ASSUMED),
             ledger: StartLedger::default(),
             work: WorkMeter::default(),
             clock: AgreedClock::default(),
-            duty: DutyLease::new(settings.name.clone(), incarnation, bounds.lease.duration()),
+            duty: DutyLease::new(settings.name.clone(), bounds.lease.duration()),
         }
     }
 
@@ -85,14 +91,13 @@
     }
 
     /// What this node publishes at `now`.
-    pub fn beat(&self, incarnation: Incarnation, now: BootTime) -> NodeBeat {
-        let demand = self.quotas.demand(now).into_iter();
+    pub fn beat(&self, incarnation: Incarnation, peer: SocketAddr, now: BootTime) -> NodeBeat {
         NodeBeat {
             incarnation,
             offset_ms: self.clock.own_offset(now, clock::wall_ms()).map(|offset| offset.0),
             counted_to_ms: self.clock.true_ms(now).map(|at| at - COUNT_DELAY_MS),
             windows: self.ledger.windows().to_vec(),
-            demand: demand.map(|row| (row.workspace, row.rate)).collect(),
+            peer,
             work: self.work.rates(now),
         }
     }
--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -11,7 +11,6 @@
     boot_time::BootTime,
     forward::{
         catalog::{ForwardCatalog, RepeatRule, RouteRow, WorkspaceRow},
-        quota::QuotaTable,
         waiting::retry_after,
         work::engine_work,
     },
@@ -28,6 +27,7 @@
     clock,
     gauges::{LatencyLabels, OutcomeLabels},
     node::{ForwardNode, StopPhase},
+    quota::{TakenUnits, give_back, take_units},
     relay::relay_stream,
 };
 
@@ -166,7 +166,7 @@
     /// Rank, 0 first.
     pub priority: u8,
     /// Units taken from the workspace's limit.
-    pub cost: f64,
+    pub taken: TakenUnits,
     /// Time at which the final answer is given.
     pub ends_at: BootTime,
     /// Version of the configuration that admitted it.
@@ -243,7 +243,7 @@
     let held = read_body(&node, &catalog, body, ends_at).await?;
     let (body, held) = held;
     let tokens = fields.tokens.map(|(prompt, output)| prompt + output);
-    let cost = workspace.map_or(0.0, |row| QuotaTable::cost_of(row, tokens));
+    let taken = take_units(trace, workspace, tokens).await?;
     let pool_name = route.pick_pool(random()).clone();
     trace.pool = pool_name.to_string();
     let pool = catalog.find_pool(&pool_name);
@@ -257,14 +257,13 @@
         max_connections: pool.map_or(u32::MAX, |pool| pool.max_connections),
         workspace: workspace.map(|row| row.name.clone()),
         priority: workspace.and_then(|row| row.priority).unwrap_or(route.priority),
-        cost,
+        taken,
         ends_at,
         version: catalog.version().0,
         pool: pool_name,
         fields,
         route,
     };
-    take_quota(trace, workspace, &call)?;
     let mut beliefs = node.beliefs();
     beliefs.repeats.note_first(&call.pool, trace.arrived);
     if engine {
@@ -344,27 +343,6 @@
     Ok((bytes, held))
 }
 
-fn take_quota(
-    trace: &CallTrace,
-    workspace: Option<&WorkspaceRow>,
-    call: &AdmittedCall,
-) -> Result<(), CallRefusal> {
-    let Some(workspace) = workspace else { return Ok(()) };
-    let taken = trace.node.beliefs().quotas.take(workspace, call.cost, trace.arrived);
-    taken.map_err(|wait| {
-        let fields = json!({
-            "request": trace.request, "workspace": workspace.name.as_str(), "cost": call.cost,
-            "rate": workspace.rate, "version": call.version, "wait_ms": wait.as_millis(),
-        });
-        trace.node.journal.note("over-quota", fields);
-        CallRefusal {
-            status: StatusCode::TOO_MANY_REQUESTS,
-            reason: "over the workspace's limit",
-            retry_after: Some(wait.mul_f64(1.0 + random::<f64>() / 4.0)),
-        }
-    })
-}
-
 async fn answer_call(
     call: AdmittedCall,
     mut trace: CallTrace,
@@ -391,10 +369,8 @@
             build_answer(&node, status, headers, body)
         }
         Err(refusal) => {
-            if progress.verdict == RunVerdict::NotRun
-                && let Some(workspace) = &call.workspace
-            {
-                trace.node.beliefs().quotas.give_back(workspace, call.cost);
+            if progress.verdict == RunVerdict::NotRun {
+                give_back(&trace.node, call.taken);
             }
             end_refused(&mut trace, &refusal)
         }
--- a/samphiredeck/src/forward/gauges.rs
+++ b/samphiredeck/src/forward/gauges.rs
@@ -128,8 +128,9 @@
     /// All metrics as text.
     pub fn render(&self) -> String {
         let mut text = String::new();
-        // Writing to a string does not fail.
-        drop(encode(&mut text, &self.registry));
-        text
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# the metrics can't be written: {error}\n"),
+        }
     }
 }
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -9,7 +9,8 @@
 use tokio::sync::watch;
 
 use crate::forward::{
-    beliefs::ForwardBeliefs, clock, gauges::ForwardGauges, journal::DecisionLog, pool::LinkPool,
+    beliefs::ForwardBeliefs, clock, gauges::ForwardGauges, journal::DecisionLog, peers::PeerTalk,
+    pool::LinkPool,
     settings::ForwardSettings,
 };
 
@@ -29,8 +30,9 @@
 pub struct ForwardNode {
     /// Settings in force. Replaced on reload.
     pub settings: RefCell<Rc<ForwardSettings>>,
-    /// Tells apart the runs of the node.
-    pub incarnation: Incarnation,
+    /// Tells apart the runs of the node: the newest version in the store when this run first read
+    /// the shared rows, so that later runs have higher numbers whatever the clocks show.
+    pub incarnation: Cell<Option<Incarnation>>,
     /// What the node believes.
     beliefs: RefCell<ForwardBeliefs>,
     /// Log.
@@ -39,6 +41,8 @@
     pub gauges: ForwardGauges,
     /// Connections to upstreams.
     pub pool: LinkPool,
+    /// Datagrams to other nodes, once their key is known.
+    pub peers: RefCell<Option<Rc<PeerTalk>>>,
     /// How far a stop has come.
     pub phase: watch::Sender<StopPhase>,
     /// Bytes of callers' bodies that are held.
@@ -48,13 +52,12 @@
 impl ForwardNode {
     /// Makes a node that knows nothing yet.
     pub fn new(settings: ForwardSettings) -> Self {
-        // Random, as the clock of an instance may jump and nothing outlives a run.
-        let incarnation = Incarnation(rand::random());
-        let beliefs = ForwardBeliefs::new(&settings, incarnation);
+        let beliefs = ForwardBeliefs::new(&settings);
         let journal = DecisionLog::start(settings.name.to_string(), settings.log_rate);
         Self {
             settings: RefCell::new(Rc::new(settings)),
-            incarnation,
+            incarnation: Cell::new(None),
+            peers: RefCell::new(None),
             beliefs: RefCell::new(beliefs),
             journal,
             gauges: ForwardGauges::new(),
--- /dev/null
+++ b/samphiredeck/src/forward/peers.rs
@@ -0,0 +1,261 @@
+//! Datagrams between forwarding nodes: questions about limits, and signs of life.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use samphiredeck_core::{
+    forward::quota::{QuotaAnswer, ReplaceStep, find_homes},
+    ids::{NodeName, WorkspaceName},
+};
+use samphiredeck_wire::{
+    message::DATAGRAM_MAX,
+    seal::{PeerKey, ReplayGuard, SenderStamp, open, seal},
+    talk::NodeTalk,
+};
+use serde_json::json;
+use tokio::{net::UdpSocket, sync::oneshot, time::timeout};
+
+use crate::forward::{clock, node::ForwardNode};
+
+/// Time in which a node that lives answers, also one that is slow: several times the users' longest
+/// way between domains, and a tenth of their tightest target.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time without a sign of any other node after which this node takes itself for the one that is
+/// cut off, and grants nothing beyond its purse.
+const ALONE_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Question that waits for its answer.
+#[derive(Debug)]
+struct OpenQuestion {
+    number: u64,
+    answer: oneshot::Sender<QuotaAnswer>,
+}
+
+/// Datagrams of this node.
+#[derive(Debug)]
+pub struct PeerTalk {
+    socket: UdpSocket,
+    key: PeerKey,
+    own: NodeName,
+    counter: Cell<u64>,
+    guard: RefCell<ReplayGuard>,
+    /// Sorted by number, as numbers only rise.
+    questions: RefCell<Vec<OpenQuestion>>,
+}
+
+impl PeerTalk {
+    /// Opens the datagrams of `node` with the key that `secret` stands for.
+    pub fn open(node: &Rc<ForwardNode>, secret: &str) {
+        let settings = node.settings();
+        let bound = std::net::UdpSocket::bind(settings.listen.peer).and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            UdpSocket::from_std(socket)
+        });
+        let socket = match bound {
+            Ok(socket) => socket,
+            Err(error) => {
+                node.journal.note("peers-closed", json!({ "reason": error.to_string() }));
+                return;
+            }
+        };
+        let talk = Rc::new(Self {
+            socket,
+            key: PeerKey::derive(secret),
+            own: settings.name.clone(),
+            counter: Cell::new(0),
+            guard: RefCell::default(),
+            questions: RefCell::default(),
+        });
+        *node.peers.borrow_mut() = Some(Rc::clone(&talk));
+        node.journal.note("peers-open", json!({ "address": settings.listen.peer.to_string() }));
+        actix_web::rt::spawn(take_datagrams(Rc::clone(node), talk));
+    }
+
+    fn next_number(&self) -> u64 {
+        self.counter.set(self.counter.get() + 1);
+        self.counter.get()
+    }
+
+    /// Sends `talk`, which may be lost.
+    async fn send(&self, node: &ForwardNode, to: &NodeName, address: SocketAddr, talk: &NodeTalk) {
+        let Some(incarnation) = node.incarnation.get() else { return };
+        let stamp = SenderStamp {
+            node: self.own.clone(),
+            incarnation,
+            counter: self.next_number(),
+            receiver: to.clone(),
+        };
+        match seal(&self.key, &stamp, talk) {
+            // Whoever waits for an answer notices that there is none.
+            Ok(bytes) => drop(self.socket.send_to(&bytes, address).await),
+            Err(error) => {
+                node.journal.note("talk-unsealed", json!({ "reason": error.to_string() }));
+            }
+        }
+    }
+
+    /// Asks `home` for `units` of `workspace`. Returns nothing if it does not answer.
+    pub async fn ask(
+        &self,
+        node: &ForwardNode,
+        home: &NodeName,
+        workspace: &WorkspaceName,
+        units: f64,
+        instead: bool,
+    ) -> Option<QuotaAnswer> {
+        let address = {
+            let beliefs = node.beliefs();
+            if !beliefs.contacts.is_worth_asking(home, clock::now()) {
+                return None;
+            }
+            beliefs.members.peer(home)?
+        };
+        let number = self.next_number();
+        let (sender, answer) = oneshot::channel();
+        self.questions.borrow_mut().push(OpenQuestion { number, answer: sender });
+        let workspace = workspace.clone();
+        let talk = NodeTalk::Ask { question: number, workspace, units, instead };
+        self.send(node, home, address, &talk).await;
+        let answer = timeout(ANSWER_TIMEOUT, answer).await;
+        self.questions.borrow_mut().retain(|open| open.number != number);
+        let answer = answer.ok().and_then(Result::ok);
+        if answer.is_none() {
+            node.beliefs().contacts.note_silent(home, clock::now());
+        }
+        answer
+    }
+
+    /// Gives units back to `home`.
+    pub async fn give_back(
+        &self,
+        node: &ForwardNode,
+        home: &NodeName,
+        workspace: WorkspaceName,
+        units: f64,
+    ) {
+        let Some(address) = node.beliefs().members.peer(home) else { return };
+        self.send(node, home, address, &NodeTalk::GiveBack { workspace, units }).await;
+    }
+
+    fn settle(&self, number: u64, answer: QuotaAnswer) {
+        let mut questions = self.questions.borrow_mut();
+        if let Ok(at) = questions.binary_search_by_key(&number, |open| open.number) {
+            // An asker that has given up takes no answer.
+            questions.remove(at).answer.send(answer).unwrap_or_default();
+        }
+    }
+}
+
+/// Takes datagrams until the process ends.
+async fn take_datagrams(node: Rc<ForwardNode>, talk: Rc<PeerTalk>) {
+    let mut buffer = [0; DATAGRAM_MAX];
+    loop {
+        let Ok((length, from)) = talk.socket.recv_from(&mut buffer).await else {
+            // An error concerns a datagram that was sent earlier.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let opened = open::<NodeTalk>(&talk.key, &talk.own, &buffer[..length]);
+        let taken = opened.and_then(|(stamp, message)| {
+            talk.guard.borrow_mut().take(&stamp)?;
+            Ok((stamp.node, message))
+        });
+        match taken {
+            Ok((sender, message)) => {
+                node.beliefs().contacts.note_heard(&sender, clock::now());
+                take_talk(&node, &talk, &sender, from, message).await;
+            }
+            Err(error) => {
+                let fields = json!({ "from": from.to_string(), "reason": error.to_string() });
+                node.journal.note("datagram-refused", fields);
+            }
+        }
+    }
+}
+
+async fn take_talk(
+    node: &ForwardNode,
+    talk: &PeerTalk,
+    sender: &NodeName,
+    from: SocketAddr,
+    message: NodeTalk,
+) {
+    match message {
+        NodeTalk::Ask { question, workspace, units, instead } => {
+            let Some(answer) = answer_ask(node, talk, &workspace, units, instead).await else {
+                return;
+            };
+            let reply = match answer {
+                QuotaAnswer::Granted => NodeTalk::Granted { question },
+                QuotaAnswer::Over(wait) => {
+                    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+                    NodeTalk::Over { question, wait_ms }
+                }
+            };
+            talk.send(node, sender, from, &reply).await;
+        }
+        NodeTalk::Granted { question } => talk.settle(question, QuotaAnswer::Granted),
+        NodeTalk::Over { question, wait_ms } => {
+            talk.settle(question, QuotaAnswer::Over(Duration::from_millis(wait_ms)));
+        }
+        NodeTalk::GiveBack { workspace, units } => {
+            node.beliefs().home.give_back(&workspace, units);
+        }
+        NodeTalk::Ping => talk.send(node, sender, from, &NodeTalk::Pong).await,
+        NodeTalk::Pong => {}
+    }
+}
+
+/// Answers a question to this node as the home of `workspace`, if it is that.
+pub async fn answer_ask(
+    node: &ForwardNode,
+    talk: &PeerTalk,
+    workspace: &WorkspaceName,
+    units: f64,
+    instead: bool,
+) -> Option<QuotaAnswer> {
+    if instead {
+        let first = first_home(node, workspace)?;
+        if first != talk.own {
+            let step = node.beliefs().contacts.replace(&first, clock::now());
+            match step {
+                ReplaceStep::Decline => return None,
+                ReplaceStep::AskFirst => {
+                    let address = node.beliefs().members.peer(&first)?;
+                    talk.send(node, &first, address, &NodeTalk::Ping).await;
+                    return None;
+                }
+                ReplaceStep::Serve => {}
+            }
+        }
+    }
+    grant_here(node, workspace, units)
+}
+
+fn first_home(node: &ForwardNode, workspace: &WorkspaceName) -> Option<NodeName> {
+    let beliefs = node.beliefs();
+    let alive: Vec<&NodeName> = beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
+    find_homes(workspace, &alive).0.cloned()
+}
+
+/// Takes units out of this node's bucket of `workspace`. Returns nothing if this node must not
+/// grant: it is cut off, or does not know the workspace.
+fn grant_here(
+    node: &ForwardNode,
+    workspace: &WorkspaceName,
+    units: f64,
+) -> Option<QuotaAnswer> {
+    let now = clock::now();
+    let mut beliefs = node.beliefs();
+    let catalog = beliefs.catalog.clone()?;
+    let alone = beliefs.members.count(now) > 1 && !beliefs.contacts.hears_any(ALONE_AFTER, now);
+    if alone || !beliefs.proof.permits(now) {
+        return None;
+    }
+    let row = catalog.workspaces().iter().find(|row| row.name == *workspace)?;
+    Some(beliefs.home.take(row, units, now))
+}
--- /dev/null
+++ b/samphiredeck/src/forward/quota.rs
@@ -0,0 +1,138 @@
+//! Units of a workspace's limit for one request.
+
+use std::{rc::Rc, time::Duration};
+
+use http::StatusCode;
+use rand::random;
+use samphiredeck_core::{
+    forward::{
+        catalog::WorkspaceRow,
+        quota::{QuotaAnswer, cost_of, find_homes},
+    },
+    ids::{NodeName, WorkspaceName},
+};
+use serde_json::json;
+
+use crate::forward::{
+    call::{CallRefusal, CallTrace},
+    clock,
+    node::ForwardNode,
+    peers::answer_ask,
+};
+
+/// Time after which a caller comes back whose limit could not be checked: homes change by then.
+const UNCHECKED_WAIT: Duration = Duration::from_millis(400);
+
+/// Where the units of a request came from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum UnitSource {
+    /// The workspace has no limit, or the route is public.
+    Unlimited,
+    /// This node's purse.
+    Purse,
+    /// A home.
+    Home(NodeName),
+}
+
+/// Units that were taken for a request.
+#[derive(Clone, Debug)]
+pub struct TakenUnits {
+    source: UnitSource,
+    workspace: Option<WorkspaceName>,
+    units: f64,
+}
+
+/// Takes the units of a request that names `tokens`.
+///
+/// # Errors
+///
+/// Returns the answer to a caller whose workspace is over its limit.
+pub async fn take_units(
+    trace: &CallTrace,
+    workspace: Option<&WorkspaceRow>,
+    tokens: Option<u64>,
+) -> Result<TakenUnits, CallRefusal> {
+    let unlimited = TakenUnits { source: UnitSource::Unlimited, workspace: None, units: 0.0 };
+    let Some(row) = workspace.filter(|row| row.rate > 0.0) else { return Ok(unlimited) };
+    let units = cost_of(row, tokens);
+    let taken = |source| TakenUnits { source, workspace: Some(row.name.clone()), units };
+    let node = Rc::clone(&trace.node);
+    if node.beliefs().purse.take_small(row, units, clock::now()) {
+        return Ok(taken(UnitSource::Purse));
+    }
+    match ask_homes(&node, row, units).await {
+        Some((home, QuotaAnswer::Granted)) => return Ok(taken(UnitSource::Home(home))),
+        Some((home, QuotaAnswer::Over(wait))) => {
+            let fields = json!({
+                "request": trace.request, "workspace": row.name.as_str(), "units": units,
+                "rate": row.rate, "burst": row.burst, "home": home.as_str(),
+                "wait_ms": wait.as_millis(),
+            });
+            node.journal.note("over-quota", fields);
+            return Err(CallRefusal {
+                status: StatusCode::TOO_MANY_REQUESTS,
+                reason: "over the workspace's limit",
+                retry_after: Some(wait.mul_f64(1.0 + random::<f64>() / 4.0)),
+            });
+        }
+        None => {}
+    }
+    let enough = node.beliefs().purse.take(row, units, clock::now());
+    let fields = json!({
+        "request": trace.request, "workspace": row.name.as_str(), "units": units,
+        "admitted": enough,
+    });
+    node.journal.note("home-silent", fields);
+    if enough {
+        return Ok(taken(UnitSource::Purse));
+    }
+    let wait = UNCHECKED_WAIT.mul_f64(0.75 + random::<f64>() / 2.0);
+    Err(CallRefusal::unrun("the workspace's limit can't be checked", wait))
+}
+
+async fn ask_homes(
+    node: &Rc<ForwardNode>,
+    row: &WorkspaceRow,
+    units: f64,
+) -> Option<(NodeName, QuotaAnswer)> {
+    let (first, second) = {
+        let beliefs = node.beliefs();
+        let alive: Vec<&NodeName> =
+            beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
+        let (first, second) = find_homes(&row.name, &alive);
+        (first.cloned(), second.cloned())
+    };
+    let own = node.settings().name.clone();
+    let talk = node.peers.borrow().clone();
+    for (home, instead) in [(first, false), (second, true)] {
+        let Some(home) = home else { continue };
+        let Some(talk) = &talk else { continue };
+        let answer = if home == own {
+            answer_ask(node, talk, &row.name, units, instead).await
+        } else {
+            talk.ask(node, &home, &row.name, units, instead).await
+        };
+        if let Some(answer) = answer {
+            return Some((home, answer));
+        }
+    }
+    None
+}
+
+/// Gives back the units of a request that did not run.
+pub fn give_back(node: &Rc<ForwardNode>, taken: TakenUnits) {
+    let (UnitSource::Home(home), Some(workspace)) = (taken.source, taken.workspace) else {
+        return;
+    };
+    if home == node.settings().name {
+        node.beliefs().home.give_back(&workspace, taken.units);
+        return;
+    }
+    let talk = node.peers.borrow().clone();
+    if let Some(talk) = talk {
+        let node = Rc::clone(node);
+        actix_web::rt::spawn(async move {
+            talk.give_back(&node, &home, workspace, taken.units).await;
+        });
+    }
+}
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -49,6 +49,7 @@
     caller: String,
     ready: String,
     metrics: String,
+    peer: String,
 }
 
 /// Section `platform`.
@@ -73,6 +74,7 @@
     repeat_extra: f64,
     quota_overage: f64,
     quota_slack: f64,
+    quota_window: Millis,
 }
 
 /// Section `log`.
@@ -97,6 +99,8 @@
     pub ready: SocketAddr,
     /// Metrics.
     pub metrics: SocketAddr,
+    /// Datagrams of other nodes.
+    pub peer: SocketAddr,
 }
 
 /// Addresses of the platform.
@@ -187,6 +191,7 @@
         let caller = check.parse("listen.caller", &raw.listen.caller);
         let ready = check.parse("listen.ready", &raw.listen.ready);
         let metrics = check.parse("listen.metrics", &raw.listen.metrics);
+        let peer = check.parse("listen.peer", &raw.listen.peer);
         let store = check.parse("platform.store", &raw.platform.store);
         let orders = raw.platform.orders.as_deref().filter(|text| !text.is_empty());
         let orders = orders.map(|text| check.parse("platform.orders", text));
@@ -196,6 +201,7 @@
         check.positive("bounds.usage_window", bounds.usage_window);
         check.positive("bounds.usage_due", bounds.usage_due);
         check.positive("bounds.repeat_window", bounds.repeat_window);
+        check.positive("bounds.quota_window", bounds.quota_window);
         if let Some(revoke) = bounds.revoke {
             check.positive("bounds.revoke", revoke);
         }
@@ -210,7 +216,12 @@
             Some(Self {
                 name: name?,
                 domain: domain?,
-                listen: ListenSettings { caller: caller?, ready: ready?, metrics: metrics? },
+                listen: ListenSettings {
+                    caller: caller?,
+                    ready: ready?,
+                    metrics: metrics?,
+                    peer: peer?,
+                },
                 platform: PlatformSettings { store: store?, orders: orders.flatten() },
                 bounds: BoundSettings {
                     revoke: bounds.revoke,
@@ -226,6 +237,7 @@
                     quota: QuotaSlack {
                         overage: bounds.quota_overage,
                         tokens: bounds.quota_slack,
+                        window: bounds.quota_window.duration(),
                     },
                 },
                 log_rate: raw.log.lines_per_second,
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -7,7 +7,7 @@
     backoff::BackoffState,
     boot_time::BootTime,
     forward::roster::{ListedUpstream, RosterChange},
-    ids::RowVersion,
+    ids::{Incarnation, RowVersion},
 };
 use samphiredeck_platform::{
     catalog::decode_catalog,
@@ -18,7 +18,7 @@
     upstreams::decode_upstream,
 };
 use samphiredeck_wire::record::{
-    DUTY_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record, node_key,
+    DUTY_KEY, SECRET_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record, node_key,
 };
 use serde_json::json;
 use tokio::time::sleep;
@@ -27,6 +27,7 @@
     clock,
     gauges::CallLabels,
     node::{ForwardNode, StopPhase},
+    peers::PeerTalk,
     platform_link::{CallError, PlatformLink},
 };
 
@@ -232,7 +233,13 @@
         match link.read_table(SHARED_TABLE, ANSWER_TIMEOUT).await {
             Ok(answer) => {
                 store.answered();
-                take_shared(&node, &answer.rows, reads == 0);
+                if node.incarnation.get().is_none() {
+                    identify(&node, &answer);
+                }
+                take_shared(&node, &answer.rows);
+                if node.peers.borrow().is_none() {
+                    open_peers(&node, &answer.rows, &mut link).await;
+                }
                 if reads % READS_PER_BEAT == 0 && node.phase() == StopPhase::Serving {
                     write_beat(&node, &mut link, &mut store).await;
                 }
@@ -244,9 +251,47 @@
     }
 }
 
-/// Takes in the shared rows. `first` says that this run of the node reads them for the first time.
-fn take_shared(node: &ForwardNode, rows: &[StoreRow], first: bool) {
-    let settings = node.settings();
+/// Finds out which run of the node this is, and takes over what the one before published.
+fn identify(node: &ForwardNode, answer: &StoreRows) {
+    let incarnation = Incarnation(answer.newest.0);
+    node.incarnation.set(Some(incarnation));
+    let own = node_key(&node.settings().name);
+    let mut beliefs = node.beliefs();
+    beliefs.duty.identify(incarnation);
+    for row in answer.rows.iter().filter(|row| row.key == own) {
+        let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
+        if let Some(Ok(Some(SharedRecord::Node(_, beat)))) = decoded {
+            beliefs.ledger.adopt(&beat.windows);
+        }
+    }
+    node.journal.note("identified", json!({ "incarnation": incarnation.0 }));
+}
+
+/// Opens the datagrams to other nodes with the secret in the store. The first node puts it there.
+async fn open_peers(node: &Rc<ForwardNode>, rows: &[StoreRow], link: &mut PlatformLink) {
+    let found = rows.iter().find(|row| row.key == SECRET_KEY);
+    let decoded = found.and_then(|row| decode_record(&row.key, row.value.as_deref()?).ok());
+    if let Some(Some(SharedRecord::Secret(secret))) = decoded {
+        PeerTalk::open(node, &secret);
+        return;
+    }
+    let secret: [u8; 32] = random();
+    let secret: String = secret.iter().map(|byte| format!("{byte:02x}")).collect();
+    let Ok(value) = encode_record(&secret) else { return };
+    let key = StoreKey { table: SHARED_TABLE.to_owned(), key: SECRET_KEY.to_owned() };
+    let change = StoreChange {
+        expected: vec![(key.clone(), RowVersion(0))],
+        writes: vec![(key, value)],
+        removals: Vec::new(),
+    };
+    // Whoever wrote it, the next read shows it.
+    if let Err(error) = link.change(&change, ANSWER_TIMEOUT).await {
+        node.journal.note("secret-unwritten", json!({ "reason": error.to_string() }));
+    }
+}
+
+/// Takes in the shared rows.
+fn take_shared(node: &ForwardNode, rows: &[StoreRow]) {
     let now = clock::now();
     let mut beliefs = node.beliefs();
     let mut members = Vec::new();
@@ -255,13 +300,10 @@
         let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
         match decoded {
             Some(Ok(Some(SharedRecord::Node(name, beat)))) => {
-                if first && name == settings.name {
-                    beliefs.ledger.adopt(&beat.windows);
-                }
                 members.push((name, row.version, beat));
             }
             Some(Ok(Some(SharedRecord::Duty(record)))) => duty = (Some(record), row.version),
-            Some(Ok(Some(SharedRecord::Usage(_)) | None)) | None => {}
+            Some(Ok(Some(SharedRecord::Usage(_) | SharedRecord::Secret(_)) | None)) | None => {}
             Some(Err(error)) => {
                 // A duty row that can't be read is overwritten by nobody.
                 if row.key == DUTY_KEY {
@@ -282,8 +324,7 @@
         beliefs.duty.observe(duty.0, duty.1, now);
     }
     beliefs.repeats.set_nodes(count);
-    let demands = beliefs.members.demands(now);
-    beliefs.quotas.share(&settings.name, &demands);
+    beliefs.purse.set_nodes(count);
     let offsets = beliefs.members.offsets(now);
     beliefs.clock.agree(offsets);
     node.gauges.nodes.set(i64::from(count));
@@ -291,7 +332,8 @@
 
 async fn write_beat(node: &ForwardNode, link: &mut PlatformLink, store: &mut Dependency<'_>) {
     let settings = node.settings();
-    let beat = node.beliefs().beat(node.incarnation, clock::now());
+    let Some(incarnation) = node.incarnation.get() else { return };
+    let beat = node.beliefs().beat(incarnation, settings.listen.peer, clock::now());
     let value = match encode_record(&beat) {
         Ok(value) => value,
         Err(error) => {
--- a/samphiredeck_core/src/forward/duty.rs
+++ b/samphiredeck_core/src/forward/duty.rs
@@ -55,7 +55,8 @@
 #[derive(Clone, Debug)]
 pub struct DutyLease {
     node: NodeName,
-    incarnation: Incarnation,
+    /// Nothing until the node knows which of its runs this is.
+    incarnation: Option<Incarnation>,
     length: Duration,
     seen: Option<SeenRecord>,
     /// Number under which this node holds the duty and the time before its last renewal was sent.
@@ -65,8 +66,13 @@
 impl DutyLease {
     /// Starts without a view of the row. Holders keep the duty for `length` after a renewal.
     #[must_use]
-    pub fn new(node: NodeName, incarnation: Incarnation, length: Duration) -> Self {
-        Self { node, incarnation, length, seen: None, held: None }
+    pub fn new(node: NodeName, length: Duration) -> Self {
+        Self { node, incarnation: None, length, seen: None, held: None }
+    }
+
+    /// Takes in which run of the node this is.
+    pub fn identify(&mut self, incarnation: Incarnation) {
+        self.incarnation = Some(incarnation);
     }
 
     /// Takes in the row as read at `now`. A read that was overtaken by a newer one changes nothing.
@@ -84,7 +90,7 @@
     }
 
     fn is_own(&self, record: &DutyRecord) -> bool {
-        record.holder == self.node && record.incarnation == self.incarnation
+        record.holder == self.node && Some(record.incarnation) == self.incarnation
     }
 
     /// Notes that `record`, sent at `sent_at`, was written as version `version`.
@@ -108,10 +114,14 @@
     /// Decides what to do at `now`.
     #[must_use]
     pub fn next_step(&self, now: BootTime) -> DutyStep {
-        let Some(seen) = &self.seen else { return DutyStep::Wait };
-        let Some(record) = &seen.record else {
-            return DutyStep::Write(self.first_record(FenceNumber(1)), seen.version);
+        let (Some(seen), Some(incarnation)) = (&self.seen, self.incarnation) else {
+            return DutyStep::Wait;
         };
+        let first = |fence: FenceNumber| {
+            let holder = self.node.clone();
+            DutyStep::Write(DutyRecord { holder, incarnation, fence, renewals: 0 }, seen.version)
+        };
+        let Some(record) = &seen.record else { return first(FenceNumber(1)) };
         if self.is_own(record) {
             let renewed_at = self.held.map_or(seen.since, |(_, at)| at);
             if now.since(renewed_at) < DUTY_RENEW {
@@ -123,12 +133,7 @@
         if now.since(seen.since) < self.length + DUTY_FLIGHT + DUTY_GUARD {
             return DutyStep::Wait;
         }
-        DutyStep::Write(self.first_record(record.fence.next()), seen.version)
-    }
-
-    fn first_record(&self, fence: FenceNumber) -> DutyRecord {
-        let (holder, incarnation) = (self.node.clone(), self.incarnation);
-        DutyRecord { holder, incarnation, fence, renewals: 0 }
+        first(record.fence.next())
     }
 
     /// Number under which this node may act at `now`, if it may.
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -3,7 +3,7 @@
 //! A node counts as alive while its row changes. What it published stays in use for a while after
 //! its end, since the requests that it counted have run.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -12,9 +12,8 @@
     forward::{
         clock::ClockOffset,
         ledger::{WindowCounts, WindowNumber},
-        quota::DemandRow,
     },
-    ids::{Incarnation, NodeName, PoolName, RowVersion, WorkspaceName},
+    ids::{Incarnation, NodeName, PoolName, RowVersion},
 };
 
 /// Time without a change of its row after which a node counts as gone: three times the period of
@@ -41,8 +40,8 @@
     pub counted_to_ms: Option<i64>,
     /// Requests that began to run.
     pub windows: Vec<WindowCounts>,
-    /// Units a second that each workspace asked for.
-    pub demand: Vec<(WorkspaceName, f64)>,
+    /// Address for datagrams of other nodes.
+    pub peer: SocketAddr,
     /// Work that arrived for each pool.
     pub work: Vec<PoolWork>,
 }
@@ -108,16 +107,11 @@
         self.alive(now).filter_map(|row| row.beat.offset_ms.map(ClockOffset)).collect()
     }
 
-    /// Demand that each node alive at `now` published.
+    /// Address for datagrams of `node`.
     #[must_use]
-    pub fn demands(&self, now: BootTime) -> Vec<(NodeName, Vec<DemandRow>)> {
-        let rows = |beat: &NodeBeat| {
-            let demand = beat.demand.iter();
-            demand
-                .map(|(workspace, rate)| DemandRow { workspace: workspace.clone(), rate: *rate })
-                .collect()
-        };
-        self.alive(now).map(|row| (row.node.clone(), rows(&row.beat))).collect()
+    pub fn peer(&self, node: &NodeName) -> Option<SocketAddr> {
+        let at = self.rows.binary_search_by(|row| row.node.cmp(node)).ok()?;
+        Some(self.rows[at].beat.peer)
     }
 
     /// Work that arrives for `pool` a second over all nodes alive at `now`.
--- a/samphiredeck_core/src/forward/quota.rs
+++ b/samphiredeck_core/src/forward/quota.rs
@@ -1,176 +1,313 @@
-//! Limits of workspaces, shared by all nodes without asking each other for each request.
+//! Limits of workspaces over all nodes together.
 //!
-//! Answers one workspace that sends many times its usual. Each node fills a bucket with a part of
-//! the declared rate. The parts follow the demand that all nodes published last, so all nodes
-//! compute the same parts and these add up to one.
+//! Answers one workspace that sends many times its usual, and large requests of small workspaces:
+//! a part of the limit for each node would be smaller than one request. Each workspace has a home
+//! among the nodes, the same one on every node, which keeps the only bucket and is asked for each
+//! request that is not small. Small requests, and all requests while no home answers, take from a
+//! purse: this node's part of the excess over the limit that is allowed.
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::{
     boot_time::BootTime,
     forward::catalog::WorkspaceRow,
     ids::{NodeName, WorkspaceName},
 };
 
-/// Share of the mean demand that each node counts as its own in addition, so that a node without
-/// demand so far can serve what comes next.
-const FLOOR_SHARE: f64 = 0.25;
-/// Time over which demand is averaged. Short against the bursts that quotas are declared for.
-const DEMAND_TIME: Duration = Duration::from_secs(3);
-/// Part of the allowed excess that the buckets use.
-const EXCESS_SHARE: f64 = 0.5;
+/// Part of the allowed excess by which a bucket is larger than the declared burst.
+const BUCKET_EXCESS: f64 = 0.3;
+/// Part of the allowed excess that a new bucket starts with: two homes may change in one window.
+const START_EXCESS: f64 = 0.2;
+/// Part of the allowed excess that purses are filled with in a window, over all nodes.
+const PURSE_RATE: f64 = 0.2;
+/// Part of the allowed excess that purses hold, over all nodes.
+const PURSE_EXCESS: f64 = 0.1;
+/// Share of a purse's content up to which a request counts as small.
+const SMALL_SHARE: f64 = 0.25;
+/// Share of a bucket that a request larger than this needs. It goes into debt for the rest, since
+/// it could wait for ever otherwise.
+const LARGE_SHARE: f64 = 0.5;
 /// Least time that a refused caller is told to wait.
-const WAIT_MIN: Duration = Duration::from_millis(200);
+const WAIT_MIN: Duration = Duration::from_millis(100);
 /// Longest time that a refused caller is told to wait.
 const WAIT_MAX: Duration = Duration::from_secs(5);
+/// Time for which a node that did not answer is not asked.
+const SILENT_PAUSE: Duration = Duration::from_millis(400);
+/// Age of the last sign of a first home from which the second one takes its place.
+const TAKE_OVER_AFTER: Duration = Duration::from_millis(900);
+/// Time in which a first home that lives answers the second one's question.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// How far all nodes together may exceed a declared limit.
+/// How far all nodes together may exceed a declared limit within a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaSlack {
     /// As a share of the limit.
     pub overage: f64,
     /// In tokens, for limits that count tokens.
     pub tokens: f64,
+    /// Length of the window.
+    pub window: Duration,
 }
 
-/// Units a second that one node was asked for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct DemandRow {
-    /// Workspace that asked.
-    pub workspace: WorkspaceName,
-    /// Units a second.
-    pub rate: f64,
+impl QuotaSlack {
+    /// Units by which `workspace` may exceed its limit in one window.
+    fn excess(&self, workspace: &WorkspaceRow) -> f64 {
+        let limit = workspace.rate * self.window.as_secs_f64() + workspace.burst;
+        limit * self.overage + if workspace.by_tokens { self.tokens } else { 0.0 }
+    }
+}
+
+/// Units that a request counts for, given the tokens that it names.
+#[must_use]
+pub fn cost_of(workspace: &WorkspaceRow, tokens: Option<u64>) -> f64 {
+    if !workspace.by_tokens {
+        return 1.0;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "requests have far fewer tokens")]
+    let cost = tokens.unwrap_or(workspace.plain_tokens) as f64;
+    cost
 }
 
-/// One row of a [`QuotaTable`].
+/// Units that fill up with time.
 #[derive(Clone, Debug)]
-struct BucketRow {
+struct UnitBucket {
     workspace: WorkspaceName,
-    /// Part of the limit that this node may use, in 0 to 1.
-    part: f64,
-    /// Units left. At most the part of the burst.
+    /// Units left. Below 0 after a large request.
     level: f64,
-    /// Time up to which the bucket was filled.
+    /// Time up to which it was filled.
     filled_at: BootTime,
-    /// Mean units a second asked for, up to `filled_at`.
-    demand: f64,
 }
 
-/// Buckets of this node by workspace.
+/// Buckets by workspace.
+#[derive(Clone, Debug, Default)]
+struct BucketTable {
+    /// Sorted by workspace, without duplicates.
+    rows: Vec<UnitBucket>,
+}
+
+impl BucketTable {
+    /// Fills the bucket of `workspace` up to `now`; a new one starts with `start` units.
+    fn filled(
+        &mut self,
+        workspace: &WorkspaceName,
+        start: f64,
+        rate: f64,
+        most: f64,
+        now: BootTime,
+    ) -> &mut UnitBucket {
+        let at = match self.rows.binary_search_by(|row| row.workspace.cmp(workspace)) {
+            Ok(at) => at,
+            Err(at) => {
+                let workspace = workspace.clone();
+                self.rows.insert(at, UnitBucket { workspace, level: start, filled_at: now });
+                at
+            }
+        };
+        let row = &mut self.rows[at];
+        let passed = now.since(row.filled_at).as_secs_f64();
+        row.level = (row.level + rate * passed).min(most);
+        row.filled_at = now;
+        row
+    }
+}
+
+/// Answer of a home.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaAnswer {
+    /// The request may run.
+    Granted,
+    /// The workspace is over its limit. There is room again after this time.
+    Over(Duration),
+}
+
+/// The buckets of the workspaces that have their home at this node.
 #[derive(Clone, Debug)]
-pub struct QuotaTable {
+pub struct QuotaHome {
     slack: QuotaSlack,
-    /// Part of workspaces that nobody published a demand for.
-    even_part: f64,
-    /// Sorted by workspace, without duplicates.
-    rows: Vec<BucketRow>,
+    buckets: BucketTable,
 }
 
-impl QuotaTable {
-    /// Starts with the part `even_part` of each limit.
+impl QuotaHome {
+    /// Starts without any bucket.
     #[must_use]
-    pub fn new(slack: QuotaSlack, even_part: f64) -> Self {
-        Self { slack, even_part, rows: Vec::new() }
-    }
-
-    /// Computes this node's parts from the demand that each node published, `own` among them.
-    pub fn share(&mut self, own: &NodeName, published: &[(NodeName, Vec<DemandRow>)]) {
-        #[expect(clippy::cast_precision_loss, reason = "nodes are counted in thousands")]
-        let count = published.len().max(1) as f64;
-        self.even_part = 1.0 / count;
-        for row in &mut self.rows {
-            let rate_of = |rows: &[DemandRow]| {
-                rows.iter().find(|demand| demand.workspace == row.workspace).map_or(0.0, |d| d.rate)
-            };
-            let total: f64 = published.iter().map(|(_, rows)| rate_of(rows)).sum();
-            let mine = published.iter().find(|(node, _)| node == own);
-            let mine = mine.map_or(0.0, |(_, rows)| rate_of(rows));
-            let floor = total / count * FLOOR_SHARE;
-            row.part = if total > 0.0 {
-                (mine + floor) / (total + floor * count)
-            } else {
-                self.even_part
-            };
+    pub fn new(slack: QuotaSlack) -> Self {
+        Self { slack, buckets: BucketTable::default() }
+    }
+
+    /// Takes `cost` units of `workspace`, if there are enough.
+    pub fn take(&mut self, workspace: &WorkspaceRow, cost: f64, now: BootTime) -> QuotaAnswer {
+        let excess = self.slack.excess(workspace);
+        let most = workspace.burst + excess * BUCKET_EXCESS;
+        let start = (excess * START_EXCESS).min(most);
+        let bucket = self.buckets.filled(&workspace.name, start, workspace.rate, most, now);
+        let needed = cost.min(most * LARGE_SHARE);
+        if bucket.level >= needed {
+            bucket.level -= cost;
+            return QuotaAnswer::Granted;
         }
+        let wait = (needed - bucket.level) / workspace.rate.max(f64::MIN_POSITIVE);
+        let wait = wait.clamp(WAIT_MIN.as_secs_f64(), WAIT_MAX.as_secs_f64());
+        QuotaAnswer::Over(Duration::from_secs_f64(wait))
     }
 
-    /// Lists the demand that this node sees at `now`.
-    #[must_use]
-    pub fn demand(&self, now: BootTime) -> Vec<DemandRow> {
-        let decay = |row: &BucketRow| row.demand * fade(now.since(row.filled_at));
-        self.rows
-            .iter()
-            .map(|row| DemandRow { workspace: row.workspace.clone(), rate: decay(row) })
-            .collect()
+    /// Gives back `cost` units of a request of `workspace` that did not run.
+    pub fn give_back(&mut self, workspace: &WorkspaceName, cost: f64) {
+        let rows = &mut self.buckets.rows;
+        if let Ok(at) = rows.binary_search_by(|row| row.workspace.cmp(workspace)) {
+            rows[at].level += cost;
+        }
     }
+}
+
+/// This node's parts of what is allowed beyond the limits.
+#[derive(Clone, Debug)]
+pub struct QuotaPurse {
+    slack: QuotaSlack,
+    /// Nodes that share. At least 1.
+    nodes: u32,
+    buckets: BucketTable,
+}
 
-    /// Units that a request counts for, given the tokens that it names.
+impl QuotaPurse {
+    /// Starts with purses for one of `nodes` nodes.
     #[must_use]
-    pub fn cost_of(workspace: &WorkspaceRow, tokens: Option<u64>) -> f64 {
-        if !workspace.by_tokens {
-            return 1.0;
+    pub fn new(slack: QuotaSlack, nodes: u32) -> Self {
+        Self { slack, nodes: nodes.max(1), buckets: BucketTable::default() }
+    }
+
+    /// Takes in how many nodes share.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.nodes = nodes.max(1);
+    }
+
+    fn purse(&mut self, workspace: &WorkspaceRow, now: BootTime) -> &mut UnitBucket {
+        let part = self.slack.excess(workspace) / f64::from(self.nodes);
+        let rate = part * PURSE_RATE / self.slack.window.as_secs_f64();
+        let most = part * PURSE_EXCESS;
+        self.buckets.filled(&workspace.name, most, rate, most, now)
+    }
+
+    /// Takes `cost` units of `workspace` if that is a small part of what is there.
+    pub fn take_small(&mut self, workspace: &WorkspaceRow, cost: f64, now: BootTime) -> bool {
+        let purse = self.purse(workspace, now);
+        let small = cost <= purse.level * SMALL_SHARE;
+        if small {
+            purse.level -= cost;
         }
-        #[expect(clippy::cast_precision_loss, reason = "requests have far fewer tokens")]
-        let cost = tokens.unwrap_or(workspace.plain_tokens) as f64;
-        cost
+        small
     }
 
-    /// Takes `cost` units of `workspace`.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which there will be enough.
-    pub fn take(
-        &mut self,
-        workspace: &WorkspaceRow,
-        cost: f64,
-        now: BootTime,
-    ) -> Result<(), Duration> {
-        if workspace.rate <= 0.0 {
-            return Ok(());
+    /// Takes `cost` units of `workspace`, if there are enough, while no home answers.
+    pub fn take(&mut self, workspace: &WorkspaceRow, cost: f64, now: BootTime) -> bool {
+        let purse = self.purse(workspace, now);
+        let enough = cost <= purse.level;
+        if enough {
+            purse.level -= cost;
         }
-        let scale = 1.0 + self.slack.overage * EXCESS_SHARE;
-        let tokens = if workspace.by_tokens { self.slack.tokens * EXCESS_SHARE } else { 0.0 };
-        let even_part = self.even_part;
-        let at = match self.rows.binary_search_by(|row| row.workspace.cmp(&workspace.name)) {
+        enough
+    }
+}
+
+/// One row of a [`ContactTable`].
+#[derive(Clone, Debug)]
+struct ContactRow {
+    node: NodeName,
+    /// Time of the last sign of life.
+    heard_at: Option<BootTime>,
+    /// Time of the last question without an answer.
+    asked_at: Option<BootTime>,
+    /// Time of the last answer that did not come.
+    silent_at: Option<BootTime>,
+}
+
+/// Signs of life between this node and others.
+#[derive(Clone, Debug, Default)]
+pub struct ContactTable {
+    /// Sorted by node, without duplicates.
+    rows: Vec<ContactRow>,
+}
+
+impl ContactTable {
+    fn row(&mut self, node: &NodeName) -> &mut ContactRow {
+        let at = match self.rows.binary_search_by(|row| row.node.cmp(node)) {
             Ok(at) => at,
             Err(at) => {
-                let row = BucketRow {
-                    workspace: workspace.name.clone(),
-                    part: even_part,
-                    level: (workspace.burst * scale + tokens) * even_part,
-                    filled_at: now,
-                    demand: 0.0,
-                };
+                let node = node.clone();
+                let row = ContactRow { node, heard_at: None, asked_at: None, silent_at: None };
                 self.rows.insert(at, row);
                 at
             }
         };
-        let row = &mut self.rows[at];
-        let rate = workspace.rate * scale * row.part;
-        let most = (workspace.burst * scale + tokens) * row.part;
-        let passed = now.since(row.filled_at);
-        row.level = (row.level + rate * passed.as_secs_f64()).min(most);
-        row.demand = row.demand * fade(passed) + cost / DEMAND_TIME.as_secs_f64();
-        row.filled_at = now;
-        if row.level >= cost {
-            row.level -= cost;
-            return Ok(());
-        }
-        let wait = if rate > 0.0 { (cost - row.level) / rate } else { f64::INFINITY };
-        let wait = wait.clamp(WAIT_MIN.as_secs_f64(), WAIT_MAX.as_secs_f64());
-        Err(Duration::from_secs_f64(wait))
+        &mut self.rows[at]
     }
 
-    /// Gives back `cost` units of a request that did not run.
-    pub fn give_back(&mut self, workspace: &WorkspaceName, cost: f64) {
-        if let Ok(at) = self.rows.binary_search_by(|row| row.workspace.cmp(workspace)) {
-            self.rows[at].level += cost;
+    /// Notes a sign of life of `node`.
+    pub fn note_heard(&mut self, node: &NodeName, now: BootTime) {
+        let row = self.row(node);
+        row.heard_at = Some(now);
+        row.asked_at = None;
+        row.silent_at = None;
+    }
+
+    /// Notes that `node` did not answer.
+    pub fn note_silent(&mut self, node: &NodeName, now: BootTime) {
+        self.row(node).silent_at = Some(now);
+    }
+
+    /// Whether `node` is worth asking.
+    #[must_use]
+    pub fn is_worth_asking(&self, node: &NodeName, now: BootTime) -> bool {
+        let found = self.rows.binary_search_by(|row| row.node.cmp(node));
+        let silent_at = found.ok().and_then(|at| self.rows[at].silent_at);
+        silent_at.is_none_or(|at| now.since(at) >= SILENT_PAUSE)
+    }
+
+    /// Whether any node was heard of within `span`.
+    #[must_use]
+    pub fn hears_any(&self, span: Duration, now: BootTime) -> bool {
+        self.rows.iter().any(|row| row.heard_at.is_some_and(|at| now.since(at) < span))
+    }
+
+    /// What a second home does when it is asked in place of `first`.
+    pub fn replace(&mut self, first: &NodeName, now: BootTime) -> ReplaceStep {
+        let row = self.row(first);
+        if row.heard_at.is_some_and(|at| now.since(at) < TAKE_OVER_AFTER) {
+            return ReplaceStep::Decline;
+        }
+        match row.asked_at {
+            None => {
+                row.asked_at = Some(now);
+                ReplaceStep::AskFirst
+            }
+            Some(at) if now.since(at) >= ANSWER_TIME => ReplaceStep::Serve,
+            Some(_) => ReplaceStep::Decline,
         }
     }
 }
 
-/// Weight of a mean after `passed`.
-fn fade(passed: Duration) -> f64 {
-    (-passed.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp()
+/// What a second home does when it is asked in place of the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplaceStep {
+    /// The first home lives or may live: give no answer.
+    Decline,
+    /// Ask the first home for a sign of life, and give no answer for now.
+    AskFirst,
+    /// The first home is silent: serve in its place.
+    Serve,
+}
+
+/// The first and the second home of `workspace` among `nodes`.
+#[must_use]
+pub fn find_homes<'a>(
+    workspace: &WorkspaceName,
+    nodes: &[&'a NodeName],
+) -> (Option<&'a NodeName>, Option<&'a NodeName>) {
+    let seed = xxh3_64_with_seed(workspace.as_str().as_bytes(), 0);
+    let weight = |node: &NodeName| xxh3_64_with_seed(node.as_str().as_bytes(), seed);
+    let first = nodes.iter().copied().max_by_key(|node| weight(node));
+    let others = nodes.iter().copied().filter(|node| Some(*node) != first);
+    let second = others.max_by_key(|node| weight(node));
+    (first, second)
 }
--- a/samphiredeck_wire/src/lib.rs
+++ b/samphiredeck_wire/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod message;
 pub mod record;
 pub mod seal;
+pub mod talk;
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -15,6 +15,8 @@
 pub const SHARED_TABLE: &str = "samphiredeck";
 /// Key of the row that names the node that acts for all.
 pub const DUTY_KEY: &str = "duty";
+/// Key of the row that holds the secret of the nodes' datagrams.
+pub const SECRET_KEY: &str = "secret";
 /// Beginning of the keys of nodes' rows.
 const NODE_PREFIX: &str = "node.";
 /// Beginning of the keys of agreed usage. The window follows with all digits, so that rows are in
@@ -46,6 +48,8 @@
     Node(NodeName, NodeBeat),
     /// Agreed usage of one window.
     Usage(WindowCounts),
+    /// Secret from which the key of the nodes' datagrams is derived.
+    Secret(String),
 }
 
 /// Key of the row of `node`.
@@ -86,6 +90,9 @@
     if key == DUTY_KEY {
         return Ok(Some(SharedRecord::Duty(decode_content(value)?)));
     }
+    if key == SECRET_KEY {
+        return Ok(Some(SharedRecord::Secret(decode_content(value)?)));
+    }
     if let Some(name) = key.strip_prefix(NODE_PREFIX) {
         let Ok(node) = name.parse() else { return Ok(None) };
         return Ok(Some(SharedRecord::Node(node, decode_content(value)?)));
--- /dev/null
+++ b/samphiredeck_wire/src/talk.rs
@@ -0,0 +1,43 @@
+//! Datagrams between forwarding nodes.
+
+use samphiredeck_core::ids::WorkspaceName;
+use serde::{Deserialize, Serialize};
+
+/// What one node says to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum NodeTalk {
+    /// Asks the home of `workspace` for `units`.
+    Ask {
+        /// Number of the question at its sender.
+        question: u64,
+        /// Workspace.
+        workspace: WorkspaceName,
+        /// Units of one request.
+        units: f64,
+        /// Whether the first home did not answer, so that the second one is asked.
+        instead: bool,
+    },
+    /// The request may run.
+    Granted {
+        /// Number of the question.
+        question: u64,
+    },
+    /// The workspace is over its limit.
+    Over {
+        /// Number of the question.
+        question: u64,
+        /// Milliseconds after which there is room again.
+        wait_ms: u64,
+    },
+    /// Units of a granted request that did not run.
+    GiveBack {
+        /// Workspace.
+        workspace: WorkspaceName,
+        /// Units.
+        units: f64,
+    },
+    /// Asks for a sign of life.
+    Ping,
+    /// A sign of life.
+    Pong,
+}
