--- a/samphiredeck/src/forward/peers.rs
+++ b/samphiredeck/src/forward/peers.rs
@@ -8,7 +8,7 @@
 };
 
 use samphiredeck_core::{
-    forward::quota::{QuotaAnswer, ReplaceStep, find_homes},
+    forward::quota::{HomeSign, QuotaAnswer, SIGN_TIME, find_homes},
     ids::{NodeName, WorkspaceName},
 };
 use samphiredeck_wire::{
@@ -17,13 +17,17 @@
     talk::NodeTalk,
 };
 use serde_json::json;
-use tokio::{net::UdpSocket, sync::oneshot, time::timeout};
+use tokio::{net::UdpSocket, sync::oneshot, time::{sleep, timeout}};
 
 use crate::forward::{clock, node::ForwardNode};
 
 /// Time in which a node that lives answers, also one that is slow: several times the users' longest
 /// way between domains, and a tenth of their tightest target.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time in which a later home answers, which asks the earlier ones for a sign of life first.
+const INSTEAD_TIMEOUT: Duration = Duration::from_millis(90);
+/// Nodes that are asked for a sign of life by one that has heard of none.
+const SIGNS_ASKED: usize = 3;
 /// Time without a sign of any other node after which this node takes itself for the one that is
 /// cut off, and grants nothing beyond its purse.
 const ALONE_AFTER: Duration = Duration::from_millis(1_500);
@@ -32,7 +36,7 @@
 #[derive(Debug)]
 struct OpenQuestion {
     number: u64,
-    answer: oneshot::Sender<QuotaAnswer>,
+    answer: oneshot::Sender<Option<QuotaAnswer>>,
 }
 
 /// Datagrams of this node.
@@ -120,13 +124,14 @@
         let workspace = workspace.clone();
         let talk = NodeTalk::Ask { question: number, workspace, units, instead };
         self.send(node, home, address, &talk).await;
-        let answer = timeout(ANSWER_TIMEOUT, answer).await;
+        let bound = if instead { INSTEAD_TIMEOUT } else { ANSWER_TIMEOUT };
+        let answer = timeout(bound, answer).await;
         self.questions.borrow_mut().retain(|open| open.number != number);
         let answer = answer.ok().and_then(Result::ok);
         if answer.is_none() {
             node.beliefs().contacts.note_silent(home, clock::now());
         }
-        answer
+        answer.flatten()
     }
 
     /// Gives units back to `home`.
@@ -141,7 +146,7 @@
         self.send(node, home, address, &NodeTalk::GiveBack { workspace, units }).await;
     }
 
-    fn settle(&self, number: u64, answer: QuotaAnswer) {
+    fn settle(&self, number: u64, answer: Option<QuotaAnswer>) {
         let mut questions = self.questions.borrow_mut();
         if let Ok(at) = questions.binary_search_by_key(&number, |open| open.number) {
             // An asker that has given up takes no answer.
@@ -166,8 +171,12 @@
         });
         match taken {
             Ok((sender, message)) => {
-                node.beliefs().contacts.note_heard(&sender, clock::now());
-                take_talk(&node, &talk, &sender, from, message).await;
+                let now = clock::now();
+                match message {
+                    NodeTalk::Unable => node.beliefs().contacts.note_unable(&sender, now),
+                    _ => node.beliefs().contacts.note_heard(&sender, now),
+                }
+                take_talk(&node, &talk, sender, from, message).await;
             }
             Err(error) => {
                 let fields = json!({ "from": from.to_string(), "reason": error.to_string() });
@@ -178,39 +187,55 @@
 }
 
 async fn take_talk(
-    node: &ForwardNode,
-    talk: &PeerTalk,
-    sender: &NodeName,
+    node: &Rc<ForwardNode>,
+    talk: &Rc<PeerTalk>,
+    sender: NodeName,
     from: SocketAddr,
     message: NodeTalk,
 ) {
     match message {
         NodeTalk::Ask { question, workspace, units, instead } => {
-            let Some(answer) = answer_ask(node, talk, &workspace, units, instead).await else {
-                return;
-            };
-            let reply = match answer {
-                QuotaAnswer::Granted => NodeTalk::Granted { question },
-                QuotaAnswer::Over(wait) => {
-                    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-                    NodeTalk::Over { question, wait_ms }
+            let (node, talk) = (Rc::clone(node), Rc::clone(talk));
+            // An answer may have to wait for signs of life, which arrive here.
+            actix_web::rt::spawn(async move {
+                let answer = answer_ask(&node, &talk, &workspace, units, instead).await;
+                let able = node.beliefs().proof.permits(clock::now());
+                talk.send(&node, &sender, from, &encode_reply(question, answer)).await;
+                if !able {
+                    talk.send(&node, &sender, from, &NodeTalk::Unable).await;
                 }
-            };
-            talk.send(node, sender, from, &reply).await;
+            });
         }
-        NodeTalk::Granted { question } => talk.settle(question, QuotaAnswer::Granted),
+        NodeTalk::Granted { question } => talk.settle(question, Some(QuotaAnswer::Granted)),
         NodeTalk::Over { question, wait_ms } => {
-            talk.settle(question, QuotaAnswer::Over(Duration::from_millis(wait_ms)));
+            talk.settle(question, Some(QuotaAnswer::Over(Duration::from_millis(wait_ms))));
         }
+        NodeTalk::Declined { question } => talk.settle(question, None),
         NodeTalk::GiveBack { workspace, units } => {
             node.beliefs().home.give_back(&workspace, units);
         }
-        NodeTalk::Ping => talk.send(node, sender, from, &NodeTalk::Pong).await,
-        NodeTalk::Pong => {}
+        NodeTalk::Ping => {
+            let able = node.beliefs().proof.permits(clock::now());
+            let reply = if able { NodeTalk::Pong } else { NodeTalk::Unable };
+            talk.send(node, &sender, from, &reply).await;
+        }
+        NodeTalk::Pong | NodeTalk::Unable => {}
     }
 }
 
-/// Answers a question to this node as the home of `workspace`, if it is that.
+fn encode_reply(question: u64, answer: Option<QuotaAnswer>) -> NodeTalk {
+    match answer {
+        Some(QuotaAnswer::Granted) => NodeTalk::Granted { question },
+        Some(QuotaAnswer::Over(wait)) => {
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            NodeTalk::Over { question, wait_ms }
+        }
+        None => NodeTalk::Declined { question },
+    }
+}
+
+/// Answers a question to this node as a home of `workspace`. Returns nothing if an earlier home
+/// lives, or if this node must not grant: it is cut off, or does not know the workspace.
 pub async fn answer_ask(
     node: &ForwardNode,
     talk: &PeerTalk,
@@ -218,44 +243,61 @@
     units: f64,
     instead: bool,
 ) -> Option<QuotaAnswer> {
-    if instead {
-        let first = first_home(node, workspace)?;
-        if first != talk.own {
-            let step = node.beliefs().contacts.replace(&first, clock::now());
-            match step {
-                ReplaceStep::Decline => return None,
-                ReplaceStep::AskFirst => {
-                    let address = node.beliefs().members.peer(&first)?;
-                    talk.send(node, &first, address, &NodeTalk::Ping).await;
-                    return None;
-                }
-                ReplaceStep::Serve => {}
-            }
+    if instead && !replaces_homes(node, talk, workspace).await {
+        return None;
+    }
+    let alone = {
+        let beliefs = node.beliefs();
+        let now = clock::now();
+        beliefs.members.count(now) > 1 && !beliefs.contacts.hears_any(ALONE_AFTER, now)
+    };
+    if alone {
+        let others = {
+            let beliefs = node.beliefs();
+            let rows = beliefs.members.alive(clock::now()).map(|row| row.node.clone());
+            rows.filter(|name| *name != talk.own).take(SIGNS_ASKED).collect::<Vec<_>>()
+        };
+        ask_signs(node, talk, &others).await;
+        if !node.beliefs().contacts.hears_any(ALONE_AFTER, clock::now()) {
+            return None;
         }
     }
-    grant_here(node, workspace, units)
-}
-
-fn first_home(node: &ForwardNode, workspace: &WorkspaceName) -> Option<NodeName> {
-    let beliefs = node.beliefs();
-    let alive: Vec<&NodeName> = beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
-    find_homes(workspace, &alive).0.cloned()
-}
-
-/// Takes units out of this node's bucket of `workspace`. Returns nothing if this node must not
-/// grant: it is cut off, or does not know the workspace.
-fn grant_here(
-    node: &ForwardNode,
-    workspace: &WorkspaceName,
-    units: f64,
-) -> Option<QuotaAnswer> {
     let now = clock::now();
     let mut beliefs = node.beliefs();
     let catalog = beliefs.catalog.clone()?;
-    let alone = beliefs.members.count(now) > 1 && !beliefs.contacts.hears_any(ALONE_AFTER, now);
-    if alone || !beliefs.proof.permits(now) {
+    if !beliefs.proof.permits(now) {
         return None;
     }
-    let row = catalog.workspaces().iter().find(|row| row.name == *workspace)?;
+    let row = catalog.find_workspace_row(workspace)?;
     Some(beliefs.home.take(row, units, now))
 }
+
+/// Whether this node may serve in the place of the earlier homes of `workspace`, which it asks for
+/// a sign of life if it has none.
+async fn replaces_homes(node: &ForwardNode, talk: &PeerTalk, workspace: &WorkspaceName) -> bool {
+    let earlier: Vec<NodeName> = {
+        let beliefs = node.beliefs();
+        let alive: Vec<&NodeName> =
+            beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
+        let homes = find_homes(workspace, &alive).into_iter();
+        homes.take_while(|home| **home != talk.own).cloned().collect()
+    };
+    let judge = |home: &NodeName| node.beliefs().contacts.judge(home, clock::now());
+    let unknown: Vec<NodeName> =
+        earlier.iter().filter(|home| judge(home) == HomeSign::Unknown).cloned().collect();
+    if !unknown.is_empty() {
+        ask_signs(node, talk, &unknown).await;
+    }
+    earlier.iter().all(|home| judge(home) == HomeSign::Silent)
+}
+
+/// Asks `others` for a sign of life and waits for as long as one that lives takes to give it.
+async fn ask_signs(node: &ForwardNode, talk: &PeerTalk, others: &[NodeName]) {
+    for other in others {
+        let address = node.beliefs().members.peer(other);
+        if let Some(address) = address {
+            talk.send(node, other, address, &NodeTalk::Ping).await;
+        }
+    }
+    sleep(SIGN_TIME).await;
+}
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -95,20 +95,18 @@
     row: &WorkspaceRow,
     units: f64,
 ) -> Option<(NodeName, QuotaAnswer)> {
-    let (first, second) = {
+    let homes: Vec<NodeName> = {
         let beliefs = node.beliefs();
         let alive: Vec<&NodeName> =
             beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
-        let (first, second) = find_homes(&row.name, &alive);
-        (first.cloned(), second.cloned())
+        find_homes(&row.name, &alive).into_iter().cloned().collect()
     };
     let own = node.settings().name.clone();
-    let talk = node.peers.borrow().clone();
-    for (home, instead) in [(first, false), (second, true)] {
-        let Some(home) = home else { continue };
-        let Some(talk) = &talk else { continue };
+    let talk = node.peers.borrow().clone()?;
+    for (place, home) in homes.into_iter().enumerate() {
+        let instead = place > 0;
         let answer = if home == own {
-            answer_ask(node, talk, &row.name, units, instead).await
+            answer_ask(node, &talk, &row.name, units, instead).await
         } else {
             talk.ask(node, &home, &row.name, units, instead).await
         };
--- a/samphiredeck_core/src/forward/catalog.rs
+++ b/samphiredeck_core/src/forward/catalog.rs
@@ -222,6 +222,13 @@
         Some(&self.pools[index])
     }
 
+    /// Finds the workspace `name`.
+    #[must_use]
+    pub fn find_workspace_row(&self, name: &WorkspaceName) -> Option<&WorkspaceRow> {
+        let index = self.workspaces.binary_search_by(|row| row.name.cmp(name)).ok()?;
+        Some(&self.workspaces[index])
+    }
+
     /// Finds the workspace that holds the key with this hash.
     #[must_use]
     pub fn find_workspace(&self, key: KeyHash) -> Option<&WorkspaceRow> {
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -18,7 +18,7 @@
 
 /// Time without a change of its row after which a node counts as gone: three times the period of
 /// its writes, with the time that a read may be behind.
-const MEMBER_LIFETIME: Duration = Duration::from_secs(8);
+const MEMBER_LIFETIME: Duration = Duration::from_millis(7_500);
 
 /// Work that one node has sent to a pool, in upstream-milliseconds a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/samphiredeck_core/src/forward/quota.rs
+++ b/samphiredeck_core/src/forward/quota.rs
@@ -35,10 +35,14 @@
 const WAIT_MAX: Duration = Duration::from_secs(5);
 /// Time for which a node that did not answer is not asked.
 const SILENT_PAUSE: Duration = Duration::from_millis(400);
-/// Age of the last sign of a first home from which the second one takes its place.
-const TAKE_OVER_AFTER: Duration = Duration::from_millis(900);
-/// Time in which a first home that lives answers the second one's question.
-const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Age up to which a sign of life of an earlier home keeps a later one from taking its place
+/// without asking.
+const ALIVE_FOR: Duration = Duration::from_millis(150);
+/// Time in which a node that lives answers a question for a sign of life.
+pub const SIGN_TIME: Duration = Duration::from_millis(30);
+/// Homes of a workspace that are asked one after the other. With three in ten nodes gone, one
+/// workspace in four hundred has none of them left.
+const HOMES_MAX: usize = 5;
 
 /// How far all nodes together may exceed a declared limit within a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -256,6 +260,13 @@
         self.row(node).silent_at = Some(now);
     }
 
+    /// Notes that `node` said that it can't act as a home.
+    pub fn note_unable(&mut self, node: &NodeName, now: BootTime) {
+        let row = self.row(node);
+        row.heard_at = None;
+        row.silent_at = Some(now);
+    }
+
     /// Whether `node` is worth asking.
     #[must_use]
     pub fn is_worth_asking(&self, node: &NodeName, now: BootTime) -> bool {
@@ -270,44 +281,44 @@
         self.rows.iter().any(|row| row.heard_at.is_some_and(|at| now.since(at) < span))
     }
 
-    /// What a second home does when it is asked in place of `first`.
-    pub fn replace(&mut self, first: &NodeName, now: BootTime) -> ReplaceStep {
-        let row = self.row(first);
-        if row.heard_at.is_some_and(|at| now.since(at) < TAKE_OVER_AFTER) {
-            return ReplaceStep::Decline;
+    /// Whether `node`, an earlier home, lives, as far as a later home can tell at `now`.
+    pub fn judge(&mut self, node: &NodeName, now: BootTime) -> HomeSign {
+        let row = self.row(node);
+        if row.heard_at.is_some_and(|at| now.since(at) < ALIVE_FOR) {
+            return HomeSign::Alive;
         }
         match row.asked_at {
-            None => {
+            // Signs of life are asked for again from time to time, as the node may be back.
+            Some(at) if now.since(at) >= SIGN_TIME && now.since(at) < SILENT_PAUSE => {
+                HomeSign::Silent
+            }
+            Some(at) if now.since(at) < SIGN_TIME => HomeSign::Unknown,
+            _ => {
                 row.asked_at = Some(now);
-                ReplaceStep::AskFirst
+                HomeSign::Unknown
             }
-            Some(at) if now.since(at) >= ANSWER_TIME => ReplaceStep::Serve,
-            Some(_) => ReplaceStep::Decline,
         }
     }
 }
 
-/// What a second home does when it is asked in place of the first.
+/// Whether an earlier home of a workspace lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReplaceStep {
-    /// The first home lives or may live: give no answer.
-    Decline,
-    /// Ask the first home for a sign of life, and give no answer for now.
-    AskFirst,
-    /// The first home is silent: serve in its place.
-    Serve,
+pub enum HomeSign {
+    /// It does.
+    Alive,
+    /// It has to be asked, or has been asked just now.
+    Unknown,
+    /// It does not answer.
+    Silent,
 }
 
-/// The first and the second home of `workspace` among `nodes`.
+/// The homes of `workspace` among `nodes`, in the order in which they are asked.
 #[must_use]
-pub fn find_homes<'a>(
-    workspace: &WorkspaceName,
-    nodes: &[&'a NodeName],
-) -> (Option<&'a NodeName>, Option<&'a NodeName>) {
+pub fn find_homes<'a>(workspace: &WorkspaceName, nodes: &[&'a NodeName]) -> Vec<&'a NodeName> {
     let seed = xxh3_64_with_seed(workspace.as_str().as_bytes(), 0);
-    let weight = |node: &NodeName| xxh3_64_with_seed(node.as_str().as_bytes(), seed);
-    let first = nodes.iter().copied().max_by_key(|node| weight(node));
-    let others = nodes.iter().copied().filter(|node| Some(*node) != first);
-    let second = others.max_by_key(|node| weight(node));
-    (first, second)
+    let weight = |node: &&NodeName| xxh3_64_with_seed(node.as_str().as_bytes(), seed);
+    let mut homes = nodes.to_vec();
+    homes.sort_by_cached_key(|node| std::cmp::Reverse(weight(node)));
+    homes.truncate(HOMES_MAX);
+    homes
 }
--- a/samphiredeck_wire/src/talk.rs
+++ b/samphiredeck_wire/src/talk.rs
@@ -14,7 +14,7 @@
         workspace: WorkspaceName,
         /// Units of one request.
         units: f64,
-        /// Whether the first home did not answer, so that the second one is asked.
+        /// Whether an earlier home did not answer, so that a later one is asked.
         instead: bool,
     },
     /// The request may run.
@@ -29,6 +29,11 @@
         /// Milliseconds after which there is room again.
         wait_ms: u64,
     },
+    /// An earlier home of the workspace lives.
+    Declined {
+        /// Number of the question.
+        question: u64,
+    },
     /// Units of a granted request that did not run.
     GiveBack {
         /// Workspace.
@@ -38,6 +43,8 @@
     },
     /// Asks for a sign of life.
     Ping,
-    /// A sign of life.
+    /// A sign of life of a node that can act as a home.
     Pong,
+    /// The node can't act as a home: it does not know the newest configuration.
+    Unable,
 }
