--- a/samphiredeck_core/src/forward/quota.rs
+++ b/samphiredeck_core/src/forward/quota.rs
@@ -17,13 +17,16 @@
 };
 
 /// Part of the allowed excess by which a bucket is larger than the declared burst.
-const BUCKET_EXCESS: f64 = 0.3;
-/// Part of the allowed excess that a new bucket starts with: two homes may change in one window.
-const START_EXCESS: f64 = 0.2;
+const BUCKET_EXCESS: f64 = 0.25;
+/// Part of the allowed excess that a bucket is filled with in a window beyond the declared rate.
+const RATE_EXCESS: f64 = 0.35;
+/// Part of the allowed excess that a new bucket starts with, since its home may have changed. All
+/// parts, those of the purses included, add up to less than 1.
+const START_EXCESS: f64 = 0.15;
 /// Part of the allowed excess that purses are filled with in a window, over all nodes.
-const PURSE_RATE: f64 = 0.2;
+const PURSE_RATE: f64 = 0.12;
 /// Part of the allowed excess that purses hold, over all nodes.
-const PURSE_EXCESS: f64 = 0.1;
+const PURSE_EXCESS: f64 = 0.08;
 /// Share of a purse's content up to which a request counts as small.
 const SMALL_SHARE: f64 = 0.25;
 /// Share of a bucket that a request larger than this needs. It goes into debt for the rest, since
@@ -145,13 +148,14 @@
         let excess = self.slack.excess(workspace);
         let most = workspace.burst + excess * BUCKET_EXCESS;
         let start = (excess * START_EXCESS).min(most);
-        let bucket = self.buckets.filled(&workspace.name, start, workspace.rate, most, now);
+        let rate = workspace.rate + excess * RATE_EXCESS / self.slack.window.as_secs_f64();
+        let bucket = self.buckets.filled(&workspace.name, start, rate, most, now);
         let needed = cost.min(most * LARGE_SHARE);
         if bucket.level >= needed {
             bucket.level -= cost;
             return QuotaAnswer::Granted;
         }
-        let wait = (needed - bucket.level) / workspace.rate.max(f64::MIN_POSITIVE);
+        let wait = (needed - bucket.level) / rate.max(f64::MIN_POSITIVE);
         let wait = wait.clamp(WAIT_MIN.as_secs_f64(), WAIT_MAX.as_secs_f64());
         QuotaAnswer::Over(Duration::from_secs_f64(wait))
     }
