Keep long prompts apart from other streams

Cause: an engine reads a prompt of 50,000 tokens in steps of 110 to 200 ms, and five steps make an event, so all streams beside it pause for longer than 500 ms.

--- a/samphiredeck_core/src/forward/placing.rs
+++ b/samphiredeck_core/src/forward/placing.rs
@@ -3,7 +3,9 @@
 //! Answers many nodes that see the same old reports: own flights count exactly, others' only by a
 //! fading report, and noise keeps nodes from choosing alike. Answers prompts that share long parts:
 //! every node finds the same home for a part without asking the others, and leaves it only where
-//! the wait there is longer than reading the part again.
+//! the wait there is longer than reading the part again. Answers very long prompts, which an engine
+//! reads in steps that hold up all streams beside them: they go to a few upstreams, the same ones
+//! for every node, that other requests avoid.
 
 use std::time::Duration;
 
@@ -30,9 +32,23 @@
 const FOREIGN_DOMAIN_COST_MS: f64 = 2.0;
 /// Range of the noise that spreads nodes over upstreams that look alike, in milliseconds.
 const NOISE_MS: f64 = 4.0;
+/// Prompt tokens from which the steps of reading are so long that streams beside them pause for
+/// longer than the users' targets allow: five steps of 130 ms.
+const LONG_PROMPT_TOKENS: u64 = 20_000;
+/// Upstreams of a pool for each one that takes the long prompts.
+const UPSTREAMS_PER_LANE: usize = 8;
+/// Fewest upstreams of a pool from which on long prompts are kept apart.
+const LANE_UPSTREAMS_MIN: usize = 4;
+/// Cost of a lane for long prompts to other requests, in milliseconds.
+const LANE_COST_MS: f64 = 80.0;
+/// Cost of another upstream to a long prompt, in milliseconds.
+const LANE_DETOUR_MS: f64 = 150.0;
 /// Service time of a plain request, in milliseconds, until measured: from the users' sheets.
 const PLAIN_SERVICE_MS: f64 = 40.0;
 
+/// Key by which the lanes for long prompts are found.
+const LANE_KEY: &str = "long prompts";
+
 /// One part of a prompt, as its caller names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -105,7 +121,9 @@
             && row.flights < request.connections
             && !request.tried.contains(&row.entry.id)
     };
-    let home = find_home(roster, request);
+    let lanes = find_lanes(roster, request);
+    let home = find_home(roster, request, &lanes);
+    let long = request.tokens() >= LONG_PROMPT_TOKENS;
     let mut best: Option<(f64, PlaceChoice)> = None;
     for row in roster.rows().iter().filter(fits) {
         let is_home = home.is_some_and(|home| *home == row.entry.id);
@@ -119,6 +137,11 @@
         if row.entry.domain != *own {
             cost += FOREIGN_DOMAIN_COST_MS;
         }
+        match (long, lanes.contains(&&row.entry.id)) {
+            (true, false) if !lanes.is_empty() => cost += LANE_DETOUR_MS,
+            (false, true) => cost += LANE_COST_MS,
+            _ => {}
+        }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let expected = Duration::from_secs_f64(wait / 1_000.0);
             let upstream = row.entry.id.clone();
@@ -128,19 +151,48 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Weight of `id` for `key`, the same on every node.
+fn rendezvous(key: &str, id: &UpstreamId) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(id.as_str().as_bytes(), 0))
+}
+
+/// Upstreams of the pool that take new work.
+fn accepting<'a>(
+    roster: &'a UpstreamRoster,
+    request: &PlaceRequest<'_>,
+) -> impl Iterator<Item = &'a UpstreamId> {
+    let rows = roster.rows().iter();
+    rows.filter(|row| row.entry.pool == *request.pool && row.is_accepting()).map(|row| &row.entry.id)
+}
+
+/// Upstreams that take long prompts.
+fn find_lanes<'a>(roster: &'a UpstreamRoster, request: &PlaceRequest<'_>) -> Vec<&'a UpstreamId> {
+    if !request.engine {
+        return Vec::new();
+    }
+    let mut lanes: Vec<&UpstreamId> = accepting(roster, request).collect();
+    if lanes.len() < LANE_UPSTREAMS_MIN {
+        return Vec::new();
+    }
+    let count = lanes.len().div_ceil(UPSTREAMS_PER_LANE);
+    lanes.sort_by_cached_key(|id| std::cmp::Reverse(rendezvous(LANE_KEY, id)));
+    lanes.truncate(count);
+    lanes
+}
+
 /// Home of the request's shared part: the same on every node that knows the same upstreams, and
 /// unchanged for most parts when an upstream comes or goes.
-fn find_home<'a>(roster: &'a UpstreamRoster, request: &PlaceRequest<'_>) -> Option<&'a UpstreamId> {
+fn find_home<'a>(
+    roster: &'a UpstreamRoster,
+    request: &PlaceRequest<'_>,
+    lanes: &[&UpstreamId],
+) -> Option<&'a UpstreamId> {
     if !request.engine {
         return None;
     }
     let part = request.shared()?;
-    let rows = roster.rows().iter();
-    let fits = rows.filter(|row| row.entry.pool == *request.pool && row.is_accepting());
-    let weight = |row: &&RosterRow| {
-        xxh3_64_with_seed(part.id.as_bytes(), xxh3_64_with_seed(row.entry.id.as_str().as_bytes(), 0))
-    };
-    fits.max_by_key(weight).map(|row| &row.entry.id)
+    let homes = accepting(roster, request).filter(|id| !lanes.contains(id));
+    homes.max_by_key(|id| rendezvous(&part.id, id))
 }
 
 /// Time until `row` would give the first sign of an answer, in milliseconds.
