--- a/samphiredeck_core/src/forward/capacity.rs
+++ b/samphiredeck_core/src/forward/capacity.rs
@@ -10,7 +10,7 @@
 
 /// Share of an upstream's time that the expected work may take. In runs with reclaims, engines kept
 /// the users' targets at 0.97 and missed them for a third of the requests at 1.3.
-const WORK_SHARE: f64 = 0.9;
+const WORK_SHARE: f64 = 1.1;
 /// Failure domains whose loss the reclaimable upstreams bear without others.
 const LOST_DOMAINS: usize = 2;
 /// Reclaimable upstreams in each domain beyond those: they cost a fifth of those on demand.
