--- a/samphiredeck_core/src/forward/capacity.rs
+++ b/samphiredeck_core/src/forward/capacity.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers reclaims of all reclaimable upstreams of one failure domain, several in a row, with no
 //! others to be had for a while: reclaimable ones are ordered so that the loss of two domains leaves
-//! enough, and ones on demand fill up what the next loss would leave missing.
+//! enough, and ones on demand fill up a part of what the next loss would leave missing.
 
 use std::time::Duration;
 
@@ -15,6 +15,9 @@
 const LOST_DOMAINS: usize = 2;
 /// Reclaimable upstreams in each domain beyond those: they cost a fifth of those on demand.
 const SPARE_EACH: f64 = 1.0;
+/// Share of the largest domain's reclaimable upstreams that ones on demand make up for before it is
+/// reclaimed. The rest is ordered then.
+const INSURED_SHARE: f64 = 0.5;
 /// Fewest upstreams that are needed, whatever the work.
 const NEEDED_MIN: f64 = 2.0;
 /// Share of the upstreams found at the start that is taken for needed until the work is known.
@@ -186,11 +189,12 @@
 }
 
 /// Upstreams on demand for each domain, in the order of `stocks`: what the reclaimable ones that
-/// serve now would leave missing after the loss of their largest domain, cheapest domains first.
+/// serve now would leave missing after the loss of a part of their largest domain, cheapest domains
+/// first.
 fn want_on_demand(rule: &ScalingRule, stocks: &[DomainStock], needed: f64) -> Vec<u32> {
     let serving: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
     let largest = stocks.iter().map(|stock| stock.reclaimable).max().unwrap_or(0);
-    let mut missing = needed - f64::from(serving - largest);
+    let mut missing = needed - (f64::from(serving) - f64::from(largest) * INSURED_SHARE);
     let mut counts = vec![0; stocks.len()];
     let price = |index: usize| {
         let found = rule.prices.binary_search_by(|(domain, _)| domain.cmp(&stocks[index].domain));
