Keep only what a gap hid as missing upstreams, and only as a last resort

Ruled out: the pace of reads (they came every 0.7 s) and stale reads (versions rose). Change: leniency for what the first read after a gap did not name, 2.2 s, at a cost above that of any other upstream; lists older than one taken in are dropped by their version.

--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -349,7 +349,7 @@
                         .filter(|row| {
                             row.entry.pool == pool.name
                                 && row.entry.domain == domain
-                                && row.is_accepting()
+                                && row.is_accepting(now)
                                 && row.entry.reclaimable == reclaimable
                         })
                         .count();
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -45,7 +45,7 @@
 const READS_PER_BEAT: u32 = 2;
 /// First and longest pause after a call that failed.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
-const PAUSE_LONGEST: Duration = Duration::from_millis(900);
+const PAUSE_LONGEST: Duration = Duration::from_millis(500);
 /// Share of a period by which it varies, so that nodes don't call together.
 const PERIOD_NOISE: f64 = 0.2;
 
@@ -202,7 +202,7 @@
     let now = clock::now();
     let mut beliefs = node.beliefs();
     beliefs.clock.sample(asked_at, now, answer.clock_ms);
-    let changes = beliefs.roster.apply_list(list, asked_at, now);
+    let changes = beliefs.roster.apply_list(list, answer.newest, asked_at, now);
     for change in changes {
         let (what, upstream) = match &change {
             RosterChange::Joined(id) => ("joined", id),
--- a/samphiredeck_core/src/forward/placing.rs
+++ b/samphiredeck_core/src/forward/placing.rs
@@ -28,6 +28,9 @@
 const FAULT_COST_MS: f64 = 3_000.0;
 /// Cost of an upstream that is still slow after its start, in milliseconds.
 const COLD_COST_MS: f64 = 300.0;
+/// Cost of an upstream that is missing from the list after a gap, in milliseconds: above that of
+/// any other that can serve at all.
+const MISSING_COST_MS: f64 = 5_000.0;
 /// Cost of another failure domain, in milliseconds: two ways of the users' networks.
 const FOREIGN_DOMAIN_COST_MS: f64 = 2.0;
 /// Range of the noise that spreads nodes over upstreams that look alike, in milliseconds.
@@ -117,12 +120,12 @@
 ) -> Option<PlaceChoice> {
     let fits = |row: &&RosterRow| {
         row.entry.pool == *request.pool
-            && row.is_accepting()
+            && row.is_accepting(now)
             && row.flights < request.connections
             && !request.tried.contains(&row.entry.id)
     };
-    let lanes = find_lanes(roster, request);
-    let home = find_home(roster, request, &lanes);
+    let lanes = find_lanes(roster, request, now);
+    let home = find_home(roster, request, &lanes, now);
     let long = request.tokens() >= LONG_PROMPT_TOKENS;
     let mut best: Option<(f64, PlaceChoice)> = None;
     for row in roster.rows().iter().filter(fits) {
@@ -134,6 +137,9 @@
         if now < row.cold_until {
             cost += COLD_COST_MS;
         }
+        if row.is_missing() {
+            cost += MISSING_COST_MS;
+        }
         if row.entry.domain != *own {
             cost += FOREIGN_DOMAIN_COST_MS;
         }
@@ -160,17 +166,22 @@
 fn accepting<'a>(
     roster: &'a UpstreamRoster,
     request: &PlaceRequest<'_>,
+    now: BootTime,
 ) -> impl Iterator<Item = &'a UpstreamId> {
-    let rows = roster.rows().iter();
-    rows.filter(|row| row.entry.pool == *request.pool && row.is_accepting()).map(|row| &row.entry.id)
+    let rows = roster.rows().iter().filter(move |row| row.is_accepting(now));
+    rows.filter(|row| row.entry.pool == *request.pool).map(|row| &row.entry.id)
 }
 
 /// Upstreams that take long prompts.
-fn find_lanes<'a>(roster: &'a UpstreamRoster, request: &PlaceRequest<'_>) -> Vec<&'a UpstreamId> {
+fn find_lanes<'a>(
+    roster: &'a UpstreamRoster,
+    request: &PlaceRequest<'_>,
+    now: BootTime,
+) -> Vec<&'a UpstreamId> {
     if !request.engine {
         return Vec::new();
     }
-    let mut lanes: Vec<&UpstreamId> = accepting(roster, request).collect();
+    let mut lanes: Vec<&UpstreamId> = accepting(roster, request, now).collect();
     if lanes.len() < LANE_UPSTREAMS_MIN {
         return Vec::new();
     }
@@ -186,12 +197,13 @@
     roster: &'a UpstreamRoster,
     request: &PlaceRequest<'_>,
     lanes: &[&UpstreamId],
+    now: BootTime,
 ) -> Option<&'a UpstreamId> {
     if !request.engine {
         return None;
     }
     let part = request.shared()?;
-    let homes = accepting(roster, request).filter(|id| !lanes.contains(id));
+    let homes = accepting(roster, request, now).filter(|id| !lanes.contains(id));
     homes.max_by_key(|id| rendezvous(&part.id, id))
 }
 
--- a/samphiredeck_core/src/forward/roster.rs
+++ b/samphiredeck_core/src/forward/roster.rs
@@ -2,21 +2,21 @@
 //!
 //! Answers upstreams that leave: a leaving mark, whatever it came from, is never taken back for the
 //! same start of an upstream. Answers lists with entries missing after an outage of the store: these
-//! upstreams are kept for the time that the platform takes to list them again.
+//! upstreams are kept as a last resort for the time that the platform takes to list them again.
 
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     boot_time::BootTime,
-    ids::{DomainName, PoolName, UpstreamId},
+    ids::{DomainName, PoolName, RowVersion, UpstreamId},
 };
 
 /// Time between two reads of the list after which entries may have lapsed though their upstream
 /// lives: more than two heartbeats of upstreams.
 const LIST_GAP: Duration = Duration::from_millis(2_500);
-/// Time after such a gap within which upstreams that live are listed again. From the platform's
-/// promise of two seconds, with the time between two reads.
-const RELIST_TIME: Duration = Duration::from_millis(2_800);
+/// Time after such a gap within which upstreams that live are listed again: about two seconds by
+/// the platform's promise.
+const RELIST_TIME: Duration = Duration::from_millis(2_200);
 /// Half-life of what is remembered of failures.
 const FAULT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time over which a load report loses its weight, since other nodes send in the meantime.
@@ -70,8 +70,8 @@
     accepting: bool,
     /// Whether the list still names it.
     listed: bool,
-    /// Time of the read that no longer named it, if it is no longer named.
-    missing_since: Option<BootTime>,
+    /// Until when it is kept though the first read after a gap did not name it.
+    missing_until: Option<BootTime>,
     /// Time until which it is slow after its start.
     pub cold_until: BootTime,
     /// Requests of this node that it has not answered in full.
@@ -92,7 +92,7 @@
         Self {
             accepting: !entry.leaving,
             listed: true,
-            missing_since: None,
+            missing_until: None,
             cold_until,
             flights: 0,
             unread_tokens: 0,
@@ -104,10 +104,16 @@
         }
     }
 
-    /// Whether new work may be sent.
+    /// Whether new work may be sent at `now`.
     #[must_use]
-    pub fn is_accepting(&self) -> bool {
-        self.accepting
+    pub fn is_accepting(&self, now: BootTime) -> bool {
+        self.accepting && self.missing_until.is_none_or(|until| now < until)
+    }
+
+    /// Whether it is kept though the list does not name it.
+    #[must_use]
+    pub fn is_missing(&self) -> bool {
+        self.missing_until.is_some()
     }
 
     /// Requests of other nodes that it probably holds at `now`.
@@ -169,8 +175,8 @@
     read_at: Option<BootTime>,
     /// Time of the first read that named an upstream.
     known_since: Option<BootTime>,
-    /// Until when missing entries may be those of upstreams that live.
-    lenient_until: BootTime,
+    /// Newest version that a read which took effect showed.
+    version: RowVersion,
 }
 
 impl UpstreamRoster {
@@ -204,36 +210,39 @@
         Some(&mut self.rows[at])
     }
 
-    /// Takes in the list as read by a question sent at `asked_at` and answered at `now`. An answer
-    /// to an older question than one already taken in changes nothing.
+    /// Takes in the list as of `version`, read by a question sent at `asked_at` and answered at
+    /// `now`. A list that is older than one already taken in changes nothing.
     pub fn apply_list(
         &mut self,
         mut list: Vec<ListedUpstream>,
+        version: RowVersion,
         asked_at: BootTime,
         now: BootTime,
     ) -> Vec<RosterChange> {
         let mut changes = Vec::new();
-        if self.read_at.is_some_and(|read_at| asked_at < read_at) {
+        if version < self.version || self.read_at.is_some_and(|read_at| asked_at < read_at) {
             return changes;
         }
-        if self.read_at.is_some_and(|read_at| asked_at.since(read_at) > LIST_GAP) {
-            self.lenient_until = now + RELIST_TIME;
-        }
+        let gap = self.read_at.is_some_and(|read_at| asked_at.since(read_at) > LIST_GAP);
+        self.version = version;
         self.read_at = Some(asked_at);
         if !list.is_empty() {
             self.known_since.get_or_insert(now);
         }
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
-        for row in &mut self.rows {
-            let named = list.binary_search_by(|entry| entry.id.cmp(&row.entry.id)).is_ok();
-            if !named && row.listed {
-                row.missing_since = row.missing_since.or(Some(now));
-                if now >= self.lenient_until {
-                    row.listed = false;
-                    row.accepting = false;
-                    changes.push(RosterChange::Gone(row.entry.id.clone()));
-                }
+        for row in self.rows.iter_mut().filter(|row| row.listed) {
+            if list.binary_search_by(|entry| entry.id.cmp(&row.entry.id)).is_ok() {
+                continue;
+            }
+            // Only what was missing when the store was back may have lapsed; what goes later left.
+            if gap && row.missing_until.is_none() {
+                row.missing_until = Some(now + RELIST_TIME);
+            }
+            if row.missing_until.is_none_or(|until| now >= until) {
+                row.listed = false;
+                row.accepting = false;
+                changes.push(RosterChange::Gone(row.entry.id.clone()));
             }
         }
         for entry in list {
@@ -264,7 +273,8 @@
             *row = RosterRow { flights, ..RosterRow::new(entry, now) };
             return;
         }
-        if row.missing_since.take().is_some() {
+        let missing = row.missing_until.take().is_some();
+        if missing || !row.listed {
             changes.push(RosterChange::Returned(entry.id.clone()));
             // A row that lapsed, was given up and came back under the same start serves again.
             row.accepting |= !row.listed && !entry.leaving;
