--- /dev/null
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -0,0 +1,321 @@
+//! The duty of one node, agreed time and counts, orders for upstreams, routes and keys.
+
+use std::time::Duration;
+
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        capacity::{CapacityOrder, CapacityPlan, DomainStock},
+        catalog::{
+            CallerLimits, ForwardCatalog, RepeatRule, RouteRow, ScalingRule, WorkspaceRow,
+        },
+        clock::{AgreedClock, ClockOffset},
+        duty::{DutyLease, DutyRecord, DutyStep},
+        ledger::{StartLedger, WindowNumber},
+        members::{MemberTable, NodeBeat},
+    },
+    ids::{ConfigVersion, FenceNumber, Incarnation, KeyHash, NodeName, RowVersion, WorkspaceName},
+};
+
+const LEASE: Duration = Duration::from_secs(3);
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+fn lease(name: &str) -> DutyLease {
+    let mut lease = DutyLease::new(name.parse().unwrap(), LEASE);
+    lease.identify(Incarnation(1));
+    lease
+}
+
+fn write(step: DutyStep) -> (DutyRecord, RowVersion) {
+    match step {
+        DutyStep::Write(record, version) => (record, version),
+        DutyStep::Wait => panic!("nothing to write"),
+    }
+}
+
+/// Lets `lease` take or renew the duty at `millis`; the answer comes 5 ms later.
+fn hold(lease: &mut DutyLease, version: u64, millis: u64) -> DutyRecord {
+    let (record, _) = write(lease.next_step(at(millis)));
+    lease.note_written(record.clone(), RowVersion(version), at(millis));
+    record
+}
+
+#[test]
+fn duty_changes_hands_only_after_the_old_holder_has_stopped() {
+    let mut first = lease("a");
+    let mut second = lease("b");
+    assert_eq!(second.next_step(at(0)), DutyStep::Wait, "nothing was read yet");
+    first.observe(None, RowVersion(0), at(0));
+    let record = hold(&mut first, 10, 100);
+    second.observe(Some(record), RowVersion(10), at(110));
+    // The holder is frozen from here on. It must not act when the other one takes over.
+    let last = (100..20_000).rev().find(|millis| first.fence(at(*millis)).is_some()).unwrap();
+    let taken = (110..20_000).find(|millis| second.next_step(at(*millis)) != DutyStep::Wait);
+    let taken = taken.unwrap();
+    assert!(last < 100 + 3_000 - 799, "an order under way ends within the lease: {last}");
+    assert!(taken > last + 800, "last {last}, taken {taken}");
+    let record = hold(&mut second, 20, taken);
+    assert_eq!(record.fence, FenceNumber(2));
+    // The old holder learns of it and gives no more orders under its number.
+    first.observe(Some(record), RowVersion(20), at(taken + 10));
+    assert_eq!(first.fence(at(taken + 11)), None);
+}
+
+#[test]
+fn renewal_in_time_keeps_the_duty() {
+    let mut first = lease("a");
+    first.observe(None, RowVersion(0), at(0));
+    hold(&mut first, 10, 100);
+    assert_eq!(first.next_step(at(800)), DutyStep::Wait);
+    let renewed = hold(&mut first, 11, 1_000);
+    assert_eq!((renewed.fence, renewed.renewals), (FenceNumber(1), 1));
+    assert!(first.fence(at(3_100)).is_some());
+    // A read that was overtaken by the renewal takes nothing away.
+    let old = DutyRecord { renewals: 0, ..renewed };
+    first.observe(Some(old), RowVersion(10), at(1_100));
+    assert!(first.fence(at(3_100)).is_some());
+}
+
+#[test]
+fn later_run_of_the_holder_waits_like_any_other() {
+    let mut first = lease("a");
+    first.observe(None, RowVersion(0), at(0));
+    let record = hold(&mut first, 10, 100);
+    let mut again = DutyLease::new("a".parse().unwrap(), LEASE);
+    again.identify(Incarnation(2));
+    again.observe(Some(record), RowVersion(10), at(500));
+    assert_eq!(again.next_step(at(2_000)), DutyStep::Wait);
+    assert_eq!(again.fence(at(2_000)), None);
+}
+
+#[test]
+fn unknown_outcome_of_a_renewal_ends_no_lease_early_and_renews_nothing() {
+    let mut first = lease("a");
+    first.observe(None, RowVersion(0), at(0));
+    hold(&mut first, 10, 100);
+    first.forget_view();
+    assert!(first.needs_view());
+    assert_eq!(first.next_step(at(1_500)), DutyStep::Wait);
+    assert!(first.fence(at(2_000)).is_some());
+    assert!(first.fence(at(2_400)).is_none());
+}
+
+#[test]
+fn agreed_time_of_day_is_not_moved_by_clocks_that_jump() {
+    let mut clock = AgreedClock::default();
+    assert_eq!(clock.true_ms(at(5)), None);
+    clock.sample(at(1_000), at(1_010), 500_000);
+    // A slower exchange is a worse sample and is not taken.
+    clock.sample(at(1_100), at(1_900), 500_700);
+    assert_eq!(clock.store_ms(at(1_005)), Some(500_000));
+    assert_eq!(clock.store_ms(at(905)), Some(499_900));
+    let true_offset = 1_700_000_000_000;
+    let offsets = [0, 3, -2, 2_400_000, 2_400_001].map(|off| ClockOffset(true_offset + off));
+    clock.agree(offsets.to_vec());
+    let off = clock.true_ms(at(1_005)).unwrap() - (true_offset + 500_000);
+    assert!(off.abs() <= 3, "{off}");
+}
+
+fn workspace(name: &str) -> WorkspaceName {
+    name.parse().unwrap()
+}
+
+fn beat(ledger: &StartLedger, counted_to_ms: i64) -> NodeBeat {
+    NodeBeat {
+        incarnation: Incarnation(1),
+        offset_ms: None,
+        counted_to_ms: Some(counted_to_ms),
+        windows: ledger.windows().to_vec(),
+        peer: "127.0.0.1:1".parse().unwrap(),
+        work: Vec::new(),
+    }
+}
+
+#[test]
+fn usage_of_a_window_is_the_sum_over_nodes_also_those_that_are_gone() {
+    let length = Duration::from_secs(5);
+    let window = WindowNumber::of(12_345_678, length);
+    assert_eq!(window, WindowNumber(2_469));
+    assert_eq!(window.end_ms(length), 12_350_000);
+    let mut ledger = StartLedger::default();
+    ledger.count(window, &workspace("x"));
+    ledger.count(window, &workspace("x"));
+    let mut restarted = StartLedger::default();
+    restarted.adopt(ledger.windows());
+    restarted.count(window, &workspace("y"));
+    let mut members = MemberTable::default();
+    let node = |name: &str| -> NodeName { name.parse().unwrap() };
+    members.observe(
+        vec![
+            (node("a"), RowVersion(1), beat(&ledger, 12_351_000)),
+            (node("b"), RowVersion(2), beat(&restarted, 12_349_000)),
+        ],
+        at(100),
+    );
+    let sum = members.sum_window(window);
+    let counts: Vec<u64> = sum.counts.iter().map(|row| row.count).collect();
+    assert_eq!(counts, [4, 1]);
+    assert!(!members.is_counted(12_350_000, at(200)), "one node has not published it all");
+    // The row of a node that is gone does not change; its counts stay.
+    members.observe(vec![(node("a"), RowVersion(1), beat(&ledger, 12_351_000))], at(5_000));
+    assert_eq!(members.count(at(9_000)), 1);
+    assert!(members.is_counted(12_350_000, at(9_000)));
+    assert_eq!(members.sum_window(window).counts[0].count, 2);
+}
+
+fn rule() -> ScalingRule {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    ScalingRule {
+        min: 1,
+        max: 6,
+        boot: Duration::from_secs(4),
+        reclaimable_price: 0.18,
+        prices: prices.map(|(name, price)| (name.parse().unwrap(), price)).to_vec(),
+    }
+}
+
+fn stocks(rows: [(u32, u32); 4]) -> Vec<DomainStock> {
+    let names = ["a", "b", "c", "d"];
+    let stock = |(name, (reclaimable, on_demand)): (&str, (u32, u32))| DomainStock {
+        domain: name.parse().unwrap(),
+        reclaimable,
+        on_demand,
+    };
+    names.into_iter().zip(rows).map(stock).collect()
+}
+
+fn count(orders: &[CapacityOrder], reclaimable: bool) -> u32 {
+    orders.iter().filter(|order| order.reclaimable == reclaimable).map(|order| order.count).sum()
+}
+
+#[test]
+fn reclaimable_upstreams_bear_the_loss_of_two_domains() {
+    let mut plan = CapacityPlan::default();
+    let orders = plan.next_orders(&rule(), &stocks([(0, 3); 4]), 6_600.0, at(0));
+    // 6.6 upstream-seconds a second need 6 upstreams: 3 in each of the domains left, and 1 more.
+    assert!(orders.iter().filter(|order| order.reclaimable).all(|order| order.count == 4));
+    assert_eq!(count(&orders, false), 6, "until they serve, those on demand do the work");
+    for order in &orders {
+        plan.note_accepted(order, at(0));
+    }
+    let orders = plan.next_orders(&rule(), &stocks([(4, 2), (4, 2), (4, 1), (4, 1)]), 6_600.0, at(4_500));
+    assert!(orders.iter().all(|order| !order.reclaimable && order.count == 0), "{orders:?}");
+}
+
+#[test]
+fn ones_on_demand_take_the_place_of_reclaimed_ones_that_can_not_be_had() {
+    let mut plan = CapacityPlan::default();
+    let high = 10_000.0;
+    for order in plan.next_orders(&rule(), &stocks([(6, 0); 4]), high, at(30_000)) {
+        plan.note_accepted(&order, at(30_000));
+    }
+    // Three domains were reclaimed in a row, and every reclaimable one is refused.
+    let stock = stocks([(0, 0), (0, 0), (0, 0), (6, 0)]);
+    let orders = plan.next_orders(&rule(), &stock, high, at(36_000));
+    for order in orders.iter().filter(|order| order.reclaimable) {
+        plan.note_refused(order, at(36_000));
+    }
+    assert!(count(&orders, false) >= 6, "room is counted from what serves: {orders:?}");
+    assert!(orders.iter().all(|order| order.count <= 6));
+    let orders = plan.next_orders(&rule(), &stock, high, at(36_100));
+    assert!(orders.iter().all(|order| !order.reclaimable), "a refused order waits: {orders:?}");
+    let orders = plan.next_orders(&rule(), &stock, high, at(36_600));
+    assert!(orders.iter().any(|order| order.reclaimable), "and is repeated soon");
+}
+
+#[test]
+fn orders_are_repeated_only_for_what_was_lost() {
+    let mut plan = CapacityPlan::default();
+    let orders = plan.next_orders(&rule(), &stocks([(0, 0); 4]), 3_000.0, at(0));
+    for order in &orders {
+        plan.note_accepted(order, at(0));
+    }
+    let starting = plan.next_orders(&rule(), &stocks([(0, 0); 4]), 3_000.0, at(3_000));
+    assert!(starting.is_empty(), "they still start: {starting:?}");
+    let wanted = orders[0].count;
+    let all = stocks([(wanted, 0); 4]);
+    for order in plan.next_orders(&rule(), &all, 3_000.0, at(5_000)) {
+        plan.note_accepted(&order, at(5_000));
+    }
+    let mut lost = all.clone();
+    lost[2].reclaimable = 0;
+    let again = plan.next_orders(&rule(), &lost, 3_000.0, at(7_000));
+    assert!(again.iter().any(|order| order.reclaimable && order.domain.as_str() == "c"));
+    assert!(again.iter().filter(|order| order.reclaimable).count() == 1, "{again:?}");
+}
+
+fn route(host: &str, prefix: &str, split: &[(&str, u32)]) -> RouteRow {
+    RouteRow {
+        name: prefix.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: RepeatRule::Once,
+        streams: false,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        pause: Duration::ZERO,
+        priority: 0,
+        split: split.iter().map(|(pool, weight)| (pool.parse().unwrap(), *weight)).collect(),
+        max_attempts: 1,
+        public: false,
+    }
+}
+
+fn catalog() -> ForwardCatalog {
+    let routes = vec![
+        route("h", "/a/", &[("p", 90), ("q", 10)]),
+        route("h", "/a/b/", &[("p", 1)]),
+        route("other", "/", &[("p", 1)]),
+    ];
+    let row = |name: &str| WorkspaceRow {
+        name: workspace(name),
+        priority: Some(3),
+        rate: 0.0,
+        burst: 0.0,
+        by_tokens: false,
+        plain_tokens: 1,
+    };
+    let workspaces =
+        vec![(row("y"), vec![KeyHash::of("k2")]), (row("x"), vec![KeyHash::of("k1")])];
+    let limits = CallerLimits {
+        head_bytes: 1,
+        body_bytes: 1,
+        head_time: Duration::ZERO,
+        idle_time: Duration::ZERO,
+    };
+    ForwardCatalog::new(ConfigVersion(7), routes, Vec::new(), workspaces, limits)
+}
+
+#[test]
+fn routes_are_found_by_host_and_longest_prefix() {
+    let catalog = catalog();
+    let find = |host: &str, path: &str| catalog.find_route(host, path).map(|row| row.name.clone());
+    assert_eq!(find("h", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(find("h", "/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(find("h", "/a"), None, "a prefix ends with its slash");
+    assert_eq!(find("other", "/anything").as_deref(), Some("/"));
+    assert_eq!(find("nobody", "/a/"), None);
+}
+
+#[test]
+fn split_routes_follow_their_weights() {
+    let catalog = catalog();
+    let route = catalog.find_route("h", "/a/").unwrap();
+    let picks = (0..1_000).map(|step| route.pick_pool(f64::from(step) / 1_000.0));
+    let second = picks.filter(|pool| pool.as_str() == "q").count();
+    assert_eq!(second, 100);
+    assert_eq!(route.pick_pool(1.0).as_str(), "q");
+}
+
+#[test]
+fn keys_lead_to_their_workspace() {
+    let catalog = catalog();
+    let find = |key: &str| catalog.find_workspace(KeyHash::of(key)).map(|row| row.name.to_string());
+    assert_eq!(find("k1").as_deref(), Some("x"));
+    assert_eq!(find("k2").as_deref(), Some("y"));
+    assert_eq!(find("k3"), None);
+    assert_eq!(catalog.find_workspace_row(&workspace("y")).unwrap().priority, Some(3));
+}
--- /dev/null
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -0,0 +1,187 @@
+//! The list of upstreams and the choice among them.
+
+use std::time::Duration;
+
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        placing::{PlaceRequest, PromptPart, choose_upstream},
+        roster::{ListedUpstream, RosterChange, UpstreamRoster},
+    },
+    ids::{DomainName, PoolName, RowVersion, UpstreamId},
+};
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+fn entry(id: &str) -> ListedUpstream {
+    ListedUpstream {
+        id: id.parse().unwrap(),
+        born_ms: Some(1),
+        pool: "pool".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".parse().unwrap(),
+        slots: 6,
+        leaving: false,
+        leaves_in: None,
+        reclaimable: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn id(text: &str) -> UpstreamId {
+    text.parse().unwrap()
+}
+
+/// Reads a list of `names` as version `millis`, asked 10 ms before.
+fn read(roster: &mut UpstreamRoster, names: &[&str], millis: u64) -> Vec<RosterChange> {
+    let list = names.iter().map(|name| entry(name)).collect();
+    roster.apply_list(list, RowVersion(millis), at(millis - 10), at(millis))
+}
+
+fn accepting(roster: &UpstreamRoster, name: &str, millis: u64) -> bool {
+    roster.find(&id(name)).is_some_and(|row| row.is_accepting(at(millis)))
+}
+
+fn choose(roster: &UpstreamRoster, parts: &[PromptPart], tried: &[UpstreamId]) -> Option<String> {
+    let pool: PoolName = "pool".parse().unwrap();
+    let domain: DomainName = "a".parse().unwrap();
+    let engine = !parts.is_empty();
+    let request = PlaceRequest { pool: &pool, engine, parts, tried, connections: 50 };
+    let choice = choose_upstream(roster, &request, &domain, at(2_000), || 0.5);
+    choice.map(|choice| choice.upstream.to_string())
+}
+
+#[test]
+fn leaving_mark_stays_for_one_start() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u"], 1_000);
+    let leaving = ListedUpstream { leaving: true, ..entry("u") };
+    let changes =
+        roster.apply_list(vec![leaving], RowVersion(1_500), at(1_490), at(1_500));
+    assert_eq!(changes, [RosterChange::Leaving(id("u"))]);
+    read(&mut roster, &["u"], 2_000);
+    assert!(!accepting(&roster, "u", 2_000), "a list that says ready clears no mark");
+
+    let reborn = ListedUpstream { born_ms: Some(2), ..entry("u") };
+    roster.apply_list(vec![reborn], RowVersion(2_500), at(2_490), at(2_500));
+    assert!(accepting(&roster, "u", 2_500), "a new start holds nothing of what was before");
+}
+
+#[test]
+fn misdirected_answer_marks_the_upstream() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u"], 1_000);
+    assert!(roster.note_leaving(&id("u")));
+    assert!(!roster.note_leaving(&id("u")), "told once");
+    read(&mut roster, &["u"], 1_700);
+    assert!(!accepting(&roster, "u", 1_700));
+}
+
+#[test]
+fn entries_that_lapsed_in_a_gap_are_a_last_resort() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u", "v"], 1_000);
+    // The store was away for 5 s and lists only one of them when it is back.
+    read(&mut roster, &["v"], 6_000);
+    assert!(accepting(&roster, "u", 6_000));
+    let chosen = choose(&roster, &[], &[]);
+    assert_eq!(chosen.as_deref(), Some("v"), "a listed one goes first");
+    assert_eq!(choose(&roster, &[], &[id("v")]).as_deref(), Some("u"));
+    assert!(!accepting(&roster, "u", 8_300), "what is still missing after two seconds is gone");
+    let changes = read(&mut roster, &["u", "v"], 8_000);
+    assert_eq!(changes, [RosterChange::Returned(id("u"))]);
+    assert!(accepting(&roster, "u", 9_000));
+}
+
+#[test]
+fn entry_that_goes_after_a_gap_is_gone_at_once() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u", "v"], 1_000);
+    read(&mut roster, &["u", "v"], 6_000);
+    let changes = read(&mut roster, &["v"], 6_700);
+    assert_eq!(changes, [RosterChange::Gone(id("u"))]);
+    assert!(!accepting(&roster, "u", 6_700));
+}
+
+#[test]
+fn older_lists_change_nothing() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u"], 1_000);
+    read(&mut roster, &[], 2_000);
+    // Asked earlier and answered later.
+    roster.apply_list(vec![entry("u")], RowVersion(2_100), at(1_500), at(2_100));
+    assert!(!accepting(&roster, "u", 2_100));
+    // Asked later, answered with an older state.
+    roster.apply_list(vec![entry("u")], RowVersion(1_200), at(2_200), at(2_210));
+    assert!(!accepting(&roster, "u", 2_210));
+}
+
+#[test]
+fn failing_upstreams_are_avoided_and_tried_again() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u", "v"], 1_000);
+    for _ in 0..5 {
+        roster.note_outcome(&id("u"), true, at(1_900));
+        roster.note_outcome(&id("v"), false, at(1_900));
+    }
+    assert_eq!(choose(&roster, &[], &[]).as_deref(), Some("v"));
+    let share = roster.find(&id("u")).unwrap().fault_share(at(1_900));
+    let later = roster.find(&id("u")).unwrap().fault_share(at(13_900));
+    assert!(share > 0.8 && later < 0.1, "{share} {later}");
+}
+
+#[test]
+fn load_of_others_counts_until_its_report_is_old() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["u", "v"], 1_000);
+    roster.note_load(&id("u"), 6, 4, at(2_000));
+    assert_eq!(choose(&roster, &[], &[]).as_deref(), Some("v"));
+    let row = roster.find(&id("u")).unwrap();
+    assert!(row.foreign_load(at(2_000)) > 9.9);
+    assert!(row.foreign_load(at(3_500)) < 0.1);
+}
+
+fn parts(shared: &str, tokens: u64, own: u64) -> Vec<PromptPart> {
+    let part = |id: &str, tokens| PromptPart { id: id.to_owned(), tokens };
+    vec![part("base", 500), part(shared, tokens), part("own", own)]
+}
+
+#[test]
+fn shared_parts_have_one_home_that_all_nodes_find() {
+    let names = ["u", "v", "w", "x", "y"];
+    let mut homes = Vec::new();
+    for order in [0, 2] {
+        let mut roster = UpstreamRoster::default();
+        let mut names = names;
+        names.rotate_left(order);
+        read(&mut roster, &names, 1_000);
+        homes.push(choose(&roster, &parts("session", 5_000, 600), &[]));
+    }
+    assert_eq!(homes[0], homes[1]);
+    // A home that is busy is left: reading 5,000 tokens again takes 77 ms.
+    let home = homes[0].clone().unwrap();
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &names, 1_000);
+    roster.note_sent(&id(&home), 20_000);
+    assert_ne!(choose(&roster, &parts("session", 5_000, 600), &[]), Some(home));
+}
+
+#[test]
+fn long_prompts_and_other_requests_keep_apart() {
+    let names: Vec<String> = (0..12).map(|number| format!("u{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &names, 1_000);
+    let mut long = Vec::new();
+    let mut short = Vec::new();
+    for number in 0..40 {
+        long.extend(choose(&roster, &parts(&format!("s{number}"), 4_000, 40_000), &[]));
+        short.extend(choose(&roster, &parts(&format!("s{number}"), 4_000, 600), &[]));
+    }
+    assert!(long.iter().all(|upstream| !short.contains(upstream)), "{long:?} {short:?}");
+    long.sort();
+    long.dedup();
+    assert!(long.len() <= 2, "{long:?}");
+}
