--- a/samphiredeck_standins/src/launch.rs
+++ b/samphiredeck_standins/src/launch.rs
@@ -106,6 +106,29 @@
         Ok(Self { name: name.to_owned(), child, addresses, log })
     }
 
+    /// Starts `program` with both of its outputs going to its log, without waiting for a line.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be started.
+    pub fn start_logged(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        folder: &Path,
+    ) -> eyre::Result<Self> {
+        let log = folder.join(format!("{name}.log"));
+        let output = File::options().create(true).append(true).open(&log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+            .wrap_err_with(|| format!("{}", program.display()))?;
+        Ok(Self { name: name.to_owned(), child, addresses: Vec::new(), log })
+    }
+
     /// First address that the process printed.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -279,6 +302,22 @@
     }
 }
 
+/// Builds the programs and makes an empty folder for one system. Returns the folder of the
+/// programs and the new one.
+///
+/// # Errors
+///
+/// Returns why there is no such folder.
+pub fn prepare_folders() -> eyre::Result<(PathBuf, PathBuf)> {
+    build_programs();
+    let programs = program_folder()?;
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let folder =
+        std::env::temp_dir().join(format!("samphiredeck-{}-{number}", std::process::id()));
+    fs::create_dir_all(&folder)?;
+    Ok((programs, folder))
+}
+
 impl LocalSystem {
     /// Starts a platform, with the arguments of its stand-in, and nothing else yet.
     ///
@@ -286,12 +325,7 @@
     ///
     /// Returns what did not start.
     pub fn start(platform_args: &[&str]) -> eyre::Result<Self> {
-        build_programs();
-        let programs = program_folder()?;
-        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
-        let folder =
-            std::env::temp_dir().join(format!("samphiredeck-{}-{number}", std::process::id()));
-        fs::create_dir_all(&folder)?;
+        let (programs, folder) = prepare_folders()?;
         let args: Vec<String> = platform_args.iter().map(|arg| (*arg).to_owned()).collect();
         let program = programs.join("examples").join("platform_standin");
         let platform = Process::start("platform", &program, &args, &folder)?;
