--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -104,7 +104,7 @@
 fn note_start(node: &ForwardNode) {
     let settings = node.settings();
     let fields = json!({
-        "domain": settings.domain.as_str(), 
+        "domain": settings.domain.as_str(),
         "caller": settings.listen.caller.to_string(), "store": settings.platform.store.to_string(),
         "program": env!("CARGO_PKG_VERSION"),
     });
@@ -134,7 +134,8 @@
             gauges.config_age.set(beliefs.proof.age(now).unwrap_or_default().as_secs_f64());
             let read_at = beliefs.roster.read_at();
             gauges.list_age.set(read_at.map(|at| now.since(at)).unwrap_or_default().as_secs_f64());
-            let accepting = beliefs.roster.rows().iter().filter(|row| row.is_accepting(now)).count();
+            let accepting =
+                beliefs.roster.rows().iter().filter(|row| row.is_accepting(now)).count();
             gauges.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
         }
         let dropped = i64::try_from(node.journal.dropped()).unwrap_or(i64::MAX);
--- a/samphiredeck/src/forward/answer.rs
+++ b/samphiredeck/src/forward/answer.rs
@@ -113,9 +113,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -184,7 +184,11 @@
             return Err(give_up_late(progress, left));
         }
         if !node.beliefs().proof.permits(now) {
-            return Err(end_without_answer(progress, "configuration not known to be the newest", left));
+            return Err(end_without_answer(
+                progress,
+                "configuration not known to be the newest",
+                left,
+            ));
         }
         let choice = place(call, progress, trace, now, left)?;
         if progress.sent > 0 {
@@ -355,8 +359,7 @@
         let request = build_request(call, choice, left, resume);
         let exchange = async {
             let response = link.send(request).await.map_err(|error| {
-                let outcome =
-                    if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
+                let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
                 SendFailure::new(outcome, error.reason)
             })?;
             take_answer(call, trace, response, &mut flight).await
--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header::CONNECTION};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header::CONNECTION,
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::random;
@@ -200,10 +202,7 @@
 }
 
 /// Serves one request.
-pub async fn serve_call(
-    node: Rc<ForwardNode>,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+pub async fn serve_call(node: Rc<ForwardNode>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = clock::now();
     let fields = match decode_caller(request.headers()) {
         Ok(fields) => fields,
--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -250,7 +250,8 @@
                     }
                 });
                 if agreed.is_none() {
-                    let fields = json!({ "window": sum.window.0, "reason": "agreed row unreadable" });
+                    let fields =
+                        json!({ "window": sum.window.0, "reason": "agreed row unreadable" });
                     self.node.journal.note("usage-unagreed", fields);
                 }
                 agreed
@@ -374,11 +375,7 @@
     }
 
     /// Sends one order. Returns nothing if the platform did not decide on it.
-    async fn send_order(
-        &mut self,
-        pool: &PoolRow,
-        order: &CapacityOrder,
-    ) -> Option<OrderOutcome> {
+    async fn send_order(&mut self, pool: &PoolRow, order: &CapacityOrder) -> Option<OrderOutcome> {
         let fence = self.may_act()?;
         let settings = self.node.settings();
         let link = self.orders.as_mut()?;
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -43,7 +43,10 @@
 }
 
 /// Accepts callers until the node closes.
-pub async fn accept_callers(node: Rc<ForwardNode>, listener: StdTcpListener) -> std::io::Result<()> {
+pub async fn accept_callers(
+    node: Rc<ForwardNode>,
+    listener: StdTcpListener,
+) -> std::io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     let mut phase = node.phase.subscribe();
     let open = Rc::new(());
@@ -107,8 +110,7 @@
 /// Answers the balancer's questions.
 pub async fn answer_ready(node: Rc<ForwardNode>, listener: StdTcpListener) -> std::io::Result<()> {
     serve_small(listener, move || {
-        let status =
-            if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         (status, Bytes::new())
     })
     .await
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -10,8 +10,7 @@
 
 use crate::forward::{
     beliefs::ForwardBeliefs, clock, gauges::ForwardGauges, journal::DecisionLog, peers::PeerTalk,
-    pool::LinkPool,
-    settings::ForwardSettings,
+    pool::LinkPool, settings::ForwardSettings,
 };
 
 /// How far a stop has come.
--- a/samphiredeck/src/forward/peers.rs
+++ b/samphiredeck/src/forward/peers.rs
@@ -17,7 +17,11 @@
     talk::NodeTalk,
 };
 use serde_json::json;
-use tokio::{net::UdpSocket, sync::oneshot, time::{sleep, timeout}};
+use tokio::{
+    net::UdpSocket,
+    sync::oneshot,
+    time::{sleep, timeout},
+};
 
 use crate::forward::{clock, node::ForwardNode};
 
--- a/samphiredeck/src/forward/platform_link.rs
+++ b/samphiredeck/src/forward/platform_link.rs
@@ -7,8 +7,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use samphiredeck_platform::{
     PlatformCall, WireError,
-    store::{ChangeOutcome, StoreChange, StoreRow, StoreRows, decode_change, decode_rows,
-        encode_change, encode_read},
+    store::{
+        ChangeOutcome, StoreChange, StoreRow, StoreRows, decode_change, decode_rows, encode_change,
+        encode_read,
+    },
 };
 use thiserror::Error;
 use tokio::time::timeout;
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -2,10 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use samphiredeck_core::{
-    forward::catalog::RepeatRule,
-    verdict::RunVerdict,
-};
+use samphiredeck_core::{forward::catalog::RepeatRule, verdict::RunVerdict};
 use serde_json::json;
 use tokio::{
     select,
--- a/samphiredeck_core/src/forward/capacity.rs
+++ b/samphiredeck_core/src/forward/capacity.rs
@@ -105,9 +105,9 @@
 
 impl CapacityPlan {
     fn row(&mut self, domain: &DomainName, reclaimable: bool) -> &mut OrderRow {
-        let found = self.rows.binary_search_by(|row| {
-            (&row.domain, row.reclaimable).cmp(&(domain, reclaimable))
-        });
+        let found = self
+            .rows
+            .binary_search_by(|row| (&row.domain, row.reclaimable).cmp(&(domain, reclaimable)));
         let at = match found {
             Ok(at) => at,
             Err(at) => {
--- a/samphiredeck_core/src/forward/freshness.rs
+++ b/samphiredeck_core/src/forward/freshness.rs
@@ -51,11 +51,8 @@
     /// Whether the node should take new connections at `now`.
     #[must_use]
     pub fn is_ready(&self, now: BootTime) -> bool {
-        let bound = if self.bound == Duration::MAX {
-            self.bound
-        } else {
-            self.bound.mul_f64(READY_SHARE)
-        };
+        let bound =
+            if self.bound == Duration::MAX { self.bound } else { self.bound.mul_f64(READY_SHARE) };
         self.age(now).is_some_and(|age| age < bound)
     }
 }
--- a/samphiredeck_core/src/forward/placing.rs
+++ b/samphiredeck_core/src/forward/placing.rs
@@ -130,8 +130,8 @@
     let mut best: Option<(f64, PlaceChoice)> = None;
     for row in roster.rows().iter().filter(fits) {
         let is_home = home.is_some_and(|home| *home == row.entry.id);
-        let unread =
-            request.tokens() - if is_home { request.shared_tokens().min(request.tokens()) } else { 0 };
+        let unread = request.tokens()
+            - if is_home { request.shared_tokens().min(request.tokens()) } else { 0 };
         let wait = expected_ms(row, request.engine, unread, now);
         let mut cost = wait + row.fault_share(now) * FAULT_COST_MS + noise() * NOISE_MS;
         if now < row.cold_until {
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -6,9 +6,7 @@
     boot_time::BootTime,
     forward::{
         capacity::{CapacityOrder, CapacityPlan, DomainStock},
-        catalog::{
-            CallerLimits, ForwardCatalog, RepeatRule, RouteRow, ScalingRule, WorkspaceRow,
-        },
+        catalog::{CallerLimits, ForwardCatalog, RepeatRule, RouteRow, ScalingRule, WorkspaceRow},
         clock::{AgreedClock, ClockOffset},
         duty::{DutyLease, DutyRecord, DutyStep},
         ledger::{StartLedger, WindowNumber},
@@ -201,7 +199,8 @@
     for order in &orders {
         plan.note_accepted(order, at(0));
     }
-    let orders = plan.next_orders(&rule(), &stocks([(4, 2), (4, 2), (4, 1), (4, 1)]), 6_600.0, at(4_500));
+    let orders =
+        plan.next_orders(&rule(), &stocks([(4, 2), (4, 2), (4, 1), (4, 1)]), 6_600.0, at(4_500));
     assert!(orders.iter().all(|order| !order.reclaimable && order.count == 0), "{orders:?}");
 }
 
@@ -278,8 +277,7 @@
         by_tokens: false,
         plain_tokens: 1,
     };
-    let workspaces =
-        vec![(row("y"), vec![KeyHash::of("k2")]), (row("x"), vec![KeyHash::of("k1")])];
+    let workspaces = vec![(row("y"), vec![KeyHash::of("k2")]), (row("x"), vec![KeyHash::of("k1")])];
     let limits = CallerLimits {
         head_bytes: 1,
         body_bytes: 1,
--- a/samphiredeck_core/tests/forward_limits.rs
+++ b/samphiredeck_core/tests/forward_limits.rs
@@ -86,7 +86,8 @@
 
 #[test]
 fn workspace_that_sends_seven_times_its_limit_stays_within_it() {
-    for (rate, units, gap) in [(38_000.0, 13_000.0, 50), (240_000.0, 13_000.0, 8), (38_000.0, 300.0, 1)]
+    for (rate, units, gap) in
+        [(38_000.0, 13_000.0, 50), (240_000.0, 13_000.0, 8), (38_000.0, 300.0, 1)]
     {
         for change_at in [4_000, 9_000] {
             let (_, worst) = replay(rate, units, gap, change_at, false);
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -58,8 +58,7 @@
     let mut roster = UpstreamRoster::default();
     read(&mut roster, &["u"], 1_000);
     let leaving = ListedUpstream { leaving: true, ..entry("u") };
-    let changes =
-        roster.apply_list(vec![leaving], RowVersion(1_500), at(1_490), at(1_500));
+    let changes = roster.apply_list(vec![leaving], RowVersion(1_500), at(1_490), at(1_500));
     assert_eq!(changes, [RosterChange::Leaving(id("u"))]);
     read(&mut roster, &["u"], 2_000);
     assert!(!accepting(&roster, "u", 2_000), "a list that says ready clears no mark");
--- a/samphiredeck_standins/src/launch.rs
+++ b/samphiredeck_standins/src/launch.rs
@@ -312,8 +312,7 @@
     build_programs();
     let programs = program_folder()?;
     let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
-    let folder =
-        std::env::temp_dir().join(format!("samphiredeck-{}-{number}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("samphiredeck-{}-{number}", std::process::id()));
     fs::create_dir_all(&folder)?;
     Ok((programs, folder))
 }
