--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -127,23 +127,23 @@
 async fn sweep(node: Rc<ForwardNode>) {
     loop {
         node.pool.sweep();
-        {
-            let beliefs = node.beliefs();
-            let now = clock::now();
-            let gauges = &node.gauges;
-            gauges.config_age.set(beliefs.proof.age(now).unwrap_or_default().as_secs_f64());
-            let read_at = beliefs.roster.read_at();
-            gauges.list_age.set(read_at.map(|at| now.since(at)).unwrap_or_default().as_secs_f64());
-            let accepting =
-                beliefs.roster.rows().iter().filter(|row| row.is_accepting(now)).count();
-            gauges.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
-        }
-        let dropped = i64::try_from(node.journal.dropped()).unwrap_or(i64::MAX);
-        node.gauges.dropped_lines.set(dropped);
+        show_beliefs(&node);
         sleep(SWEEP_PERIOD).await;
     }
 }
 
+fn show_beliefs(node: &ForwardNode) {
+    let beliefs = node.beliefs();
+    let now = clock::now();
+    let gauges = &node.gauges;
+    gauges.config_age.set(beliefs.proof.age(now).unwrap_or_default().as_secs_f64());
+    let read_at = beliefs.roster.read_at();
+    gauges.list_age.set(read_at.map(|at| now.since(at)).unwrap_or_default().as_secs_f64());
+    let accepting = beliefs.roster.rows().iter().filter(|row| row.is_accepting(now)).count();
+    gauges.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
+    gauges.dropped_lines.set(i64::try_from(node.journal.dropped()).unwrap_or(i64::MAX));
+}
+
 /// Reads the settings again. Settings that are refused change nothing.
 fn reload(node: &ForwardNode, path: &Path, cause: &str) {
     match load_forward(path) {
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -19,7 +19,7 @@
     verdict::RunVerdict,
 };
 use samphiredeck_platform::call::{
-    AnswerMarks, SendFields, decode_answer, encode_answer, encode_send,
+    AnswerMarks, SendFields, UnrunMark, decode_answer, encode_answer, encode_send,
 };
 use serde_json::json;
 use tokio::time::timeout;
@@ -158,8 +158,8 @@
 }
 
 impl SendFailure {
-    fn new(outcome: SendOutcome, reason: impl ToString) -> Self {
-        Self { outcome, reason: reason.to_string(), answer: None }
+    fn new(outcome: SendOutcome, reason: impl Into<String>) -> Self {
+        Self { outcome, reason: reason.into(), answer: None }
     }
 }
 
@@ -349,7 +349,7 @@
                 }
                 Err(error) => {
                     flight.note_outcome(true);
-                    return Err(SendFailure::new(SendOutcome::Unsent, error));
+                    return Err(SendFailure::new(SendOutcome::Unsent, error.to_string()));
                 }
             },
         };
@@ -457,7 +457,7 @@
     let marks = decode_answer(head.status, &head.headers);
     flight.note_read();
     note_marks(trace, flight, &marks);
-    if marks.not_run {
+    if marks.unrun.is_some() {
         let reason = format!("rejected with {}", head.status.as_u16());
         return Err(SendFailure::new(SendOutcome::Rejected, reason));
     }
@@ -474,7 +474,8 @@
         }
     }
     let body = Limited::new(body, WHOLE_BYTES_MAX).collect().await;
-    let body = body.map_err(|error| SendFailure::new(SendOutcome::Broken, error))?.to_bytes();
+    let body =
+        body.map_err(|error| SendFailure::new(SendOutcome::Broken, error.to_string()))?.to_bytes();
     let answer = WholeAnswer { status: head.status, headers, body };
     if head.status.is_success() || head.status.is_client_error() && !is_promise(head.status) {
         return Ok(Taken::Whole(answer, marks));
@@ -511,7 +512,8 @@
             let (first, ended) = (None, true);
             return Ok(Taken::Stream { status, headers, first, ended, body, buffer, marks });
         };
-        let frame = frame.map_err(|error| SendFailure::new(SendOutcome::Broken, error))?;
+        let frame =
+            frame.map_err(|error| SendFailure::new(SendOutcome::Broken, error.to_string()))?;
         let Some(piece) = frame.data_ref() else { continue };
         if let Some(first) = buffer.push(piece) {
             let (first, ended) = (Some(first), false);
@@ -530,7 +532,8 @@
     if let Some((running, waiting)) = marks.load {
         beliefs.roster.note_load(&flight.upstream, running, waiting, now);
     }
-    if marks.misdirected && beliefs.roster.note_leaving(&flight.upstream) {
+    if marks.unrun == Some(UnrunMark::Misdirected) && beliefs.roster.note_leaving(&flight.upstream)
+    {
         let fields = json!({
             "upstream": flight.upstream.as_str(), "change": "leaving",
             "reason": "its address serves another", "request": trace.request,
--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -17,6 +17,7 @@
         work::WorkMeter,
     },
     ids::{Incarnation, WorkspaceName},
+    units::Millis,
 };
 
 use crate::forward::{clock, settings::ForwardSettings};
@@ -63,7 +64,7 @@
         let bounds = settings.bounds;
         Self {
             catalog: None,
-            proof: ProofAge::new(bounds.revoke.map(|bound| bound.duration())),
+            proof: ProofAge::new(bounds.revoke.map(Millis::duration)),
             roster: UpstreamRoster::default(),
             members: MemberTable::default(),
             home: QuotaHome::new(bounds.quota),
--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -226,12 +226,12 @@
     request: Request<Incoming>,
 ) -> Result<(AdmittedCall, HeldBytes), CallRefusal> {
     let node = Rc::clone(&trace.node);
-    let (head, body) = request.into_parts();
+    let (parts, payload) = request.into_parts();
     let catalog = current_catalog(&node, trace)?;
-    let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
-    let Some(route) = catalog.find_route(&name, head.uri.path()).cloned() else {
+    let Some(route) = catalog.find_route(&name, parts.uri.path()).cloned() else {
         return Err(CallRefusal::wrong(StatusCode::NOT_FOUND, "no route"));
     };
     trace.route.clone_from(&route.name);
@@ -239,8 +239,7 @@
     trace.workspace = workspace.map(|row| row.name.to_string()).unwrap_or_default();
     let deadline = fields.deadline.unwrap_or(DEADLINE_DEFAULT);
     let ends_at = trace.arrived + deadline.min(route.timeout);
-    let held = read_body(&node, &catalog, body, ends_at).await?;
-    let (body, held) = held;
+    let (body, held) = read_body(&node, &catalog, payload, ends_at).await?;
     let tokens = fields.tokens.map(|(prompt, output)| prompt + output);
     let taken = take_units(trace, workspace, tokens).await?;
     let pool_name = route.pick_pool(random()).clone();
@@ -248,9 +247,9 @@
     let pool = catalog.find_pool(&pool_name);
     let engine = pool.is_some_and(|pool| pool.engine);
     let call = AdmittedCall {
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
         body,
         engine,
         max_connections: pool.map_or(u32::MAX, |pool| pool.max_connections),
--- a/samphiredeck/src/forward/events.rs
+++ b/samphiredeck/src/forward/events.rs
@@ -34,7 +34,7 @@
         let end = self.find_end()?;
         let bytes = self.pending.split_to(end).freeze();
         self.searched = 0;
-        Some(read_batch(bytes))
+        Some(read_batch(&bytes))
     }
 
     /// End of the last whole event.
@@ -62,7 +62,7 @@
     window.windows(end.len()).rposition(|found| found == end)
 }
 
-fn read_batch(bytes: Bytes) -> EventBatch {
+fn read_batch(bytes: &Bytes) -> EventBatch {
     let mut batch = EventBatch { bytes: bytes.clone(), last: None, first: None, in_order: true };
     for line in bytes.split(|byte| *byte == b'\n') {
         let Some(number) = line.strip_prefix(b"id:") else { continue };
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -90,17 +90,13 @@
             "last_event": last, "age_ms": trace.age_ms(),
         });
         trace.node.journal.note("stream-broken", fields);
-        match resume(&call, &mut progress, &trace, last).await {
-            Some(resumed) => {
-                pending = resumed.first;
-                ended = resumed.ended;
-                source = resumed.source;
-            }
-            None => {
-                trace.end("broken-off", 200, "upstream broke the stream");
-                return;
-            }
-        }
+        let Some(resumed) = resume(&call, &mut progress, &trace, last).await else {
+            trace.end("broken-off", 200, "upstream broke the stream");
+            return;
+        };
+        pending = resumed.first;
+        ended = resumed.ended;
+        source = resumed.source;
     }
 }
 
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -275,8 +275,7 @@
         PeerTalk::open(node, &secret);
         return;
     }
-    let secret: [u8; 32] = random();
-    let secret: String = secret.iter().map(|byte| format!("{byte:02x}")).collect();
+    let secret = format!("{:032x}{:032x}", random::<u128>(), random::<u128>());
     let Ok(value) = encode_record(&secret) else { return };
     let key = StoreKey { table: SHARED_TABLE.to_owned(), key: SECRET_KEY.to_owned() };
     let change = StoreChange {
--- a/samphiredeck_core/src/boot_time.rs
+++ b/samphiredeck_core/src/boot_time.rs
@@ -42,16 +42,16 @@
 impl Add<Duration> for BootTime {
     type Output = Self;
 
-    fn add(self, span: Duration) -> Self {
-        Self(self.0.saturating_add(span))
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs))
     }
 }
 
 impl Sub<Duration> for BootTime {
     type Output = Self;
 
-    fn sub(self, span: Duration) -> Self {
-        Self(self.0.saturating_sub(span))
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs))
     }
 }
 
