Publish counts at the end of each window and of the process

Cause: a stopping node published nothing after its signal, so the counts of its last 3 s to 8 s were lost, and a kill could spoil two windows.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -45,7 +45,7 @@
 /// node out after two misses.
 const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
 /// Part of the grace that is left unused, so that the process ends by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(600);
+const GRACE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Time between two looks at what is left.
 const LOOK_PERIOD: Duration = Duration::from_millis(40);
 /// Time between two rounds over connections and gauges.
@@ -181,6 +181,7 @@
         sleep(LOOK_PERIOD).await;
     };
     let ended = timeout(left, quiet).await.is_ok();
+    watch::publish_last(node).await;
     let fields = json!({
         "running": running(), "in_order": ended, "after_ms": clock::now().since(begun).as_millis(),
     });
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -6,7 +6,10 @@
 use samphiredeck_core::{
     backoff::BackoffState,
     boot_time::BootTime,
-    forward::roster::{ListedUpstream, RosterChange},
+    forward::{
+        ledger::WindowNumber,
+        roster::{ListedUpstream, RosterChange},
+    },
     ids::{Incarnation, RowVersion},
 };
 use samphiredeck_platform::{
@@ -26,7 +29,7 @@
 use crate::forward::{
     clock,
     gauges::CallLabels,
-    node::{ForwardNode, StopPhase},
+    node::ForwardNode,
     peers::PeerTalk,
     platform_link::{CallError, PlatformLink},
 };
@@ -41,8 +44,13 @@
 const LIST_PERIOD: Duration = Duration::from_millis(700);
 /// Time between two reads of the shared rows.
 const SHARED_PERIOD: Duration = Duration::from_millis(1_500);
-/// Reads of the shared rows for each write of this node's own row.
-const READS_PER_BEAT: u32 = 2;
+/// Longest time between two writes of this node's own row.
+const BEAT_PERIOD: Duration = Duration::from_millis(2_800);
+/// Time after the end of a window at which its counts are complete and published, in milliseconds.
+/// Together with the delay of counts it keeps a kill from spoiling more than one window.
+const COUNTS_DUE_MS: i64 = 1_050;
+/// Time by which writes follow the moment at which counts are complete, since sleeps vary.
+const BEAT_SPREAD: Duration = Duration::from_millis(100);
 /// First and longest pause after a call that failed.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
 const PAUSE_LONGEST: Duration = Duration::from_millis(500);
@@ -228,7 +236,7 @@
 pub async fn share_rows(node: Rc<ForwardNode>) {
     let mut link = PlatformLink::new(node.settings().platform.store);
     let mut store = Dependency::new(&node, "shared rows");
-    let mut reads = 0;
+    let mut beat = BeatPacer::default();
     loop {
         match link.read_table(SHARED_TABLE, ANSWER_TIMEOUT).await {
             Ok(answer) => {
@@ -240,11 +248,13 @@
                 if node.peers.borrow().is_none() {
                     open_peers(&node, &answer.rows, &mut link).await;
                 }
-                if reads % READS_PER_BEAT == 0 && node.phase() == StopPhase::Serving {
-                    write_beat(&node, &mut link, &mut store).await;
+                if beat.is_due(&node) {
+                    match write_beat(&node, &mut link).await {
+                        Ok(()) => beat.note_written(&node),
+                        Err(error) => store.failed(&error).await,
+                    }
                 }
-                reads += 1;
-                sleep_about(SHARED_PERIOD).await;
+                sleep_about(SHARED_PERIOD.min(beat.until_counts_due(&node))).await;
             }
             Err(error) => store.failed(&error).await,
         }
@@ -329,21 +339,64 @@
     node.gauges.nodes.set(i64::from(count));
 }
 
-async fn write_beat(node: &ForwardNode, link: &mut PlatformLink, store: &mut Dependency<'_>) {
+/// When this node writes its row: soon after each window has ended, and at least once a period.
+#[derive(Debug, Default)]
+struct BeatPacer {
+    written_at: Option<BootTime>,
+    /// Newest window whose counts were complete in the last write.
+    window: Option<WindowNumber>,
+}
+
+/// Newest window whose counts are complete now, and the milliseconds since they are.
+fn newest_counted(node: &ForwardNode) -> Option<(WindowNumber, i64)> {
+    let length = node.settings().bounds.usage_window.duration();
+    let now_ms = node.beliefs().clock.true_ms(clock::now())? - COUNTS_DUE_MS;
+    let window = WindowNumber(WindowNumber::of(now_ms, length).0 - 1);
+    Some((window, now_ms - window.end_ms(length)))
+}
+
+impl BeatPacer {
+    fn is_due(&self, node: &ForwardNode) -> bool {
+        let now = clock::now();
+        let old = self.written_at.is_none_or(|at| now.since(at) >= BEAT_PERIOD);
+        old || newest_counted(node).map(|(window, _)| window) > self.window
+    }
+
+    fn note_written(&mut self, node: &ForwardNode) {
+        self.written_at = Some(clock::now());
+        self.window = newest_counted(node).map(|(window, _)| window);
+    }
+
+    /// Time until the counts of the next window are complete.
+    fn until_counts_due(&self, node: &ForwardNode) -> Duration {
+        let length = node.settings().bounds.usage_window.duration();
+        let since = newest_counted(node).map_or(Duration::ZERO, |(_, since_ms)| {
+            Duration::from_millis(u64::try_from(since_ms).unwrap_or(0))
+        });
+        length.saturating_sub(since) + BEAT_SPREAD
+    }
+}
+
+/// Publishes what this node has counted, before it ends.
+pub async fn publish_last(node: &ForwardNode) {
+    let mut link = PlatformLink::new(node.settings().platform.store);
+    if let Err(error) = write_beat(node, &mut link).await {
+        node.journal.note("counts-unpublished", json!({ "reason": error.to_string() }));
+    }
+}
+
+async fn write_beat(node: &ForwardNode, link: &mut PlatformLink) -> Result<(), CallError> {
     let settings = node.settings();
-    let Some(incarnation) = node.incarnation.get() else { return };
+    let Some(incarnation) = node.incarnation.get() else { return Ok(()) };
     let beat = node.beliefs().beat(incarnation, settings.listen.peer, clock::now());
     let value = match encode_record(&beat) {
         Ok(value) => value,
         Err(error) => {
             node.journal.note("beat-unwritable", json!({ "reason": error.to_string() }));
-            return;
+            return Ok(());
         }
     };
     let key = StoreKey { table: SHARED_TABLE.to_owned(), key: node_key(&settings.name) };
     let change = StoreChange { writes: vec![(key, value)], ..StoreChange::default() };
-    match link.change(&change, ANSWER_TIMEOUT).await {
-        Ok(_) => store.answered(),
-        Err(error) => store.failed(&error).await,
-    }
+    link.change(&change, ANSWER_TIMEOUT).await.map(drop)
 }
