A soak of forwarding nodes under faults from outside

Nodes as processes, loopback proxies before the store and the upstreams, signals, odd upstreams, keys taken away; judged by what callers, upstreams and the platform see. The proxy was wrong: no byte stream goes on after a gap, so such a connection stays silent now.

--- a/samphiredeck_standins/src/proxy.rs
+++ b/samphiredeck_standins/src/proxy.rs
@@ -33,9 +33,9 @@
     Pass = 0,
     /// Open connections are closed and new ones refused; datagrams are dropped.
     Cut = 1,
-    /// Nothing passes, and nothing is closed.
+    /// Nothing passes, and nothing is closed. Connections that lost bytes stay silent.
     Hold = 2,
-    /// Only answers are lost: what callers send passes.
+    /// Only answers are lost: what callers send passes. Connections that lost some stay silent.
     LoseAnswers = 3,
 }
 
@@ -225,9 +225,12 @@
     answers: bool,
 ) {
     let mut buffer = vec![0; BUFFER];
+    // No byte stream goes on after a gap, so a connection that lost bytes stays silent for good.
+    let mut lost = false;
     loop {
         let Ok(length) = from.read(&mut buffer).await else { return };
-        if swallows(knobs, number, answers) {
+        lost |= swallows(knobs, number, answers);
+        if lost {
             if length == 0 {
                 // The end of a silent connection is swallowed too.
                 std::future::pending::<()>().await;
