--- a/samphirectl/src/cli.rs
+++ b/samphirectl/src/cli.rs
@@ -45,6 +45,7 @@
             $($name($args),)+
             Shell(ShellArgs),
             Script(ScriptArgs),
+            Explain(ExplainArgs),
         }
 
         impl CtlCommand {
@@ -52,7 +53,7 @@
             pub fn into_statement(self) -> Statement {
                 match self {
                     $(Self::$name(args) => Statement::$name(args),)+
-                    Self::Shell(_) | Self::Script(_) => Statement::Nodes(NodesArgs {}),
+                    Self::Shell(_) | Self::Script(_) | Self::Explain(_) => Statement::Nodes(NodesArgs {}),
                 }
             }
         }
@@ -227,3 +228,15 @@
     #[argh(positional)]
     pub file: PathBuf,
 }
+
+/// Tell from the logs of nodes what happened to a request. Asks no node.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// identity of the request, as its caller knows it
+    #[argh(positional)]
+    pub request: String,
+    /// logs of the nodes
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/samphirectl/src/main.rs
+++ b/samphirectl/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod client;
 mod diff;
+mod explain;
 mod output;
 mod query;
 mod statement;
@@ -19,6 +20,7 @@
 use crate::{
     cli::{CtlArgs, CtlCommand, Statement},
     client::NodeClient,
+    explain::explain_request,
     statement::{ExitKind, run_statement},
 };
 
@@ -27,7 +29,14 @@
 
 fn main() -> ExitCode {
     let args: CtlArgs = argh::from_env();
-    match actix_web::rt::System::new().block_on(run(args)) {
+    if let CtlCommand::Explain(explain) = &args.command {
+        return end(explain_request(&explain.request, &explain.files));
+    }
+    end(actix_web::rt::System::new().block_on(run(args)))
+}
+
+fn end(done: eyre::Result<ExitKind>) -> ExitCode {
+    match done {
         Ok(kind) => ExitCode::from(kind as u8),
         Err(error) => {
             eprintln!("samphirectl: {error:#}");
--- a/samphirectl/tests/command_line.rs
+++ b/samphirectl/tests/command_line.rs
@@ -56,3 +56,36 @@
     let output = run(&["--help"]);
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
 }
+
+#[test]
+fn explain_puts_the_lines_of_a_request_in_order_after_the_beliefs() {
+    let folder = std::env::temp_dir().join(format!("samphirectl-explain-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let log = folder.join("n1.log");
+    let lines = [
+        r#"{"at_ms":100,"node":"n1","kind":"config","version":3}"#,
+        r#"{"at_ms":200,"node":"n1","kind":"config","version":4}"#,
+        r#"{"at_ms":210,"node":"n1","kind":"upstream","upstream":"u1","change":"leaving"}"#,
+        r#"{"at_ms":220,"node":"n1","kind":"upstream","upstream":"u2","change":"joined"}"#,
+        r#"no line of ours"#,
+        r#"{"at_ms":340,"node":"n1","kind":"end","request":"r1","status":502}"#,
+        r#"collector: {"at_ms":300,"node":"n1","kind":"place","request":"r1","upstream":"u1"}"#,
+        r#"{"at_ms":320,"node":"n1","kind":"place","request":"r2","upstream":"u2"}"#,
+        r#"{"at_ms":400,"node":"n1","kind":"config","version":5}"#,
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("a log");
+    let log = log.display().to_string();
+    let output = run(&["explain", "r1", &log]);
+    assert_eq!(output.status.code(), Some(0));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout), @r#"
+    beliefs in force:
+         -100 ms  n1             config           version=4
+          -90 ms  n1             upstream         change="leaving" upstream="u1"
+    r1:
+           +0 ms  n1             place            upstream="u1"
+          +40 ms  n1             end              status=502
+    "#);
+    let output = run(&["explain", "r9", &log]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(told(&output).contains("no line of r9"));
+}
