A successor's wait counts on over an outage of the store

Ruled out: the planner (its first order came 100 ms after the duty was won). Change: a write without an answer puts the view in doubt; an unchanged row at the next read keeps the wait.

--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -156,7 +156,7 @@
             }
             Err(error) => {
                 if error.is_unknown() {
-                    beliefs.duty.forget_view();
+                    beliefs.duty.doubt_view();
                 }
                 let unknown = error.is_unknown();
                 let fields = json!({ "reason": error.to_string(), "unknown": unknown });
--- a/samphiredeck_core/src/forward/duty.rs
+++ b/samphiredeck_core/src/forward/duty.rs
@@ -47,8 +47,11 @@
 struct SeenRecord {
     record: Option<DutyRecord>,
     version: RowVersion,
-    /// Time of the first read that showed `version`, or of the end of an outage after it.
+    /// Time of the first read that showed `version`.
     since: BootTime,
+    /// Whether a write of this node may have changed the row since. Nothing is decided before the
+    /// row is read again.
+    doubtful: bool,
 }
 
 /// Duty as one node sees it.
@@ -86,7 +89,7 @@
         }
         let known = self.seen.as_ref().filter(|seen| seen.version == version);
         let since = known.map_or(now, |seen| seen.since);
-        self.seen = Some(SeenRecord { record, version, since });
+        self.seen = Some(SeenRecord { record, version, since, doubtful: false });
     }
 
     fn is_own(&self, record: &DutyRecord) -> bool {
@@ -96,19 +99,24 @@
     /// Notes that `record`, sent at `sent_at`, was written as version `version`.
     pub fn note_written(&mut self, record: DutyRecord, version: RowVersion, sent_at: BootTime) {
         self.held = Some((record.fence, sent_at));
-        self.seen = Some(SeenRecord { record: Some(record), version, since: sent_at });
+        let (record, since) = (Some(record), sent_at);
+        self.seen = Some(SeenRecord { record, version, since, doubtful: false });
     }
 
-    /// Forgets the view of the row after a write whose outcome is unknown. A lease that is held
-    /// runs on to its end, which no lost answer can bring forward.
-    pub fn forget_view(&mut self) {
-        self.seen = None;
+    /// Doubts the view of the row after a write whose outcome is unknown. A lease that is held
+    /// runs on to its end, which no lost answer can bring forward. If the next read shows the row
+    /// unchanged, the write has not been carried out, and never will be once another one was: all
+    /// that was waited until then counts on.
+    pub fn doubt_view(&mut self) {
+        if let Some(seen) = &mut self.seen {
+            seen.doubtful = true;
+        }
     }
 
     /// Whether the row has to be read before anything can be decided.
     #[must_use]
     pub fn needs_view(&self) -> bool {
-        self.seen.is_none()
+        self.seen.as_ref().is_none_or(|seen| seen.doubtful)
     }
 
     /// Decides what to do at `now`.
@@ -117,6 +125,9 @@
         let (Some(seen), Some(incarnation)) = (&self.seen, self.incarnation) else {
             return DutyStep::Wait;
         };
+        if seen.doubtful {
+            return DutyStep::Wait;
+        }
         let first = |fence: FenceNumber| {
             let holder = self.node.clone();
             DutyStep::Write(DutyRecord { holder, incarnation, fence, renewals: 0 }, seen.version)
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -94,13 +94,29 @@
     let mut first = lease("a");
     first.observe(None, RowVersion(0), at(0));
     hold(&mut first, 10, 100);
-    first.forget_view();
+    first.doubt_view();
     assert!(first.needs_view());
     assert_eq!(first.next_step(at(1_500)), DutyStep::Wait);
     assert!(first.fence(at(2_000)).is_some());
     assert!(first.fence(at(2_400)).is_none());
 }
 
+#[test]
+fn outage_of_the_store_does_not_start_the_wait_of_a_successor_over() {
+    let mut first = lease("a");
+    first.observe(None, RowVersion(0), at(0));
+    let record = hold(&mut first, 10, 100);
+    let mut second = lease("b");
+    second.observe(Some(record.clone()), RowVersion(10), at(200));
+    // Its write got no answer. The first read after the outage shows that it was not carried out.
+    let (taken, _) = write(second.next_step(at(5_000)));
+    second.doubt_view();
+    assert_eq!(second.next_step(at(9_000)), DutyStep::Wait);
+    second.observe(Some(record), RowVersion(10), at(10_000));
+    assert_eq!(second.next_step(at(10_000)), DutyStep::Write(taken, RowVersion(10)));
+    assert_eq!(second.fence(at(10_000)), None, "nothing is held before the answer");
+}
+
 #[test]
 fn agreed_time_of_day_is_not_moved_by_clocks_that_jump() {
     let mut clock = AgreedClock::default();
