--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -74,7 +74,11 @@
             ledger: StartLedger::default(),
             work: WorkMeter::default(),
             clock: AgreedClock::default(),
-            duty: DutyLease::new(settings.name.clone(), bounds.lease.duration()),
+            duty: DutyLease::new(
+                settings.name.clone(),
+                settings.listen.peer,
+                bounds.lease.duration(),
+            ),
         }
     }
 
@@ -91,12 +95,22 @@
         true
     }
 
-    /// What this node publishes at `now`.
-    pub fn beat(&self, incarnation: Incarnation, peer: SocketAddr, now: BootTime) -> NodeBeat {
+    /// What this node publishes at `now`. With `last`, nothing will be counted any more.
+    pub fn beat(
+        &self,
+        incarnation: Incarnation,
+        peer: SocketAddr,
+        last: bool,
+        now: BootTime,
+    ) -> NodeBeat {
         NodeBeat {
             incarnation,
             offset_ms: self.clock.own_offset(now, clock::wall_ms()).map(|offset| offset.0),
-            counted_to_ms: self.clock.true_ms(now).map(|at| at - COUNT_DELAY_MS),
+            counted_to_ms: if last {
+                Some(i64::MAX)
+            } else {
+                self.clock.true_ms(now).map(|at| at - COUNT_DELAY_MS)
+            },
             windows: self.ledger.windows().to_vec(),
             peer,
             work: self.work.rates(now),
--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -47,7 +47,7 @@
 /// two of their periods.
 const COUNTS_PUBLISHED_MS: i64 = 1_200;
 /// Time before a report is due at which it is sent with the counts there are.
-const DUE_MARGIN_MS: i64 = 3_500;
+const DUE_MARGIN_MS: i64 = 5_500;
 /// Windows whose agreed usage is kept in the store.
 const AGREED_KEPT: i64 = 12;
 /// Windows before the newest for which this node looks for a missing report.
@@ -173,10 +173,11 @@
         }
         let shown = fence.map_or(0, |fence| i64::try_from(fence.0).unwrap_or(i64::MAX));
         self.node.gauges.duty_fence.set(shown);
-        if fence.is_none() {
-            let fields = json!({ "fence": self.fence.map(|fence| fence.0) });
-            self.node.journal.note("duty-lost", fields);
-        }
+        let kind = if fence.is_some() { "duty-held" } else { "duty-lost" };
+        let fields = json!({
+            "fence": fence.map(|fence| fence.0), "before": self.fence.map(|fence| fence.0),
+        });
+        self.node.journal.note(kind, fields);
         self.plans.clear();
         self.reported.clear();
         self.fence = fence;
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -249,7 +249,7 @@
                     open_peers(&node, &answer.rows, &mut link).await;
                 }
                 if beat.is_due(&node) {
-                    match write_beat(&node, &mut link).await {
+                    match write_beat(&node, &mut link, false).await {
                         Ok(()) => beat.note_written(&node),
                         Err(error) => store.failed(&error).await,
                     }
@@ -380,15 +380,19 @@
 /// Publishes what this node has counted, before it ends.
 pub async fn publish_last(node: &ForwardNode) {
     let mut link = PlatformLink::new(node.settings().platform.store);
-    if let Err(error) = write_beat(node, &mut link).await {
+    if let Err(error) = write_beat(node, &mut link, true).await {
         node.journal.note("counts-unpublished", json!({ "reason": error.to_string() }));
     }
 }
 
-async fn write_beat(node: &ForwardNode, link: &mut PlatformLink) -> Result<(), CallError> {
+async fn write_beat(
+    node: &ForwardNode,
+    link: &mut PlatformLink,
+    last: bool,
+) -> Result<(), CallError> {
     let settings = node.settings();
     let Some(incarnation) = node.incarnation.get() else { return Ok(()) };
-    let beat = node.beliefs().beat(incarnation, settings.listen.peer, clock::now());
+    let beat = node.beliefs().beat(incarnation, settings.listen.peer, last, clock::now());
     let value = match encode_record(&beat) {
         Ok(value) => value,
         Err(error) => {
--- a/samphiredeck_core/src/forward/duty.rs
+++ b/samphiredeck_core/src/forward/duty.rs
@@ -4,7 +4,7 @@
 //! sent the renewal and stops a flight's length before its end, and a successor waits from the
 //! last change that it saw for the lease, the flight and a guard. Each holder has a higher number.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +27,9 @@
     pub holder: NodeName,
     /// Run of that node.
     pub incarnation: Incarnation,
+    /// Address of that node for others. A later run that is bound to the same one knows that the
+    /// run before has ended.
+    pub address: SocketAddr,
     /// Higher than that of all holders before.
     pub fence: FenceNumber,
     /// Counts the renewals, so that each one changes the row.
@@ -58,6 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct DutyLease {
     node: NodeName,
+    address: SocketAddr,
     /// Nothing until the node knows which of its runs this is.
     incarnation: Option<Incarnation>,
     length: Duration,
@@ -67,10 +71,10 @@
 }
 
 impl DutyLease {
-    /// Starts without a view of the row. Holders keep the duty for `length` after a renewal.
+    /// Starts without a view of the row, for a node that is bound to `address`. Holders keep the duty for `length` after a renewal.
     #[must_use]
-    pub fn new(node: NodeName, length: Duration) -> Self {
-        Self { node, incarnation: None, length, seen: None, held: None }
+    pub fn new(node: NodeName, address: SocketAddr, length: Duration) -> Self {
+        Self { node, address, incarnation: None, length, seen: None, held: None }
     }
 
     /// Takes in which run of the node this is.
@@ -130,7 +134,9 @@
         }
         let first = |fence: FenceNumber| {
             let holder = self.node.clone();
-            DutyStep::Write(DutyRecord { holder, incarnation, fence, renewals: 0 }, seen.version)
+            let record =
+                DutyRecord { holder, incarnation, address: self.address, fence, renewals: 0 };
+            DutyStep::Write(record, seen.version)
         };
         let Some(record) = &seen.record else { return first(FenceNumber(1)) };
         if self.is_own(record) {
@@ -141,7 +147,10 @@
             let renewed = DutyRecord { renewals: record.renewals + 1, ..record.clone() };
             return DutyStep::Write(renewed, seen.version);
         }
-        if now.since(seen.since) < self.length + DUTY_FLIGHT + DUTY_GUARD {
+        // Of an earlier run of this node only what was under way when it ended can still arrive.
+        let former = record.holder == self.node && record.address == self.address;
+        let wait = if former { DUTY_FLIGHT } else { self.length + DUTY_FLIGHT + DUTY_GUARD };
+        if now.since(seen.since) < wait {
             return DutyStep::Wait;
         }
         first(record.fence.next())
