A node that joins becomes a home for all nodes at the same moment

Nodes read of it up to 1.5 s apart, so two homes granted at the full rate. Ruled out: large requests and restarts of purses (a replay of both stays within the limit, kept as a test) and limits that are unchecked (no home was silent). Change: a node is a home from 8 s after its first start on, by the store's clock, which all nodes know to some milliseconds; a node that is not the first home by its own view declines; the parts of the excess add up to 0.85.

--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -11,12 +11,12 @@
         freshness::ProofAge,
         ledger::{StartLedger, WindowNumber},
         members::{MemberTable, NodeBeat},
-        quota::{ContactTable, QuotaHome, QuotaPurse},
+        quota::{ContactTable, QuotaHome, QuotaPurse, find_homes},
         repeat::RepeatTable,
         roster::UpstreamRoster,
         work::WorkMeter,
     },
-    ids::{Incarnation, WorkspaceName},
+    ids::{Incarnation, NodeName, WorkspaceName},
     units::Millis,
 };
 
@@ -56,6 +56,8 @@
     pub clock: AgreedClock,
     /// Which node acts for all.
     pub duty: DutyLease,
+    /// Time on the store's clock at which the first run at this address started.
+    pub since_ms: Option<i64>,
 }
 
 impl ForwardBeliefs {
@@ -74,6 +76,7 @@
             ledger: StartLedger::default(),
             work: WorkMeter::default(),
             clock: AgreedClock::default(),
+            since_ms: None,
             duty: DutyLease::new(
                 settings.name.clone(),
                 settings.listen.peer,
@@ -103,6 +106,7 @@
         last: bool,
         now: BootTime,
     ) -> NodeBeat {
+        let since_ms = self.since_ms.unwrap_or(i64::MAX);
         NodeBeat {
             incarnation,
             offset_ms: self.clock.own_offset(now, clock::wall_ms()).map(|offset| offset.0),
@@ -113,10 +117,17 @@
             },
             windows: self.ledger.windows().to_vec(),
             peer,
+            since_ms,
             work: self.work.rates(now),
         }
     }
 
+    /// Homes of the limit of `workspace` at `now`, in the order in which they are asked.
+    pub fn homes_of(&self, workspace: &WorkspaceName, now: BootTime) -> Vec<NodeName> {
+        let candidates = self.members.home_candidates(self.clock.store_ms(now), now);
+        find_homes(workspace, &candidates).into_iter().cloned().collect()
+    }
+
     /// Most connections that this node may have to one upstream out of `all`.
     pub fn connection_part(&self, all: u32, now: BootTime) -> u32 {
         /// Share of the connections that nodes use, since their counts of each other lag.
--- a/samphiredeck/src/forward/peers.rs
+++ b/samphiredeck/src/forward/peers.rs
@@ -8,7 +8,7 @@
 };
 
 use samphiredeck_core::{
-    forward::quota::{HomeSign, QuotaAnswer, SIGN_TIME, find_homes},
+    forward::quota::{HomeSign, QuotaAnswer, SIGN_TIME},
     ids::{NodeName, WorkspaceName},
 };
 use samphiredeck_wire::{
@@ -247,7 +247,12 @@
     units: f64,
     instead: bool,
 ) -> Option<QuotaAnswer> {
-    if instead && !replaces_homes(node, talk, workspace).await {
+    let homes = node.beliefs().homes_of(workspace, clock::now());
+    // An asker that has not read of a new home yet must not get units from two homes.
+    if !instead && homes.first() != Some(&talk.own) {
+        return None;
+    }
+    if instead && !replaces_homes(node, talk, &homes).await {
         return None;
     }
     let alone = {
@@ -276,16 +281,14 @@
     Some(beliefs.home.take(row, units, now))
 }
 
-/// Whether this node may serve in the place of the earlier homes of `workspace`, which it asks for
-/// a sign of life if it has none.
-async fn replaces_homes(node: &ForwardNode, talk: &PeerTalk, workspace: &WorkspaceName) -> bool {
-    let earlier: Vec<NodeName> = {
-        let beliefs = node.beliefs();
-        let alive: Vec<&NodeName> =
-            beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
-        let homes = find_homes(workspace, &alive).into_iter();
-        homes.take_while(|home| **home != talk.own).cloned().collect()
-    };
+/// Whether this node may serve in the place of the `homes` before it, which it asks for a sign of
+/// life if it has none.
+async fn replaces_homes(node: &ForwardNode, talk: &PeerTalk, homes: &[NodeName]) -> bool {
+    if !homes.contains(&talk.own) {
+        return false;
+    }
+    let earlier: Vec<NodeName> =
+        homes.iter().take_while(|home| **home != talk.own).cloned().collect();
     let judge = |home: &NodeName| node.beliefs().contacts.judge(home, clock::now());
     let unknown: Vec<NodeName> =
         earlier.iter().filter(|home| judge(home) == HomeSign::Unknown).cloned().collect();
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -7,7 +7,7 @@
 use samphiredeck_core::{
     forward::{
         catalog::WorkspaceRow,
-        quota::{QuotaAnswer, cost_of, find_homes},
+        quota::{QuotaAnswer, cost_of},
     },
     ids::{NodeName, WorkspaceName},
 };
@@ -95,12 +95,7 @@
     row: &WorkspaceRow,
     units: f64,
 ) -> Option<(NodeName, QuotaAnswer)> {
-    let homes: Vec<NodeName> = {
-        let beliefs = node.beliefs();
-        let alive: Vec<&NodeName> =
-            beliefs.members.alive(clock::now()).map(|row| &row.node).collect();
-        find_homes(&row.name, &alive).into_iter().cloned().collect()
-    };
+    let homes = node.beliefs().homes_of(&row.name, clock::now());
     let own = node.settings().name.clone();
     let talk = node.peers.borrow().clone()?;
     for (place, home) in homes.into_iter().enumerate() {
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -265,13 +265,19 @@
 fn identify(node: &ForwardNode, answer: &StoreRows) {
     let incarnation = Incarnation(answer.newest.0);
     node.incarnation.set(Some(incarnation));
-    let own = node_key(&node.settings().name);
+    let settings = node.settings();
+    let own = node_key(&settings.name);
     let mut beliefs = node.beliefs();
     beliefs.duty.identify(incarnation);
+    let started_ms = i64::try_from(answer.clock_ms).unwrap_or(i64::MAX);
+    beliefs.since_ms = Some(started_ms);
     for row in answer.rows.iter().filter(|row| row.key == own) {
         let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
         if let Some(Ok(Some(SharedRecord::Node(_, beat)))) = decoded {
             beliefs.ledger.adopt(&beat.windows);
+            if beat.peer == settings.listen.peer {
+                beliefs.since_ms = Some(beat.since_ms.min(started_ms));
+            }
         }
     }
     node.journal.note("identified", json!({ "incarnation": incarnation.0 }));
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -20,6 +20,10 @@
 /// its writes, with the time that a read may be behind.
 const MEMBER_LIFETIME: Duration = Duration::from_millis(7_500);
 
+/// Age from which a node may be the home of limits, in milliseconds. By then every node that reaches
+/// the store has read its row, so that all of them take it for a home from the same moment on.
+const HOME_AGE_MS: i64 = 8_000;
+
 /// Work that one node has sent to a pool, in upstream-milliseconds a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PoolWork {
@@ -42,6 +46,8 @@
     pub windows: Vec<WindowCounts>,
     /// Address for datagrams of other nodes.
     pub peer: SocketAddr,
+    /// Time on the store's clock, in milliseconds, at which the first run at this address started.
+    pub since_ms: i64,
     /// Work that arrived for each pool.
     pub work: Vec<PoolWork>,
 }
@@ -88,6 +94,17 @@
         self.rows.iter().filter(move |row| now.since(row.seen_at) < MEMBER_LIFETIME)
     }
 
+    /// Nodes alive at `now` that may be homes of limits when the store's clock shows `store_ms`. All
+    /// of them if none is old enough, as when the whole system has just started.
+    #[must_use]
+    pub fn home_candidates(&self, store_ms: Option<i64>, now: BootTime) -> Vec<&NodeName> {
+        let is_old = |row: &&MemberRow| {
+            store_ms.is_some_and(|at| at >= row.beat.since_ms.saturating_add(HOME_AGE_MS))
+        };
+        let old: Vec<&NodeName> = self.alive(now).filter(is_old).map(|row| &row.node).collect();
+        if old.is_empty() { self.alive(now).map(|row| &row.node).collect() } else { old }
+    }
+
     /// Nodes whose row has not changed for `silence` at `now`, with the version of their row.
     #[must_use]
     pub fn silent(&self, silence: Duration, now: BootTime) -> Vec<(NodeName, RowVersion)> {
--- a/samphiredeck_core/src/forward/quota.rs
+++ b/samphiredeck_core/src/forward/quota.rs
@@ -17,9 +17,9 @@
 };
 
 /// Part of the allowed excess by which a bucket is larger than the declared burst.
-const BUCKET_EXCESS: f64 = 0.25;
+const BUCKET_EXCESS: f64 = 0.2;
 /// Part of the allowed excess that a bucket is filled with in a window beyond the declared rate.
-const RATE_EXCESS: f64 = 0.35;
+const RATE_EXCESS: f64 = 0.3;
 /// Part of the allowed excess that a new bucket starts with, since its home may have changed. All
 /// parts, those of the purses included, add up to less than 1.
 const START_EXCESS: f64 = 0.15;
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -163,10 +163,36 @@
         counted_to_ms: Some(counted_to_ms),
         windows: ledger.windows().to_vec(),
         peer: "127.0.0.1:1".parse().unwrap(),
+        since_ms: 0,
         work: Vec::new(),
     }
 }
 
+#[test]
+fn node_that_joins_becomes_a_home_for_all_at_the_same_moment() {
+    // The day on which 958,793 units ran where 958,668 were allowed: for 1.5 s some nodes asked the
+    // home that had joined and others the one before.
+    let row = |name: &str, since_ms: i64| {
+        let beat = NodeBeat { since_ms, ..beat(&StartLedger::default(), 0) };
+        (name.parse::<NodeName>().unwrap(), RowVersion(1), beat)
+    };
+    let mut early = MemberTable::default();
+    let mut late = MemberTable::default();
+    early.observe(vec![row("a", 0), row("b", 0), row("new", 20_000)], at(20_100));
+    late.observe(vec![row("a", 0), row("b", 0)], at(20_100));
+    let homes = |table: &MemberTable, store_ms: i64| {
+        table.home_candidates(Some(store_ms), at(21_000)).len()
+    };
+    assert_eq!((homes(&early, 21_000), homes(&late, 21_000)), (2, 2));
+    late.observe(vec![row("a", 0), row("b", 0), row("new", 20_000)], at(21_600));
+    assert_eq!((homes(&early, 27_999), homes(&late, 27_999)), (2, 2));
+    assert_eq!((homes(&early, 28_000), homes(&late, 28_000)), (3, 3));
+    // When all have just started there is no other choice.
+    let mut fresh = MemberTable::default();
+    fresh.observe(vec![row("a", 20_000), row("b", 20_050)], at(100));
+    assert_eq!(fresh.home_candidates(Some(20_100), at(200)).len(), 2);
+}
+
 #[test]
 fn usage_of_a_window_is_the_sum_over_nodes_also_those_that_are_gone() {
     let length = Duration::from_secs(5);
--- a/samphiredeck_core/tests/forward_limits.rs
+++ b/samphiredeck_core/tests/forward_limits.rs
@@ -98,6 +98,39 @@
     }
 }
 
+#[test]
+fn large_requests_stay_within_the_limit_over_changes_of_home_and_restarts() {
+    // The day on which 958,793 units ran where 958,668 were allowed: one workspace at several times
+    // its limit, prompts of up to 54,600 tokens, its home replaced, then a node started anew.
+    let row = workspace(82_700.0);
+    let sizes = [13_000.0, 54_600.0, 2_400.0, 900.0, 30_000.0, 200.0];
+    for offset in 0..sizes.len() {
+        for change_at in [1_000, 3_000, 5_500] {
+            let mut home = QuotaHome::new(slack());
+            let mut purses = vec![QuotaPurse::new(slack(), u32::try_from(NODES).unwrap()); NODES];
+            // It was idle before, so that the bucket is full.
+            home.take(&row, 1.0, at(0));
+            let mut admitted = Vec::new();
+            for step in 0..1_200_u64 {
+                let now = 20_000 + step * 15;
+                if step * 15 == change_at {
+                    home = QuotaHome::new(slack());
+                    purses[0] = QuotaPurse::new(slack(), u32::try_from(NODES).unwrap());
+                }
+                let index = usize::try_from(step).unwrap();
+                let units = sizes[(index + offset) % sizes.len()];
+                let granted = purses[index % NODES].take_small(&row, units, at(now))
+                    || home.take(&row, units, at(now)) == QuotaAnswer::Granted;
+                if granted {
+                    admitted.push((now, units));
+                }
+            }
+            let worst = worst_window(&admitted);
+            assert!(worst <= allowed(82_700.0), "{worst} of {}", allowed(82_700.0));
+        }
+    }
+}
+
 #[test]
 fn workspace_within_its_limit_is_not_refused() {
     // Large requests against a small limit, in clumps: half of the limit on average.
