Answers without a signature are not passed on, whatever their status

Cause: take_answer asked for the signature of successes only. A 4xx of something that is not the upstream (an address that serves another) reached callers as final, who don't ask again then. Ruled out: 4xx of upstreams that run or reject a request bear the signature or the mark of unrun. Change: a 4xx without a signature counts as no answer, as a success without one does. Test: serving request_that_must_not_repeat_is_sent_once with an unsigned 404: 404 before, 502 after.

--- a/samphiredeck/src/forward/reply.rs
+++ b/samphiredeck/src/forward/reply.rs
@@ -135,7 +135,8 @@
     let body =
         body.map_err(|error| SendFailure::new(SendOutcome::Broken, error.to_string()))?.to_bytes();
     let answer = WholeAnswer { status: head.status, headers, body };
-    if head.status.is_success() || head.status.is_client_error() && !is_promise(head.status) {
+    let refused = head.status.is_client_error() && marks.signed && !is_promise(head.status);
+    if head.status.is_success() || refused {
         return Ok(Taken::Whole(answer, marks));
     }
     let reason = format!("failed with {}", head.status.as_u16());
