Units come back when a caller leaves before its request is sent; debt is bounded

The debt of a large request was the one part of the excess without a bound. Change: TakenUnits give themselves back when dropped unspent; they are spent from just before the send on, and unspent again by a verdict of not run. CallRefusal::wrong and ::unknown were one function and are ::last.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -25,6 +25,7 @@
     call::{AdmittedCall, CallRefusal, CallTrace, come_back},
     clock,
     node::ForwardNode,
+    quota::TakenUnits,
     reply::{SendFailure, StreamAnswer, StreamSource, Taken, UpstreamAnswer, take_answer},
 };
 
@@ -49,11 +50,15 @@
     pub verdict: RunVerdict,
     /// Whether it was counted as begun.
     pub counted: bool,
+    /// Units taken from the workspace's limit.
+    taken: TakenUnits,
 }
 
-impl Default for CallProgress {
-    fn default() -> Self {
-        Self { tried: Vec::new(), sent: 0, verdict: RunVerdict::NotRun, counted: false }
+impl CallProgress {
+    /// Starts without any send, for a request that `taken` was taken for.
+    pub fn new(taken: TakenUnits) -> Self {
+        let (tried, verdict) = (Vec::new(), RunVerdict::NotRun);
+        Self { tried, sent: 0, verdict, counted: false, taken }
     }
 }
 
@@ -135,6 +140,7 @@
         progress.sent += u32::from(spent);
         connects += usize::from(!spent);
         progress.verdict = progress.verdict.join(failure.outcome.verdict());
+        progress.taken.set_spent(progress.verdict != RunVerdict::NotRun);
         progress.tried.push(choice.upstream.clone());
         let attempts = call.route.max_attempts.saturating_sub(progress.sent);
         let attempts = if connects >= CONNECTS_MAX { 0 } else { attempts };
@@ -159,7 +165,7 @@
             }
             (NextStep::Deliver | NextStep::GiveUp, _) => {
                 let status = StatusCode::BAD_GATEWAY;
-                return Err(CallRefusal::unknown(status, "upstream gave no whole answer"));
+                return Err(CallRefusal::last(status, "upstream gave no whole answer"));
             }
         }
     }
@@ -170,7 +176,7 @@
     if progress.verdict == RunVerdict::NotRun {
         return CallRefusal::unrun("no time left to send the request", come_back(left, left));
     }
-    CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+    CallRefusal::last(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
 }
 
 /// Answer for a request that is not sent again.
@@ -182,7 +188,7 @@
     if progress.verdict == RunVerdict::NotRun {
         return CallRefusal::unrun(reason, come_back(Duration::ZERO, left));
     }
-    CallRefusal::unknown(StatusCode::BAD_GATEWAY, reason)
+    CallRefusal::last(StatusCode::BAD_GATEWAY, reason)
 }
 
 fn place(
@@ -287,6 +293,8 @@
         let left = call.ends_at.since(sent_at);
         let bound = try_bound(call, left, again_possible);
         let request = build_request(call, choice, left, resume);
+        // From here on the caller may leave without a sign whether the request has run.
+        progress.taken.set_spent(true);
         let exchange = async {
             let response = link.send(request).await.map_err(|error| {
                 let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -17,7 +17,6 @@
         work::engine_work,
     },
     ids::{KeyHash, PoolName, WorkspaceName},
-    verdict::RunVerdict,
 };
 use samphiredeck_platform::call::{CallerFields, decode_caller, encode_refusal};
 use serde_json::json;
@@ -29,7 +28,7 @@
     clock,
     gauges::{LatencyLabels, OutcomeLabels},
     node::{ForwardNode, StopPhase},
-    quota::{TakenUnits, give_back, take_units},
+    quota::take_units,
     relay::relay_stream,
     reply::UpstreamAnswer,
 };
@@ -57,8 +56,8 @@
 }
 
 impl CallRefusal {
-    /// Refuses a request that can't be served whoever asks again.
-    pub fn wrong(status: StatusCode, reason: &'static str) -> Self {
+    /// Ends a request that can't be served whoever asks again, or that may have run.
+    pub fn last(status: StatusCode, reason: &'static str) -> Self {
         Self { status, reason, retry_after: None }
     }
 
@@ -67,11 +66,6 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Self { status, reason, retry_after: Some(retry_after) }
     }
-
-    /// Gives up a request that may have run.
-    pub fn unknown(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None }
-    }
 }
 
 /// Story of one request, for the log and the metrics. Its drop without an end means that the
@@ -168,8 +162,6 @@
     pub workspace: Option<WorkspaceName>,
     /// Rank, 0 first.
     pub priority: u8,
-    /// Units taken from the workspace's limit.
-    pub taken: TakenUnits,
     /// Time at which the final answer is given.
     pub ends_at: BootTime,
     /// Version of the configuration that admitted it.
@@ -209,13 +201,13 @@
         Ok(fields) => fields,
         Err(error) => {
             node.journal.note("unreadable", json!({ "reason": error.to_string() }));
-            let refusal = CallRefusal::wrong(StatusCode::BAD_REQUEST, "unreadable request");
+            let refusal = CallRefusal::last(StatusCode::BAD_REQUEST, "unreadable request");
             return answer_refusal(&node, "", &refusal);
         }
     };
     let mut trace = CallTrace::begin(Rc::clone(&node), fields.request.clone(), arrived);
     match receive_call(&mut trace, fields, request).await {
-        Ok((call, held)) => answer_call(call, trace, held).await,
+        Ok((call, progress, held)) => answer_call(call, progress, trace, held).await,
         Err(refusal) => end_refused(&mut trace, &refusal),
     }
 }
@@ -225,7 +217,7 @@
     trace: &mut CallTrace,
     fields: CallerFields,
     request: Request<Incoming>,
-) -> Result<(AdmittedCall, HeldBytes), CallRefusal> {
+) -> Result<(AdmittedCall, CallProgress, HeldBytes), CallRefusal> {
     let node = Rc::clone(&trace.node);
     let (parts, payload) = request.into_parts();
     let catalog = current_catalog(&node, trace)?;
@@ -233,7 +225,7 @@
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
     let Some(route) = catalog.find_route(&name, parts.uri.path()).cloned() else {
-        return Err(CallRefusal::wrong(StatusCode::NOT_FOUND, "no route"));
+        return Err(CallRefusal::last(StatusCode::NOT_FOUND, "no route"));
     };
     trace.route.clone_from(&route.name);
     let workspace = find_workspace(&catalog, &route, &fields)?;
@@ -256,7 +248,6 @@
         max_connections: pool.map_or(u32::MAX, |pool| pool.max_connections),
         workspace: workspace.map(|row| row.name.clone()),
         priority: workspace.and_then(|row| row.priority).unwrap_or(route.priority),
-        taken,
         ends_at,
         version: catalog.version().0,
         pool: pool_name,
@@ -270,7 +261,7 @@
         let work = engine_work(prompt, call.output_tokens());
         beliefs.work.note(&call.pool, work, trace.arrived);
     }
-    Ok((call, held))
+    Ok((call, CallProgress::new(taken), held))
 }
 
 /// Configuration in force, while the node may go by it.
@@ -306,7 +297,7 @@
     let key = fields.key.as_deref().map(KeyHash::of);
     match key.and_then(|key| catalog.find_workspace(key)) {
         Some(row) => Ok(Some(row)),
-        None => Err(CallRefusal::wrong(StatusCode::UNAUTHORIZED, "unknown key")),
+        None => Err(CallRefusal::last(StatusCode::UNAUTHORIZED, "unknown key")),
     }
 }
 
@@ -317,7 +308,7 @@
     ends_at: BootTime,
 ) -> Result<(Bytes, HeldBytes), CallRefusal> {
     let limit = catalog.limits().body_bytes;
-    let too_large = || CallRefusal::wrong(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    let too_large = || CallRefusal::last(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
     let declared = hyper::body::Body::size_hint(&body).exact();
     if declared.is_some_and(|bytes| usize::try_from(bytes).is_ok_and(|bytes| bytes > limit)) {
         return Err(too_large());
@@ -331,10 +322,10 @@
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
         Ok(Err(_cut)) => {
-            return Err(CallRefusal::wrong(StatusCode::BAD_REQUEST, "body cut off"));
+            return Err(CallRefusal::last(StatusCode::BAD_REQUEST, "body cut off"));
         }
         Err(_late) => {
-            return Err(CallRefusal::wrong(StatusCode::REQUEST_TIMEOUT, "body came too slowly"));
+            return Err(CallRefusal::last(StatusCode::REQUEST_TIMEOUT, "body came too slowly"));
         }
     };
     node.held_bytes.set(node.held_bytes.get() + bytes.len());
@@ -344,10 +335,10 @@
 
 async fn answer_call(
     call: AdmittedCall,
+    mut progress: CallProgress,
     mut trace: CallTrace,
     held: HeldBytes,
 ) -> Response<AnswerBody> {
-    let mut progress = CallProgress::default();
     match attempt(&call, &mut progress, &trace, None).await {
         Ok(UpstreamAnswer::Whole(whole)) => {
             trace.note_first_sign();
@@ -367,12 +358,7 @@
             });
             build_answer(&node, status, headers, body)
         }
-        Err(refusal) => {
-            if progress.verdict == RunVerdict::NotRun {
-                give_back(&trace.node, call.taken);
-            }
-            end_refused(&mut trace, &refusal)
-        }
+        Err(refusal) => end_refused(&mut trace, &refusal),
     }
 }
 
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -34,12 +34,45 @@
     Home(NodeName),
 }
 
-/// Units that were taken for a request.
-#[derive(Clone, Debug)]
+/// Units that were taken for a request. Its drop gives them back unless the request may have run.
+#[derive(Debug)]
 pub struct TakenUnits {
+    node: Rc<ForwardNode>,
     source: UnitSource,
     workspace: Option<WorkspaceName>,
     units: f64,
+    /// Whether the request may have run.
+    spent: bool,
+}
+
+impl TakenUnits {
+    /// Notes whether the request may have run.
+    pub fn set_spent(&mut self, spent: bool) {
+        self.spent = spent;
+    }
+}
+
+impl Drop for TakenUnits {
+    fn drop(&mut self) {
+        if self.spent {
+            return;
+        }
+        let (UnitSource::Home(home), Some(workspace)) = (&self.source, self.workspace.take())
+        else {
+            return;
+        };
+        if *home == self.node.settings().name {
+            self.node.beliefs().home.give_back(&workspace, self.units);
+            return;
+        }
+        let talk = self.node.peers.borrow().clone();
+        if let Some(talk) = talk {
+            let (node, home, units) = (Rc::clone(&self.node), home.clone(), self.units);
+            actix_web::rt::spawn(async move {
+                talk.give_back(&node, &home, workspace, units).await;
+            });
+        }
+    }
 }
 
 /// Takes the units of a request that names `tokens`.
@@ -52,11 +85,19 @@
     workspace: Option<&WorkspaceRow>,
     tokens: Option<u64>,
 ) -> Result<TakenUnits, CallRefusal> {
-    let unlimited = TakenUnits { source: UnitSource::Unlimited, workspace: None, units: 0.0 };
-    let Some(row) = workspace.filter(|row| row.rate > 0.0) else { return Ok(unlimited) };
-    let units = cost_of(row, tokens);
-    let taken = |source| TakenUnits { source, workspace: Some(row.name.clone()), units };
     let node = Rc::clone(&trace.node);
+    let take = |source, workspace, units| TakenUnits {
+        node: Rc::clone(&trace.node),
+        source,
+        workspace,
+        units,
+        spent: false,
+    };
+    let Some(row) = workspace.filter(|row| row.rate > 0.0) else {
+        return Ok(take(UnitSource::Unlimited, None, 0.0));
+    };
+    let units = cost_of(row, tokens);
+    let taken = |source| take(source, Some(row.name.clone()), units);
     if node.beliefs().purse.take_small(row, units, clock::now()) {
         return Ok(taken(UnitSource::Purse));
     }
@@ -111,21 +152,3 @@
     }
     None
 }
-
-/// Gives back the units of a request that did not run.
-pub fn give_back(node: &Rc<ForwardNode>, taken: TakenUnits) {
-    let (UnitSource::Home(home), Some(workspace)) = (taken.source, taken.workspace) else {
-        return;
-    };
-    if home == node.settings().name {
-        node.beliefs().home.give_back(&workspace, taken.units);
-        return;
-    }
-    let talk = node.peers.borrow().clone();
-    if let Some(talk) = talk {
-        let node = Rc::clone(node);
-        actix_web::rt::spawn(async move {
-            talk.give_back(&node, &home, workspace, taken.units).await;
-        });
-    }
-}
--- a/samphiredeck_core/src/forward/quota.rs
+++ b/samphiredeck_core/src/forward/quota.rs
@@ -32,6 +32,8 @@
 /// Share of a bucket that a request larger than this needs. It goes into debt for the rest, since
 /// it could wait for ever otherwise.
 const LARGE_SHARE: f64 = 0.5;
+/// Part of the allowed excess up to which a bucket goes into debt.
+const DEBT_EXCESS: f64 = 0.12;
 /// Least time that a refused caller is told to wait.
 const WAIT_MIN: Duration = Duration::from_millis(100);
 /// Longest time that a refused caller is told to wait.
@@ -150,7 +152,8 @@
         let start = (excess * START_EXCESS).min(most);
         let rate = workspace.rate + excess * RATE_EXCESS / self.slack.window.as_secs_f64();
         let bucket = self.buckets.filled(&workspace.name, start, rate, most, now);
-        let needed = cost.min(most * LARGE_SHARE);
+        // A request that is larger than bucket and debt needs the whole bucket.
+        let needed = (most * LARGE_SHARE).max(cost - excess * DEBT_EXCESS).min(cost).min(most);
         if bucket.level >= needed {
             bucket.level -= cost;
             return QuotaAnswer::Granted;
--- a/samphiredeck_core/tests/forward_limits.rs
+++ b/samphiredeck_core/tests/forward_limits.rs
@@ -131,6 +131,19 @@
     }
 }
 
+#[test]
+fn debt_of_a_large_request_is_bounded() {
+    // Limits by requests have no tokens of slack: 10 units in a window, 1 more is allowed.
+    let row = WorkspaceRow { by_tokens: false, ..workspace(1.0) };
+    let mut home = QuotaHome::new(slack());
+    home.take(&row, 0.0, at(0));
+    let full = 20_000;
+    // The bucket holds 1 + 0.2 x 0.9 units. Debt may grow to 0.12 x 0.9, however large the request.
+    assert_eq!(home.take(&row, 0.5, at(full)), QuotaAnswer::Granted);
+    assert_ne!(home.take(&row, 1.0, at(full)), QuotaAnswer::Granted);
+    assert_eq!(home.take(&row, 0.75, at(full)), QuotaAnswer::Granted);
+}
+
 #[test]
 fn workspace_within_its_limit_is_not_refused() {
     // Large requests against a small limit, in clumps: half of the limit on average.
