Count every call to the platform; a lease renewed under its number forgets nothing

Cause: calls of the duty and of orders were missing in platform_calls_total, since readers counted, not the client. A lease that lapsed for a moment cleared the reports made under it, which were sent again (exact repeats, so no rule was broken, but calls for nothing). Change: the client counts by purpose; reports and plans are forgotten only under another number. Test: stops metrics_and_log_tell_of_a_request asks for the duty's calls; failed before.

--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -67,8 +67,10 @@
     plans: Vec<(PoolName, CapacityPlan)>,
     /// Windows that were reported under the current fence.
     reported: Vec<WindowNumber>,
-    /// Fence under which `plans` and `reported` were made.
+    /// Fence under which this node may act.
     fence: Option<FenceNumber>,
+    /// Fence under which `plans` and `reported` were made.
+    known: Option<FenceNumber>,
     ordered_at: BootTime,
     /// Time until which nothing is sent to the platform's API.
     paused_until: BootTime,
@@ -76,18 +78,17 @@
 
 /// Takes, renews and uses the duty until the node stops.
 pub async fn hold_duty(node: Rc<ForwardNode>) {
-    let settings = node.settings();
     let mut desk = DutyDesk {
-        store: PlatformLink::new(settings.platform.store),
-        orders: settings.platform.orders.map(PlatformLink::new),
+        store: PlatformLink::store(&node, "duty"),
+        orders: PlatformLink::orders(&node),
         node,
         plans: Vec::new(),
         reported: Vec::new(),
         fence: None,
+        known: None,
         ordered_at: BootTime::default(),
         paused_until: BootTime::default(),
     };
-    drop(settings);
     while desk.node.phase() == StopPhase::Serving {
         desk.keep_lease().await;
         desk.note_fence();
@@ -170,7 +171,8 @@
         }
     }
 
-    /// Notes a change of the fence. A new holder knows nothing of what was ordered or reported.
+    /// Notes a change of the fence. Under a new one nothing is known of what was ordered or reported;
+    /// a lease that lapsed and was renewed under its fence goes on.
     fn note_fence(&mut self) {
         let fence = self.may_act();
         if fence == self.fence {
@@ -183,8 +185,11 @@
             "fence": fence.map(|fence| fence.0), "before": self.fence.map(|fence| fence.0),
         });
         self.node.journal.note(kind, fields);
-        self.plans.clear();
-        self.reported.clear();
+        if fence.is_some() && fence != self.known {
+            self.plans.clear();
+            self.reported.clear();
+            self.known = fence;
+        }
         self.fence = fence;
     }
 
--- a/samphiredeck/src/forward/gauges.rs
+++ b/samphiredeck/src/forward/gauges.rs
@@ -44,6 +44,9 @@
     pub outcome: &'static str,
 }
 
+/// Counts of calls to the platform.
+pub type CallFamily = Family<CallLabels, Counter>;
+
 fn new_latency() -> Histogram {
     // 2 ms to 65 s.
     Histogram::new(exponential_buckets(0.002, 2.0, 16))
@@ -64,7 +67,7 @@
     /// Connections made to upstreams.
     pub connections: Counter,
     /// Calls to the platform.
-    pub calls: Family<CallLabels, Counter>,
+    pub calls: CallFamily,
     /// Requests that are being served.
     pub in_flight: Gauge,
     /// Version of the configuration in force.
--- a/samphiredeck/src/forward/platform_link.rs
+++ b/samphiredeck/src/forward/platform_link.rs
@@ -15,7 +15,11 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::forward::http_link::HttpLink;
+use crate::forward::{
+    gauges::{CallFamily, CallLabels},
+    http_link::HttpLink,
+    node::ForwardNode,
+};
 
 /// Bound on making a connection to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -49,15 +53,28 @@
     address: SocketAddr,
     host: HeaderValue,
     link: Option<HttpLink>,
+    /// What the calls are for, as the metrics show it.
+    purpose: &'static str,
+    calls: CallFamily,
 }
 
 impl PlatformLink {
-    /// Makes a client of the service at `address`. Connects with the first call.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Makes a client of the store. Connects with the first call.
+    pub fn store(node: &ForwardNode, purpose: &'static str) -> Self {
+        Self::new(node, node.settings().platform.store, purpose)
+    }
+
+    /// Makes a client of the API for orders and reports, if there is one.
+    pub fn orders(node: &ForwardNode) -> Option<Self> {
+        let address = node.settings().platform.orders?;
+        Some(Self::new(node, address, "orders"))
+    }
+
+    fn new(node: &ForwardNode, address: SocketAddr, purpose: &'static str) -> Self {
         // An address is made of visible ASCII characters.
         let host = HeaderValue::from_str(&address.to_string());
         let host = host.unwrap_or_else(|_never| HeaderValue::from_static("platform"));
-        Self { address, host, link: None }
+        Self { address, host, link: None, purpose, calls: node.gauges.calls.clone() }
     }
 
     /// Carries out `call` within `bound`, from the connection to the last byte of the answer.
@@ -65,6 +82,17 @@
         &mut self,
         call: PlatformCall,
         bound: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let answer = self.exchange(call, bound).await;
+        let outcome = if answer.is_ok() { "answered" } else { "failed" };
+        self.calls.get_or_create(&CallLabels { purpose: self.purpose, outcome }).inc();
+        answer
+    }
+
+    async fn exchange(
+        &mut self,
+        call: PlatformCall,
+        bound: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -28,7 +28,6 @@
 
 use crate::forward::{
     clock,
-    gauges::CallLabels,
     node::ForwardNode,
     peers::PeerTalk,
     platform_link::{CallError, PlatformLink},
@@ -71,13 +70,7 @@
         Self { node, purpose, pause, lost_at: None }
     }
 
-    fn count(&self, outcome: &'static str) {
-        let labels = CallLabels { purpose: self.purpose, outcome };
-        self.node.gauges.calls.get_or_create(&labels).inc();
-    }
-
     fn answered(&mut self) {
-        self.count("answered");
         self.pause.reset();
         if let Some(lost_at) = self.lost_at.take() {
             let lost_ms = clock::now().since(lost_at).as_millis();
@@ -88,7 +81,6 @@
 
     /// Notes a failure and waits before the next try.
     async fn failed(&mut self, error: &CallError) {
-        self.count("failed");
         if self.lost_at.is_none() {
             self.lost_at = Some(clock::now());
             let fields = json!({ "what": self.purpose, "reason": error.to_string() });
@@ -104,7 +96,7 @@
 
 /// Keeps the configuration up to date.
 pub async fn watch_config(node: Rc<ForwardNode>) {
-    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut link = PlatformLink::store(&node, "configuration");
     let mut store = Dependency::new(&node, "configuration");
     let mut known: Option<RowVersion> = None;
     loop {
@@ -169,7 +161,7 @@
 
 /// Keeps the list of upstreams up to date.
 pub async fn watch_upstreams(node: Rc<ForwardNode>) {
-    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut link = PlatformLink::store(&node, "upstreams");
     let mut store = Dependency::new(&node, "upstreams");
     loop {
         let asked_at = clock::now();
@@ -234,7 +226,7 @@
 
 /// Reads the rows that the nodes share and writes this node's own.
 pub async fn share_rows(node: Rc<ForwardNode>) {
-    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut link = PlatformLink::store(&node, "shared rows");
     let mut store = Dependency::new(&node, "shared rows");
     let mut beat = BeatPacer::default();
     loop {
@@ -391,7 +383,7 @@
 
 /// Publishes what this node has counted, before it ends.
 pub async fn publish_last(node: &ForwardNode) {
-    let mut link = PlatformLink::new(node.settings().platform.store);
+    let mut link = PlatformLink::store(node, "shared rows");
     if let Err(error) = write_beat(node, &mut link, true).await {
         node.journal.note("counts-unpublished", json!({ "reason": error.to_string() }));
     }
