One node a failure domain reads the store; the others go by its word

Cause: every node read the configuration, the upstreams' list and the shared rows for itself. A node that the store alone turned away stopped after the bound on revocation, though its neighbours knew that nothing had changed. Ruled out: passing on contents by datagram (the list alone is larger than one, and a lost part is a lost list); pushing news (a datagram that waited in the socket of a suspended node would look fresh). Change: nodes ask a reader of their domain what it can prove: version of the configuration's row and digest of the list, each with the age since before the store was asked. Who holds the same takes the age over, counted from before its own question; who holds something else reads it. The next node in the order reads as soon as those before it are silent. Rows of nodes name their domain, so the form of shared rows is 2.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -5,11 +5,13 @@
 mod beliefs;
 mod call;
 mod clock;
+mod dependency;
 mod duty;
 mod gauges;
 mod http_link;
 mod ingress;
 mod journal;
+mod news;
 mod node;
 mod peers;
 mod platform_link;
@@ -18,6 +20,7 @@
 mod relay;
 mod reply;
 pub mod settings;
+mod share;
 mod watch;
 
 use std::{
@@ -115,7 +118,7 @@
 fn start_parts(node: &Rc<ForwardNode>, listeners: NodeListeners) {
     spawn(watch::watch_config(Rc::clone(node)));
     spawn(watch::watch_upstreams(Rc::clone(node)));
-    spawn(watch::share_rows(Rc::clone(node)));
+    spawn(share::share_rows(Rc::clone(node)));
     spawn(duty::hold_duty(Rc::clone(node)));
     spawn(sweep(Rc::clone(node)));
     spawn(ingress::accept_callers(Rc::clone(node), listeners.caller));
@@ -181,7 +184,7 @@
         sleep(LOOK_PERIOD).await;
     };
     let ended = timeout(left, quiet).await.is_ok();
-    watch::publish_last(node).await;
+    share::publish_last(node).await;
     let fields = json!({
         "running": running(), "in_order": ended, "after_ms": clock::now().since(begun).as_millis(),
     });
--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -16,7 +16,7 @@
         roster::UpstreamRoster,
         work::WorkMeter,
     },
-    ids::{Incarnation, NodeName, WorkspaceName},
+    ids::{DomainName, Incarnation, NodeName, RowVersion, WorkspaceName},
     units::Millis,
 };
 
@@ -36,6 +36,12 @@
     pub catalog: Option<Rc<ForwardCatalog>>,
     /// Age of the knowledge that `catalog` is the newest.
     pub proof: ProofAge,
+    /// Newest version of the configuration's row that the store showed, readable or not.
+    pub config_row: RowVersion,
+    /// Whether another node knows a newer one.
+    pub config_told: bool,
+    /// Node that reads the store for this one. Nothing if this node reads it.
+    pub reader: Option<NodeName>,
     /// Upstreams.
     pub roster: UpstreamRoster,
     /// Nodes.
@@ -66,6 +72,9 @@
         let bounds = settings.bounds;
         Self {
             catalog: None,
+            config_row: RowVersion::default(),
+            config_told: false,
+            reader: None,
             proof: ProofAge::new(bounds.revoke.map(Millis::duration)),
             roster: UpstreamRoster::default(),
             members: MemberTable::default(),
@@ -103,6 +112,7 @@
         &self,
         incarnation: Incarnation,
         peer: SocketAddr,
+        domain: DomainName,
         last: bool,
         now: BootTime,
     ) -> NodeBeat {
@@ -117,6 +127,7 @@
             },
             windows: self.ledger.windows().to_vec(),
             peer,
+            domain,
             since_ms,
             work: self.work.rates(now),
         }
--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -117,7 +117,12 @@
             if beliefs.catalog.is_none() {
                 return;
             }
-            beliefs.duty.next_step(clock::now())
+            // Nodes that read for others see the row often enough to tell that a holder is gone.
+            let follows = beliefs.reader.is_some();
+            match beliefs.duty.next_step(clock::now()) {
+                DutyStep::Write(record, _) if record.renewals == 0 && follows => return,
+                step => step,
+            }
         };
         let DutyStep::Write(record, version) = step else { return };
         let value = match encode_record(&record) {
--- a/samphiredeck/src/forward/peers.rs
+++ b/samphiredeck/src/forward/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between forwarding nodes: questions about limits, and signs of life.
+//! Datagrams between forwarding nodes: questions about limits and news, and signs of life.
 
 use std::{
     cell::{Cell, RefCell},
@@ -8,7 +8,10 @@
 };
 
 use samphiredeck_core::{
-    forward::quota::{HomeSign, QuotaAnswer, SIGN_TIME},
+    forward::{
+        quota::{HomeSign, QuotaAnswer, SIGN_TIME},
+        readers::StoreNews,
+    },
     ids::{NodeName, WorkspaceName},
 };
 use samphiredeck_wire::{
@@ -23,7 +26,7 @@
     time::{sleep, timeout},
 };
 
-use crate::forward::{clock, node::ForwardNode};
+use crate::forward::{clock, news::own_news, node::ForwardNode};
 
 /// Time in which a node that lives answers, also one that is slow: several times the users' longest
 /// way between domains, and a tenth of their tightest target.
@@ -36,11 +39,14 @@
 /// cut off, and grants nothing beyond its purse.
 const ALONE_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Time in which a reader answers. No request waits for it, so it covers slow nodes, too.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Question that waits for its answer.
 #[derive(Debug)]
 struct OpenQuestion {
     number: u64,
-    answer: oneshot::Sender<Option<QuotaAnswer>>,
+    reply: oneshot::Sender<NodeTalk>,
 }
 
 /// Datagrams of this node.
@@ -122,20 +128,49 @@
             }
             beliefs.members.peer(home)?
         };
-        let number = self.next_number();
-        let (sender, answer) = oneshot::channel();
-        self.questions.borrow_mut().push(OpenQuestion { number, answer: sender });
+        let question = self.next_number();
         let workspace = workspace.clone();
-        let talk = NodeTalk::Ask { question: number, workspace, units, instead };
-        self.send(node, home, address, &talk).await;
+        let talk = NodeTalk::Ask { question, workspace, units, instead };
         let bound = if instead { INSTEAD_TIMEOUT } else { ANSWER_TIMEOUT };
-        let answer = timeout(bound, answer).await;
-        self.questions.borrow_mut().retain(|open| open.number != number);
-        let answer = answer.ok().and_then(Result::ok);
-        if answer.is_none() {
-            node.beliefs().contacts.note_silent(home, clock::now());
+        match self.exchange(node, (home, address), question, &talk, bound).await {
+            Some(NodeTalk::Granted { .. }) => Some(QuotaAnswer::Granted),
+            Some(NodeTalk::Over { wait_ms, .. }) => {
+                Some(QuotaAnswer::Over(Duration::from_millis(wait_ms)))
+            }
+            Some(_declined) => None,
+            None => {
+                node.beliefs().contacts.note_silent(home, clock::now());
+                None
+            }
+        }
+    }
+
+    /// Asks `reader` what it can prove of the store's content. Returns nothing if it does not answer.
+    pub async fn ask_news(&self, node: &ForwardNode, reader: &NodeName) -> Option<StoreNews> {
+        let address = node.beliefs().members.peer(reader)?;
+        let question = self.next_number();
+        let talk = NodeTalk::AskNews { question };
+        match self.exchange(node, (reader, address), question, &talk, NEWS_TIMEOUT).await {
+            Some(NodeTalk::News { news, .. }) => Some(news),
+            _ => None,
         }
-        answer.flatten()
+    }
+
+    /// Sends the question `talk` and waits for its reply.
+    async fn exchange(
+        &self,
+        node: &ForwardNode,
+        (to, address): (&NodeName, SocketAddr),
+        question: u64,
+        talk: &NodeTalk,
+        bound: Duration,
+    ) -> Option<NodeTalk> {
+        let (sender, reply) = oneshot::channel();
+        self.questions.borrow_mut().push(OpenQuestion { number: question, reply: sender });
+        self.send(node, to, address, talk).await;
+        let reply = timeout(bound, reply).await;
+        self.questions.borrow_mut().retain(|open| open.number != question);
+        reply.ok().and_then(Result::ok)
     }
 
     /// Gives units back to `home`.
@@ -150,11 +185,11 @@
         self.send(node, home, address, &NodeTalk::GiveBack { workspace, units }).await;
     }
 
-    fn settle(&self, number: u64, answer: Option<QuotaAnswer>) {
+    fn settle(&self, number: u64, reply: NodeTalk) {
         let mut questions = self.questions.borrow_mut();
         if let Ok(at) = questions.binary_search_by_key(&number, |open| open.number) {
             // An asker that has given up takes no answer.
-            questions.remove(at).answer.send(answer).unwrap_or_default();
+            drop(questions.remove(at).reply.send(reply));
         }
     }
 }
@@ -178,6 +213,8 @@
                 let now = clock::now();
                 match message {
                     NodeTalk::Unable => node.beliefs().contacts.note_unable(&sender, now),
+                    // Nodes that can't act as homes ask and tell news, too.
+                    NodeTalk::AskNews { .. } | NodeTalk::News { .. } => {}
                     _ => node.beliefs().contacts.note_heard(&sender, now),
                 }
                 take_talk(&node, &talk, sender, from, message).await;
@@ -210,11 +247,14 @@
                 }
             });
         }
-        NodeTalk::Granted { question } => talk.settle(question, Some(QuotaAnswer::Granted)),
-        NodeTalk::Over { question, wait_ms } => {
-            talk.settle(question, Some(QuotaAnswer::Over(Duration::from_millis(wait_ms))));
+        NodeTalk::AskNews { question } => {
+            let news = own_news(node);
+            talk.send(node, &sender, from, &NodeTalk::News { question, news }).await;
         }
-        NodeTalk::Declined { question } => talk.settle(question, None),
+        NodeTalk::Granted { question }
+        | NodeTalk::Over { question, .. }
+        | NodeTalk::Declined { question }
+        | NodeTalk::News { question, .. } => talk.settle(question, message),
         NodeTalk::GiveBack { workspace, units } => {
             node.beliefs().home.give_back(&workspace, units);
         }
--- a/samphiredeck_core/src/boot_time.rs
+++ b/samphiredeck_core/src/boot_time.rs
@@ -32,6 +32,12 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// The moment `span` earlier, if the instance had started by then.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Option<Self> {
+        self.0.checked_sub(span).map(Self)
+    }
+
     /// Milliseconds since the start of the instance.
     #[must_use]
     pub fn as_millis(self) -> u64 {
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod placing;
 pub mod quota;
+pub mod readers;
 pub mod repeat;
 pub mod roster;
 pub mod waiting;
--- a/samphiredeck_core/src/forward/freshness.rs
+++ b/samphiredeck_core/src/forward/freshness.rs
@@ -13,6 +13,17 @@
 /// Share of the admission age after which a node reports itself not ready, so that callers reach
 /// other nodes before it has to refuse.
 const READY_SHARE: f64 = 0.8;
+/// Share of the admission age after which a node asks the store itself if others prove nothing newer.
+const ASK_SHARE: f64 = 0.5;
+/// Age after which it does so at the latest, so that changes arrive in time where revocation is not
+/// bounded.
+const ASK_AGE_MAX: Duration = Duration::from_millis(2_300);
+
+/// Longest time for which the store may hold back an answer.
+const HOLD_MAX: Duration = Duration::from_millis(800);
+/// Part of the admission age for which it may do so. With the answer on its way, a proof is up to
+/// two parts old at its reader, and three where it is told on.
+const HOLD_PART: u32 = 6;
 
 /// Age of a node's knowledge of the configuration.
 #[derive(Clone, Copy, Debug)]
@@ -48,6 +59,21 @@
         self.age(now).is_some_and(|age| age < self.bound)
     }
 
+    /// Whether the node has to ask the store itself at `now`.
+    #[must_use]
+    pub fn is_aging(&self, now: BootTime) -> bool {
+        let bound =
+            if self.bound == Duration::MAX { ASK_AGE_MAX } else { self.bound.mul_f64(ASK_SHARE) };
+        self.age(now).is_none_or(|age| age >= bound.min(ASK_AGE_MAX))
+    }
+
+    /// Time for which the store may hold back an answer, so that the proof stays well below the age
+    /// from which [`Self::is_aging`] holds, also where it is told on.
+    #[must_use]
+    pub fn hold_time(&self) -> Duration {
+        if self.bound == Duration::MAX { HOLD_MAX } else { (self.bound / HOLD_PART).min(HOLD_MAX) }
+    }
+
     /// Whether the node should take new connections at `now`.
     #[must_use]
     pub fn is_ready(&self, now: BootTime) -> bool {
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -12,8 +12,9 @@
     forward::{
         clock::ClockOffset,
         ledger::{WindowCounts, WindowNumber},
+        readers::ReaderCandidate,
     },
-    ids::{Incarnation, NodeName, PoolName, RowVersion},
+    ids::{DomainName, Incarnation, NodeName, PoolName, RowVersion},
 };
 
 /// Time without a change of its row after which a node counts as gone: three times the period of
@@ -46,6 +47,8 @@
     pub windows: Vec<WindowCounts>,
     /// Address for datagrams of other nodes.
     pub peer: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
     /// Time on the store's clock, in milliseconds, at which the first run at this address started.
     pub since_ms: i64,
     /// Work that arrived for each pool.
@@ -105,6 +108,14 @@
         if old.is_empty() { self.alive(now).map(|row| &row.node).collect() } else { old }
     }
 
+    /// Nodes alive at `now` that may read the store for others.
+    #[must_use]
+    pub fn reader_candidates(&self, now: BootTime) -> Vec<ReaderCandidate> {
+        let rows = self.alive(now);
+        rows.map(|row| ReaderCandidate { node: row.node.clone(), domain: row.beat.domain.clone() })
+            .collect()
+    }
+
     /// Nodes whose row has not changed for `silence` at `now`, with the version of their row.
     #[must_use]
     pub fn silent(&self, silence: Duration, now: BootTime) -> Vec<(NodeName, RowVersion)> {
--- a/samphiredeck_core/src/forward/roster.rs
+++ b/samphiredeck_core/src/forward/roster.rs
@@ -4,7 +4,13 @@
 //! same start of an upstream. Answers lists with entries missing after an outage of the store: these
 //! upstreams are kept as a last resort for the time that the platform takes to list them again.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
     boot_time::BootTime,
@@ -48,6 +54,14 @@
     pub cold: Duration,
 }
 
+impl ListedUpstream {
+    /// Adds what tells this entry from another one. Left out is what only counts down.
+    fn add_to(&self, digest: &mut Xxh3Default) {
+        (&self.id, self.born_ms, &self.pool, self.address).hash(digest);
+        (&self.domain, self.slots, self.leaving, self.reclaimable).hash(digest);
+    }
+}
+
 /// Load that an upstream reported with an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReport {
@@ -177,6 +191,19 @@
     known_since: Option<BootTime>,
     /// Newest version that a read which took effect showed.
     version: RowVersion,
+    /// The list as read last, sorted by id.
+    list: Vec<ListedUpstream>,
+}
+
+/// What follows from another node's word on the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListStep {
+    /// It is older than what this node has read.
+    Old,
+    /// It is the list that this node holds, and was still in force.
+    Confirmed(Vec<RosterChange>),
+    /// It is another list. This node has to read it.
+    Read,
 }
 
 impl UpstreamRoster {
@@ -192,6 +219,26 @@
         self.read_at
     }
 
+    /// Identifies the content of the list in use.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut digest = Xxh3Default::new();
+        self.list.iter().for_each(|entry| entry.add_to(&mut digest));
+        digest.finish()
+    }
+
+    /// Takes in that another node knew a list of this `digest` to be in force at `as_of`.
+    pub fn take_word(&mut self, digest: u64, as_of: BootTime, now: BootTime) -> ListStep {
+        if self.read_at.is_some_and(|read_at| as_of <= read_at) {
+            return ListStep::Old;
+        }
+        if self.read_at.is_none() || digest != self.digest() {
+            return ListStep::Read;
+        }
+        let list = std::mem::take(&mut self.list);
+        ListStep::Confirmed(self.apply_list(list, self.version, as_of, now))
+    }
+
     /// Time of the first read that named an upstream.
     #[must_use]
     pub fn known_since(&self) -> Option<BootTime> {
@@ -231,6 +278,7 @@
         }
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
+        self.list.clone_from(&list);
         for row in self.rows.iter_mut().filter(|row| row.listed) {
             if list.binary_search_by(|entry| entry.id.cmp(&row.entry.id)).is_ok() {
                 continue;
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -158,6 +158,7 @@
 
 fn beat(ledger: &StartLedger, counted_to_ms: i64) -> NodeBeat {
     NodeBeat {
+        domain: "a".parse().unwrap(),
         incarnation: Incarnation(1),
         offset_ms: None,
         counted_to_ms: Some(counted_to_ms),
--- a/samphiredeck_core/tests/forward_limits.rs
+++ b/samphiredeck_core/tests/forward_limits.rs
@@ -315,3 +315,23 @@
     let long = retry_after(Duration::from_secs(60), left, 1.0);
     assert!(long <= left / 3, "callers honour no more than a third of their time: {long:?}");
 }
+
+#[test]
+fn proof_is_asked_for_long_before_it_runs_out() {
+    for revoke_ms in [3_000, 5_000, 30_000] {
+        let mut proof = ProofAge::new(Some(Duration::from_millis(revoke_ms)));
+        assert!(proof.is_aging(at(0)));
+        proof.note(at(10_000));
+        // A reader's proof is up to two holds old, and told on half a second later.
+        let told = proof.hold_time() * 2 + Duration::from_millis(550);
+        assert!(revoke_ms == 3_000 || !proof.is_aging(at(10_000) + told), "{revoke_ms}");
+        let aging = (0..5_000).find(|age| proof.is_aging(at(10_000 + age))).unwrap();
+        assert!(proof.is_ready(at(10_000 + aging + 600)), "{revoke_ms}: time to ask the store");
+    }
+}
+
+#[test]
+fn age_beyond_the_start_of_the_instance_proves_nothing() {
+    assert_eq!(at(500).before(Duration::from_millis(501)), None);
+    assert_eq!(at(500).before(Duration::from_millis(500)), Some(at(0)));
+}
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -6,9 +6,10 @@
     boot_time::BootTime,
     forward::{
         placing::{PlaceRequest, PromptPart, choose_upstream},
-        roster::{ListedUpstream, RosterChange, UpstreamRoster},
+        readers::{ReaderCandidate, order_readers},
+        roster::{ListStep, ListedUpstream, RosterChange, UpstreamRoster},
     },
-    ids::{DomainName, PoolName, RowVersion, UpstreamId},
+    ids::{DomainName, NodeName, PoolName, RowVersion, UpstreamId},
 };
 
 fn at(millis: u64) -> BootTime {
@@ -201,3 +202,84 @@
     long.dedup();
     assert!(long.len() <= 2, "{long:?}");
 }
+
+#[test]
+fn word_of_another_node_keeps_the_same_list_fresh_and_no_other() {
+    let mut roster = UpstreamRoster::default();
+    let mut other = UpstreamRoster::default();
+    assert_eq!(roster.take_word(1, at(50), at(60)), ListStep::Read, "nothing was read yet");
+    read(&mut roster, &["a", "b"], 1_000);
+    // The other node's list counts down elsewhere, which makes no difference.
+    let mut list = vec![entry("b"), entry("a")];
+    list[0].cold = Duration::from_millis(300);
+    list[1].leaves_in = Some(Duration::from_secs(9));
+    other.apply_list(list, RowVersion(1_400), at(1_390), at(1_400));
+    let word = other.digest();
+    assert_eq!(roster.take_word(word, at(990), at(1_500)), ListStep::Old);
+    assert_eq!(roster.take_word(word, at(1_390), at(1_500)), ListStep::Confirmed(Vec::new()));
+    assert_eq!(roster.read_at(), Some(at(1_390)), "as old as the other node's read");
+    for change in ["leaving", "born", "address"] {
+        let mut changed = entry("a");
+        match change {
+            "leaving" => changed.leaving = true,
+            "born" => changed.born_ms = Some(2),
+            _ => changed.address = "10.0.0.1:81".parse().unwrap(),
+        }
+        let mut other = UpstreamRoster::default();
+        other.apply_list(vec![changed, entry("b")], RowVersion(1_600), at(1_590), at(1_600));
+        let step = roster.take_word(other.digest(), at(1_590), at(1_700));
+        assert_eq!(step, ListStep::Read, "{change}");
+    }
+    assert_eq!(roster.read_at(), Some(at(1_390)), "another list proves nothing");
+}
+
+#[test]
+fn upstream_missing_after_a_gap_is_given_up_by_word_too() {
+    let mut roster = UpstreamRoster::default();
+    read(&mut roster, &["a", "b"], 1_000);
+    // Entries lapsed while the store was away: the first read after it names one of two.
+    assert!(read(&mut roster, &["a"], 6_000).is_empty());
+    let mut other = UpstreamRoster::default();
+    read(&mut other, &["a"], 8_500);
+    let step = roster.take_word(other.digest(), at(8_490), at(8_500));
+    assert_eq!(step, ListStep::Confirmed(vec![RosterChange::Gone(id("b"))]));
+}
+
+#[test]
+fn nodes_of_a_domain_have_the_same_few_readers() {
+    let candidate = |number: u32| ReaderCandidate {
+        node: format!("n{number:03}").parse().unwrap(),
+        domain: if number % 2 == 0 { "a" } else { "b" }.parse().unwrap(),
+    };
+    for (count, readers) in [(2, 1), (8, 1), (64, 1), (66, 2), (1_000, 16)] {
+        let all: Vec<ReaderCandidate> = (0..count).map(candidate).collect();
+        let mut first: Vec<NodeName> = Vec::new();
+        let mut busiest = 0;
+        for own in &all {
+            let order = order_readers(&own.node, &own.domain, all.clone());
+            assert_eq!(order.len(), all.len());
+            // Everyone reads for itself before it asks another domain.
+            let place = order.iter().position(|node| *node == own.node).unwrap();
+            let near = all.iter().filter(|one| one.domain == own.domain).count();
+            assert!(place < near);
+            if own.domain.as_str() == "a" {
+                first.push(order[0].clone());
+            }
+        }
+        first.sort();
+        let mut at = 0;
+        while at < first.len() {
+            let same = first[at..].iter().take_while(|node| **node == first[at]).count();
+            busiest = busiest.max(same);
+            at += same;
+        }
+        first.dedup();
+        assert_eq!(first.len(), readers, "{count} nodes");
+        assert!(busiest <= 64, "{busiest} ask one reader");
+        // Those that are asked first read for themselves.
+        for reader in &first {
+            let domain = "a".parse().unwrap();
+            assert_eq!(order_readers(reader, &domain, all.clone())[0], *reader);
+        }
+    }
+}
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -23,7 +23,7 @@
 /// the order of their windows.
 const USAGE_PREFIX: &str = "usage.";
 /// First byte of every row: the version of its form.
-const FORM: u8 = 1;
+const FORM: u8 = 2;
 
 /// Reason why a row can't be read.
 #[derive(Debug, Error)]
--- a/samphiredeck_wire/src/talk.rs
+++ b/samphiredeck_wire/src/talk.rs
@@ -1,6 +1,6 @@
 //! Datagrams between forwarding nodes.
 
-use samphiredeck_core::ids::WorkspaceName;
+use samphiredeck_core::{forward::readers::StoreNews, ids::WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 /// What one node says to another.
@@ -41,6 +41,18 @@
         /// Units.
         units: f64,
     },
+    /// Asks what the node can prove of the store's content.
+    AskNews {
+        /// Number of the question at its sender.
+        question: u64,
+    },
+    /// What the node can prove of the store's content.
+    News {
+        /// Number of the question.
+        question: u64,
+        /// Versions and their ages at the time of the answer.
+        news: StoreNews,
+    },
     /// Asks for a sign of life.
     Ping,
     /// A sign of life of a node that can act as a home.
