--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -249,7 +249,7 @@
 fn nodes_of_a_domain_have_the_same_few_readers() {
     let candidate = |number: u32| ReaderCandidate {
         node: format!("n{number:03}").parse().unwrap(),
-        domain: if number % 2 == 0 { "a" } else { "b" }.parse().unwrap(),
+        domain: if number.is_multiple_of(2) { "a" } else { "b" }.parse().unwrap(),
     };
     for (count, readers) in [(2, 1), (8, 1), (64, 1), (66, 2), (1_000, 16)] {
         let all: Vec<ReaderCandidate> = (0..count).map(candidate).collect();
