Engines with few slots are counted by their slots

Cause: the engines needed were counted by their time only, with a share that was measured on engines of 64 slots. Ruled out: more spare domains (the shortage came after the reclaimed domains were back). Change: work is published as reading time and output tokens; the engines needed are the larger of the old figure and of reading time + tokens x step time / 0.6 of the slots. Sites of 64 slots order as before. Test: forward_duties engines_with_few_slots_are_needed_for_their_slots (did not exist before; the old figure fails it with 12 slots: 60 engines). Also: two tests of the completions interface for mechanisms whose old tests passed without them: a stop that waits for answers longer than the close of connections, a controller that can't renew its lease.

--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -14,7 +14,7 @@
     forward::{
         catalog::{ForwardCatalog, RepeatRule, RouteRow, WorkspaceRow},
         waiting::retry_after,
-        work::engine_work,
+        work::WorkRate,
     },
     ids::{KeyHash, PoolName, WorkspaceName},
 };
@@ -258,7 +258,7 @@
     beliefs.repeats.note_first(&call.pool, trace.arrived);
     if engine {
         let prompt = call.fields.parts.last().map_or(0, |part| part.tokens);
-        let work = engine_work(prompt, call.output_tokens());
+        let work = WorkRate::of(prompt, call.output_tokens());
         beliefs.work.note(&call.pool, work, trace.arrived);
     }
     Ok((call, CallProgress::new(taken), held))
--- a/samphiredeck/src/forward/duty.rs
+++ b/samphiredeck/src/forward/duty.rs
@@ -10,6 +10,7 @@
         catalog::PoolRow,
         duty::{DUTY_FLIGHT, DutyRecord, DutyStep},
         ledger::{WindowCounts, WindowNumber},
+        roster::UpstreamRoster,
     },
     ids::{DomainName, FenceNumber, PoolName, RowVersion},
 };
@@ -350,7 +351,7 @@
 
     fn plan_orders(&mut self, pool: &PoolRow, now: BootTime) -> Vec<CapacityOrder> {
         let Some(rule) = &pool.scaling else { return Vec::new() };
-        let (stocks, work) = {
+        let (stocks, need, slots) = {
             let beliefs = self.node.beliefs();
             // A list that was not read for long says nothing of what serves now.
             let listed = beliefs.roster.read_at().is_some_and(|at| now.since(at) < LIST_AGE_MAX);
@@ -376,15 +377,17 @@
                 DomainStock { domain, reclaimable, on_demand }
             };
             let stocks: Vec<DomainStock> = domains.map(stock).collect();
-            (stocks, beliefs.members.work(&pool.name, now))
+            let slots = pool_slots(&beliefs.roster, &pool.name);
+            (stocks, beliefs.members.work(&pool.name, now).engines(slots), slots)
         };
-        let orders = self.plan(&pool.name).next_orders(rule, &stocks, work, now);
+        let orders = self.plan(&pool.name).next_orders(rule, &stocks, need, now);
         if !orders.is_empty() {
             let stock: Vec<_> = stocks
                 .iter()
                 .map(|row| json!([row.domain.as_str(), row.reclaimable, row.on_demand]))
                 .collect();
-            let fields = json!({ "pool": pool.name.as_str(), "work_ms_s": work, "stock": stock });
+            let fields =
+                json!({ "pool": pool.name.as_str(), "need": need, "slots": slots, "stock": stock });
             self.node.journal.note("capacity", fields);
         }
         orders
@@ -428,6 +431,12 @@
     }
 }
 
+/// Slots of the smallest upstream of `pool`.
+fn pool_slots(roster: &UpstreamRoster, pool: &PoolName) -> u32 {
+    let rows = roster.rows().iter().filter(|row| row.entry.pool == *pool);
+    rows.map(|row| row.entry.slots).min().unwrap_or(u32::MAX)
+}
+
 /// Duty row among the rows that a conflict returned.
 fn read_duty(rows: &[StoreRow]) -> (Option<DutyRecord>, RowVersion) {
     let row = rows.iter().find(|row| row.key == DUTY_KEY);
--- a/samphiredeck_core/src/forward/capacity.rs
+++ b/samphiredeck_core/src/forward/capacity.rs
@@ -8,9 +8,6 @@
 
 use crate::{boot_time::BootTime, forward::catalog::ScalingRule, ids::DomainName};
 
-/// Share of an upstream's time that the expected work may take. In runs with reclaims, engines kept
-/// the users' targets at 0.97 and missed them for a third of the requests at 1.3.
-const WORK_SHARE: f64 = 1.1;
 /// Failure domains whose loss the reclaimable upstreams bear without others.
 const LOST_DOMAINS: usize = 2;
 /// Reclaimable upstreams in each domain beyond those: they cost a fifth of those on demand.
@@ -133,27 +130,27 @@
         self.row(&order.domain, order.reclaimable).refused_at = Some(now);
     }
 
-    /// Upstreams needed for `work` upstream-milliseconds a second, by the highest need of late.
-    fn needed(&mut self, stocks: &[DomainStock], work: f64, now: BootTime) -> f64 {
+    /// Upstreams needed, by the highest need of late, when the work that arrives needs `need`.
+    fn needed(&mut self, stocks: &[DomainStock], need: f64, now: BootTime) -> f64 {
         let stock: u32 = stocks.iter().map(|stock| stock.on_demand + stock.reclaimable).sum();
         let found = self.found.get_or_insert((now, f64::from(stock) * FOUND_SHARE));
         let found = if now.since(found.0) < FOUND_KEPT { found.1 } else { 0.0 };
         self.needs.retain(|(at, _)| now.since(*at) < NEED_KEPT);
-        self.needs.push((now, (work / 1_000.0 / WORK_SHARE).max(NEEDED_MIN)));
+        self.needs.push((now, need.max(NEEDED_MIN)));
         self.needs.iter().map(|(_, need)| *need).fold(found, f64::max)
     }
 
-    /// Lists the orders to send at `now`, given the stock of each domain and the work that arrives
-    /// in upstream-milliseconds a second. Those for reclaimable upstreams come first.
+    /// Lists the orders to send at `now`, given the stock of each domain and the upstreams that
+    /// the work that arrives needs. Those for reclaimable upstreams come first.
     #[must_use]
     pub fn next_orders(
         &mut self,
         rule: &ScalingRule,
         stocks: &[DomainStock],
-        work: f64,
+        need: f64,
         now: BootTime,
     ) -> Vec<CapacityOrder> {
-        let needed = self.needed(stocks, work, now);
+        let needed = self.needed(stocks, need, now);
         let reclaimable = want_reclaimable(rule, stocks.len(), needed);
         let on_demand = want_on_demand(rule, stocks, needed);
         let mut orders = Vec::new();
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -13,6 +13,7 @@
         clock::ClockOffset,
         ledger::{WindowCounts, WindowNumber},
         readers::ReaderCandidate,
+        work::WorkRate,
     },
     ids::{DomainName, Incarnation, NodeName, PoolName, RowVersion},
 };
@@ -25,13 +26,13 @@
 /// the store has read its row, so that all of them take it for a home from the same moment on.
 const HOME_AGE_MS: i64 = 8_000;
 
-/// Work that one node has sent to a pool, in upstream-milliseconds a second.
+/// Work that arrived at one node for a pool.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PoolWork {
     /// Pool that does the work.
     pub pool: PoolName,
-    /// Upstream-milliseconds of work that arrived a second.
-    pub rate: f64,
+    /// Its rate.
+    pub rate: WorkRate,
 }
 
 /// What a node publishes about itself.
@@ -144,10 +145,10 @@
 
     /// Work that arrives for `pool` a second over all nodes alive at `now`.
     #[must_use]
-    pub fn work(&self, pool: &PoolName, now: BootTime) -> f64 {
+    pub fn work(&self, pool: &PoolName, now: BootTime) -> WorkRate {
         let of = |row: &MemberRow| {
             let work = row.beat.work.iter().find(|work| work.pool == *pool);
-            work.map_or(0.0, |work| work.rate)
+            work.map_or(WorkRate::default(), |work| work.rate)
         };
         self.alive(now).map(of).sum()
     }
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -11,6 +11,7 @@
         duty::{DutyLease, DutyRecord, DutyStep},
         ledger::{StartLedger, WindowNumber},
         members::{MemberTable, NodeBeat},
+        work::WorkRate,
     },
     ids::{ConfigVersion, FenceNumber, Incarnation, KeyHash, NodeName, RowVersion, WorkspaceName},
 };
@@ -254,22 +255,22 @@
 #[test]
 fn reclaimable_upstreams_bear_the_loss_of_two_domains() {
     let mut plan = CapacityPlan::default();
-    let orders = plan.next_orders(&rule(), &stocks([(0, 3); 4]), 6_600.0, at(0));
-    // 6.6 upstream-seconds a second need 6 upstreams: 3 in each of the domains left, and 1 more.
+    let orders = plan.next_orders(&rule(), &stocks([(0, 3); 4]), 6.0, at(0));
+    // 3 in each of the domains left, and 1 more.
     assert!(orders.iter().filter(|order| order.reclaimable).all(|order| order.count == 4));
     assert_eq!(count(&orders, false), 6, "until they serve, those on demand do the work");
     for order in &orders {
         plan.note_accepted(order, at(0));
     }
     let orders =
-        plan.next_orders(&rule(), &stocks([(4, 2), (4, 2), (4, 1), (4, 1)]), 6_600.0, at(4_500));
+        plan.next_orders(&rule(), &stocks([(4, 2), (4, 2), (4, 1), (4, 1)]), 6.0, at(4_500));
     assert!(orders.iter().all(|order| !order.reclaimable && order.count == 0), "{orders:?}");
 }
 
 #[test]
 fn ones_on_demand_take_the_place_of_reclaimed_ones_that_can_not_be_had() {
     let mut plan = CapacityPlan::default();
-    let high = 10_000.0;
+    let high = 9.1;
     for order in plan.next_orders(&rule(), &stocks([(6, 0); 4]), high, at(30_000)) {
         plan.note_accepted(&order, at(30_000));
     }
@@ -290,24 +291,44 @@
 #[test]
 fn orders_are_repeated_only_for_what_was_lost() {
     let mut plan = CapacityPlan::default();
-    let orders = plan.next_orders(&rule(), &stocks([(0, 0); 4]), 3_000.0, at(0));
+    let orders = plan.next_orders(&rule(), &stocks([(0, 0); 4]), 2.7, at(0));
     for order in &orders {
         plan.note_accepted(order, at(0));
     }
-    let starting = plan.next_orders(&rule(), &stocks([(0, 0); 4]), 3_000.0, at(3_000));
+    let starting = plan.next_orders(&rule(), &stocks([(0, 0); 4]), 2.7, at(3_000));
     assert!(starting.is_empty(), "they still start: {starting:?}");
     let wanted = orders[0].count;
     let all = stocks([(wanted, 0); 4]);
-    for order in plan.next_orders(&rule(), &all, 3_000.0, at(5_000)) {
+    for order in plan.next_orders(&rule(), &all, 2.7, at(5_000)) {
         plan.note_accepted(&order, at(5_000));
     }
     let mut lost = all.clone();
     lost[2].reclaimable = 0;
-    let again = plan.next_orders(&rule(), &lost, 3_000.0, at(7_000));
+    let again = plan.next_orders(&rule(), &lost, 2.7, at(7_000));
     assert!(again.iter().any(|order| order.reclaimable && order.domain.as_str() == "c"));
     assert!(again.iter().filter(|order| order.reclaimable).count() == 1, "{again:?}");
 }
 
+#[test]
+fn engines_with_few_slots_are_needed_for_their_slots() {
+    // A second of the grown deployment: 158 long, 164 middle and 302 short requests.
+    let requests = [(158.0, 6_610, 378), (164.0, 628, 288), (302.0, 1_800, 27)];
+    let mut load = WorkRate::default();
+    for (rate, unread, output) in requests {
+        let one = WorkRate::of(unread, output);
+        load.reading_ms += one.reading_ms * rate;
+        load.output_tokens += one.output_tokens * rate;
+    }
+    // Each token of an answer holds its slot for a step of 4 ms, and engines that read don't write.
+    let written = load.output_tokens * 0.004;
+    for slots in [8, 12, 16, 64] {
+        let engines = load.engines(slots);
+        let taken = written / (1.0 - load.reading_ms / 1_000.0 / engines);
+        assert!(taken <= engines * f64::from(slots) * 0.75, "{engines} engines of {slots} slots");
+    }
+    assert!(load.engines(64) < load.engines(12) * 0.75, "slots that abound need no more engines");
+}
+
 fn route(host: &str, prefix: &str, split: &[(&str, u32)]) -> RouteRow {
     RouteRow {
         name: prefix.to_owned(),
--- a/samphiredeck_standins/tests/placement.rs
+++ b/samphiredeck_standins/tests/placement.rs
@@ -4,13 +4,16 @@
 
 use eyre::ensure;
 use samphiredeck_core::{
+    ids::FenceNumber,
     platform_api::{PriceRow, TableRead, TableRows},
     rows::{CONTROLLER_KEY, ControllerRow},
     upstream::MarketKind,
 };
 use samphiredeck_standins::{
-    platform::PlatformFaults,
+    launch::EngineSpec,
+    platform::{OutageMode, PlatformFaults},
     probe::ChatAsk,
+    proxy::FaultProxy,
     scene::{DOMAINS, Scene, SceneSpec},
 };
 use serde_json::json;
@@ -127,3 +130,36 @@
     }
     Ok(())
 }
+
+#[actix_web::test]
+async fn a_controller_that_cannot_renew_its_lease_gives_no_order() -> eyre::Result<()> {
+    let mut scene = Scene::start(&placing(vec!["--ignore-fence"])).await?;
+    let (proxy, target) = FaultProxy::start()?;
+    let spec = EngineSpec { models: String::new(), ..EngineSpec::new("engine-moved", "suva-a") };
+    scene.system.add_engine(&spec, Some(proxy.address())).await?;
+    target.set(scene.system.engines[3].address());
+    scene
+        .wait_view(0, LOADED_WITHIN, |view| {
+            let rows = view["upstreams"].as_array().cloned().unwrap_or_default();
+            rows.iter().filter(|row| row["models"] == json!(["tala-8b"])).count() == 4
+        })
+        .await?;
+    // Longer than every lease. No read tells the holder that it has lost it.
+    scene.set_outage(OutageMode::Silent).await?;
+    tokio::time::sleep(Duration::from_secs(14)).await;
+    // Another engine, which holds no model, is at the address now.
+    let spec = EngineSpec { models: String::new(), ..EngineSpec::new("engine-new", "suva-a") };
+    scene.system.add_engine(&spec, Some(proxy.address())).await?;
+    target.set(scene.system.engines[4].address());
+    scene.system.engines[3].signal("KILL")?;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let stats = scene.engine_stats(4).await?;
+    ensure!(stats.newest_fence == FenceNumber(0), "an order under a lapsed lease: {stats:?}");
+    scene.set_outage(OutageMode::None).await?;
+    let began = Instant::now();
+    while scene.engine_stats(4).await?.newest_fence == FenceNumber(0) {
+        ensure!(began.elapsed() < LOADED_WITHIN, "no order after the outage");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    Ok(())
+}
--- a/samphiredeck_standins/tests/stop.rs
+++ b/samphiredeck_standins/tests/stop.rs
@@ -83,6 +83,23 @@
     Ok(())
 }
 
+#[actix_web::test]
+async fn a_stop_waits_for_answers_that_outlast_the_close_of_connections() -> eyre::Result<()> {
+    let scene = Scene::start(&SceneSpec { nodes: 1, ..SceneSpec::default() }).await?;
+    scene.system.wait_upstreams(3, Duration::from_secs(20)).await?;
+    let ask = ChatAsk::new("a tale that takes its time", 420);
+    let (probe, address, asked) = (scene.system.probe.clone(), scene.node(0), ask.clone());
+    let running = actix_web::rt::spawn(async move { probe.chat(address, &asked).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    scene.system.nodes[0].process.signal("TERM")?;
+    let stopped_at = Instant::now();
+    let end = running.await?;
+    ensure!(end.is_right(&ask), "{end:?}");
+    // The server's own close gives connections 3 s, after 200 ms for the balancer.
+    ensure!(stopped_at.elapsed() > Duration::from_millis(4_200), "{:?}", stopped_at.elapsed());
+    Ok(())
+}
+
 #[actix_web::test]
 async fn a_node_whose_own_instance_is_reclaimed_stops_within_the_notice() -> eyre::Result<()> {
     let settings = json!({ "node": { "instance": "node-instance-1" } });
