--- a/samphiredeck/src/caller.rs
+++ b/samphiredeck/src/caller.rs
@@ -5,6 +5,7 @@
 pub mod reply;
 pub mod request;
 pub mod service;
+pub mod turns;
 
 use std::{
     sync::Arc,
@@ -28,6 +29,7 @@
     answer::{StreamFormat, answer_stream, answer_whole},
     reply::{CallerError, bearer_key},
     request::{CallerHeaders, PromptAsk, parse_prompt, read_body},
+    turns::ClaimTurns,
 };
 use crate::{
     admin,
@@ -57,6 +59,8 @@
     pub services: ServiceClient,
     /// For answers that are at another node.
     pub forward: awc::Client,
+    /// Calls that claim their key now.
+    pub turns: ClaimTurns,
     /// Largest body.
     pub body_limit: ByteSize,
     /// Hash of the operators' key.
--- a/samphiredeck/src/caller/service.rs
+++ b/samphiredeck/src/caller/service.rs
@@ -280,7 +280,24 @@
     let waited_from = Instant::now();
     let mut over = RowVersion(0);
     loop {
+        let turn = match tools.turns.take(&key) {
+            Ok(turn) => turn,
+            Err(mut other) => {
+                // Closed by the end of the other call's turn, which changes nothing else.
+                while other.changed().await.is_ok() {}
+                let Some(view) = read_claim(tools, &key).await? else {
+                    over = RowVersion(0);
+                    continue;
+                };
+                match settle_known(tools, &view, &digest, waited_from).await? {
+                    KnownCall::Answer(answer) => return Ok(answer),
+                    KnownCall::ClaimOver(version) => over = version,
+                }
+                continue;
+            }
+        };
         let reply = write_claim(tools, &key, &row, over).await?;
+        drop(turn);
         match reply.outcome {
             OperationOutcome::Committed(version) => {
                 let lease_end = reply.lease_end.ok_or_else(CallerError::table_down)?;
@@ -302,6 +319,13 @@
     }
 }
 
+/// Reads the claim of `key`, if there is one.
+async fn read_claim(tools: &CallerTools, key: &str) -> Result<Option<RowView>, CallerError> {
+    let read = TableRead { keys: vec![key.to_owned()], prefixes: Vec::new() };
+    let rows = tools.platform.read(&read).await.map_err(|_error| CallerError::table_down())?;
+    Ok(rows.rows.into_iter().next())
+}
+
 async fn write_claim(
     tools: &CallerTools,
     key: &str,
--- a/samphiredeck/src/node.rs
+++ b/samphiredeck/src/node.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     actor::{ControlActor, ControlAddress, ControlTools},
-    caller::{self, CallerTools},
+    caller::{self, CallerTools, turns::ClaimTurns},
     control::{ControlOptions, ControlState, NodeIdentity},
     engine_client::EngineClient,
     event::TakenWork,
@@ -220,6 +220,7 @@
         // Clients are bound to their thread, so each thread builds its own.
         let timeout = shared.platform_timeout.duration();
         let tools = CallerTools {
+            turns: ClaimTurns::default(),
             runs: run_tools(&shared, control.clone()),
             platform: PlatformClient::new(shared.platform_address, timeout),
             services: ServiceClient::new(),
--- a/samphiredeck_standins/tests/once.rs
+++ b/samphiredeck_standins/tests/once.rs
@@ -62,6 +62,27 @@
     Ok(())
 }
 
+#[actix_web::test]
+async fn one_key_through_one_node_in_a_rush_is_answered_to_all() -> eyre::Result<()> {
+    let scene = Scene::start(&SceneSpec { nodes: 1, ..with_services() }).await?;
+    let body = json!({ "ref": "rush" });
+    let mut calls = Vec::new();
+    for number in 0..200 {
+        let probe = scene.system.probe.clone();
+        let (address, body) = (scene.node(0), body.clone());
+        calls.push(async move {
+            // A hundred at a time, as fast as their connections are made.
+            tokio::time::sleep(Duration::from_millis(number / 100 * 400)).await;
+            probe.call_service(address, PATH, Some("key-rush"), &body).await
+        });
+    }
+    let ends = futures_util::future::join_all(calls).await;
+    ensure!(scene.service_runs("rush").await? == 1, "ran more than once");
+    let wrong: Vec<_> = ends.iter().filter(|end| end.0 != 200 || end.2["runs"] != 1).collect();
+    ensure!(wrong.is_empty(), "{} of 200, {:?}", wrong.len(), wrong[0]);
+    Ok(())
+}
+
 /// One row of the table of service faults.
 struct FaultCase {
     name: &'static str,
