Circles of the node's modules are gone; the row of a run has a file of its own

Cause: actor, handle and peer_link took from each other, so did admin and caller, record and runner, and among the forwarding parts call, attempt, quota, relay and reply, and node and peers. Nobody could read one of them without the others. Change: peer_server takes what peer_link only sends; node registers the operators' routes; RunSpec lives with the run; serve holds the way of a request, call only its types; flight and changes have files; PeerTalk knows its run and no node. RunRow leaves dispatch.rs, which has one job again. No behaviour changes; the tests are those of before.

--- a/samphiredeck/src/caller.rs
+++ b/samphiredeck/src/caller.rs
@@ -32,13 +32,12 @@
     turns::ClaimTurns,
 };
 use crate::{
-    admin,
     event::ControlEvent,
     logging::CALLER,
     platform_client::PlatformClient,
     record::{RecordOutcome, WorkRecord},
-    run::{RunBuffer, RunState},
-    runner::{RunSpec, RunTask, RunTools},
+    run::{RunBuffer, RunSpec, RunState},
+    runner::{RunTask, RunTools},
     service_client::ServiceClient,
 };
 
@@ -77,7 +76,6 @@
         .route("/v1/completions", web::post().to(generate))
         .route("/v1/requests/{id}", web::get().to(attach::read_request))
         .route("/v1/requests/{id}", web::delete().to(attach::cancel_request))
-        .service(web::scope("/admin").configure(admin::register))
         .default_service(web::route().to(service::call_service));
 }
 
--- a/samphiredeck/src/control.rs
+++ b/samphiredeck/src/control.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod place;
 mod questions;
+mod run_row;
 mod runs;
 mod show;
 mod table;
@@ -49,7 +50,7 @@
     view::CounterView,
 };
 
-pub use self::dispatch::RunRow;
+pub use self::run_row::RunRow;
 
 /// Time between two ticks.
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
--- a/samphiredeck/src/control/dispatch.rs
+++ b/samphiredeck/src/control/dispatch.rs
@@ -1,9 +1,6 @@
-//! Admission, placement and the table of runs.
+//! Admission and placement of runs.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use log::debug;
 use samphiredeck_core::{
@@ -11,19 +8,21 @@
     admission::{AdmissionAsk, Refusal, RefusalReason, TicketNumber},
     declaration::{CostFavour, LatencyTarget, PriorityClass},
     hint::HintTable,
-    ids::{BackendName, ConfigVersion, ModelName, RequestId, UpstreamId, WorkspaceName},
+    ids::{BackendName, ConfigVersion, ModelName, UpstreamId, WorkspaceName},
     limit::LimitTable,
-    prefix::{BlockHash, PrefixTable},
+    prefix::PrefixTable,
     route::{RouteAsk, RouteChoice, RouteState, RouteView, choose},
     upstream::{UpstreamKind, UpstreamTable},
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
-use super::{ControlState, StopPhase};
+use super::{
+    ControlState, StopPhase,
+    run_row::{RunRow, RunStage},
+};
 use crate::{
     event::{LossCause, PlaceReply, RunAsk, RunEnd, RunPlacement},
     logging::ROUTE,
-    run::{RunBuffer, RunSignal},
 };
 
 /// Time for which a run that lost its upstream waits for another.
@@ -31,81 +30,6 @@
 /// Advice to callers that are refused since the node is unsure.
 const UNSURE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Where a run stands.
-#[derive(Debug)]
-pub(super) enum RunStage {
-    /// It waits for a place.
-    Waiting(oneshot::Sender<PlaceReply>),
-    /// It runs at an upstream.
-    Placed { upstream: UpstreamId, since: Instant },
-    /// It has ended.
-    Ended { at: Instant },
-}
-
-/// One row of the table of runs.
-#[derive(Debug)]
-pub struct RunRow {
-    pub(super) ticket: TicketNumber,
-    pub(super) request: RequestId,
-    pub(super) workspace: WorkspaceName,
-    pub(super) class: PriorityClass,
-    pub(super) model: ModelName,
-    pub(super) blocks: Vec<BlockHash>,
-    pub(super) prompt_tokens: u64,
-    pub(super) output_tokens: u64,
-    weight: u32,
-    favour: CostFavour,
-    /// Upstream that failed last.
-    excluded: Vec<UpstreamId>,
-    /// Upstream that holds the cache already, until it was tried.
-    prefer: Option<UpstreamId>,
-    pub(super) stage: RunStage,
-    pub(super) buffer: Arc<RunBuffer>,
-    pub(super) signals: mpsc::UnboundedSender<RunSignal>,
-    pub(super) admitted_at: Instant,
-}
-
-impl RunRow {
-    /// Whether the run has not ended.
-    pub(super) fn is_open(&self) -> bool {
-        !matches!(self.stage, RunStage::Ended { .. })
-    }
-
-    /// Upstream that the run is at.
-    pub(super) fn upstream(&self) -> Option<&UpstreamId> {
-        match &self.stage {
-            RunStage::Placed { upstream, .. } => Some(upstream),
-            RunStage::Waiting(_) | RunStage::Ended { .. } => None,
-        }
-    }
-
-    fn route_ask(&self, now: Instant) -> RouteAsk<'_> {
-        RouteAsk {
-            model: &self.model,
-            blocks: &self.blocks,
-            prompt_tokens: self.prompt_tokens + self.buffer.tokens(),
-            output_tokens: self.output_tokens,
-            class: self.class,
-            favour: self.favour,
-            waited: now.saturating_duration_since(self.admitted_at),
-            exclude: &self.excluded,
-        }
-    }
-
-    fn admission_ask(&self, place_by: Instant) -> AdmissionAsk {
-        AdmissionAsk {
-            ticket: self.ticket,
-            workspace: self.workspace.clone(),
-            weight: self.weight,
-            max_in_flight: u32::MAX,
-            class: self.class,
-            model: self.model.clone(),
-            place_by,
-            tokens: self.prompt_tokens + self.output_tokens,
-        }
-    }
-}
-
 /// Retry that waits for its workspace's budget.
 #[derive(Debug)]
 pub(super) struct HeldBack {
--- /dev/null
+++ b/samphiredeck/src/control/run_row.rs
@@ -0,0 +1,94 @@
+//! Rows of the table of runs.
+
+use std::{sync::Arc, time::Instant};
+
+use samphiredeck_core::{
+    admission::{AdmissionAsk, TicketNumber},
+    declaration::{CostFavour, PriorityClass},
+    ids::{ModelName, RequestId, UpstreamId, WorkspaceName},
+    prefix::BlockHash,
+    route::RouteAsk,
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    event::PlaceReply,
+    run::{RunBuffer, RunSignal},
+};
+
+/// Where a run stands.
+#[derive(Debug)]
+pub(super) enum RunStage {
+    /// It waits for a place.
+    Waiting(oneshot::Sender<PlaceReply>),
+    /// It runs at an upstream.
+    Placed { upstream: UpstreamId, since: Instant },
+    /// It has ended.
+    Ended { at: Instant },
+}
+
+/// One row of the table of runs.
+#[derive(Debug)]
+pub struct RunRow {
+    pub(super) ticket: TicketNumber,
+    pub(super) request: RequestId,
+    pub(super) workspace: WorkspaceName,
+    pub(super) class: PriorityClass,
+    pub(super) model: ModelName,
+    pub(super) blocks: Vec<BlockHash>,
+    pub(super) prompt_tokens: u64,
+    pub(super) output_tokens: u64,
+    pub(super) weight: u32,
+    pub(super) favour: CostFavour,
+    /// Upstream that failed last.
+    pub(super) excluded: Vec<UpstreamId>,
+    /// Upstream that holds the cache already, until it was tried.
+    pub(super) prefer: Option<UpstreamId>,
+    pub(super) stage: RunStage,
+    pub(super) buffer: Arc<RunBuffer>,
+    pub(super) signals: mpsc::UnboundedSender<RunSignal>,
+    pub(super) admitted_at: Instant,
+}
+
+impl RunRow {
+    /// Whether the run has not ended.
+    pub(super) fn is_open(&self) -> bool {
+        !matches!(self.stage, RunStage::Ended { .. })
+    }
+
+    /// Upstream that the run is at.
+    pub(super) fn upstream(&self) -> Option<&UpstreamId> {
+        match &self.stage {
+            RunStage::Placed { upstream, .. } => Some(upstream),
+            RunStage::Waiting(_) | RunStage::Ended { .. } => None,
+        }
+    }
+
+    /// What the choice of an upstream has to know at `now`.
+    pub(super) fn route_ask(&self, now: Instant) -> RouteAsk<'_> {
+        RouteAsk {
+            model: &self.model,
+            blocks: &self.blocks,
+            prompt_tokens: self.prompt_tokens + self.buffer.tokens(),
+            output_tokens: self.output_tokens,
+            class: self.class,
+            favour: self.favour,
+            waited: now.saturating_duration_since(self.admitted_at),
+            exclude: &self.excluded,
+        }
+    }
+
+    /// What waits for a place until `place_by`.
+    pub(super) fn admission_ask(&self, place_by: Instant) -> AdmissionAsk {
+        AdmissionAsk {
+            ticket: self.ticket,
+            workspace: self.workspace.clone(),
+            weight: self.weight,
+            max_in_flight: u32::MAX,
+            class: self.class,
+            model: self.model.clone(),
+            place_by,
+            tokens: self.prompt_tokens + self.output_tokens,
+        }
+    }
+}
--- a/samphiredeck/src/control/runs.rs
+++ b/samphiredeck/src/control/runs.rs
@@ -11,7 +11,8 @@
 
 use super::{
     ControlState,
-    dispatch::{PLACE_AGAIN_FOR, RunRow, RunStage},
+    dispatch::PLACE_AGAIN_FOR,
+    run_row::{RunRow, RunStage},
 };
 use crate::{event::RunFinding, logging::RUN, run::RunSignal};
 
--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -4,9 +4,11 @@
 mod attempt;
 mod beliefs;
 mod call;
+mod changes;
 mod clock;
 mod dependency;
 mod duty;
+mod flight;
 mod gauges;
 mod http_link;
 mod ingress;
@@ -19,8 +21,10 @@
 mod quota;
 mod relay;
 mod reply;
+mod serve;
 pub mod settings;
 mod share;
+mod talk;
 mod watch;
 
 use std::{
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends of one request to upstreams, until one answers or none may have it any more.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, StatusCode, Uri, uri::PathAndQuery};
@@ -24,6 +24,7 @@
 use crate::forward::{
     call::{AdmittedCall, CallRefusal, CallTrace, come_back},
     clock,
+    flight::UpstreamFlight,
     node::ForwardNode,
     quota::TakenUnits,
     reply::{SendFailure, StreamAnswer, StreamSource, Taken, UpstreamAnswer, take_answer},
@@ -62,42 +63,6 @@
     }
 }
 
-/// Request that an upstream has, as long as it lives.
-#[derive(Debug)]
-pub struct UpstreamFlight {
-    node: Rc<ForwardNode>,
-    /// Upstream that has it.
-    pub upstream: UpstreamId,
-    unread: u64,
-}
-
-impl UpstreamFlight {
-    fn begin(node: &Rc<ForwardNode>, choice: &PlaceChoice) -> Self {
-        node.beliefs().roster.note_sent(&choice.upstream, choice.unread);
-        let upstream = choice.upstream.clone();
-        Self { node: Rc::clone(node), upstream, unread: choice.unread }
-    }
-
-    /// Notes that the prompt was read.
-    pub fn note_read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        self.node.beliefs().roster.note_read(&self.upstream, unread);
-    }
-
-    /// Notes whether the upstream failed.
-    pub fn note_outcome(&self, failed: bool) {
-        self.node.beliefs().roster.note_outcome(&self.upstream, failed, clock::now());
-    }
-}
-
-impl Drop for UpstreamFlight {
-    fn drop(&mut self) {
-        let mut beliefs = self.node.beliefs();
-        beliefs.roster.note_read(&self.upstream, self.unread);
-        beliefs.roster.note_ended(&self.upstream);
-    }
-}
-
 /// Sends `call` until an upstream answers or the request has to be given up. With `resume`, the
 /// upstream continues after that event.
 ///
--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -1,6 +1,6 @@
 //! What a forwarding node believes: the only mutable state that decisions are made from.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use samphiredeck_core::{
     boot_time::BootTime,
@@ -12,6 +12,7 @@
         ledger::{StartLedger, WindowNumber},
         members::{MemberTable, NodeBeat},
         quota::{ContactTable, QuotaHome, QuotaPurse, find_homes},
+        readers::{ConfigNews, ListNews, StoreNews},
         repeat::RepeatTable,
         roster::UpstreamRoster,
         work::WorkMeter,
@@ -133,6 +134,18 @@
         }
     }
 
+    /// What this node can prove of the store's content at `now`. Ages are rounded up.
+    pub fn news(&self, now: BootTime) -> StoreNews {
+        let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1;
+        let proof_age = self.proof.age(now).filter(|_| self.catalog.is_some());
+        let config = proof_age.map(|age| ConfigNews { row: self.config_row, age_ms: millis(age) });
+        let list = self
+            .roster
+            .read_at()
+            .map(|at| ListNews { digest: self.roster.digest(), age_ms: millis(now.since(at)) });
+        StoreNews { config, list }
+    }
+
     /// Homes of the limit of `workspace` at `now`, in the order in which they are asked.
     pub fn homes_of(&self, workspace: &WorkspaceName, now: BootTime) -> Vec<NodeName> {
         let candidates = self.members.home_candidates(self.clock.store_ms(now), now);
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -20,8 +20,8 @@
 };
 
 use crate::forward::{
-    call::serve_call,
     node::{ForwardNode, StopPhase},
+    serve::serve_call,
 };
 
 /// Connections of callers at once. Half of the descriptors of the users' instances.
--- a/samphiredeck/src/forward/news.rs
+++ b/samphiredeck/src/forward/news.rs
@@ -5,14 +5,14 @@
 use rand::seq::IndexedRandom;
 use samphiredeck_core::{
     forward::{
-        readers::{ConfigNews, ListNews, ReaderCandidate, StoreNews, order_readers},
+        readers::{ReaderCandidate, order_readers},
         roster::ListStep,
     },
     ids::NodeName,
 };
 use serde_json::json;
 
-use crate::forward::{clock, node::ForwardNode, watch::note_changes};
+use crate::forward::{changes::note_changes, clock, node::ForwardNode, peers::ask_news};
 
 /// Readers that are asked before a node reads for itself.
 const READERS_ASKED: usize = 3;
@@ -26,21 +26,6 @@
     node.beliefs().members.reader_candidates(clock::now())
 }
 
-/// What this node can prove.
-pub fn own_news(node: &ForwardNode) -> StoreNews {
-    let now = clock::now();
-    let beliefs = node.beliefs();
-    let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-    let proof_age = beliefs.proof.age(now).filter(|_| beliefs.catalog.is_some());
-    let config =
-        proof_age.map(|age| ConfigNews { row: beliefs.config_row, age_ms: millis(age) + 1 });
-    let list = beliefs
-        .roster
-        .read_at()
-        .map(|at| ListNews { digest: beliefs.roster.digest(), age_ms: millis(now.since(at)) + 1 });
-    StoreNews { config, list }
-}
-
 /// Asks the nodes that read the store for this one. Returns whether the list of upstreams is known
 /// to be in force, so that this node need not read it.
 pub async fn ask_readers(node: &Rc<ForwardNode>) -> bool {
@@ -76,7 +61,7 @@
 async fn ask_node(node: &Rc<ForwardNode>, other: &NodeName) -> Option<bool> {
     let talk = node.peers.borrow().clone()?;
     let asked_at = clock::now();
-    let news = talk.ask_news(node, other).await?;
+    let news = ask_news(node, &talk, other).await?;
     let now = clock::now();
     let mut beliefs = node.beliefs();
     // Ages reach back from before the question, whatever the answer's way took.
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch;
 
 use crate::forward::{
-    beliefs::ForwardBeliefs, clock, gauges::ForwardGauges, journal::DecisionLog, peers::PeerTalk,
-    pool::LinkPool, settings::ForwardSettings,
+    beliefs::ForwardBeliefs, clock, gauges::ForwardGauges, journal::DecisionLog, pool::LinkPool,
+    settings::ForwardSettings, talk::PeerTalk,
 };
 
 /// How far a stop has come.
--- a/samphiredeck/src/forward/peers.rs
+++ b/samphiredeck/src/forward/peers.rs
@@ -1,11 +1,6 @@
-//! Datagrams between forwarding nodes: questions about limits and news, and signs of life.
+//! Questions about limits and news between forwarding nodes, and signs of life.
 
-use std::{
-    cell::{Cell, RefCell},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use samphiredeck_core::{
     forward::{
@@ -14,19 +9,15 @@
     },
     ids::{NodeName, WorkspaceName},
 };
-use samphiredeck_wire::{
-    message::DATAGRAM_MAX,
-    seal::{PeerKey, ReplayGuard, SenderStamp, open, seal},
-    talk::NodeTalk,
-};
+use samphiredeck_wire::talk::NodeTalk;
 use serde_json::json;
-use tokio::{
-    net::UdpSocket,
-    sync::oneshot,
-    time::{sleep, timeout},
-};
+use tokio::time::sleep;
 
-use crate::forward::{clock, news::own_news, node::ForwardNode};
+use crate::forward::{
+    clock,
+    node::ForwardNode,
+    talk::{PeerTalk, TakenTalk, TalkError},
+};
 
 /// Time in which a node that lives answers, also one that is slow: several times the users' longest
 /// way between domains, and a tenth of their tightest target.
@@ -38,188 +29,120 @@
 /// Time without a sign of any other node after which this node takes itself for the one that is
 /// cut off, and grants nothing beyond its purse.
 const ALONE_AFTER: Duration = Duration::from_millis(1_500);
-
 /// Time in which a reader answers. No request waits for it, so it covers slow nodes, too.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Question that waits for its answer.
-#[derive(Debug)]
-struct OpenQuestion {
-    number: u64,
-    reply: oneshot::Sender<NodeTalk>,
-}
-
-/// Datagrams of this node.
-#[derive(Debug)]
-pub struct PeerTalk {
-    socket: UdpSocket,
-    key: PeerKey,
-    own: NodeName,
-    counter: Cell<u64>,
-    guard: RefCell<ReplayGuard>,
-    /// Sorted by number, as numbers only rise.
-    questions: RefCell<Vec<OpenQuestion>>,
-}
-
-impl PeerTalk {
-    /// Opens the datagrams of `node` with the key that `secret` stands for.
-    pub fn open(node: &Rc<ForwardNode>, secret: &str) {
-        let settings = node.settings();
-        let bound = std::net::UdpSocket::bind(settings.listen.peer).and_then(|socket| {
-            socket.set_nonblocking(true)?;
-            UdpSocket::from_std(socket)
-        });
-        let socket = match bound {
-            Ok(socket) => socket,
-            Err(error) => {
-                node.journal.note("peers-closed", json!({ "reason": error.to_string() }));
-                return;
-            }
-        };
-        let talk = Rc::new(Self {
-            socket,
-            key: PeerKey::derive(secret),
-            own: settings.name.clone(),
-            counter: Cell::new(0),
-            guard: RefCell::default(),
-            questions: RefCell::default(),
-        });
-        *node.peers.borrow_mut() = Some(Rc::clone(&talk));
-        node.journal.note("peers-open", json!({ "address": settings.listen.peer.to_string() }));
-        actix_web::rt::spawn(take_datagrams(Rc::clone(node), talk));
+/// Opens the datagrams of `node` with the key that `secret` stands for.
+pub fn open_peers(node: &Rc<ForwardNode>, secret: &str) {
+    let settings = node.settings();
+    let Some(incarnation) = node.incarnation.get() else { return };
+    let address = settings.listen.peer;
+    match PeerTalk::open(address, settings.name.clone(), incarnation, secret) {
+        Ok(talk) => {
+            let talk = Rc::new(talk);
+            *node.peers.borrow_mut() = Some(Rc::clone(&talk));
+            node.journal.note("peers-open", json!({ "address": address.to_string() }));
+            actix_web::rt::spawn(take_datagrams(Rc::clone(node), talk));
+        }
+        Err(error) => node.journal.note("peers-closed", json!({ "reason": error.to_string() })),
     }
+}
 
-    fn next_number(&self) -> u64 {
-        self.counter.set(self.counter.get() + 1);
-        self.counter.get()
+async fn send(
+    node: &ForwardNode,
+    talk: &PeerTalk,
+    to: &NodeName,
+    address: SocketAddr,
+    message: &NodeTalk,
+) {
+    if let Err(error) = talk.send(to, address, message).await {
+        node.journal.note("talk-unsealed", json!({ "reason": error.to_string() }));
     }
+}
 
-    /// Sends `talk`, which may be lost.
-    async fn send(&self, node: &ForwardNode, to: &NodeName, address: SocketAddr, talk: &NodeTalk) {
-        let Some(incarnation) = node.incarnation.get() else { return };
-        let stamp = SenderStamp {
-            node: self.own.clone(),
-            incarnation,
-            counter: self.next_number(),
-            receiver: to.clone(),
-        };
-        match seal(&self.key, &stamp, talk) {
-            // Whoever waits for an answer notices that there is none.
-            Ok(bytes) => drop(self.socket.send_to(&bytes, address).await),
-            Err(error) => {
-                node.journal.note("talk-unsealed", json!({ "reason": error.to_string() }));
-            }
+/// Sends the question `message` and returns its reply, if one comes within `bound`.
+async fn exchange(
+    node: &ForwardNode,
+    talk: &PeerTalk,
+    (to, address): (&NodeName, SocketAddr),
+    (question, message): (u64, &NodeTalk),
+    bound: Duration,
+) -> Option<NodeTalk> {
+    match talk.exchange(to, address, question, message, bound).await {
+        Ok(reply) => Some(reply),
+        Err(TalkError::Silent) => None,
+        Err(error) => {
+            node.journal.note("talk-unsealed", json!({ "reason": error.to_string() }));
+            None
         }
     }
+}
 
-    /// Asks `home` for `units` of `workspace`. Returns nothing if it does not answer.
-    pub async fn ask(
-        &self,
-        node: &ForwardNode,
-        home: &NodeName,
-        workspace: &WorkspaceName,
-        units: f64,
-        instead: bool,
-    ) -> Option<QuotaAnswer> {
-        let address = {
-            let beliefs = node.beliefs();
-            if !beliefs.contacts.is_worth_asking(home, clock::now()) {
-                return None;
-            }
-            beliefs.members.peer(home)?
-        };
-        let question = self.next_number();
-        let workspace = workspace.clone();
-        let talk = NodeTalk::Ask { question, workspace, units, instead };
-        let bound = if instead { INSTEAD_TIMEOUT } else { ANSWER_TIMEOUT };
-        match self.exchange(node, (home, address), question, &talk, bound).await {
-            Some(NodeTalk::Granted { .. }) => Some(QuotaAnswer::Granted),
-            Some(NodeTalk::Over { wait_ms, .. }) => {
-                Some(QuotaAnswer::Over(Duration::from_millis(wait_ms)))
-            }
-            Some(_declined) => None,
-            None => {
-                node.beliefs().contacts.note_silent(home, clock::now());
-                None
-            }
+/// Asks `home` for `units` of `workspace`. Returns nothing if it does not answer.
+pub async fn ask_home(
+    node: &ForwardNode,
+    talk: &PeerTalk,
+    home: &NodeName,
+    workspace: &WorkspaceName,
+    units: f64,
+    instead: bool,
+) -> Option<QuotaAnswer> {
+    let address = {
+        let beliefs = node.beliefs();
+        if !beliefs.contacts.is_worth_asking(home, clock::now()) {
+            return None;
         }
-    }
-
-    /// Asks `reader` what it can prove of the store's content. Returns nothing if it does not answer.
-    pub async fn ask_news(&self, node: &ForwardNode, reader: &NodeName) -> Option<StoreNews> {
-        let address = node.beliefs().members.peer(reader)?;
-        let question = self.next_number();
-        let talk = NodeTalk::AskNews { question };
-        match self.exchange(node, (reader, address), question, &talk, NEWS_TIMEOUT).await {
-            Some(NodeTalk::News { news, .. }) => Some(news),
-            _ => None,
+        beliefs.members.peer(home)?
+    };
+    let question = talk.next_number();
+    let workspace = workspace.clone();
+    let message = NodeTalk::Ask { question, workspace, units, instead };
+    let bound = if instead { INSTEAD_TIMEOUT } else { ANSWER_TIMEOUT };
+    match exchange(node, talk, (home, address), (question, &message), bound).await {
+        Some(NodeTalk::Granted { .. }) => Some(QuotaAnswer::Granted),
+        Some(NodeTalk::Over { wait_ms, .. }) => {
+            Some(QuotaAnswer::Over(Duration::from_millis(wait_ms)))
+        }
+        Some(_declined) => None,
+        None => {
+            node.beliefs().contacts.note_silent(home, clock::now());
+            None
         }
     }
+}
 
-    /// Sends the question `talk` and waits for its reply.
-    async fn exchange(
-        &self,
-        node: &ForwardNode,
-        (to, address): (&NodeName, SocketAddr),
-        question: u64,
-        talk: &NodeTalk,
-        bound: Duration,
-    ) -> Option<NodeTalk> {
-        let (sender, reply) = oneshot::channel();
-        self.questions.borrow_mut().push(OpenQuestion { number: question, reply: sender });
-        self.send(node, to, address, talk).await;
-        let reply = timeout(bound, reply).await;
-        self.questions.borrow_mut().retain(|open| open.number != question);
-        reply.ok().and_then(Result::ok)
-    }
-
-    /// Gives units back to `home`.
-    pub async fn give_back(
-        &self,
-        node: &ForwardNode,
-        home: &NodeName,
-        workspace: WorkspaceName,
-        units: f64,
-    ) {
-        let Some(address) = node.beliefs().members.peer(home) else { return };
-        self.send(node, home, address, &NodeTalk::GiveBack { workspace, units }).await;
+/// Asks `reader` what it can prove of the store's content. Returns nothing if it does not answer.
+pub async fn ask_news(node: &ForwardNode, talk: &PeerTalk, reader: &NodeName) -> Option<StoreNews> {
+    let address = node.beliefs().members.peer(reader)?;
+    let question = talk.next_number();
+    let message = NodeTalk::AskNews { question };
+    match exchange(node, talk, (reader, address), (question, &message), NEWS_TIMEOUT).await {
+        Some(NodeTalk::News { news, .. }) => Some(news),
+        _ => None,
     }
+}
 
-    fn settle(&self, number: u64, reply: NodeTalk) {
-        let mut questions = self.questions.borrow_mut();
-        if let Ok(at) = questions.binary_search_by_key(&number, |open| open.number) {
-            // An asker that has given up takes no answer.
-            drop(questions.remove(at).reply.send(reply));
-        }
-    }
+/// Gives units back to `home`.
+pub async fn give_back(
+    node: &ForwardNode,
+    talk: &PeerTalk,
+    home: &NodeName,
+    workspace: WorkspaceName,
+    units: f64,
+) {
+    let Some(address) = node.beliefs().members.peer(home) else { return };
+    send(node, talk, home, address, &NodeTalk::GiveBack { workspace, units }).await;
 }
 
 /// Takes datagrams until the process ends.
 async fn take_datagrams(node: Rc<ForwardNode>, talk: Rc<PeerTalk>) {
-    let mut buffer = [0; DATAGRAM_MAX];
     loop {
-        let Ok((length, from)) = talk.socket.recv_from(&mut buffer).await else {
-            // An error concerns a datagram that was sent earlier.
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let opened = open::<NodeTalk>(&talk.key, &talk.own, &buffer[..length]);
-        let taken = opened.and_then(|(stamp, message)| {
-            talk.guard.borrow_mut().take(&stamp)?;
-            Ok((stamp.node, message))
-        });
-        match taken {
-            Ok((sender, message)) => {
-                let now = clock::now();
-                match message {
-                    NodeTalk::Unable => node.beliefs().contacts.note_unable(&sender, now),
-                    // Nodes that can't act as homes ask and tell news, too.
-                    NodeTalk::AskNews { .. } | NodeTalk::News { .. } => {}
-                    _ => node.beliefs().contacts.note_heard(&sender, now),
-                }
-                take_talk(&node, &talk, sender, from, message).await;
+        match talk.next().await {
+            Ok(taken) => {
+                note_sign(&node, &taken);
+                take_talk(&node, &talk, taken).await;
             }
-            Err(error) => {
+            Err((from, error)) => {
                 let fields = json!({ "from": from.to_string(), "reason": error.to_string() });
                 node.journal.note("datagram-refused", fields);
             }
@@ -227,13 +150,19 @@
     }
 }
 
-async fn take_talk(
-    node: &Rc<ForwardNode>,
-    talk: &Rc<PeerTalk>,
-    sender: NodeName,
-    from: SocketAddr,
-    message: NodeTalk,
-) {
+/// Notes what a datagram says of whether its sender can act as a home.
+fn note_sign(node: &ForwardNode, taken: &TakenTalk) {
+    let now = clock::now();
+    match taken.message {
+        NodeTalk::Unable => node.beliefs().contacts.note_unable(&taken.sender, now),
+        // Nodes that can't act as homes ask and tell news, too.
+        NodeTalk::AskNews { .. } | NodeTalk::News { .. } => {}
+        _ => node.beliefs().contacts.note_heard(&taken.sender, now),
+    }
+}
+
+async fn take_talk(node: &Rc<ForwardNode>, talk: &Rc<PeerTalk>, taken: TakenTalk) {
+    let TakenTalk { sender, from, message } = taken;
     match message {
         NodeTalk::Ask { question, workspace, units, instead } => {
             let (node, talk) = (Rc::clone(node), Rc::clone(talk));
@@ -241,15 +170,15 @@
             actix_web::rt::spawn(async move {
                 let answer = answer_ask(&node, &talk, &workspace, units, instead).await;
                 let able = node.beliefs().proof.permits(clock::now());
-                talk.send(&node, &sender, from, &encode_reply(question, answer)).await;
+                send(&node, &talk, &sender, from, &encode_reply(question, answer)).await;
                 if !able {
-                    talk.send(&node, &sender, from, &NodeTalk::Unable).await;
+                    send(&node, &talk, &sender, from, &NodeTalk::Unable).await;
                 }
             });
         }
         NodeTalk::AskNews { question } => {
-            let news = own_news(node);
-            talk.send(node, &sender, from, &NodeTalk::News { question, news }).await;
+            let news = node.beliefs().news(clock::now());
+            send(node, talk, &sender, from, &NodeTalk::News { question, news }).await;
         }
         NodeTalk::Granted { question }
         | NodeTalk::Over { question, .. }
@@ -261,7 +190,7 @@
         NodeTalk::Ping => {
             let able = node.beliefs().proof.permits(clock::now());
             let reply = if able { NodeTalk::Pong } else { NodeTalk::Unable };
-            talk.send(node, &sender, from, &reply).await;
+            send(node, talk, &sender, from, &reply).await;
         }
         NodeTalk::Pong | NodeTalk::Unable => {}
     }
@@ -343,7 +272,7 @@
     for other in others {
         let address = node.beliefs().members.peer(other);
         if let Some(address) = address {
-            talk.send(node, other, address, &NodeTalk::Ping).await;
+            send(node, talk, other, address, &NodeTalk::Ping).await;
         }
     }
     sleep(SIGN_TIME).await;
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -17,7 +17,7 @@
     call::{CallRefusal, CallTrace},
     clock,
     node::ForwardNode,
-    peers::answer_ask,
+    peers::{answer_ask, ask_home, give_back},
 };
 
 /// Time after which a caller comes back whose limit could not be checked: homes change by then.
@@ -69,7 +69,7 @@
         if let Some(talk) = talk {
             let (node, home, units) = (Rc::clone(&self.node), home.clone(), self.units);
             actix_web::rt::spawn(async move {
-                talk.give_back(&node, &home, workspace, units).await;
+                give_back(&node, &talk, &home, workspace, units).await;
             });
         }
     }
@@ -144,7 +144,7 @@
         let answer = if home == own {
             answer_ask(node, &talk, &row.name, units, instead).await
         } else {
-            talk.ask(node, &home, &row.name, units, instead).await
+            ask_home(node, &talk, &home, &row.name, units, instead).await
         };
         if let Some(answer) = answer {
             return Some((home, answer));
--- a/samphiredeck/src/forward/reply.rs
+++ b/samphiredeck/src/forward/reply.rs
@@ -12,9 +12,9 @@
 use serde_json::json;
 
 use crate::forward::{
-    attempt::UpstreamFlight,
     call::{AdmittedCall, CallTrace},
     clock,
+    flight::UpstreamFlight,
     http_link::HttpLink,
 };
 
--- a/samphiredeck/src/forward/share.rs
+++ b/samphiredeck/src/forward/share.rs
@@ -18,7 +18,7 @@
     clock,
     dependency::{ANSWER_TIMEOUT, Dependency, sleep_about},
     node::ForwardNode,
-    peers::PeerTalk,
+    peers,
     platform_link::{CallError, PlatformLink},
 };
 
@@ -122,7 +122,7 @@
     let found = rows.iter().find(|row| row.key == SECRET_KEY);
     let decoded = found.and_then(|row| decode_record(&row.key, row.value.as_deref()?).ok());
     if let Some(Some(SharedRecord::Secret(secret))) = decoded {
-        PeerTalk::open(node, &secret);
+        peers::open_peers(node, &secret);
         return;
     }
     let secret = format!("{:032x}{:032x}", random::<u128>(), random::<u128>());
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -2,11 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use samphiredeck_core::{
-    boot_time::BootTime,
-    forward::roster::{ListedUpstream, RosterChange},
-    ids::RowVersion,
-};
+use samphiredeck_core::{boot_time::BootTime, forward::roster::ListedUpstream, ids::RowVersion};
 use samphiredeck_platform::{
     catalog::decode_catalog,
     store::{
@@ -19,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::forward::{
-    beliefs::ForwardBeliefs,
+    changes::note_changes,
     clock,
     dependency::{ANSWER_TIMEOUT, Dependency, sleep_about},
     news::{ask_others, ask_readers},
@@ -176,32 +172,3 @@
     let changes = beliefs.roster.apply_list(list, answer.newest, asked_at, now);
     note_changes(node, &beliefs, &changes, now);
 }
-
-/// Logs `changes` of the list.
-pub fn note_changes(
-    node: &ForwardNode,
-    beliefs: &ForwardBeliefs,
-    changes: &[RosterChange],
-    now: BootTime,
-) {
-    let list_age = beliefs.roster.read_at().map(|at| now.since(at).as_millis());
-    for change in changes {
-        let (what, upstream) = match change {
-            RosterChange::Joined(id) => ("joined", id),
-            RosterChange::Leaving(id) => ("leaving", id),
-            RosterChange::Gone(id) => ("gone", id),
-            RosterChange::Returned(id) => ("returned", id),
-        };
-        let entry = beliefs.roster.find(upstream).map(|row| &row.entry);
-        let fields = json!({
-            "upstream": upstream.as_str(), "change": what,
-            "pool": entry.map(|entry| entry.pool.as_str()),
-            "domain": entry.map(|entry| entry.domain.as_str()),
-            "reclaimable": entry.map(|entry| entry.reclaimable),
-            "born_ms": entry.and_then(|entry| entry.born_ms),
-            "leaves_in_ms": entry.and_then(|entry| entry.leaves_in).map(|left| left.as_millis()),
-            "list_age_ms": list_age,
-        });
-        node.journal.note("upstream", fields);
-    }
-}
--- a/samphiredeck/src/main.rs
+++ b/samphiredeck/src/main.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod node;
 mod peer_link;
+mod peer_server;
 mod platform_client;
 mod record;
 mod run;
--- a/samphiredeck/src/node.rs
+++ b/samphiredeck/src/node.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     actor::{ControlActor, ControlAddress, ControlTools},
+    admin,
     caller::{self, CallerTools, turns::ClaimTurns},
     control::{ControlOptions, ControlState, NodeIdentity},
     engine_client::EngineClient,
@@ -27,7 +28,7 @@
     handle::ControlHandle,
     logging::NODE,
     metrics::MetricsSink,
-    peer_link::{take_datagrams, take_questions},
+    peer_server::{take_datagrams, take_questions},
     platform_client::PlatformClient,
     runner::{RunTask, RunTools},
     service_client::ServiceClient,
@@ -228,7 +229,10 @@
             body_limit: shared.body_limit,
             operator_key: shared.operator_key,
         };
-        App::new().app_data(web::Data::new(tools)).configure(caller::register)
+        App::new()
+            .app_data(web::Data::new(tools))
+            .configure(caller::register)
+            .service(web::scope("/admin").configure(admin::register))
     });
     let server = server
         .workers(settings.workers)
--- a/samphiredeck/src/record.rs
+++ b/samphiredeck/src/record.rs
@@ -18,7 +18,7 @@
     handle::ControlHandle,
     logging::WORK,
     platform_client::PlatformClient,
-    runner::RunSpec,
+    run::RunSpec,
 };
 
 /// Time for which the first record of work may wait for the table service.
--- a/samphiredeck/src/run.rs
+++ b/samphiredeck/src/run.rs
@@ -1,4 +1,5 @@
-//! Answer of one run, shared by the task that produces it and the callers that read it.
+//! One run: what it was asked for, and its answer, shared by the task that produces it and the
+//! callers that read it.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
@@ -7,13 +8,45 @@
 
 use samphiredeck_core::{
     answer::{AnswerAssembly, AnswerError, AnswerStep},
+    declaration::PriorityClass,
     engine_api::EngineEvent,
-    ids::{NodeName, RequestId, UpstreamId},
+    ids::{ConfigVersion, ModelName, NodeName, RequestId, UpstreamId, WorkspaceName},
     reclaim::ReclaimChoice,
     verdict::RunVerdict,
 };
 use tokio::sync::watch;
 
+/// What is run, as checked.
+#[derive(Clone, Debug)]
+pub struct RunSpec {
+    /// Id of the request.
+    pub request: RequestId,
+    /// Who pays.
+    pub workspace: WorkspaceName,
+    /// Version of the declaration that the request was checked against.
+    pub version: ConfigVersion,
+    /// Urgency.
+    pub class: PriorityClass,
+    /// Model to run.
+    pub model: ModelName,
+    /// Text of the prompt.
+    pub prompt: String,
+    /// Most tokens of the answer.
+    pub max_tokens: u64,
+    /// Path that was called.
+    pub path: String,
+    /// Body as received.
+    pub body: String,
+    /// Time by which it must have been placed.
+    pub place_by: Instant,
+    /// Time at which the request arrived.
+    pub arrived_at: Instant,
+    /// Whether it was accepted before, by this node or another.
+    pub accepted: bool,
+    /// Upstream that holds its cache already.
+    pub prefer: Option<UpstreamId>,
+}
+
 /// What the control thread tells a run.
 #[derive(Clone, Debug)]
 pub enum RunSignal {
--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -12,7 +12,7 @@
     admission::{Refusal, RefusalReason, TicketNumber},
     burn::AnswerTiming,
     declaration::PriorityClass,
-    ids::{ConfigVersion, ModelName, RequestId, UpstreamId, WorkspaceName},
+    ids::ConfigVersion,
     prefix::{count_tokens, hash_blocks},
     reclaim::ReclaimChoice,
     rows::WorkRow,
@@ -31,7 +31,7 @@
     peer_link::ask_peer,
     platform_client::PlatformClient,
     record::WorkRecord,
-    run::{PeerTarget, RunBuffer, RunFailure, RunSignal, RunState},
+    run::{PeerTarget, RunBuffer, RunFailure, RunSignal, RunSpec, RunState},
 };
 
 /// First pause after failures without progress.
@@ -43,37 +43,6 @@
 /// Failures in a row without progress after which work that is not patient is given up.
 const FAILURES_MAX: u32 = 40;
 
-/// What is run, as checked.
-#[derive(Clone, Debug)]
-pub struct RunSpec {
-    /// Id of the request.
-    pub request: RequestId,
-    /// Who pays.
-    pub workspace: WorkspaceName,
-    /// Version of the declaration that the request was checked against.
-    pub version: ConfigVersion,
-    /// Urgency.
-    pub class: PriorityClass,
-    /// Model to run.
-    pub model: ModelName,
-    /// Text of the prompt.
-    pub prompt: String,
-    /// Most tokens of the answer.
-    pub max_tokens: u64,
-    /// Path that was called.
-    pub path: String,
-    /// Body as received.
-    pub body: String,
-    /// Time by which it must have been placed.
-    pub place_by: Instant,
-    /// Time at which the request arrived.
-    pub arrived_at: Instant,
-    /// Whether it was accepted before, by this node or another.
-    pub accepted: bool,
-    /// Upstream that holds its cache already.
-    pub prefer: Option<UpstreamId>,
-}
-
 /// What all runs of a thread share.
 #[derive(Clone)]
 pub struct RunTools {
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -13,7 +13,7 @@
         clock::ClockOffset,
         ledger::{WindowCounts, WindowNumber},
         readers::ReaderCandidate,
-        work::WorkRate,
+        work::{PoolWork, WorkRate},
     },
     ids::{DomainName, Incarnation, NodeName, PoolName, RowVersion},
 };
@@ -26,15 +26,6 @@
 /// the store has read its row, so that all of them take it for a home from the same moment on.
 const HOME_AGE_MS: i64 = 8_000;
 
-/// Work that arrived at one node for a pool.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PoolWork {
-    /// Pool that does the work.
-    pub pool: PoolName,
-    /// Its rate.
-    pub rate: WorkRate,
-}
-
 /// What a node publishes about itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeBeat {
--- a/samphiredeck_core/src/forward/work.rs
+++ b/samphiredeck_core/src/forward/work.rs
@@ -7,11 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    boot_time::BootTime,
-    forward::{members::PoolWork, placing::PREFILL_TOKENS_PER_MS},
-    ids::PoolName,
-};
+use crate::{boot_time::BootTime, forward::placing::PREFILL_TOKENS_PER_MS, ids::PoolName};
 
 /// Time over which work is averaged: the time that an ordered upstream takes to start.
 const WORK_TIME: Duration = Duration::from_secs(4);
@@ -78,6 +74,15 @@
     }
 }
 
+/// Work that arrived at one node for a pool.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolWork {
+    /// Pool that does the work.
+    pub pool: PoolName,
+    /// Its rate.
+    pub rate: WorkRate,
+}
+
 /// One row of a [`WorkMeter`].
 #[derive(Clone, Debug)]
 struct MeterRow {
