Readers tell small changes of the list, not only its digest

A node that the store alone turns away knew that its list was old, but not what had changed, and went on sending to an upstream that leaves. Ruled out: whole lists by datagram, as they are larger than one. Change: an answer carries the entries that changed since the asker's list, up to 12, if it is one of the last five. The result counts only if its digest is the one that was told; otherwise the list is read.

--- a/samphiredeck/src/forward/beliefs.rs
+++ b/samphiredeck/src/forward/beliefs.rs
@@ -134,15 +134,17 @@
         }
     }
 
-    /// What this node can prove of the store's content at `now`. Ages are rounded up.
-    pub fn news(&self, now: BootTime) -> StoreNews {
+    /// What this node can prove of the store's content at `now`, for a node that holds the list of
+    /// upstreams that `held` identifies. Ages are rounded up.
+    pub fn news(&self, held: u64, now: BootTime) -> StoreNews {
         let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1;
         let proof_age = self.proof.age(now).filter(|_| self.catalog.is_some());
         let config = proof_age.map(|age| ConfigNews { row: self.config_row, age_ms: millis(age) });
-        let list = self
-            .roster
-            .read_at()
-            .map(|at| ListNews { digest: self.roster.digest(), age_ms: millis(now.since(at)) });
+        let list = self.roster.read_at().map(|at| ListNews {
+            digest: self.roster.digest(),
+            age_ms: millis(now.since(at)),
+            delta: self.roster.delta_from(held),
+        });
         StoreNews { config, list }
     }
 
--- a/samphiredeck/src/forward/news.rs
+++ b/samphiredeck/src/forward/news.rs
@@ -6,7 +6,7 @@
 use samphiredeck_core::{
     forward::{
         readers::{ReaderCandidate, order_readers},
-        roster::ListStep,
+        roster::{ListStep, ListWord},
     },
     ids::NodeName,
 };
@@ -75,8 +75,11 @@
             beliefs.config_told = true;
         }
     }
-    let list = news.list.and_then(|list| Some((list.digest, as_of(list.age_ms)?)));
-    let step = list.map(|(digest, as_of)| beliefs.roster.take_word(digest, as_of, now));
+    let word = news.list.and_then(|list| {
+        let as_of = as_of(list.age_ms)?;
+        Some(ListWord { digest: list.digest, as_of, delta: list.delta })
+    });
+    let step = word.map(|word| beliefs.roster.take_word(word, now));
     let known = match step {
         Some(ListStep::Confirmed(changes)) => {
             note_changes(node, &beliefs, &changes, now);
--- a/samphiredeck/src/forward/peers.rs
+++ b/samphiredeck/src/forward/peers.rs
@@ -115,7 +115,8 @@
 pub async fn ask_news(node: &ForwardNode, talk: &PeerTalk, reader: &NodeName) -> Option<StoreNews> {
     let address = node.beliefs().members.peer(reader)?;
     let question = talk.next_number();
-    let message = NodeTalk::AskNews { question };
+    let list = node.beliefs().roster.digest();
+    let message = NodeTalk::AskNews { question, list };
     match exchange(node, talk, (reader, address), (question, &message), NEWS_TIMEOUT).await {
         Some(NodeTalk::News { news, .. }) => Some(news),
         _ => None,
@@ -176,8 +177,8 @@
                 }
             });
         }
-        NodeTalk::AskNews { question } => {
-            let news = node.beliefs().news(clock::now());
+        NodeTalk::AskNews { question, list } => {
+            let news = node.beliefs().news(list, clock::now());
             send(node, talk, &sender, from, &NodeTalk::News { question, news }).await;
         }
         NodeTalk::Granted { question }
--- a/samphiredeck_core/src/forward/readers.rs
+++ b/samphiredeck_core/src/forward/readers.rs
@@ -3,14 +3,17 @@
 //! Answers a store that charges for each call, and many nodes that would ask it all for the same.
 //! In each failure domain a few nodes read; the others ask them how old which version of the
 //! configuration and of the upstreams' list is, and read for themselves only what they hold in
-//! another version, or what nobody can prove. Ages count from before the first question of a
+//! another version, or what nobody can prove. Small changes of the list come with the answer. Ages count from before the first question of a
 //! chain, so what is told is never fresher than what the store said. Answers nodes that the store
 //! alone turns away, too: any other node can prove that what they hold is still in force.
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{DomainName, NodeName, RowVersion};
+use crate::{
+    forward::roster::ListDelta,
+    ids::{DomainName, NodeName, RowVersion},
+};
 
 /// Nodes of a failure domain for each one that reads. A reader answers about 60 questions a second,
 /// a hundredth of a core.
@@ -26,16 +29,18 @@
 }
 
 /// What a node can prove of the upstreams' list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListNews {
     /// Identifies the content of the list.
     pub digest: u64,
     /// Milliseconds since the store showed it.
     pub age_ms: u64,
+    /// What leads to it from the list that the asking node holds, if that is little.
+    pub delta: Option<ListDelta>,
 }
 
 /// What a node can prove of the store's content.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreNews {
     /// Configuration, once known.
     pub config: Option<ConfigNews>,
--- a/samphiredeck_core/src/forward/roster.rs
+++ b/samphiredeck_core/src/forward/roster.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
@@ -23,13 +24,17 @@
 /// Time after such a gap within which upstreams that live are listed again: about two seconds by
 /// the platform's promise.
 const RELIST_TIME: Duration = Duration::from_millis(2_200);
+/// Changes of the list that are kept for nodes that hold an older one: those of two seconds.
+const CHANGES_KEPT: usize = 5;
+/// Most entries that are passed on to another node, so that they fit into one datagram.
+const DELTA_MAX: usize = 12;
 /// Half-life of what is remembered of failures.
 const FAULT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time over which a load report loses its weight, since other nodes send in the meantime.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// One entry of the platform's list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListedUpstream {
     /// Identifies the upstream.
     pub id: UpstreamId,
@@ -62,6 +67,53 @@
     }
 }
 
+/// Identifies the content of `list`.
+fn digest_list(list: &[ListedUpstream]) -> u64 {
+    let mut digest = Xxh3Default::new();
+    for entry in list {
+        entry.add_to(&mut digest);
+    }
+    digest.finish()
+}
+
+/// Ids whose entries differ between `old` and `new`, both sorted by id.
+fn touched_ids(old: &[ListedUpstream], new: &[ListedUpstream]) -> Vec<UpstreamId> {
+    let find = |list: &[ListedUpstream], id: &UpstreamId| {
+        let at = list.binary_search_by(|entry| entry.id.cmp(id)).ok()?;
+        Some(digest_list(&list[at..=at]))
+    };
+    let changed = new.iter().filter(|entry| {
+        let before = find(old, &entry.id);
+        before != Some(digest_list(std::slice::from_ref(*entry)))
+    });
+    let gone = old.iter().filter(|entry| find(new, &entry.id).is_none());
+    changed.chain(gone).map(|entry| entry.id.clone()).collect()
+}
+
+/// What leads from one list to a later one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListDelta {
+    /// Identifies the list that it starts from.
+    pub from: u64,
+    /// Version of the list that it leads to.
+    pub version: RowVersion,
+    /// Entries that are new or changed.
+    pub put: Vec<ListedUpstream>,
+    /// Entries that are no longer listed.
+    pub gone: Vec<UpstreamId>,
+}
+
+/// Another node's word on the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListWord {
+    /// Identifies the list.
+    pub digest: u64,
+    /// Time at which it was surely in force.
+    pub as_of: BootTime,
+    /// What leads to it from the list that this node holds, if that is little.
+    pub delta: Option<ListDelta>,
+}
+
 /// Load that an upstream reported with an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReport {
@@ -193,6 +245,11 @@
     version: RowVersion,
     /// The list as read last, sorted by id.
     list: Vec<ListedUpstream>,
+    /// Identifies the content of `list`.
+    digest: u64,
+    /// What the last changes touched, each after the digest of the list before it. At most
+    /// [`CHANGES_KEPT`], the newest last.
+    touched: Vec<(u64, Vec<UpstreamId>)>,
 }
 
 /// What follows from another node's word on the list.
@@ -222,21 +279,56 @@
     /// Identifies the content of the list in use.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let mut digest = Xxh3Default::new();
-        self.list.iter().for_each(|entry| entry.add_to(&mut digest));
-        digest.finish()
+        self.digest
     }
 
-    /// Takes in that another node knew a list of this `digest` to be in force at `as_of`.
-    pub fn take_word(&mut self, digest: u64, as_of: BootTime, now: BootTime) -> ListStep {
-        if self.read_at.is_some_and(|read_at| as_of <= read_at) {
+    /// What leads from the list that `from` identifies to the one in use, if that is little.
+    #[must_use]
+    pub fn delta_from(&self, from: u64) -> Option<ListDelta> {
+        let first = self.touched.iter().rposition(|(before, _)| *before == from)?;
+        let mut ids: Vec<&UpstreamId> =
+            self.touched[first..].iter().flat_map(|(_, ids)| ids).collect();
+        ids.sort();
+        ids.dedup();
+        if ids.len() > DELTA_MAX {
+            return None;
+        }
+        let mut delta =
+            ListDelta { from, version: self.version, put: Vec::new(), gone: Vec::new() };
+        for id in ids {
+            match self.list.binary_search_by(|entry| entry.id.cmp(id)) {
+                Ok(at) => delta.put.push(self.list[at].clone()),
+                Err(_) => delta.gone.push(id.clone()),
+            }
+        }
+        Some(delta)
+    }
+
+    /// Takes in what another node said of the list.
+    pub fn take_word(&mut self, word: ListWord, now: BootTime) -> ListStep {
+        if self.read_at.is_some_and(|read_at| word.as_of <= read_at) {
             return ListStep::Old;
         }
-        if self.read_at.is_none() || digest != self.digest() {
+        if self.read_at.is_none() {
             return ListStep::Read;
         }
-        let list = std::mem::take(&mut self.list);
-        ListStep::Confirmed(self.apply_list(list, self.version, as_of, now))
+        if word.digest == self.digest {
+            let list = std::mem::take(&mut self.list);
+            return ListStep::Confirmed(self.apply_list(list, self.version, word.as_of, now));
+        }
+        let Some(delta) = word.delta.filter(|delta| delta.from == self.digest) else {
+            return ListStep::Read;
+        };
+        let replaced = |id: &UpstreamId| {
+            delta.gone.contains(id) || delta.put.iter().any(|entry| entry.id == *id)
+        };
+        let kept = self.list.iter().filter(|entry| !replaced(&entry.id)).cloned();
+        let mut list: Vec<ListedUpstream> = kept.chain(delta.put.iter().cloned()).collect();
+        list.sort_by(|a, b| a.id.cmp(&b.id));
+        if digest_list(&list) != word.digest {
+            return ListStep::Read;
+        }
+        ListStep::Confirmed(self.apply_list(list, delta.version, word.as_of, now))
     }
 
     /// Time of the first read that named an upstream.
@@ -278,7 +370,7 @@
         }
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
-        self.list.clone_from(&list);
+        self.keep_list(&list);
         for row in self.rows.iter_mut().filter(|row| row.listed) {
             if list.binary_search_by(|entry| entry.id.cmp(&row.entry.id)).is_ok() {
                 continue;
@@ -300,6 +392,18 @@
         changes
     }
 
+    fn keep_list(&mut self, list: &[ListedUpstream]) {
+        let digest = digest_list(list);
+        if digest != self.digest {
+            let touched = touched_ids(&self.list, list);
+            self.touched.push((self.digest, touched));
+            let excess = self.touched.len().saturating_sub(CHANGES_KEPT);
+            self.touched.drain(..excess);
+        }
+        self.digest = digest;
+        self.list = list.to_vec();
+    }
+
     fn apply_entry(
         &mut self,
         entry: ListedUpstream,
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -7,7 +7,7 @@
     forward::{
         placing::{PlaceRequest, PromptPart, choose_upstream},
         readers::{ReaderCandidate, order_readers},
-        roster::{ListStep, ListedUpstream, RosterChange, UpstreamRoster},
+        roster::{ListStep, ListWord, ListedUpstream, RosterChange, UpstreamRoster},
     },
     ids::{DomainName, NodeName, PoolName, RowVersion, UpstreamId},
 };
@@ -203,20 +203,24 @@
     assert!(long.len() <= 2, "{long:?}");
 }
 
+fn word(digest: u64, as_of: u64) -> ListWord {
+    ListWord { digest, as_of: at(as_of), delta: None }
+}
+
 #[test]
 fn word_of_another_node_keeps_the_same_list_fresh_and_no_other() {
     let mut roster = UpstreamRoster::default();
     let mut other = UpstreamRoster::default();
-    assert_eq!(roster.take_word(1, at(50), at(60)), ListStep::Read, "nothing was read yet");
+    assert_eq!(roster.take_word(word(1, 50), at(60)), ListStep::Read, "nothing was read yet");
     read(&mut roster, &["a", "b"], 1_000);
     // The other node's list counts down elsewhere, which makes no difference.
     let mut list = vec![entry("b"), entry("a")];
     list[0].cold = Duration::from_millis(300);
     list[1].leaves_in = Some(Duration::from_secs(9));
     other.apply_list(list, RowVersion(1_400), at(1_390), at(1_400));
-    let word = other.digest();
-    assert_eq!(roster.take_word(word, at(990), at(1_500)), ListStep::Old);
-    assert_eq!(roster.take_word(word, at(1_390), at(1_500)), ListStep::Confirmed(Vec::new()));
+    let told = other.digest();
+    assert_eq!(roster.take_word(word(told, 990), at(1_500)), ListStep::Old);
+    assert_eq!(roster.take_word(word(told, 1_390), at(1_500)), ListStep::Confirmed(Vec::new()));
     assert_eq!(roster.read_at(), Some(at(1_390)), "as old as the other node's read");
     for change in ["leaving", "born", "address"] {
         let mut changed = entry("a");
@@ -227,7 +231,7 @@
         }
         let mut other = UpstreamRoster::default();
         other.apply_list(vec![changed, entry("b")], RowVersion(1_600), at(1_590), at(1_600));
-        let step = roster.take_word(other.digest(), at(1_590), at(1_700));
+        let step = roster.take_word(word(other.digest(), 1_590), at(1_700));
         assert_eq!(step, ListStep::Read, "{change}");
     }
     assert_eq!(roster.read_at(), Some(at(1_390)), "another list proves nothing");
@@ -241,7 +245,7 @@
     assert!(read(&mut roster, &["a"], 6_000).is_empty());
     let mut other = UpstreamRoster::default();
     read(&mut other, &["a"], 8_500);
-    let step = roster.take_word(other.digest(), at(8_490), at(8_500));
+    let step = roster.take_word(word(other.digest(), 8_490), at(8_500));
     assert_eq!(step, ListStep::Confirmed(vec![RosterChange::Gone(id("b"))]));
 }
 
@@ -283,3 +287,45 @@
         }
     }
 }
+
+#[test]
+fn small_changes_of_the_list_come_with_the_word_and_are_checked() {
+    let names: Vec<String> = (0..40).map(|number| format!("u{number:02}")).collect();
+    let mut list: Vec<ListedUpstream> = names.iter().map(|name| entry(name)).collect();
+    let mut reader = UpstreamRoster::default();
+    let mut follower = UpstreamRoster::default();
+    reader.apply_list(list.clone(), RowVersion(1), at(990), at(1_000));
+    follower.apply_list(list.clone(), RowVersion(1), at(990), at(1_000));
+    let held = follower.digest();
+    // Two reads of the reader later: one leaves, one is gone, one has started anew, one is new.
+    list[3].leaving = true;
+    list.remove(7);
+    reader.apply_list(list.clone(), RowVersion(2), at(1_390), at(1_400));
+    list[9].born_ms = Some(2);
+    list.push(entry("new"));
+    reader.apply_list(list.clone(), RowVersion(3), at(1_790), at(1_800));
+    let delta = reader.delta_from(held);
+    assert!(delta.as_ref().is_some_and(|delta| delta.put.len() == 3 && delta.gone.len() == 1));
+    let mut wrong = delta.clone().unwrap();
+    wrong.gone.clear();
+    let told = ListWord { delta: Some(wrong), ..word(reader.digest(), 1_790) };
+    assert_eq!(follower.take_word(told, at(1_900)), ListStep::Read, "a part is missing");
+    let told = ListWord { delta, ..word(reader.digest(), 1_790) };
+    let step = follower.take_word(told, at(1_900));
+    let ListStep::Confirmed(mut changes) = step else { panic!("{step:?}") };
+    changes.sort_by_key(|change| format!("{change:?}"));
+    let expected = [
+        RosterChange::Gone(id("u07")),
+        RosterChange::Joined(id("new")),
+        RosterChange::Joined(id("u10")),
+        RosterChange::Leaving(id("u03")),
+    ];
+    assert_eq!(changes, expected);
+    assert_eq!(follower.digest(), reader.digest());
+    assert_eq!(follower.delta_from(held), reader.delta_from(held), "it can tell others");
+    // What is too much for one datagram has to be read.
+    list.truncate(10);
+    reader.apply_list(list, RowVersion(4), at(2_190), at(2_200));
+    assert_eq!(reader.delta_from(held), None);
+    assert_eq!(reader.delta_from(12_345), None, "an unknown list");
+}
--- a/samphiredeck_wire/src/talk.rs
+++ b/samphiredeck_wire/src/talk.rs
@@ -45,6 +45,8 @@
     AskNews {
         /// Number of the question at its sender.
         question: u64,
+        /// Identifies the upstreams' list that the sender holds.
+        list: u64,
     },
     /// What the node can prove of the store's content.
     News {
