--- a/samphirectl/src/cli.rs
+++ b/samphirectl/src/cli.rs
@@ -46,6 +46,7 @@
             Shell(ShellArgs),
             Script(ScriptArgs),
             Explain(ExplainArgs),
+            Plot(PlotArgs),
         }
 
         impl CtlCommand {
@@ -53,7 +54,9 @@
             pub fn into_statement(self) -> Statement {
                 match self {
                     $(Self::$name(args) => Statement::$name(args),)+
-                    Self::Shell(_) | Self::Script(_) | Self::Explain(_) => Statement::Nodes(NodesArgs {}),
+                    Self::Shell(_) | Self::Script(_) | Self::Explain(_) | Self::Plot(_) => {
+                        Statement::Nodes(NodesArgs {})
+                    }
                 }
             }
         }
@@ -240,3 +243,15 @@
     #[argh(positional)]
     pub files: Vec<PathBuf>,
 }
+
+/// Draw first signs, refusals and capacity over time out of the logs of nodes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "plot")]
+pub struct PlotArgs {
+    /// folder for the plots
+    #[argh(option)]
+    pub out: PathBuf,
+    /// logs of the nodes
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/samphirectl/src/explain.rs
+++ b/samphirectl/src/explain.rs
@@ -1,85 +1,33 @@
 //! What happened to one request, out of the logs of the nodes.
 
-use std::{
-    fs::File,
-    io::{BufRead, BufReader},
-    path::{Path, PathBuf},
-};
-
-use eyre::WrapErr;
-use serde_json::Value;
+use std::path::PathBuf;
 
-use crate::statement::ExitKind;
+use crate::{
+    log_lines::{LogLine, read_lines},
+    statement::ExitKind,
+};
 
 /// Fields that stand in front of each printed line, or that are the same in all of them.
 const COMMON_FIELDS: [&str; 6] = ["at_ms", "boot_ms", "node", "kind", "request", "left_out"];
 
-/// One line of a log.
-#[derive(Clone, Debug)]
-struct LogLine {
-    /// Time of day in milliseconds since 1970, as the node's machine believed it.
-    at_ms: i64,
-    node: String,
-    kind: String,
-    fields: Value,
-}
-
-impl LogLine {
-    /// Reads a line, or nothing if it is no line of a node's log.
-    fn parse(text: &str) -> Option<Self> {
-        // A collector may have put its own words in front.
-        let fields: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
-        Some(Self {
-            at_ms: fields["at_ms"].as_i64()?,
-            node: fields["node"].as_str()?.to_owned(),
-            kind: fields["kind"].as_str()?.to_owned(),
-            fields,
+fn print_line(line: &LogLine, since_ms: i64) {
+    let fields = line.fields.as_object().into_iter().flatten();
+    let told = fields.filter(|(name, value)| {
+        !COMMON_FIELDS.contains(&name.as_str()) && !value.is_null() && **value != ""
+    });
+    let told: Vec<String> = told
+        .map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text:?}"),
+            None => format!("{name}={value}"),
         })
-    }
-
-    fn text(&self, field: &str) -> Option<&str> {
-        self.fields[field].as_str()
-    }
-
-    fn print(&self, since_ms: i64) {
-        let fields = self.fields.as_object().into_iter().flatten();
-        let told = fields.filter(|(name, value)| {
-            !COMMON_FIELDS.contains(&name.as_str()) && !value.is_null() && **value != ""
-        });
-        let told: Vec<String> = told
-            .map(|(name, value)| match value.as_str() {
-                Some(text) => format!("{name}={text:?}"),
-                None => format!("{name}={value}"),
-            })
-            .collect();
-        println!(
-            "{:>+9} ms  {:<14} {:<16} {}",
-            self.at_ms - since_ms,
-            self.node,
-            self.kind,
-            told.join(" ")
-        );
-    }
-}
-
-fn read_lines(files: &[PathBuf]) -> eyre::Result<Vec<LogLine>> {
-    let mut lines = Vec::new();
-    for path in files {
-        let file = File::open(path).wrap_err_with(|| path.display().to_string())?;
-        read_into(&mut lines, path, BufReader::new(file))?;
-    }
-    // Lines of one node stay in their order where their times are the same.
-    lines.sort_by_key(|line| line.at_ms);
-    Ok(lines)
-}
-
-fn read_into(lines: &mut Vec<LogLine>, path: &Path, mut file: impl BufRead) -> eyre::Result<()> {
-    let mut bytes = Vec::new();
-    while file.read_until(b'\n', &mut bytes).wrap_err_with(|| path.display().to_string())? > 0 {
-        lines.extend(LogLine::parse(&String::from_utf8_lossy(&bytes)));
-        bytes.clear();
-    }
-    Ok(())
+        .collect();
+    println!(
+        "{:>+9} ms  {:<14} {:<16} {}",
+        line.at_ms - since_ms,
+        line.node,
+        line.kind,
+        told.join(" ")
+    );
 }
 
 /// Prints the lines of `request` in order, after what its nodes believed then.
@@ -99,11 +47,11 @@
     upstreams.dedup();
     println!("beliefs in force:");
     for line in beliefs(&lines, &nodes, &upstreams, last.at_ms) {
-        line.print(first.at_ms);
+        print_line(line, first.at_ms);
     }
     println!("{request}:");
     for line in &own {
-        line.print(first.at_ms);
+        print_line(line, first.at_ms);
     }
     Ok(ExitKind::Success)
 }
--- a/samphirectl/src/main.rs
+++ b/samphirectl/src/main.rs
@@ -4,7 +4,9 @@
 mod client;
 mod diff;
 mod explain;
+mod log_lines;
 mod output;
+mod plot;
 mod query;
 mod statement;
 
@@ -21,6 +23,7 @@
     cli::{CtlArgs, CtlCommand, Statement},
     client::NodeClient,
     explain::explain_request,
+    plot::plot_logs,
     statement::{ExitKind, run_statement},
 };
 
@@ -29,8 +32,12 @@
 
 fn main() -> ExitCode {
     let args: CtlArgs = argh::from_env();
-    if let CtlCommand::Explain(explain) = &args.command {
-        return end(explain_request(&explain.request, &explain.files));
+    match &args.command {
+        CtlCommand::Explain(explain) => {
+            return end(explain_request(&explain.request, &explain.files));
+        }
+        CtlCommand::Plot(plot) => return end(plot_logs(&plot.out, &plot.files)),
+        _ => {}
     }
     end(actix_web::rt::System::new().block_on(run(args)))
 }
--- a/samphirectl/tests/command_line.rs
+++ b/samphirectl/tests/command_line.rs
@@ -89,3 +89,33 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(told(&output).contains("no line of r9"));
 }
+
+#[test]
+fn plot_draws_what_logs_tell() {
+    let folder = std::env::temp_dir().join(format!("samphirectl-plot-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let log = folder.join("n1.log");
+    let lines = [
+        r#"{"at_ms":1000,"node":"n1","kind":"start"}"#,
+        r#"{"at_ms":1500,"node":"n1","kind":"end","route":"r","outcome":"served","reason":"","first_ms":80}"#,
+        r#"{"at_ms":2600,"node":"n1","kind":"end","route":"r","outcome":"served","reason":"","first_ms":120}"#,
+        r#"{"at_ms":2700,"node":"n1","kind":"end","outcome":"refused","reason":"no route","left_out":4}"#,
+        r#"{"at_ms":2800,"node":"n1","kind":"capacity","pool":"p","need":3.5,"stock":[["a",2,1],["b",1,0]]}"#,
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("a log");
+    let (out, log) = (folder.join("plots").display().to_string(), log.display().to_string());
+    let output = run(&["plot", "--out", &out, &log]);
+    assert_eq!(output.status.code(), Some(0), "{}", told(&output));
+    let text = String::from_utf8_lossy(&output.stdout).replace(&out, "OUT");
+    insta::assert_snapshot!(text, @r"
+    OUT/first_signs.svg: 2 series, 4 points
+    OUT/refusals.svg: 1 series, 1 points
+    OUT/capacity.svg: 3 series, 3 points
+    5 lines, 4 more were over the rate
+    ");
+    let drawn = std::fs::read_to_string(folder.join("plots/refusals.svg")).expect("a plot");
+    assert!(drawn.starts_with("<svg") && drawn.contains("no route"));
+    std::fs::write(folder.join("empty.log"), "nothing of ours").expect("a log");
+    let empty = folder.join("empty.log").display().to_string();
+    assert_eq!(run(&["plot", "--out", &out, &empty]).status.code(), Some(1));
+}
--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -65,6 +65,7 @@
     pub workspace: String,
     /// Pool, once known.
     pub pool: String,
+    first_ms: Option<u128>,
     ended: bool,
 }
 
@@ -73,7 +74,7 @@
     pub fn begin(node: Rc<ForwardNode>, request: String, arrived: BootTime) -> Self {
         node.gauges.in_flight.inc();
         let (route, workspace, pool) = (String::new(), String::new(), String::new());
-        Self { node, request, arrived, route, workspace, pool, ended: false }
+        Self { node, request, arrived, route, workspace, pool, first_ms: None, ended: false }
     }
 
     /// Milliseconds since the arrival.
@@ -86,7 +87,8 @@
     }
 
     /// Notes the first sign of an answer.
-    pub fn note_first_sign(&self) {
+    pub fn note_first_sign(&mut self) {
+        self.first_ms = Some(self.age_ms());
         let seconds = clock::now().since(self.arrived).as_secs_f64();
         self.node.gauges.first_sign.get_or_create(&self.latency_labels()).observe(seconds);
     }
@@ -107,7 +109,7 @@
         let fields = json!({
             "request": self.request, "outcome": outcome, "status": status, "reason": reason,
             "route": self.route, "workspace": self.workspace, "pool": self.pool,
-            "age_ms": self.age_ms(),
+            "age_ms": self.age_ms(), "first_ms": self.first_ms,
         });
         self.node.journal.note("end", fields);
     }
