A reader that does not hear from the store is no reader to go by

A reader was cut off from the store alone; its followers, in touch, asked it each 0.5 s, got its aging proof of the old version, and read the configuration only each 2.3 s, when their own proof was aging. A change is due in 2 s. Ruled out: the cut nodes themselves (not in touch); a late answer of the store (6 ms). Change: a reader counts only while its proof is younger than two answers held back and 0.2 s; else the next in the order is asked, or the store. Answers are held back for 0.5 s (0.8 before), and a node reads for itself from a proof of 1.8 s on (2.3 before), so that followers notice within 1.4 s.

--- a/samphiredeck/src/forward/news.rs
+++ b/samphiredeck/src/forward/news.rs
@@ -26,8 +26,8 @@
     node.beliefs().members.reader_candidates(clock::now())
 }
 
-/// Asks the nodes that read the store for this one. Returns whether the list of upstreams is known
-/// to be in force, so that this node need not read it.
+/// Asks the nodes that read the store for this one, until one hears from the store itself. Returns
+/// whether the list of upstreams is known to be in force, so that this node need not read it.
 pub async fn ask_readers(node: &Rc<ForwardNode>) -> bool {
     let settings = node.settings();
     let order = order_readers(&settings.name, &settings.domain, candidates(node));
@@ -35,9 +35,9 @@
         if *reader == settings.name {
             break;
         }
-        if let Some(known) = ask_node(node, reader).await {
+        if let Some(told) = ask_node(node, reader).await.filter(|told| told.current) {
             set_source(node, Some(reader));
-            return known;
+            return told.list_known;
         }
     }
     set_source(node, None);
@@ -56,14 +56,24 @@
     }
 }
 
-/// Asks `other`. Returns nothing if it does not answer, and otherwise whether the list of upstreams
-/// is known to be in force.
-async fn ask_node(node: &Rc<ForwardNode>, other: &NodeName) -> Option<bool> {
+/// What another node's answer is worth.
+struct ToldNews {
+    /// Whether that node hears from the store.
+    current: bool,
+    /// Whether the list of upstreams is known to be in force.
+    list_known: bool,
+}
+
+/// Asks `other`, and takes in what it can prove. Returns nothing if it does not answer.
+async fn ask_node(node: &Rc<ForwardNode>, other: &NodeName) -> Option<ToldNews> {
     let talk = node.peers.borrow().clone()?;
     let asked_at = clock::now();
     let news = ask_news(node, &talk, other).await?;
     let now = clock::now();
     let mut beliefs = node.beliefs();
+    let current = news
+        .config
+        .is_some_and(|config| beliefs.proof.is_current(Duration::from_millis(config.age_ms)));
     // Ages reach back from before the question, whatever the answer's way took.
     let as_of = |age_ms| asked_at.before(Duration::from_millis(age_ms));
     if let Some(config) = news.config
@@ -89,7 +99,7 @@
         Some(ListStep::Read) => false,
     };
     let fresh = beliefs.roster.read_at().is_some_and(|at| now.since(at) < LIST_AGE_TOLD);
-    Some(known && fresh)
+    Some(ToldNews { current, list_known: known && fresh })
 }
 
 /// Notes from whom this node learns what the store holds: `reader`, or the store itself.
--- a/samphiredeck_core/src/forward/freshness.rs
+++ b/samphiredeck_core/src/forward/freshness.rs
@@ -17,10 +17,13 @@
 const ASK_SHARE: f64 = 0.5;
 /// Age after which it does so at the latest, so that changes arrive in time where revocation is not
 /// bounded.
-const ASK_AGE_MAX: Duration = Duration::from_millis(2_300);
+const ASK_AGE_MAX: Duration = Duration::from_millis(1_800);
 
+/// Time by which a reader's proof may be older than two answers held back, with slow links and
+/// nodes.
+const TOLD_MARGIN: Duration = Duration::from_millis(200);
 /// Longest time for which the store may hold back an answer.
-const HOLD_MAX: Duration = Duration::from_millis(800);
+const HOLD_MAX: Duration = Duration::from_millis(500);
 /// Part of the admission age for which it may do so. With the answer on its way, a proof is up to
 /// two parts old at its reader, and three where it is told on.
 const HOLD_PART: u32 = 6;
@@ -74,6 +77,14 @@
         if self.bound == Duration::MAX { HOLD_MAX } else { (self.bound / HOLD_PART).min(HOLD_MAX) }
     }
 
+    /// Whether a node that tells a proof as old as `age` still hears from the store. One that has
+    /// not heard from it for longer than two answers may be held back is no reader to go by: it
+    /// knows of no change.
+    #[must_use]
+    pub fn is_current(&self, age: Duration) -> bool {
+        age < self.hold_time() * 2 + TOLD_MARGIN
+    }
+
     /// Whether the node should take new connections at `now`.
     #[must_use]
     pub fn is_ready(&self, now: BootTime) -> bool {
