--- a/samphirectl/src/plot.rs
+++ b/samphirectl/src/plot.rs
@@ -2,16 +2,17 @@
 
 use std::path::{Path, PathBuf};
 
-use crate::{
-    log_lines::{LogLine, read_lines},
-    statement::ExitKind,
-};
 use eyre::WrapErr;
 use plotters::prelude::{
     BLACK, ChartBuilder, Color, IntoDrawingArea, LineSeries, Palette, Palette99, PathElement,
     SVGBackend, WHITE,
 };
 
+use crate::{
+    log_lines::{LogLine, read_lines},
+    statement::ExitKind,
+};
+
 /// Span that one point of a plot stands for, in milliseconds.
 const BUCKET_MS: i64 = 1_000;
 /// Width and height of a plot.
@@ -50,14 +51,16 @@
         }
     }
 
-    /// One series a name, each point being what `fold` makes of the values of its second.
-    fn series(mut self, fold: impl Fn(&mut Vec<f64>) -> f64) -> Vec<PlotSeries> {
+    /// One series a name, to which `suffix` is added, each point being what `fold` makes of the
+    /// values of its second.
+    fn series(&self, suffix: &str, fold: impl Fn(&[f64]) -> f64) -> Vec<PlotSeries> {
         let mut all: Vec<PlotSeries> = Vec::new();
-        for ((name, second), values) in &mut self.rows {
+        for ((name, second), values) in &self.rows {
+            let name = format!("{name}{suffix}");
             let point = (seconds(*second), fold(values));
-            match all.last_mut().filter(|series| series.name == *name) {
+            match all.last_mut().filter(|series| series.name == name) {
                 Some(series) => series.points.push(point),
-                None => all.push(PlotSeries { name: name.clone(), points: vec![point] }),
+                None => all.push(PlotSeries { name, points: vec![point] }),
             }
         }
         all
@@ -69,7 +72,8 @@
     second as f64
 }
 
-fn quantile(values: &mut [f64], share: f64) -> f64 {
+fn quantile(values: &[f64], share: f64) -> f64 {
+    let mut values = values.to_vec();
     values.sort_by(f64::total_cmp);
     #[expect(
         clippy::cast_possible_truncation,
@@ -87,17 +91,14 @@
 }
 
 fn first_signs(lines: &[LogLine], since_ms: i64) -> Vec<PlotSeries> {
-    let mut median = BucketTable::default();
-    let mut slow = BucketTable::default();
+    let mut table = BucketTable::default();
     for line in lines.iter().filter(|line| line.kind == "end") {
         let Some(first_ms) = line.fields["first_ms"].as_f64() else { continue };
-        let second = (line.at_ms - since_ms) / BUCKET_MS;
         let route = line.text("route").unwrap_or("?");
-        median.add(&format!("{route} p50"), second, first_ms);
-        slow.add(&format!("{route} p95"), second, first_ms);
+        table.add(route, (line.at_ms - since_ms) / BUCKET_MS, first_ms);
     }
-    let mut series = median.series(|values| quantile(values, 0.5));
-    series.extend(slow.series(|values| quantile(values, 0.95)));
+    let mut series = table.series(" p50", |values| quantile(values, 0.5));
+    series.extend(table.series(" p95", |values| quantile(values, 0.95)));
     series
 }
 
@@ -111,7 +112,7 @@
             table.add(reason, (line.at_ms - since_ms) / BUCKET_MS, weight(line));
         }
     }
-    table.series(|values| values.iter().sum())
+    table.series("", |values| values.iter().sum())
 }
 
 /// Upstreams needed by the work that arrives, and those that serve, as the node that acts for all
@@ -129,7 +130,7 @@
         table.add(&format!("{pool} reclaimable"), second, sum(1));
         table.add(&format!("{pool} on demand"), second, sum(2));
     }
-    table.series(|values| values.last().copied().unwrap_or(0.0))
+    table.series("", |values| values.last().copied().unwrap_or(0.0))
 }
 
 fn draw(sheet: &PlotSheet, path: &Path) -> eyre::Result<()> {
--- a/samphiredeck/src/caller/service.rs
+++ b/samphiredeck/src/caller/service.rs
@@ -24,6 +24,7 @@
 use crate::{
     event::{ControlEvent, RunPlacement, WriteAsk, WriteReply, parse_row},
     logging::RUN,
+    platform_client::PlatformError,
     service_client::{CallAnswer, CallError, ServiceCall},
 };
 
@@ -280,49 +281,45 @@
     let waited_from = Instant::now();
     let mut over = RowVersion(0);
     loop {
-        let turn = match tools.turns.take(&key) {
-            Ok(turn) => turn,
+        let known = match tools.turns.take(&key) {
+            Ok(turn) => {
+                let reply = write_claim(tools, &key, &row, over).await?;
+                drop(turn);
+                match reply.outcome {
+                    OperationOutcome::Committed(version) => {
+                        let lease_end = reply.lease_end.ok_or_else(CallerError::table_down)?;
+                        let guarded = GuardedCall::receive(call.request.clone(), body.to_vec())
+                            .claim(lease_end);
+                        let claim = HeldClaim { key, row, version };
+                        return run_claimed(tools, call, guarded, claim).await;
+                    }
+                    OperationOutcome::NotCommitted => return Err(CallerError::table_down()),
+                    OperationOutcome::Conflict(rows) => {
+                        let view = rows.into_iter().find(|view| view.key == key);
+                        Some(view.ok_or_else(CallerError::table_down)?)
+                    }
+                }
+            }
             Err(mut other) => {
                 // Closed by the end of the other call's turn, which changes nothing else.
                 while other.changed().await.is_ok() {}
-                let Some(view) = read_claim(tools, &key).await? else {
-                    over = RowVersion(0);
-                    continue;
-                };
-                match settle_known(tools, &view, &digest, waited_from).await? {
-                    KnownCall::Answer(answer) => return Ok(answer),
-                    KnownCall::ClaimOver(version) => over = version,
-                }
-                continue;
+                read_claim(tools, &key).await.map_err(|_error| CallerError::table_down())?
             }
         };
-        let reply = write_claim(tools, &key, &row, over).await?;
-        drop(turn);
-        match reply.outcome {
-            OperationOutcome::Committed(version) => {
-                let lease_end = reply.lease_end.ok_or_else(CallerError::table_down)?;
-                let guarded =
-                    GuardedCall::receive(call.request.clone(), body.to_vec()).claim(lease_end);
-                let claim = HeldClaim { key, row, version };
-                return run_claimed(tools, call, guarded, claim).await;
-            }
-            OperationOutcome::NotCommitted => return Err(CallerError::table_down()),
-            OperationOutcome::Conflict(rows) => {
-                let view = rows.into_iter().find(|view| view.key == key);
-                let Some(view) = view else { return Err(CallerError::table_down()) };
-                match settle_known(tools, &view, &digest, waited_from).await? {
-                    KnownCall::Answer(answer) => return Ok(answer),
-                    KnownCall::ClaimOver(version) => over = version,
-                }
-            }
-        }
+        over = match known {
+            None => RowVersion(0),
+            Some(view) => match settle_known(tools, &view, &digest, waited_from).await? {
+                KnownCall::Answer(answer) => return Ok(answer),
+                KnownCall::ClaimOver(version) => version,
+            },
+        };
     }
 }
 
 /// Reads the claim of `key`, if there is one.
-async fn read_claim(tools: &CallerTools, key: &str) -> Result<Option<RowView>, CallerError> {
+async fn read_claim(tools: &CallerTools, key: &str) -> Result<Option<RowView>, PlatformError> {
     let read = TableRead { keys: vec![key.to_owned()], prefixes: Vec::new() };
-    let rows = tools.platform.read(&read).await.map_err(|_error| CallerError::table_down())?;
+    let rows = tools.platform.read(&read).await?;
     Ok(rows.rows.into_iter().next())
 }
 
@@ -389,11 +386,10 @@
             }
         }
         tokio::time::sleep(WAIT_PAUSE).await;
-        let read = TableRead { keys: vec![view.key.clone()], prefixes: Vec::new() };
-        let Ok(rows) = tools.platform.read(&read).await else {
+        let Ok(found) = read_claim(tools, &view.key).await else {
             return Err(CallerError::still_running(&row.request));
         };
-        match rows.rows.into_iter().next() {
+        match found {
             Some(fresh) => view = fresh,
             None => return Ok(KnownCall::ClaimOver(RowVersion(0))),
         }
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -27,7 +27,7 @@
     flight::UpstreamFlight,
     node::ForwardNode,
     quota::TakenUnits,
-    reply::{SendFailure, StreamAnswer, StreamSource, Taken, UpstreamAnswer, take_answer},
+    reply::{SendFailure, StreamAnswer, StreamSource, TakenAnswer, UpstreamAnswer, take_answer},
 };
 
 /// Time below which a request is no longer sent, since no upstream can answer in it.
@@ -285,7 +285,7 @@
                 flight.note_outcome(true);
                 Err(failure)
             }
-            Ok(Taken::Whole(answer, marks)) => {
+            Ok(TakenAnswer::Whole(answer, marks)) => {
                 flight.note_outcome(false);
                 count_start(call, progress, node, sent_at);
                 if !marks.closes {
@@ -295,7 +295,7 @@
                 progress.verdict = RunVerdict::Ran;
                 Ok(UpstreamAnswer::Whole(answer))
             }
-            Ok(Taken::Stream { status, headers, first, ended, body, buffer, marks }) => {
+            Ok(TakenAnswer::Stream { status, headers, first, ended, body, buffer, marks }) => {
                 count_start(call, progress, node, clock::now());
                 progress.sent += 1;
                 progress.verdict = RunVerdict::Ran;
--- a/samphiredeck/src/forward/call.rs
+++ b/samphiredeck/src/forward/call.rs
@@ -168,6 +168,11 @@
     }
 }
 
+/// Spreads callers that are told to wait for `wait`, so that they don't come back together.
+pub fn spread(wait: Duration) -> Duration {
+    wait.mul_f64(0.75 + random::<f64>() / 2.0)
+}
+
 /// Time after which a caller with `left` should come back when the wait is `excess` too long.
 pub fn come_back(excess: Duration, left: Duration) -> Duration {
     retry_after(excess, left, random())
--- a/samphiredeck/src/forward/dependency.rs
+++ b/samphiredeck/src/forward/dependency.rs
@@ -18,14 +18,14 @@
 const PERIOD_NOISE: f64 = 0.2;
 
 /// A dependency as one reader sees it: logs when it is lost and when it is back.
-pub struct Dependency<'a> {
+pub struct DependencyState<'a> {
     node: &'a ForwardNode,
     purpose: &'static str,
     pause: BackoffState,
     lost_at: Option<BootTime>,
 }
 
-impl<'a> Dependency<'a> {
+impl<'a> DependencyState<'a> {
     /// Starts with the dependency in use.
     pub fn new(node: &'a ForwardNode, purpose: &'static str) -> Self {
         let pause = BackoffState::new(PAUSE_FIRST, PAUSE_LONGEST);
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use crate::forward::{
-    call::{CallRefusal, CallTrace},
+    call::{CallRefusal, CallTrace, spread},
     clock,
     node::ForwardNode,
     peers::{answer_ask, ask_home, give_back},
@@ -23,29 +23,30 @@
 /// Time after which a caller comes back whose limit could not be checked: homes change by then.
 const UNCHECKED_WAIT: Duration = Duration::from_millis(400);
 
-/// Where the units of a request came from.
-#[derive(Clone, Debug, PartialEq)]
-pub enum UnitSource {
-    /// The workspace has no limit, or the route is public.
-    Unlimited,
-    /// This node's purse.
-    Purse,
-    /// A home.
-    Home(NodeName),
+/// Units that a home granted.
+#[derive(Debug)]
+struct GrantedUnits {
+    node: Rc<ForwardNode>,
+    home: NodeName,
+    workspace: WorkspaceName,
+    units: f64,
 }
 
-/// Units that were taken for a request. Its drop gives them back unless the request may have run.
+/// Units that were taken for a request. Its drop gives back what a home granted, unless the request
+/// may have run.
 #[derive(Debug)]
 pub struct TakenUnits {
-    node: Rc<ForwardNode>,
-    source: UnitSource,
-    workspace: Option<WorkspaceName>,
-    units: f64,
+    /// Nothing for what came from this node's purse or has no limit.
+    granted: Option<GrantedUnits>,
     /// Whether the request may have run.
     spent: bool,
 }
 
 impl TakenUnits {
+    fn new(granted: Option<GrantedUnits>) -> Self {
+        Self { granted, spent: false }
+    }
+
     /// Notes whether the request may have run.
     pub fn set_spent(&mut self, spent: bool) {
         self.spent = spent;
@@ -54,20 +55,14 @@
 
 impl Drop for TakenUnits {
     fn drop(&mut self) {
-        if self.spent {
+        let Some(granted) = self.granted.take().filter(|_| !self.spent) else { return };
+        let GrantedUnits { node, home, workspace, units } = granted;
+        if home == node.settings().name {
+            node.beliefs().home.give_back(&workspace, units);
             return;
         }
-        let (UnitSource::Home(home), Some(workspace)) = (&self.source, self.workspace.take())
-        else {
-            return;
-        };
-        if *home == self.node.settings().name {
-            self.node.beliefs().home.give_back(&workspace, self.units);
-            return;
-        }
-        let talk = self.node.peers.borrow().clone();
+        let talk = node.peers.borrow().clone();
         if let Some(talk) = talk {
-            let (node, home, units) = (Rc::clone(&self.node), home.clone(), self.units);
             actix_web::rt::spawn(async move {
                 give_back(&node, &talk, &home, workspace, units).await;
             });
@@ -86,23 +81,18 @@
     tokens: Option<u64>,
 ) -> Result<TakenUnits, CallRefusal> {
     let node = Rc::clone(&trace.node);
-    let take = |source, workspace, units| TakenUnits {
-        node: Rc::clone(&trace.node),
-        source,
-        workspace,
-        units,
-        spent: false,
-    };
     let Some(row) = workspace.filter(|row| row.rate > 0.0) else {
-        return Ok(take(UnitSource::Unlimited, None, 0.0));
+        return Ok(TakenUnits::new(None));
     };
     let units = cost_of(row, tokens);
-    let taken = |source| take(source, Some(row.name.clone()), units);
     if node.beliefs().purse.take_small(row, units, clock::now()) {
-        return Ok(taken(UnitSource::Purse));
+        return Ok(TakenUnits::new(None));
     }
     match ask_homes(&node, row, units).await {
-        Some((home, QuotaAnswer::Granted)) => return Ok(taken(UnitSource::Home(home))),
+        Some((home, QuotaAnswer::Granted)) => {
+            let workspace = row.name.clone();
+            return Ok(TakenUnits::new(Some(GrantedUnits { node, home, workspace, units })));
+        }
         Some((home, QuotaAnswer::Over(wait))) => {
             let fields = json!({
                 "request": trace.request, "workspace": row.name.as_str(), "units": units,
@@ -125,9 +115,9 @@
     });
     node.journal.note("home-silent", fields);
     if enough {
-        return Ok(taken(UnitSource::Purse));
+        return Ok(TakenUnits::new(None));
     }
-    let wait = UNCHECKED_WAIT.mul_f64(0.75 + random::<f64>() / 2.0);
+    let wait = spread(UNCHECKED_WAIT);
     Err(CallRefusal::unrun("the workspace's limit can't be checked", wait))
 }
 
--- a/samphiredeck/src/forward/reply.rs
+++ b/samphiredeck/src/forward/reply.rs
@@ -89,7 +89,7 @@
 }
 
 /// Answer that can be passed on.
-pub enum Taken {
+pub enum TakenAnswer {
     /// A whole one.
     Whole(WholeAnswer, AnswerMarks),
     /// A stream up to its first event.
@@ -110,7 +110,7 @@
     trace: &CallTrace,
     response: Response<Incoming>,
     flight: &mut UpstreamFlight,
-) -> Result<Taken, SendFailure> {
+) -> Result<TakenAnswer, SendFailure> {
     let (head, body) = response.into_parts();
     let marks = decode_answer(head.status, &head.headers);
     flight.note_read();
@@ -137,7 +137,7 @@
     let answer = WholeAnswer { status: head.status, headers, body };
     let refused = head.status.is_client_error() && marks.signed && !is_promise(head.status);
     if head.status.is_success() || refused {
-        return Ok(Taken::Whole(answer, marks));
+        return Ok(TakenAnswer::Whole(answer, marks));
     }
     let reason = format!("failed with {}", head.status.as_u16());
     // A status that promises that nothing ran can't be passed on without the upstream's mark.
@@ -161,7 +161,7 @@
     headers: HeaderMap,
     mut body: Incoming,
     marks: AnswerMarks,
-) -> Result<Taken, SendFailure> {
+) -> Result<TakenAnswer, SendFailure> {
     let mut buffer = EventBuffer::default();
     loop {
         let Some(frame) = body.frame().await else {
@@ -169,14 +169,14 @@
                 return Err(SendFailure::new(SendOutcome::Broken, "ended within an event"));
             }
             let (first, ended) = (None, true);
-            return Ok(Taken::Stream { status, headers, first, ended, body, buffer, marks });
+            return Ok(TakenAnswer::Stream { status, headers, first, ended, body, buffer, marks });
         };
         let frame =
             frame.map_err(|error| SendFailure::new(SendOutcome::Broken, error.to_string()))?;
         let Some(piece) = frame.data_ref() else { continue };
         if let Some(first) = buffer.push(piece) {
             let (first, ended) = (Some(first), false);
-            return Ok(Taken::Stream { status, headers, first, ended, body, buffer, marks });
+            return Ok(TakenAnswer::Stream { status, headers, first, ended, body, buffer, marks });
         }
         if buffer.is_overlong() {
             return Err(SendFailure::new(SendOutcome::Broken, "event without an end"));
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -22,7 +22,7 @@
 use crate::forward::{
     answer::AnswerBody,
     attempt::{CallProgress, attempt},
-    call::{AdmittedCall, CallRefusal, CallTrace},
+    call::{AdmittedCall, CallRefusal, CallTrace, spread},
     clock,
     node::{ForwardNode, StopPhase},
     quota::take_units,
@@ -138,7 +138,7 @@
                 "config_age_ms": beliefs.proof.age(now).map(|age| age.as_millis()),
             });
             node.journal.note("stale-config", fields);
-            let wait = ELSEWHERE_AFTER.mul_f64(0.75 + random::<f64>() / 2.0);
+            let wait = spread(ELSEWHERE_AFTER);
             Err(CallRefusal::unrun("configuration not known to be the newest", wait))
         }
     }
--- a/samphiredeck/src/forward/share.rs
+++ b/samphiredeck/src/forward/share.rs
@@ -16,7 +16,7 @@
 
 use crate::forward::{
     clock,
-    dependency::{ANSWER_TIMEOUT, Dependency, sleep_about},
+    dependency::{ANSWER_TIMEOUT, DependencyState, sleep_about},
     node::ForwardNode,
     peers,
     platform_link::{CallError, PlatformLink},
@@ -38,7 +38,7 @@
 /// Reads the rows that the nodes share and writes this node's own.
 pub async fn share_rows(node: Rc<ForwardNode>) {
     let mut link = PlatformLink::store(&node, "shared rows");
-    let mut store = Dependency::new(&node, "shared rows");
+    let mut store = DependencyState::new(&node, "shared rows");
     let mut beat = BeatPacer::default();
     let mut read_at: Option<BootTime> = None;
     loop {
@@ -91,7 +91,7 @@
     }
     take_shared(node, &answer.rows);
     if node.peers.borrow().is_none() {
-        open_peers(node, &answer.rows, link).await;
+        join_peers(node, &answer.rows, link).await;
     }
 }
 
@@ -118,7 +118,7 @@
 }
 
 /// Opens the datagrams to other nodes with the secret in the store. The first node puts it there.
-async fn open_peers(node: &Rc<ForwardNode>, rows: &[StoreRow], link: &mut PlatformLink) {
+async fn join_peers(node: &Rc<ForwardNode>, rows: &[StoreRow], link: &mut PlatformLink) {
     let found = rows.iter().find(|row| row.key == SECRET_KEY);
     let decoded = found.and_then(|row| decode_record(&row.key, row.value.as_deref()?).ok());
     if let Some(Some(SharedRecord::Secret(secret))) = decoded {
--- a/samphiredeck/src/forward/watch.rs
+++ b/samphiredeck/src/forward/watch.rs
@@ -17,7 +17,7 @@
 use crate::forward::{
     changes::note_changes,
     clock,
-    dependency::{ANSWER_TIMEOUT, Dependency, sleep_about},
+    dependency::{ANSWER_TIMEOUT, DependencyState, sleep_about},
     news::{ask_others, ask_readers},
     node::ForwardNode,
     platform_link::{CallError, PlatformLink},
@@ -34,7 +34,7 @@
 /// Keeps the configuration up to date.
 pub async fn watch_config(node: Rc<ForwardNode>) {
     let mut link = PlatformLink::store(&node, "configuration");
-    let mut store = Dependency::new(&node, "configuration");
+    let mut store = DependencyState::new(&node, "configuration");
     let mut known: Option<RowVersion> = None;
     loop {
         if !asks_itself(&node) {
@@ -122,7 +122,7 @@
 /// Keeps the list of upstreams up to date.
 pub async fn watch_upstreams(node: Rc<ForwardNode>) {
     let mut link = PlatformLink::store(&node, "upstreams");
-    let mut store = Dependency::new(&node, "upstreams");
+    let mut store = DependencyState::new(&node, "upstreams");
     loop {
         if ask_readers(&node).await {
             sleep_about(NEWS_PERIOD).await;
--- a/samphiredeck_core/src/forward/freshness.rs
+++ b/samphiredeck_core/src/forward/freshness.rs
@@ -18,7 +18,6 @@
 /// Age after which it does so at the latest, so that changes arrive in time where revocation is not
 /// bounded.
 const ASK_AGE_MAX: Duration = Duration::from_millis(1_800);
-
 /// Time by which a reader's proof may be older than two answers held back, with slow links and
 /// nodes. 200 ms was too short on a busy machine: followers left readers that heard from the store.
 const TOLD_MARGIN: Duration = Duration::from_millis(600);
@@ -65,16 +64,15 @@
     /// Whether the node has to ask the store itself at `now`.
     #[must_use]
     pub fn is_aging(&self, now: BootTime) -> bool {
-        let bound =
-            if self.bound == Duration::MAX { ASK_AGE_MAX } else { self.bound.mul_f64(ASK_SHARE) };
-        self.age(now).is_none_or(|age| age >= bound.min(ASK_AGE_MAX))
+        let bound = self.bound.mul_f64(ASK_SHARE).min(ASK_AGE_MAX);
+        self.age(now).is_none_or(|age| age >= bound)
     }
 
     /// Time for which the store may hold back an answer, so that the proof stays well below the age
     /// from which [`Self::is_aging`] holds, also where it is told on.
     #[must_use]
     pub fn hold_time(&self) -> Duration {
-        if self.bound == Duration::MAX { HOLD_MAX } else { (self.bound / HOLD_PART).min(HOLD_MAX) }
+        (self.bound / HOLD_PART).min(HOLD_MAX)
     }
 
     /// Whether a node that tells a proof as old as `age` still hears from the store. One that has
@@ -88,8 +86,6 @@
     /// Whether the node should take new connections at `now`.
     #[must_use]
     pub fn is_ready(&self, now: BootTime) -> bool {
-        let bound =
-            if self.bound == Duration::MAX { self.bound } else { self.bound.mul_f64(READY_SHARE) };
-        self.age(now).is_some_and(|age| age < bound)
+        self.age(now).is_some_and(|age| age < self.bound.mul_f64(READY_SHARE))
     }
 }
--- a/samphiredeck_core/src/forward/roster.rs
+++ b/samphiredeck_core/src/forward/roster.rs
@@ -60,10 +60,10 @@
 }
 
 impl ListedUpstream {
-    /// Adds what tells this entry from another one. Left out is what only counts down.
-    fn add_to(&self, digest: &mut Xxh3Default) {
-        (&self.id, self.born_ms, &self.pool, self.address).hash(digest);
-        (&self.domain, self.slots, self.leaving, self.reclaimable).hash(digest);
+    /// What tells this entry from another one. Left out is what only counts down.
+    fn identity(&self) -> impl Hash + PartialEq + '_ {
+        let upstream = (&self.id, self.born_ms, &self.pool, self.address);
+        (upstream, &self.domain, self.slots, self.leaving, self.reclaimable)
     }
 }
 
@@ -71,22 +71,22 @@
 fn digest_list(list: &[ListedUpstream]) -> u64 {
     let mut digest = Xxh3Default::new();
     for entry in list {
-        entry.add_to(&mut digest);
+        entry.identity().hash(&mut digest);
     }
     digest.finish()
 }
 
+/// Finds the entry of `id` in `list`, which is sorted by id.
+fn find_entry<'a>(list: &'a [ListedUpstream], id: &UpstreamId) -> Option<&'a ListedUpstream> {
+    list.binary_search_by(|entry| entry.id.cmp(id)).ok().map(|at| &list[at])
+}
+
 /// Ids whose entries differ between `old` and `new`, both sorted by id.
 fn touched_ids(old: &[ListedUpstream], new: &[ListedUpstream]) -> Vec<UpstreamId> {
-    let find = |list: &[ListedUpstream], id: &UpstreamId| {
-        let at = list.binary_search_by(|entry| entry.id.cmp(id)).ok()?;
-        Some(digest_list(&list[at..=at]))
-    };
     let changed = new.iter().filter(|entry| {
-        let before = find(old, &entry.id);
-        before != Some(digest_list(std::slice::from_ref(*entry)))
+        find_entry(old, &entry.id).is_none_or(|before| before.identity() != entry.identity())
     });
-    let gone = old.iter().filter(|entry| find(new, &entry.id).is_none());
+    let gone = old.iter().filter(|entry| find_entry(new, &entry.id).is_none());
     changed.chain(gone).map(|entry| entry.id.clone()).collect()
 }
 
@@ -296,9 +296,9 @@
         let mut delta =
             ListDelta { from, version: self.version, put: Vec::new(), gone: Vec::new() };
         for id in ids {
-            match self.list.binary_search_by(|entry| entry.id.cmp(id)) {
-                Ok(at) => delta.put.push(self.list[at].clone()),
-                Err(_) => delta.gone.push(id.clone()),
+            match find_entry(&self.list, id) {
+                Some(entry) => delta.put.push(entry.clone()),
+                None => delta.gone.push(id.clone()),
             }
         }
         Some(delta)
@@ -372,7 +372,7 @@
         list.dedup_by(|a, b| a.id == b.id);
         self.keep_list(&list);
         for row in self.rows.iter_mut().filter(|row| row.listed) {
-            if list.binary_search_by(|entry| entry.id.cmp(&row.entry.id)).is_ok() {
+            if find_entry(&list, &row.entry.id).is_some() {
                 continue;
             }
             // Only what was missing when the store was back may have lapsed; what goes later left.
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -46,6 +46,14 @@
     record
 }
 
+/// A node that holds the duty since 100 ms, and the row that says so, of version 10.
+fn holder() -> (DutyLease, DutyRecord) {
+    let mut first = lease("a");
+    first.observe(None, RowVersion(0), at(0));
+    let record = hold(&mut first, 10, 100);
+    (first, record)
+}
+
 #[test]
 fn duty_changes_hands_only_after_the_old_holder_has_stopped() {
     let mut first = lease("a");
@@ -69,9 +77,7 @@
 
 #[test]
 fn renewal_in_time_keeps_the_duty() {
-    let mut first = lease("a");
-    first.observe(None, RowVersion(0), at(0));
-    hold(&mut first, 10, 100);
+    let (mut first, _) = holder();
     assert_eq!(first.next_step(at(800)), DutyStep::Wait);
     let renewed = hold(&mut first, 11, 1_000);
     assert_eq!((renewed.fence, renewed.renewals), (FenceNumber(1), 1));
@@ -84,9 +90,7 @@
 
 #[test]
 fn later_run_at_another_address_waits_like_any_other_node() {
-    let mut first = lease("a");
-    first.observe(None, RowVersion(0), at(0));
-    let record = hold(&mut first, 10, 100);
+    let (_, record) = holder();
     // The old run may live on there, cut off from others.
     let mut again = lease_at("a", "10.0.0.9:7600");
     again.identify(Incarnation(2));
@@ -98,9 +102,7 @@
 
 #[test]
 fn later_run_at_the_same_address_waits_for_what_was_under_way() {
-    let mut first = lease("a");
-    first.observe(None, RowVersion(0), at(0));
-    let record = hold(&mut first, 10, 100);
+    let (_, record) = holder();
     let mut again = lease("a");
     again.identify(Incarnation(2));
     again.observe(Some(record), RowVersion(10), at(500));
@@ -111,9 +113,7 @@
 
 #[test]
 fn unknown_outcome_of_a_renewal_ends_no_lease_early_and_renews_nothing() {
-    let mut first = lease("a");
-    first.observe(None, RowVersion(0), at(0));
-    hold(&mut first, 10, 100);
+    let (mut first, _) = holder();
     first.doubt_view();
     assert!(first.needs_view());
     assert_eq!(first.next_step(at(1_500)), DutyStep::Wait);
@@ -123,9 +123,7 @@
 
 #[test]
 fn outage_of_the_store_does_not_start_the_wait_of_a_successor_over() {
-    let mut first = lease("a");
-    first.observe(None, RowVersion(0), at(0));
-    let record = hold(&mut first, 10, 100);
+    let (_, record) = holder();
     let mut second = lease("b");
     second.observe(Some(record.clone()), RowVersion(10), at(200));
     // Its write got no answer. The first read after the outage shows that it was not carried out.
--- a/samphiredeck_core/tests/forward_limits.rs
+++ b/samphiredeck_core/tests/forward_limits.rs
@@ -275,6 +275,10 @@
     assert!(!proof.permits(at(5_600)), "400 ms are left for the way to an upstream");
     assert!(proof.is_ready(at(4_600)) && !proof.is_ready(at(4_800)));
     assert!(ProofAge::new(None).age(at(9)).is_none());
+    let mut unbounded = ProofAge::new(None);
+    unbounded.note(at(0));
+    assert!(unbounded.is_ready(at(u64::MAX)) && unbounded.permits(at(u64::MAX)));
+    assert!(unbounded.is_aging(at(5_000)) && !unbounded.is_aging(at(1_000)));
 }
 
 #[test]
