Make handed-over runs known before their task has started

Cause, by reading the code after a stream was not found by an attach 17 ms after its handover: the node that takes a run over replies at once, but lists the run only when its task asks for admission. An attach in between is answered with 404. Change: runs taken over are listed from the reply on; a run that can't be resumed ends for its readers instead of leaving them waiting. The new test attaches to 32 streams at once.

--- a/samphiredeck/src/control.rs
+++ b/samphiredeck/src/control.rs
@@ -180,6 +180,8 @@
     route: RouteState,
     /// Sorted by ticket, without duplicates.
     runs: Vec<RunRow>,
+    /// Runs taken over whose task has not asked for admission yet, in order of arrival.
+    adopted_runs: Vec<runs::AdoptedRun>,
     cursors: Vec<upstreams::ReportCursor>,
     /// In order of arrival.
     deferred_retries: Vec<dispatch::DeferredRetry>,
@@ -236,6 +238,7 @@
             queue: AdmissionQueue::default(),
             route,
             runs: Vec::new(),
+            adopted_runs: Vec::new(),
             cursors: Vec::new(),
             deferred_retries: Vec::new(),
             commit_lane,
--- a/samphiredeck/src/control/dispatch.rs
+++ b/samphiredeck/src/control/dispatch.rs
@@ -227,6 +227,7 @@
             signals: request.signals,
             admitted_at: now,
         };
+        self.adopted_runs.retain(|run| run.request_id != row.request_id);
         if let Err(at) = self.runs.binary_search_by_key(&row.ticket, |known| known.ticket) {
             self.runs.insert(at, row);
         }
--- a/samphiredeck/src/control/peer_requests.rs
+++ b/samphiredeck/src/control/peer_requests.rs
@@ -14,7 +14,7 @@
 };
 use tokio::sync::oneshot;
 
-use super::ControlState;
+use super::{ControlState, runs::AdoptedRun};
 use crate::{
     event::{AdoptedWork, ControlEffect, PeerRequestKind},
     logging::{CONFIG, PEER},
@@ -70,7 +70,7 @@
                 PeerReply::Done
             }
             PeerRequest::Handover { work, version } => match work.parse() {
-                Ok(row) => self.accept_handover(row, version),
+                Ok(row) => self.accept_handover(row, version, now),
                 Err(error) => refused(&error),
             },
         }
@@ -125,13 +125,14 @@
         &mut self,
         row: samphiredeck_core::rows::WorkRow,
         version: samphiredeck_core::ids::RowVersion,
+        now: Instant,
     ) -> PeerReply {
         if self.phase != super::StopPhase::Serving {
             return PeerReply::Refused { reason: "stopping".to_owned() };
         }
         self.counters.handed_in += 1;
         let request = row.request.clone();
-        self.resume_work(row, version);
+        self.resume_work(row, version, now);
         PeerReply::Taken { request }
     }
 
@@ -140,8 +141,15 @@
         &mut self,
         row: samphiredeck_core::rows::WorkRow,
         version: samphiredeck_core::ids::RowVersion,
+        now: Instant,
     ) {
         let buffer = Arc::new(RunBuffer::new(row.request.clone(), row.text.clone(), row.tokens));
+        self.adopted_runs.push(AdoptedRun {
+            request_id: row.request.clone(),
+            workspace: row.workspace.clone(),
+            buffer: Arc::clone(&buffer),
+            adopted_at: now,
+        });
         let work = AdoptedWork { row, version, buffer };
         self.effects.push(ControlEffect::ResumeWork(Box::new(work)));
     }
--- a/samphiredeck/src/control/runs.rs
+++ b/samphiredeck/src/control/runs.rs
@@ -6,7 +6,10 @@
 };
 
 use log::info;
-use samphiredeck_core::{admission::RefusalReason, ids::RequestId};
+use samphiredeck_core::{
+    admission::RefusalReason,
+    ids::{RequestId, WorkspaceName},
+};
 use tokio::sync::oneshot;
 
 use super::{
@@ -14,11 +17,28 @@
     dispatch::REROUTE_TIMEOUT,
     run_row::{RunRow, RunStage},
 };
-use crate::{event::RunLocation, logging::RUN, run::RunSignal};
+use crate::{
+    event::RunLocation,
+    logging::RUN,
+    run::{RunBuffer, RunSignal},
+};
 
 /// Time for which a finished response is kept for callers that reconnect.
 const FINISHED_RUN_RETENTION: Duration = Duration::from_secs(60);
 
+/// Maximum time between taking a run over and its task's request for admission. Covers the write
+/// of its work record.
+const ADOPTION_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Run that was taken over. Callers may ask for it before its task has started.
+#[derive(Debug)]
+pub struct AdoptedRun {
+    pub(super) request_id: RequestId,
+    pub(super) workspace: WorkspaceName,
+    pub(super) buffer: Arc<RunBuffer>,
+    pub(super) adopted_at: Instant,
+}
+
 impl ControlState {
     pub(super) fn find_run(
         &self,
@@ -33,11 +53,19 @@
                 buffer: Arc::clone(&run.buffer),
                 workspace: run.workspace.clone(),
             },
-            None => RunLocation::Remote { addresses: self.candidate_addresses(request, now) },
+            None => self.find_adopted_run(request).unwrap_or_else(|| RunLocation::Remote {
+                addresses: self.candidate_addresses(request, now),
+            }),
         };
         drop(reply.send(location));
     }
 
+    fn find_adopted_run(&self, request: &RequestId) -> Option<RunLocation> {
+        let run = self.adopted_runs.iter().rev().find(|run| run.request_id == *request)?;
+        let (buffer, workspace) = (Arc::clone(&run.buffer), run.workspace.clone());
+        Some(RunLocation::Local { buffer, workspace })
+    }
+
     /// Caller addresses of the peers heard from lately, the node that accepted the request first.
     fn candidate_addresses(&self, request: &RequestId, now: Instant) -> Vec<String> {
         let mut rows: Vec<_> =
@@ -79,6 +107,9 @@
 
     /// Evicts finished responses that are too old, then the oldest ones beyond the size limit.
     pub(super) fn sweep_runs(&mut self, now: Instant) {
+        let adoption_pending =
+            |run: &AdoptedRun| now.saturating_duration_since(run.adopted_at) < ADOPTION_TIMEOUT;
+        self.adopted_runs.retain(adoption_pending);
         self.runs.retain(|run| match run.stage {
             RunStage::Ended { at } => now.saturating_duration_since(at) < FINISHED_RUN_RETENTION,
             RunStage::Waiting(_) | RunStage::Placed { .. } => true,
--- a/samphiredeck/src/control/table.rs
+++ b/samphiredeck/src/control/table.rs
@@ -231,7 +231,7 @@
             Completion::AcceptChange => self.on_accepted(&outcome, now),
             Completion::DropStage(version) => self.on_dropped(version, &outcome),
             Completion::MarkLapsed(node) => self.on_marked_lapsed(&node, &outcome),
-            Completion::TakeOver(row) => self.on_taken_over(*row, &outcome),
+            Completion::TakeOver(row) => self.on_taken_over(*row, &outcome, now),
             Completion::ControllerLease(fence) => self.on_controller_claimed(fence, &outcome, now),
             Completion::SaveUsage(usage_total) => {
                 if matches!(outcome, OperationOutcome::Committed(_)) {
--- a/samphiredeck/src/control/takeover.rs
+++ b/samphiredeck/src/control/takeover.rs
@@ -126,10 +126,10 @@
         }
     }
 
-    pub(super) fn on_taken_over(&mut self, row: WorkRow, outcome: &OperationOutcome) {
+    pub(super) fn on_taken_over(&mut self, row: WorkRow, outcome: &OperationOutcome, now: Instant) {
         let OperationOutcome::Committed(version) = outcome else { return };
         info!(target: WORK, "Took over request {} at token {}.", row.request, row.tokens);
         self.counters.taken_over += 1;
-        self.resume_work(row, *version);
+        self.resume_work(row, *version, now);
     }
 }
--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -116,6 +116,7 @@
             Ok(spec) => spec,
             Err(reason) => {
                 warn!(target: RUN, "Failed to resume request {request}: {reason}.");
+                buffer.finish(RunState::Moved);
                 return;
             }
         };
@@ -124,6 +125,7 @@
             record = WorkRecord::adopt(row, version, &context.control, platform).await;
             if record.is_none() {
                 info!(target: RUN, "Request {request} not resumed: work record not taken over.");
+                buffer.finish(RunState::Moved);
                 return;
             }
         }
--- a/samphiredeck_standins/tests/reclaim.rs
+++ b/samphiredeck_standins/tests/reclaim.rs
@@ -141,6 +141,7 @@
                 offset,
             );
             let rest = rest.await;
+            ensure!(rest.complete, "{} after {offset} bytes: {rest:?}", request.content);
             result.text.push_str(&rest.text);
             result.complete = rest.complete;
         }
@@ -155,6 +156,42 @@
     Ok(())
 }
 
+/// A caller that is told that its stream was moved attaches at once, while the node that took the
+/// stream over may still be busy with others.
+#[actix_web::test]
+async fn handed_over_streams_can_be_attached_to_at_once() -> eyre::Result<()> {
+    let settings = json!({ "stop": { "bound": "2500ms" } });
+    let spec = FixtureSpec { nodes: 2, engines: 4, settings, ..FixtureSpec::default() };
+    let fixture = Fixture::start(&spec).await?;
+    let tasks: Vec<_> = (0..32)
+        .map(|number| {
+            let client = fixture.system.client.clone();
+            let (first, second) = (fixture.node(0), fixture.node(1));
+            let request = ChatRequest::new(&format!("ferry {number} to Taveuni"), 220);
+            actix_web::rt::spawn(async move {
+                let begun = client.chat(first, &request).await;
+                if !begun.moved {
+                    return Ok(0);
+                }
+                let (id, offset) = (&begun.request_id, begun.text.len());
+                let rest = client.attach(second, &request.key, id, offset).await;
+                ensure!(rest.complete, "{} after {offset} bytes: {rest:?}", request.content);
+                ensure!(begun.text + &rest.text == request.expected_text(), "{rest:?}");
+                Ok(1)
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fixture.system.nodes[0].process.signal("TERM")?;
+    let mut moved = 0;
+    for task in tasks {
+        moved += task.await??;
+    }
+    ensure!(moved > 0, "no stream was handed over");
+    println!("{moved} streams were handed over");
+    Ok(())
+}
+
 /// Prints how the streams of the reclaimed failure domain were continued.
 async fn print_migration_stats(fixture: &Fixture) -> eyre::Result<()> {
     let (mut resumed, mut imported, mut recomputed) = (0, 0, 0);
