Measure the speed of pools instead of assuming it; expect shared parts to be computed after a reclaim

Change: pool_speed.rs measures prefill speed, token interval, service time and prompt size per pool and node; prompt_cache.rs expects what an upstream has to compute; demand counts that at placement, refused requests too; a send that may run again is repeated after half of the time left only; long prompts are told by their prefill time against the event gap.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -11,6 +11,7 @@
     forward::{
         catalog::RetryPolicy,
         deadline::fits_deadline,
+        demand::DemandRate,
         outcome::{NextStep, SendOutcome, next_step},
         placement::{Placement, PlacementRequest, choose_upstream},
     },
@@ -35,11 +36,10 @@
 
 /// Minimum remaining time for an attempt. No upstream can respond in less.
 const SEND_TIME_MIN: Duration = Duration::from_millis(20);
-/// Fraction of the remaining time after which an idempotent request is retried at another upstream.
+/// Fraction of the remaining time after which a request that may run again is retried at another
+/// upstream, as its upstream is considered lost. A busy one is given this much, since the work that
+/// it has begun would be repeated.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
-/// Multiple of the latency target after which a resumable stream without any event is retried at
-/// another upstream.
-const ATTEMPT_TARGETS: f64 = 2.0;
 /// Maximum number of failed connection attempts per request.
 const CONNECT_FAILURES_MAX: usize = 3;
 
@@ -177,16 +177,29 @@
 ) -> Result<Placement, ErrorResponse> {
     let node = &trace.node;
     let settings = node.settings();
-    let state = node.state();
+    let mut state = node.state();
+    let speed = state.speeds.speed(&admitted.pool);
     let request = PlacementRequest {
         pool: &admitted.pool,
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
         tried: &progress.tried,
         max_connections: state.connection_share(admitted.max_connections, now),
+        max_event_gap: admitted.route.max_event_gap,
+        speed,
+        prompt_cache: &state.prompt_cache,
+        nodes: state.members.count(now),
     };
     let placement =
         choose_upstream(&state.upstreams, &request, &settings.domain, now, random::<f64>);
+    if admitted.engine && progress.tried.is_empty() {
+        // Counts requests that are refused, too: capacity is ordered for them.
+        let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
+        let tokens = placement.as_ref().map_or(own_tokens, |placement| placement.prefill_tokens);
+        let demand = DemandRate::of(tokens, admitted.output_tokens(), &speed);
+        state.demand.record(&admitted.pool, demand, now);
+        state.speeds.speed_mut(&admitted.pool).record_prompt(tokens);
+    }
     let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
     drop(state);
     let Some(placement) = placement else {
@@ -254,7 +267,7 @@
     let Some(address) = address else {
         return Err(SendFailure::new(SendOutcome::Unsent, "no longer in the upstream list"));
     };
-    let mut in_flight = InFlightRequest::start(node, placement);
+    let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
     let can_retry = admitted.route.max_attempts > progress.attempts + 1;
     loop {
         let idle = node.connections.checkout(&placement.upstream, admitted.runs_at_most_once());
@@ -306,6 +319,10 @@
             }
             Ok(ReceivedResponse::Complete(response, metadata)) => {
                 in_flight.record_outcome(false);
+                if !admitted.engine && response.status.is_success() {
+                    let elapsed = clock::now().since(sent_at);
+                    node.state().speeds.speed_mut(&admitted.pool).record_service(elapsed);
+                }
                 count_usage(admitted, progress, node, sent_at);
                 if !metadata.closes_connection {
                     node.connections.put_back(&placement.upstream, connection, metadata.keep_alive);
@@ -327,7 +344,21 @@
                 progress.attempts += 1;
                 progress.verdict = RunVerdict::Ran;
                 progress.tried.push(placement.upstream.clone());
-                let source = UpstreamStream { body, buffer, connection, in_flight, metadata };
+                let first_event_at = clock::now();
+                if admitted.engine && in_flight.is_alone {
+                    let (tokens, elapsed) =
+                        (placement.prefill_tokens, first_event_at.since(sent_at));
+                    let mut state = node.state();
+                    state.speeds.speed_mut(&admitted.pool).record_first_token(tokens, elapsed);
+                }
+                let source = UpstreamStream {
+                    body,
+                    buffer,
+                    connection,
+                    in_flight,
+                    metadata,
+                    first_event_at,
+                };
                 let response = StreamingResponse { status, headers, first_batch, ended, source };
                 Ok(UpstreamResponse::Streaming(Box::new(response)))
             }
@@ -358,7 +389,6 @@
     }
     match admitted.route.retry_policy {
         RetryPolicy::NonIdempotent => left,
-        RetryPolicy::Idempotent => left.mul_f64(ATTEMPT_TIME_SHARE),
-        RetryPolicy::Resumable => left.min(admitted.route.latency_target.mul_f64(ATTEMPT_TARGETS)),
+        RetryPolicy::Idempotent | RetryPolicy::Resumable => left.mul_f64(ATTEMPT_TIME_SHARE),
     }
 }
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -383,7 +383,9 @@
             };
             let capacities: Vec<DomainCapacity> = domains.map(capacity_of).collect();
             let slots = pool_slots(&state.upstreams, &pool.name);
-            (capacities, state.members.demand(&pool.name, now).engines_needed(slots), slots)
+            let speed = state.speeds.speed(&pool.name);
+            let demand = state.members.demand(&pool.name, now);
+            (capacities, demand.engines_needed(slots, &speed), slots)
         };
         let orders = self.planner(&pool.name).next_orders(rule, &capacities, engines_needed, now);
         if !orders.is_empty() {
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -66,6 +66,7 @@
             },
             StreamStep::Ended => {
                 source.in_flight.record_outcome(false);
+                record_speed(&admitted, &trace, &source);
                 if !source.metadata.closes_connection {
                     let upstream = source.in_flight.upstream.clone();
                     trace.node.connections.put_back(
@@ -107,6 +108,15 @@
     }
 }
 
+/// Records the speed at which the response of `source`, which is complete, was generated.
+fn record_speed(admitted: &AdmittedRequest, trace: &RequestTrace, source: &UpstreamStream) {
+    if admitted.engine {
+        let elapsed = clock::now().since(source.first_event_at);
+        let mut state = trace.node.state();
+        state.speeds.speed_mut(&admitted.pool).record_output(admitted.output_tokens(), elapsed);
+    }
+}
+
 /// Sends complete events to the caller. Returns whether the caller is still connected.
 async fn send_batch(
     sender: &StreamSender,
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -9,10 +9,7 @@
 use rand::random;
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::{
-        catalog::{ForwardCatalog, RouteRow, WorkspaceRow},
-        demand::DemandRate,
-    },
+    forward::catalog::{ForwardCatalog, RouteRow, WorkspaceRow},
     ids::KeyHash,
 };
 use samphiredeck_platform::headers::{
@@ -117,13 +114,7 @@
         metadata,
         route,
     };
-    let mut state = node.state();
-    state.retry_budget.record_request(&admitted.pool, trace.arrived_at);
-    if engine {
-        let prompt = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
-        let demand = DemandRate::of(prompt, admitted.output_tokens());
-        state.demand.record(&admitted.pool, demand, trace.arrived_at);
-    }
+    node.state().retry_budget.record_request(&admitted.pool, trace.arrived_at);
     Ok((admitted, RequestProgress::new(reservation), buffered))
 }
 
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -11,6 +11,8 @@
         freshness::CatalogFreshness,
         leader::LeaderLease,
         members::{MemberTable, NodeHeartbeat},
+        pool_speed::PoolSpeedTable,
+        prompt_cache::PromptCacheTable,
         quota::{LocalQuota, PeerLiveness, QuotaOwner, rank_quota_owners},
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
@@ -59,6 +61,10 @@
     pub usage_ledger: UsageLedger,
     /// Demand received by this node.
     pub demand: DemandMeter,
+    /// Speeds of the pools, as measured by this node.
+    pub speeds: PoolSpeedTable,
+    /// Shared prompt parts that this node sent to upstreams.
+    pub prompt_cache: PromptCacheTable,
     /// Clock that the nodes agree on.
     pub clock: ClusterClock,
     /// Leader lease as known to this node.
@@ -85,6 +91,8 @@
             retry_budget: RetryBudget::new(bounds.retry_limit, NODES_ASSUMED),
             usage_ledger: UsageLedger::default(),
             demand: DemandMeter::default(),
+            speeds: PoolSpeedTable::default(),
+            prompt_cache: PromptCacheTable::default(),
             clock: ClusterClock::default(),
             since_ms: None,
             leader_lease: LeaderLease::new(
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -4,9 +4,12 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use samphiredeck_core::forward::{
-    events::{EventBatch, EventBuffer},
-    outcome::SendOutcome,
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        events::{EventBatch, EventBuffer},
+        outcome::SendOutcome,
+    },
 };
 use samphiredeck_platform::headers::{
     NotExecutedReason, ResponseMetadata, decode_response_headers, encode_response_headers,
@@ -59,6 +62,8 @@
     pub in_flight: InFlightRequest,
     /// Metadata from the response head.
     pub metadata: ResponseMetadata,
+    /// Time at which the first event arrived.
+    pub first_event_at: BootTime,
 }
 
 /// Response of an upstream.
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -14,6 +14,8 @@
 pub mod members;
 pub mod outcome;
 pub mod placement;
+pub mod pool_speed;
+pub mod prompt_cache;
 pub mod quota;
 pub mod retry_budget;
 pub mod store_readers;
--- a/samphiredeck_core/src/forward/demand.rs
+++ b/samphiredeck_core/src/forward/demand.rs
@@ -1,25 +1,23 @@
 //! Measures the demand for each pool and estimates the number of engines that it needs.
 //!
 //! Engines with few slots are limited by their slots, which responses in progress occupy. Engines
-//! with many slots are limited by the time spent on prefill.
+//! with many slots are limited by the time spent on prefill. Shared prompt parts that no engine has
+//! cached, as after a reclaim, count as prefill too.
 
 use std::{iter::Sum, ops::Add, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{boot_time::BootTime, forward::placement::PREFILL_TOKENS_PER_MS, ids::PoolName};
+use crate::{boot_time::BootTime, forward::pool_speed::PoolSpeed, ids::PoolName};
 
 /// Time constant of the moving average: the time that an ordered upstream takes to start.
 const AVERAGING_TIME: Duration = Duration::from_secs(4);
-/// Engine time per output token, in milliseconds, where slots are not the limit: a step of about 4
-/// ms according to the users' data sheets, shared by the usual batch of 12.
-const OUTPUT_TOKEN_MS: f64 = 0.35;
-/// Maximum utilization of an engine where slots are not the limit. In runs with reclaims, engines
-/// with 64 slots met the users' targets at 0.97 and missed them for a third of the requests at 1.3.
-const ENGINE_SHARE_MAX: f64 = 1.1;
-/// Time between two output tokens of one response, in milliseconds, from the users' data sheets
-/// (3.8 to 4.3).
-const TOKEN_INTERVAL_MS: f64 = 4.1;
+/// Number of responses among which an engine divides a decoding step, where slots are not the
+/// limit.
+const DECODE_BATCH: f64 = 12.0;
+/// Maximum utilization of an engine where slots are not the limit. The spare upstreams that are
+/// ordered against reclaims keep the real one lower while there is none.
+const ENGINE_SHARE_MAX: f64 = 1.0;
 /// Maximum share of an engine's slots that responses in progress may occupy.
 const SLOT_SHARE_MAX: f64 = 0.6;
 
@@ -34,24 +32,26 @@
 }
 
 impl DemandRate {
-    /// Demand of one request per second with `prefill_tokens` prompt tokens and `output` tokens of
-    /// response.
+    /// Demand of one request per second with `prefill_tokens` prompt tokens to compute and `output`
+    /// tokens of response, for engines with `speed`.
     #[must_use]
-    pub fn of(prefill_tokens: u64, output: u64) -> Self {
+    pub fn of(prefill_tokens: u64, output: u64, speed: &PoolSpeed) -> Self {
         #[expect(clippy::cast_precision_loss, reason = "requests have far fewer tokens")]
         let (prefill_tokens, output) = (prefill_tokens as f64, output as f64);
-        Self { prefill_ms: prefill_tokens / PREFILL_TOKENS_PER_MS, output_tokens: output }
+        Self { prefill_ms: speed.prefill_ms(prefill_tokens), output_tokens: output }
     }
 
     fn scaled(self, factor: f64) -> Self {
         Self { prefill_ms: self.prefill_ms * factor, output_tokens: self.output_tokens * factor }
     }
 
-    /// Number of engines with `slots` slots that this demand needs.
+    /// Number of engines with `slots` slots and `speed` that this demand needs.
     #[must_use]
-    pub fn engines_needed(self, slots: u32) -> f64 {
-        let by_time = (self.prefill_ms + self.output_tokens * OUTPUT_TOKEN_MS) / ENGINE_SHARE_MAX;
-        let token_ms = TOKEN_INTERVAL_MS / (f64::from(slots.max(1)) * SLOT_SHARE_MAX);
+    pub fn engines_needed(self, slots: u32, speed: &PoolSpeed) -> f64 {
+        let interval_ms = speed.token_interval_ms();
+        let decode_ms = self.output_tokens * interval_ms / DECODE_BATCH;
+        let by_time = (self.prefill_ms + decode_ms) / ENGINE_SHARE_MAX;
+        let token_ms = interval_ms / (f64::from(slots.max(1)) * SLOT_SHARE_MAX);
         let by_slots = self.prefill_ms + self.output_tokens * token_ms;
         by_time.max(by_slots) / 1_000.0
     }
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -6,10 +6,12 @@
 //!
 //! Prompts may share long prefixes. Every node derives the same affinity upstream for a shared part
 //! by rendezvous hashing, without coordination, and chooses another one only if waiting there takes
-//! longer than computing the part again.
+//! longer than computing the part again. Every node then prefers the same second one.
 //!
 //! An engine processes a very long prompt in steps that stall all streams next to it. Such prompts
 //! go to a few dedicated upstreams, the same ones on every node, which other requests avoid.
+//!
+//! Times follow from the measured speed of the pool; none is taken from a data sheet.
 
 use std::time::Duration;
 
@@ -17,17 +19,16 @@
 
 use crate::{
     boot_time::BootTime,
-    forward::upstreams::{TrackedUpstream, UpstreamRegistry},
+    forward::{
+        pool_speed::PoolSpeed,
+        prompt_cache::{CacheAffinity, PromptCacheTable},
+        upstreams::{TrackedUpstream, UpstreamRegistry},
+    },
     ids::{DomainName, PoolName, UpstreamId},
 };
 
-/// Prompt tokens that an engine processes per millisecond, from the users' data sheets (64 to 68).
-pub const PREFILL_TOKENS_PER_MS: f64 = 65.0;
-/// Assumed prompt tokens of a queued request of another node: the mean over the users' requests.
-const MEAN_PROMPT_TOKENS: f64 = 3_000.0;
-/// Delay that each running request adds to a new one, in milliseconds: its own prefill and the
-/// longer steps of the batch.
-const RUNNING_REQUEST_COST_MS: f64 = 4.0;
+/// Share of the running requests of an engine whose prompt is assumed to be still in prefill.
+const PREFILL_SHARE: f64 = 0.1;
 /// Cost of an upstream on which every request fails, in milliseconds. Exceeds any usual wait.
 const FAILURE_COST_MS: f64 = 3_000.0;
 /// Cost of an upstream that is still slow after its start, in milliseconds.
@@ -40,9 +41,9 @@
 const CROSS_DOMAIN_COST_MS: f64 = 2.0;
 /// Range of the jitter that spreads nodes over similar upstreams, in milliseconds.
 const JITTER_MS: f64 = 4.0;
-/// Prompt tokens from which prefill stalls concurrent streams for longer than the users' targets
-/// allow: five steps of 130 ms.
-const LONG_PROMPT_TOKENS: u64 = 20_000;
+/// Share of the maximum event gap from which the prefill of a prompt stalls concurrent streams for
+/// longer than callers accept.
+const LONG_PREFILL_SHARE: f64 = 0.5;
 /// Number of upstreams in a pool per dedicated long-prompt upstream.
 const UPSTREAMS_PER_DEDICATED: usize = 8;
 /// Minimum number of upstreams in a pool for dedicating some of them to long prompts.
@@ -51,10 +52,6 @@
 const DEDICATED_COST_MS: f64 = 80.0;
 /// Cost of a non-dedicated upstream to a long prompt, in milliseconds.
 const NON_DEDICATED_COST_MS: f64 = 150.0;
-/// Service time of a request to an upstream that is no engine, in milliseconds, from the users'
-/// data sheets.
-const DEFAULT_SERVICE_MS: f64 = 40.0;
-
 /// Rendezvous key that selects the dedicated long-prompt upstreams.
 const LONG_PROMPT_KEY: &str = "long prompts";
 
@@ -80,6 +77,15 @@
     pub tried: &'a [UpstreamId],
     /// Maximum number of connections from this node to one upstream.
     pub max_connections: u32,
+    /// Maximum gap between two events of the response that still counts as on time. Zero if it is
+    /// no stream.
+    pub max_event_gap: Duration,
+    /// Measured speed of the pool.
+    pub speed: PoolSpeed,
+    /// Shared parts that this node sent to upstreams.
+    pub prompt_cache: &'a PromptCacheTable,
+    /// Number of nodes that send requests to the pool. At least 1.
+    pub nodes: u32,
 }
 
 impl PlacementRequest<'_> {
@@ -94,11 +100,41 @@
         self.parts.iter().map(|part| part.tokens).sum()
     }
 
-    /// Number of tokens of the shared parts, which other requests may have left in an engine's
-    /// cache.
-    fn shared_tokens(&self) -> u64 {
-        let shared = &self.parts[..self.parts.len().saturating_sub(1)];
-        shared.iter().map(|part| part.tokens).sum()
+    /// Parts that other requests may have left in an engine's cache: all but the last.
+    fn shared_parts(&self) -> &[PromptPart] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
+    /// Number of tokens of the part that is unique to the request.
+    fn own_tokens(&self) -> u64 {
+        self.parts.last().map_or(0, |part| part.tokens)
+    }
+
+    /// Whether the prefill of the request stalls concurrent streams for too long.
+    fn is_long(&self) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
+        let prefill_ms = self.speed.prefill_ms(self.own_tokens() as f64);
+        let max_gap_ms = self.max_event_gap.as_secs_f64() * 1_000.0;
+        self.engine && max_gap_ms > 0.0 && prefill_ms >= max_gap_ms * LONG_PREFILL_SHARE
+    }
+
+    /// Expected number of prompt tokens that the upstream of `row` has to compute.
+    fn expected_prefill_tokens(
+        &self,
+        row: &TrackedUpstream,
+        affinity: CacheAffinity,
+        now: BootTime,
+    ) -> u64 {
+        let upstream = (&row.entry.id, row.entry.started_ms);
+        let parts = self.shared_parts();
+        let miss = self.prompt_cache.expected_miss(upstream, affinity, parts, self.nodes, now);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a number of tokens is not negative and far smaller"
+        )]
+        let miss = miss.round() as u64;
+        self.own_tokens() + miss
     }
 }
 
@@ -132,14 +168,17 @@
             && !request.tried.contains(&row.entry.id)
     };
     let dedicated = find_long_prompt_upstreams(registry, request, now);
-    let affinity = find_affinity_upstream(registry, request, &dedicated, now);
-    let long = request.tokens() >= LONG_PROMPT_TOKENS;
+    let affinity_order = find_affinity_upstreams(registry, request, &dedicated, now);
+    let long = request.is_long();
     let mut best: Option<(f64, Placement)> = None;
     for row in registry.rows().iter().filter(fits) {
-        let is_affinity = affinity.is_some_and(|id| *id == row.entry.id);
-        let prefill_tokens = request.tokens()
-            - if is_affinity { request.shared_tokens().min(request.tokens()) } else { 0 };
-        let wait = expected_wait_ms(row, request.engine, prefill_tokens, now);
+        let affinity = match affinity_order.map(|id| id.is_some_and(|id| *id == row.entry.id)) {
+            [true, _] => CacheAffinity::First,
+            [_, true] => CacheAffinity::Second,
+            [false, false] => CacheAffinity::None,
+        };
+        let prefill_tokens = request.expected_prefill_tokens(row, affinity, now);
+        let wait = expected_wait_ms(row, request, prefill_tokens, now);
         let mut cost = wait + row.failure_rate(now) * FAILURE_COST_MS + jitter() * JITTER_MS;
         if now < row.warm_up_until {
             cost += WARM_UP_COST_MS;
@@ -160,7 +199,12 @@
             let upstream = row.entry.id.clone();
             best = Some((
                 cost,
-                Placement { upstream, prefill_tokens, expected_wait, has_affinity: is_affinity },
+                Placement {
+                    upstream,
+                    prefill_tokens,
+                    expected_wait,
+                    has_affinity: affinity == CacheAffinity::First,
+                },
             ));
         }
     }
@@ -201,37 +245,47 @@
     dedicated
 }
 
-/// Affinity upstream of the last shared part. All nodes that know the same upstreams find the same
-/// one, and most parts keep theirs when an upstream joins or leaves.
-fn find_affinity_upstream<'a>(
+/// First and second upstream in the affinity order of the last shared part. All nodes that know
+/// the same upstreams find the same ones, and most parts keep theirs when an upstream joins or
+/// leaves.
+fn find_affinity_upstreams<'a>(
     registry: &'a UpstreamRegistry,
     request: &PlacementRequest<'_>,
     dedicated: &[&UpstreamId],
     now: BootTime,
-) -> Option<&'a UpstreamId> {
-    if !request.engine {
-        return None;
-    }
-    let part = request.last_shared_part()?;
+) -> [Option<&'a UpstreamId>; 2] {
+    let part = request.last_shared_part().filter(|_| request.engine);
+    let Some(part) = part else { return [None, None] };
     let candidates = accepting(registry, request, now).filter(|id| !dedicated.contains(id));
-    candidates.max_by_key(|id| rendezvous(&part.id, id))
+    let mut first: Option<(u64, &UpstreamId)> = None;
+    let mut second: Option<(u64, &UpstreamId)> = None;
+    for id in candidates {
+        let ranked = Some((rendezvous(&part.id, id), id));
+        if ranked > first {
+            second = std::mem::replace(&mut first, ranked);
+        } else if ranked > second {
+            second = ranked;
+        }
+    }
+    [first.map(|(_, id)| id), second.map(|(_, id)| id)]
 }
 
 /// Expected time to the first sign of a response from `row`, in milliseconds.
 fn expected_wait_ms(
     row: &TrackedUpstream,
-    engine: bool,
+    request: &PlacementRequest<'_>,
     prefill_tokens: u64,
     now: BootTime,
 ) -> f64 {
+    let speed = &request.speed;
     let other_load = row.other_nodes_load(now);
     let requests = f64::from(row.in_flight) + other_load;
-    if engine {
-        let waiting = f64::from(row.reported_waiting(now)).min(other_load);
-        #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
-        let tokens =
-            (row.pending_prefill_tokens + prefill_tokens) as f64 + waiting * MEAN_PROMPT_TOKENS;
-        return tokens / PREFILL_TOKENS_PER_MS + requests * RUNNING_REQUEST_COST_MS;
+    if !request.engine {
+        return (requests + 1.0) / f64::from(row.entry.slots.max(1)) * speed.service_ms();
     }
-    (requests + 1.0) / f64::from(row.entry.slots.max(1)) * DEFAULT_SERVICE_MS
+    let waiting = f64::from(row.reported_waiting(now)).min(other_load);
+    #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
+    let own_tokens = (row.pending_prefill_tokens + prefill_tokens) as f64;
+    let other_tokens = (waiting + requests * PREFILL_SHARE) * speed.prompt_tokens();
+    speed.first_token_ms() + speed.prefill_ms(own_tokens + other_tokens)
 }
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -12,6 +12,7 @@
         demand::DemandRate,
         leader::{LeaderLease, LeaderRecord, LeaderStep},
         members::{MemberTable, NodeHeartbeat},
+        pool_speed::PoolSpeed,
         usage::{UsageLedger, WindowIndex},
     },
     ids::{ConfigVersion, FencingToken, Incarnation, KeyHash, NodeName, RowVersion, WorkspaceName},
@@ -322,9 +323,16 @@
 fn engine_count_is_limited_by_slots_if_they_are_few() {
     // One second of the users' larger deployment: 158 long, 164 medium, and 302 short requests.
     let requests = [(158.0, 6_610, 378), (164.0, 628, 288), (302.0, 1_800, 27)];
+    let mut speed = PoolSpeed::default();
+    // Engines that compute 65 prompt tokens per millisecond, and one output token in 4 ms.
+    for _ in 0..200 {
+        speed.record_first_token(0, Duration::from_millis(20));
+        speed.record_first_token(6_500, Duration::from_millis(120));
+        speed.record_output(100, Duration::from_millis(400));
+    }
     let mut demand = DemandRate::default();
     for (rate, prompt_tokens, output) in requests {
-        let one = DemandRate::of(prompt_tokens, output);
+        let one = DemandRate::of(prompt_tokens, output, &speed);
         demand.prefill_ms += one.prefill_ms * rate;
         demand.output_tokens += one.output_tokens * rate;
     }
@@ -332,7 +340,7 @@
     // prefill.
     let decode_seconds = demand.output_tokens * 0.004;
     for slots in [8, 12, 16, 64] {
-        let engines = demand.engines_needed(slots);
+        let engines = demand.engines_needed(slots, &speed);
         let occupied = decode_seconds / (1.0 - demand.prefill_ms / 1_000.0 / engines);
         assert!(
             occupied <= engines * f64::from(slots) * 0.75,
@@ -340,7 +348,7 @@
         );
     }
     assert!(
-        demand.engines_needed(64) < demand.engines_needed(12) * 0.75,
+        demand.engines_needed(64, &speed) < demand.engines_needed(12, &speed) * 0.75,
         "ample slots do not add engines"
     );
 }
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -6,6 +6,8 @@
     boot_time::BootTime,
     forward::{
         placement::{PlacementRequest, PromptPart, choose_upstream},
+        pool_speed::PoolSpeed,
+        prompt_cache::PromptCacheTable,
         store_readers::{ReaderCandidate, order_readers},
         upstreams::{ListUpdate, ListedUpstream, PeerListStatus, UpstreamChange, UpstreamRegistry},
     },
@@ -64,7 +66,17 @@
     let pool: PoolName = "pool".parse().unwrap();
     let domain: DomainName = "a".parse().unwrap();
     let engine = !parts.is_empty();
-    let request = PlacementRequest { pool: &pool, engine, parts, tried, max_connections: 50 };
+    let request = PlacementRequest {
+        pool: &pool,
+        engine,
+        parts,
+        tried,
+        max_connections: 50,
+        max_event_gap: Duration::from_millis(600),
+        speed: PoolSpeed::default(),
+        prompt_cache: &PromptCacheTable::default(),
+        nodes: 8,
+    };
     let choice =
         choose_upstream(registry, &request, &domain, at(2_000), || jitters.next().unwrap());
     choice.map(|choice| choice.upstream.to_string())
@@ -186,7 +198,7 @@
         names.len() - 1,
         "sessions spread over all upstreams but the dedicated one"
     );
-    // A busy affinity upstream is avoided: computing 5,000 tokens again takes 77 ms.
+    // A busy affinity upstream is avoided: computing 5,000 tokens again takes less time.
     let affinity_upstream = affinity_choices[0][0].clone().unwrap();
     let mut registry = UpstreamRegistry::default();
     read(&mut registry, &names, 1_000);
