--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -29,8 +29,8 @@
     quota::QuotaReservation,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
     upstream_response::{
-        ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse, UpstreamStream,
-        receive_response,
+        CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
+        UpstreamStream, receive_response,
     },
 };
 
@@ -319,10 +319,7 @@
             }
             Ok(ReceivedResponse::Complete(response, metadata)) => {
                 in_flight.record_outcome(false);
-                if !admitted.engine && response.status.is_success() {
-                    let elapsed = clock::now().since(sent_at);
-                    node.state().speeds.speed_mut(&admitted.pool).record_service(elapsed);
-                }
+                record_service_time(admitted, node, &response, sent_at);
                 count_usage(admitted, progress, node, sent_at);
                 if !metadata.closes_connection {
                     node.connections.put_back(&placement.upstream, connection, metadata.keep_alive);
@@ -345,12 +342,8 @@
                 progress.verdict = RunVerdict::Ran;
                 progress.tried.push(placement.upstream.clone());
                 let first_event_at = clock::now();
-                if admitted.engine && in_flight.is_alone {
-                    let (tokens, elapsed) =
-                        (placement.prefill_tokens, first_event_at.since(sent_at));
-                    let mut state = node.state();
-                    state.speeds.speed_mut(&admitted.pool).record_first_token(tokens, elapsed);
-                }
+                let elapsed = first_event_at.since(sent_at);
+                record_first_token(admitted, node, &in_flight, placement, elapsed);
                 let source = UpstreamStream {
                     body,
                     buffer,
@@ -366,6 +359,34 @@
     }
 }
 
+/// Records the time that a plain upstream took for its whole `response`.
+fn record_service_time(
+    admitted: &AdmittedRequest,
+    node: &ForwardNode,
+    response: &CompleteResponse,
+    sent_at: BootTime,
+) {
+    if !admitted.engine && response.status.is_success() {
+        let elapsed = clock::now().since(sent_at);
+        node.state().speeds.speed_mut(&admitted.pool).record_service(elapsed);
+    }
+}
+
+/// Records the time that an engine took for the first event of a stream, if it measures the speed.
+fn record_first_token(
+    admitted: &AdmittedRequest,
+    node: &ForwardNode,
+    in_flight: &InFlightRequest,
+    placement: &Placement,
+    elapsed: Duration,
+) {
+    if admitted.engine && in_flight.is_alone {
+        let mut state = node.state();
+        let speed = state.speeds.speed_mut(&admitted.pool);
+        speed.record_first_token(placement.prefill_tokens, elapsed);
+    }
+}
+
 fn count_usage(
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
