--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -171,7 +171,7 @@
 }
 
 /// Shuts down in order: reports not ready, stops accepting, then waits for running requests.
-async fn stop(node: &ForwardNode) {
+async fn stop(node: &Rc<ForwardNode>) {
     let grace = node.settings().bounds.grace.to_duration().saturating_sub(GRACE_MARGIN);
     let started_at = clock::now();
     let running = || node.metrics.in_flight.get();
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -184,11 +184,11 @@
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
         tried: &progress.tried,
-        max_connections: state.connection_share(admitted.max_connections, now),
+        max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
         speed,
         prompt_cache: &state.prompt_cache,
-        nodes: state.members.count(now),
+        nodes: state.members.count(),
     };
     let placement =
         choose_upstream(&state.upstreams, &request, &settings.domain, now, random::<f64>);
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use rand::random_range;
+use rand::{random, random_range};
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
@@ -32,6 +32,9 @@
 
 /// Interval at which the leader checks its tasks.
 const TICK_PERIOD: Duration = Duration::from_millis(200);
+/// Minimum time after startup before a node contends for the leader lease, and range of the jitter
+/// added to it.
+const CONTENTION_DELAY: Duration = Duration::from_millis(1_500);
 /// Timeout of a write to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Interval between rounds of capacity orders.
@@ -90,6 +93,8 @@
         last_order_round: BootTime::default(),
         paused_until: BootTime::default(),
     };
+    // By then most nodes have found a reader, so that only a few contend for the lease.
+    sleep(CONTENTION_DELAY.mul_f64(1.0 + random::<f64>())).await;
     while tasks.node.phase() == ShutdownPhase::Serving {
         tasks.renew_lease().await;
         tasks.update_fence();
@@ -215,7 +220,7 @@
             let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
             let (complete, sum) = {
                 let state = self.node.state();
-                let complete = state.members.is_usage_complete(end_ms, clock::now());
+                let complete = state.members.is_usage_complete(end_ms);
                 (complete, state.members.sum_window(window))
             };
             let is_settled = complete && now_ms >= end_ms + COUNTS_PUBLISHED_MS;
@@ -384,7 +389,7 @@
             let capacities: Vec<DomainCapacity> = domains.map(capacity_of).collect();
             let slots = pool_slots(&state.upstreams, &pool.name);
             let speed = state.speeds.speed(&pool.name);
-            let demand = state.members.demand(&pool.name, now);
+            let demand = state.members.demand(&pool.name);
             (capacities, demand.engines_needed(slots, &speed), slots)
         };
         let orders = self.planner(&pool.name).next_orders(rule, &capacities, engines_needed, now);
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -3,13 +3,15 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use samphiredeck_core::{
+    boot_time::BootTime,
     forward::{
+        members::NodeHeartbeat,
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
     },
     ids::{NodeName, WorkspaceName},
 };
-use samphiredeck_wire::forward::ForwardDatagram;
+use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -112,22 +114,61 @@
     }
 }
 
-/// Queries the store status known to `reader`. Returns `None` if it does not respond.
+/// Queries the store status known to `reader`. `skip` entries of the changes of the upstream list
+/// were received already. Returns `None` if the reader does not respond.
 pub async fn query_store_status(
     node: &ForwardNode,
     socket: &PeerSocket,
     reader: &NodeName,
+    skip: u32,
 ) -> Option<StoreStatus> {
     let address = node.state().members.peer_address(reader)?;
     let id = socket.next_id();
     let digest = node.state().upstreams.digest();
-    let datagram = ForwardDatagram::QueryStoreStatus { query_id: id, list_digest: digest };
+    let datagram = ForwardDatagram::QueryStoreStatus { query_id: id, list_digest: digest, skip };
     match query(node, socket, (reader, address), (id, &datagram), STATUS_TIMEOUT).await {
         Some(ForwardDatagram::StoreStatus { store_status: status, .. }) => Some(status),
         _ => None,
     }
 }
 
+/// Sends a part of this node's heartbeat to `reader`. Returns the members that the reader relays
+/// and the time at which the heartbeat was sent, or `None` if the reader does not respond.
+pub async fn send_heartbeat(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    reader: &NodeName,
+    heartbeat: NodeHeartbeat,
+) -> Option<(RelayedMembers, BootTime)> {
+    let address = node.state().members.peer_address(reader)?;
+    let id = socket.next_id();
+    let members_digest = node.state().members.list().digest();
+    let datagram = ForwardDatagram::Heartbeat { query_id: id, heartbeat, members_digest };
+    let sent_at = clock::now();
+    match query(node, socket, (reader, address), (id, &datagram), STATUS_TIMEOUT).await {
+        Some(ForwardDatagram::MemberStatus { members, .. }) => Some((members, sent_at)),
+        _ => None,
+    }
+}
+
+/// Queries the members known to `reader`, without the first `skip` changes. Returns `None` if it
+/// does not respond.
+pub async fn query_members(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    reader: &NodeName,
+    skip: u32,
+) -> Option<RelayedMembers> {
+    let address = node.state().members.peer_address(reader)?;
+    let id = socket.next_id();
+    let members_digest = node.state().members.list().digest();
+    let datagram = ForwardDatagram::QueryMembers { query_id: id, members_digest, skip };
+    match query(node, socket, (reader, address), (id, &datagram), STATUS_TIMEOUT).await {
+        Some(ForwardDatagram::MemberStatus { members, .. }) => Some(members),
+        _ => None,
+    }
+}
+
 /// Returns unused units to `owner`.
 pub async fn release_units(
     node: &ForwardNode,
@@ -163,7 +204,11 @@
         ForwardDatagram::NotEligible => node.state().liveness.record_unable(&received.sender, now),
         // Nodes that can't act as owners exchange these messages too, so they say nothing about
         // eligibility.
-        ForwardDatagram::QueryStoreStatus { .. } | ForwardDatagram::StoreStatus { .. } => {}
+        ForwardDatagram::QueryStoreStatus { .. }
+        | ForwardDatagram::StoreStatus { .. }
+        | ForwardDatagram::Heartbeat { .. }
+        | ForwardDatagram::QueryMembers { .. }
+        | ForwardDatagram::MemberStatus { .. } => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -187,8 +232,8 @@
                 }
             });
         }
-        ForwardDatagram::QueryStoreStatus { query_id: id, list_digest: digest } => {
-            let status = node.state().store_status(digest, clock::now());
+        ForwardDatagram::QueryStoreStatus { query_id: id, list_digest: digest, skip } => {
+            let status = node.state().store_status(digest, skip, clock::now());
             send(
                 node,
                 socket,
@@ -201,7 +246,23 @@
         ForwardDatagram::Granted { query_id: id }
         | ForwardDatagram::OverLimit { query_id: id, .. }
         | ForwardDatagram::Declined { query_id: id }
-        | ForwardDatagram::StoreStatus { query_id: id, .. } => socket.complete(id, datagram),
+        | ForwardDatagram::StoreStatus { query_id: id, .. }
+        | ForwardDatagram::MemberStatus { query_id: id, .. } => socket.complete(id, datagram),
+        ForwardDatagram::Heartbeat { query_id: id, heartbeat, members_digest: digest } => {
+            let now = clock::now();
+            let members = {
+                let mut state = node.state();
+                state.group.record(&sender, heartbeat, now);
+                state.relayed_members(digest, 0, now)
+            };
+            let reply = ForwardDatagram::MemberStatus { query_id: id, members };
+            send(node, socket, &sender, from, &reply).await;
+        }
+        ForwardDatagram::QueryMembers { query_id: id, members_digest: digest, skip } => {
+            let members = node.state().relayed_members(digest, skip, clock::now());
+            let reply = ForwardDatagram::MemberStatus { query_id: id, members };
+            send(node, socket, &sender, from, &reply).await;
+        }
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             node.state().quota_owner.refund(&workspace, units);
         }
@@ -235,7 +296,11 @@
     units: f64,
     is_failover: bool,
 ) -> Option<QuotaDecision> {
-    let owners = node.state().quota_owners(workspace, clock::now());
+    let now = clock::now();
+    if !node.state().knows_members(now) {
+        return None;
+    }
+    let owners = node.state().quota_owners(workspace, now);
     // A node that does not know a new owner yet must not obtain units from two owners.
     if !is_failover && owners.first() != Some(&socket.own_name) {
         return None;
@@ -246,12 +311,12 @@
     let isolated = {
         let state = node.state();
         let now = clock::now();
-        state.members.count(now) > 1 && !state.liveness.has_recent_contact(ISOLATED_AFTER, now)
+        state.members.count() > 1 && !state.liveness.has_recent_contact(ISOLATED_AFTER, now)
     };
     if isolated {
         let others = {
             let state = node.state();
-            let rows = state.members.alive(clock::now()).map(|row| row.node.clone());
+            let rows = state.members.list().entries().iter().map(|entry| entry.node.clone());
             rows.filter(|name| *name != socket.own_name).take(PEERS_PROBED).collect::<Vec<_>>()
         };
         probe_peers(node, socket, &others).await;
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -1,57 +1,110 @@
-//! Synchronizes the rows that the nodes share in the platform's store: members, the leader record
-//! and committed usage.
+//! Synchronizes what the nodes share: members, the leader record and committed usage.
+//!
+//! The nodes that read the store publish the heartbeats of their followers in one row each, and
+//! relay the list of members to them. A follower writes to the store only if no reader responds.
 
 use std::{rc::Rc, time::Duration};
 
 use rand::random;
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::usage::WindowIndex,
-    ids::{Incarnation, RowVersion},
+    forward::{
+        member_list::MemberIdentity, members::NodeHeartbeat, node_groups::split_heartbeat,
+        usage::WindowIndex,
+    },
+    ids::{Incarnation, NodeName, RowVersion},
 };
 use samphiredeck_platform::store::{StoreKey, StoreRow, StoreRows, StoreTransaction};
-use samphiredeck_wire::record::{
-    LEADER_ROW_KEY, SECRET_ROW_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record,
-    node_key,
+use samphiredeck_wire::{
+    forward::RelayedMembers,
+    record::{
+        LEADER_ROW_KEY, SECRET_ROW_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record,
+        group_key,
+    },
 };
 use serde_json::json;
+use tokio::time::sleep;
 
 use crate::forward::{
     clock,
     dependency::{DependencyMonitor, STORE_TIMEOUT, sleep_with_jitter},
     node::ForwardNode,
-    peer_messages,
+    peer_messages::{self, query_members, send_heartbeat},
+    peer_socket::PeerSocket,
     platform_client::{PlatformCallError, PlatformClient},
+    state::{ForwardState, REJOIN_AFTER},
 };
 
 /// Interval between reads of the shared rows by readers and by the leader.
 const SHARED_PERIOD: Duration = Duration::from_millis(1_500);
-/// Interval between reads by all other nodes. They see a joining node within this time plus a
-/// response time, before it may become a quota owner.
-const FOLLOWER_PERIOD: Duration = Duration::from_millis(4_500);
-/// Maximum interval between writes of this node's own row.
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(2_800);
+/// Minimum interval between reads by a follower whose reader holds another list.
+const REFETCH_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time without a relayed list after which a follower reads the rows itself.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// Interval between the heartbeats of a follower to its reader.
+const FOLLOWER_PERIOD: Duration = Duration::from_millis(900);
+/// Time without a reply to a heartbeat after which a follower publishes a row of its own.
+const UNPUBLISHED_MAX: Duration = Duration::from_millis(2_800);
+/// Maximum interval between writes of a group's row.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(2_200);
+/// Delay of a write because a node joined the group, so that several are published together.
+const JOIN_PERIOD: Duration = Duration::from_millis(400);
 /// Time after the end of a window at which its counts are complete and due for publishing, in
-/// milliseconds. Together with the counting delay, it ensures that a killed node leaves at most one
-/// window incomplete.
-const COUNTS_DUE_MS: i64 = 1_050;
+/// milliseconds: the counting delay and one heartbeat of each follower.
+const COUNTS_DUE_MS: i64 = 2_050;
 /// Delay of a write after the counts are complete, since sleep times vary.
-const HEARTBEAT_DELAY: Duration = Duration::from_millis(100);
+const PUBLISH_DELAY: Duration = Duration::from_millis(100);
+/// Time after its last write for which a node that no longer publishes leaves its row in place. By
+/// then its followers have sent their counts elsewhere.
+const ABANDONED_AFTER: Duration = Duration::from_secs(6);
+/// Maximum delay of the first write when no other node of the failure domain is alive, as at the
+/// start of the whole system. Most nodes then find one that publishes already.
+const BOOTSTRAP_SPREAD: Duration = Duration::from_secs(1);
+/// Time that a node which finds others alive takes to choose its reader. Until then it does not
+/// publish a row of its own.
+const READER_CHOICE_TIME: Duration = Duration::from_millis(800);
+/// Longest sleep of the loop, so that changes of the reader or the leader are noticed.
+const WAKE_PERIOD: Duration = Duration::from_millis(300);
 
-/// Reads the shared rows and writes this node's own row.
+/// Schedule of the reads and writes of the shared rows.
+#[derive(Debug, Default)]
+struct SyncSchedule {
+    read_at: Option<BootTime>,
+    /// Time until which this node waits for a reader instead of publishing a row of its own.
+    waits_until: BootTime,
+    /// Time of the last attempt to publish this node's heartbeat.
+    sent_at: Option<BootTime>,
+    /// Time of the last write of this node's own row, if it may still exist.
+    written_at: Option<BootTime>,
+    /// Newest window whose counts were complete at that write.
+    window: Option<WindowIndex>,
+}
+
+/// Reads the shared rows and publishes this node's heartbeat.
 pub async fn sync_shared_rows(node: Rc<ForwardNode>) {
     let mut client = PlatformClient::store(&node, "shared rows");
     let mut monitor = DependencyMonitor::new(&node, "shared rows");
-    let mut schedule = HeartbeatSchedule::default();
-    let mut read_at: Option<BootTime> = None;
+    let mut schedule = SyncSchedule::default();
     loop {
-        if time_until_read(&node, read_at).is_zero() {
+        if schedule.time_until_read(&node).is_zero() {
             let sent_at = clock::now();
             match client.read_table(SHARED_TABLE, STORE_TIMEOUT).await {
                 Ok(response) => {
                     monitor.record_success();
+                    let is_first = schedule.read_at.is_none();
+                    schedule.read_at = Some(sent_at);
+                    if is_first && !has_live_neighbours(&node, &response, sent_at) {
+                        sleep(BOOTSTRAP_SPREAD.mul_f64(random())).await;
+                        schedule.read_at = None;
+                        continue;
+                    }
+                    if is_first && response.rows.iter().any(|row| row.key == own_key(&node)) {
+                        schedule.written_at = Some(sent_at);
+                    }
                     handle_response(&node, &response, &mut client, sent_at).await;
-                    read_at = Some(sent_at);
+                    if is_first && has_neighbours(&node, &node.state()) {
+                        schedule.waits_until = sent_at + READER_CHOICE_TIME;
+                    }
                 }
                 Err(error) => {
                     monitor.record_failure(&error).await;
@@ -59,28 +112,201 @@
                 }
             }
         }
-        if schedule.is_due(&node) {
-            match write_heartbeat(&node, &mut client, false).await {
-                Ok(()) => schedule.record_write(&node),
-                Err(error) => monitor.record_failure(&error).await,
-            }
+        if let Err(error) = publish(&node, &mut client, &mut schedule).await {
+            monitor.record_failure(&error).await;
+        }
+        let wait = schedule.time_until_read(&node).min(schedule.time_until_publish(&node));
+        sleep_with_jitter(wait.clamp(Duration::from_millis(20), WAKE_PERIOD)).await;
+    }
+}
+
+/// Whether other nodes of this failure domain are alive, or this is not the first read.
+fn has_live_neighbours(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) -> bool {
+    let mut state = node.state();
+    if state.has_bootstrapped {
+        return true;
+    }
+    state.has_bootstrapped = true;
+    state.clock.add_sample(sent_at, clock::now(), response.clock_ms);
+    observe_members(&mut state, &response.rows, response.clock_ms);
+    let is_restart = state.members.peer_address(&node.settings().name).is_some();
+    is_restart || has_neighbours(node, &state)
+}
+
+/// Whether other nodes of this failure domain are alive, as far as known.
+fn has_neighbours(node: &ForwardNode, state: &ForwardState) -> bool {
+    let settings = node.settings();
+    let is_neighbour =
+        |entry: &MemberIdentity| entry.domain == settings.domain && entry.node != settings.name;
+    state.members.list().entries().iter().any(is_neighbour)
+}
+
+fn own_key(node: &ForwardNode) -> String {
+    group_key(&node.settings().name)
+}
+
+impl SyncSchedule {
+    /// Time until the next read of the rows.
+    fn time_until_read(&self, node: &ForwardNode) -> Duration {
+        let Some(read_at) = self.read_at else { return Duration::ZERO };
+        let now = clock::now();
+        let state = node.state();
+        let is_frequent = state.reader.is_none()
+            || state.leader_lease.fence(now).is_some()
+            || state.leader_lease.needs_read()
+            || node.peer_socket.borrow().is_none();
+        let is_unrelayed = state.members_relayed_at.is_none_or(|at| now.since(at) >= RELAY_TIMEOUT);
+        let period = if is_frequent {
+            SHARED_PERIOD
+        } else if state.members_differ || is_unrelayed {
+            REFETCH_PERIOD
+        } else {
+            Duration::MAX
+        };
+        period.saturating_sub(now.since(read_at))
+    }
+
+    /// Whether this node publishes a row of its own.
+    fn publishes(&self, node: &ForwardNode) -> bool {
+        let now = clock::now();
+        let state = node.state();
+        if now < self.waits_until {
+            return false;
+        }
+        state.reader.is_none()
+            || state.group.has_followers(&node.settings().name, now)
+            || state.published_at.unwrap_or(self.waits_until) + UNPUBLISHED_MAX <= now
+    }
+
+    /// Time until the heartbeat has to be published again.
+    fn time_until_publish(&self, node: &ForwardNode) -> Duration {
+        let now = clock::now();
+        let Some(sent_at) = self.sent_at else { return Duration::ZERO };
+        let since = now.since(sent_at);
+        if !self.publishes(node) {
+            return FOLLOWER_PERIOD.saturating_sub(since);
         }
-        sleep_with_jitter(time_until_read(&node, read_at).min(schedule.time_until_due(&node)))
-            .await;
+        let window = newest_complete_window(node).map(|(window, _)| window);
+        if self.written_at.is_none() || window > self.window {
+            return Duration::ZERO;
+        }
+        let period = if node.state().group.has_joined() { JOIN_PERIOD } else { PUBLISH_PERIOD };
+        period.saturating_sub(since).min(time_until_counts_due(node))
     }
 }
 
-/// Time until the next read of the rows, if the last one was at `read_at`.
-fn time_until_read(node: &ForwardNode, read_at: Option<BootTime>) -> Duration {
-    let Some(read_at) = read_at else { return Duration::ZERO };
+/// Publishes this node's heartbeat if it is due, through its reader or in a row of its own.
+async fn publish(
+    node: &Rc<ForwardNode>,
+    client: &mut PlatformClient,
+    schedule: &mut SyncSchedule,
+) -> Result<(), PlatformCallError> {
     let now = clock::now();
-    let state = node.state();
-    let is_frequent = state.reader.is_none()
-        || state.leader_lease.fence(now).is_some()
-        || state.leader_lease.needs_read()
-        || node.peer_socket.borrow().is_none();
-    let period = if is_frequent { SHARED_PERIOD } else { FOLLOWER_PERIOD };
-    period.saturating_sub(now.since(read_at))
+    if schedule.publishes(node) {
+        if schedule.time_until_publish(node).is_zero() {
+            schedule.sent_at = Some(now);
+            let window = newest_complete_window(node).map(|(window, _)| window);
+            write_group(node, client, false).await?;
+            node.state().published_at = Some(now);
+            schedule.written_at = Some(now);
+            schedule.window = window;
+        }
+        return Ok(());
+    }
+    if schedule.time_until_publish(node).is_zero() {
+        schedule.sent_at = Some(now);
+        if send_to_reader(node, false).await {
+            node.state().published_at = Some(now);
+        }
+    }
+    if schedule.written_at.is_some_and(|at| now.since(at) >= ABANDONED_AFTER) {
+        schedule.written_at = None;
+        let key = shared_key(own_key(node));
+        let removal = StoreTransaction { removals: vec![key], ..StoreTransaction::default() };
+        client.transact(&removal, STORE_TIMEOUT).await?;
+    }
+    Ok(())
+}
+
+fn shared_key(key: String) -> StoreKey {
+    StoreKey { table: SHARED_TABLE.to_owned(), key }
+}
+
+/// Sends this node's heartbeat to its reader. Returns whether the reader has all of it.
+async fn send_to_reader(node: &Rc<ForwardNode>, is_final: bool) -> bool {
+    let socket = node.peer_socket.borrow().clone();
+    let reader = node.state().reader.clone();
+    let (Some(socket), Some(reader)) = (socket, reader) else { return false };
+    let Some(heartbeat) = own_heartbeat(node, is_final) else { return false };
+    let mut newest = None;
+    for part in split_heartbeat(&heartbeat) {
+        let Some(reply) = send_heartbeat(node, &socket, &reader, part).await else { return false };
+        newest = Some(reply);
+    }
+    if let Some((mut members, sent_at)) = newest {
+        fetch_pages(node, &socket, &reader, &mut members).await;
+        apply_relayed(node, &members, sent_at);
+    }
+    true
+}
+
+/// Fetches the remaining pages of the changes in `members`. If the list changes meanwhile, the
+/// delta is incomplete and does not apply.
+async fn fetch_pages(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    reader: &NodeName,
+    members: &mut RelayedMembers,
+) {
+    let Some(delta) = members.delta.as_mut() else { return };
+    let mut remaining = members.remaining;
+    while remaining > 0 {
+        let skip = u32::try_from(delta.len()).unwrap_or(u32::MAX);
+        let Some(next) = query_members(node, socket, reader, skip).await else { return };
+        let Some(page) = next.delta.filter(|page| page.from == delta.from) else { return };
+        if next.digest != members.digest || page.is_empty() {
+            return;
+        }
+        delta.append(page);
+        remaining = next.remaining;
+    }
+}
+
+/// Applies the members that the reader relayed in reply to a heartbeat sent at `sent_at`.
+fn apply_relayed(node: &ForwardNode, members: &RelayedMembers, sent_at: BootTime) {
+    let now = clock::now();
+    let mut state = node.state();
+    if let Some(store_ms) = members.store_ms.and_then(|ms| u64::try_from(ms).ok()) {
+        state.clock.add_sample(sent_at, now, store_ms);
+    }
+    // The leader and nodes that publish for others read the rows themselves.
+    if state.reader.is_none() || state.leader_lease.fence(now).is_some() {
+        return;
+    }
+    if let Some(offset) = members.offset {
+        state.clock.update_offset(vec![offset]);
+    }
+    let count_before = state.members.count();
+    let (digest, delta) = (members.digest, members.delta.as_ref());
+    if state.members.apply_relayed(digest, delta, members.observed_ms) {
+        state.members_differ = false;
+        state.members_relayed_at = Some(now);
+        state.members.forget_heartbeats();
+        apply_member_count(node, &mut state, count_before);
+    } else {
+        state.members_differ = true;
+    }
+}
+
+/// Applies the number of members to the limits that they share.
+fn apply_member_count(node: &ForwardNode, state: &mut ForwardState, count_before: u32) {
+    let count = state.members.count();
+    if count != count_before {
+        node.log.record("members", json!({ "count": count, "before": count_before }));
+    }
+    state.retry_budget.set_nodes(count);
+    state.local_quota.set_nodes(count);
+    node.metrics.nodes.set(i64::from(count));
 }
 
 async fn handle_response(
@@ -93,7 +319,7 @@
     if node.incarnation.get().is_none() {
         init_incarnation(node, response);
     }
-    apply_shared_rows(node, &response.rows);
+    apply_shared_rows(node, response);
     if node.peer_socket.borrow().is_none() {
         join_peers(node, &response.rows, client).await;
     }
@@ -104,18 +330,25 @@
     let incarnation = Incarnation(response.newest.0);
     node.incarnation.set(Some(incarnation));
     let settings = node.settings();
-    let own_key = node_key(&settings.name);
     let mut state = node.state();
     state.leader_lease.set_incarnation(incarnation);
     let started_ms = i64::try_from(response.clock_ms).unwrap_or(i64::MAX);
     state.since_ms = Some(started_ms);
-    for row in response.rows.iter().filter(|row| row.key == own_key) {
-        let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
-        if let Some(Ok(Some(SharedRecord::Node(_, heartbeat)))) = decoded {
-            state.usage_ledger.restore(&heartbeat.windows);
-            if heartbeat.peer == settings.listen.peer {
-                state.since_ms = Some(heartbeat.since_ms.min(started_ms));
-            }
+    // The row of an earlier run may be the only place that holds the counts of its followers.
+    let own_key = group_key(&settings.name);
+    let own_rows: Vec<StoreRow> =
+        response.rows.iter().filter(|row| row.key == own_key).cloned().collect();
+    for (follower, heartbeat) in decode_groups(&own_rows) {
+        state.group.record(&follower, heartbeat, clock::now());
+    }
+    for (_, heartbeat) in
+        decode_groups(&response.rows).iter().filter(|(name, _)| *name == settings.name)
+    {
+        state.usage_ledger.restore(&heartbeat.windows);
+        let lapsed_ms = started_ms.saturating_sub(heartbeat.beat_ms);
+        let lapsed = u128::try_from(lapsed_ms).is_ok_and(|ms| ms >= REJOIN_AFTER.as_millis());
+        if heartbeat.peer == settings.listen.peer && !lapsed {
+            state.since_ms = Some(heartbeat.since_ms.min(started_ms));
         }
     }
     node.log.record("identified", json!({ "incarnation": incarnation.0 }));
@@ -131,7 +364,7 @@
     }
     let secret = format!("{:032x}{:032x}", random::<u128>(), random::<u128>());
     let Ok(value) = encode_record(&secret) else { return };
-    let key = StoreKey { table: SHARED_TABLE.to_owned(), key: SECRET_ROW_KEY.to_owned() };
+    let key = shared_key(SECRET_ROW_KEY.to_owned());
     let transaction = StoreTransaction {
         expected: vec![(key.clone(), RowVersion(0))],
         writes: vec![(key, value)],
@@ -143,20 +376,36 @@
     }
 }
 
+/// Heartbeats of all groups in `rows`, with one entry for each node and group.
+fn decode_groups(rows: &[StoreRow]) -> Vec<(NodeName, NodeHeartbeat)> {
+    let mut heartbeats = Vec::new();
+    for row in rows {
+        let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
+        if let Some(Ok(Some(SharedRecord::Group(_, members)))) = decoded {
+            heartbeats.extend(members);
+        }
+    }
+    heartbeats
+}
+
+/// Updates the members from the groups in `rows`, read when the store's clock showed `clock_ms`.
+fn observe_members(state: &mut ForwardState, rows: &[StoreRow], clock_ms: u64) {
+    let mut heartbeats = decode_groups(rows);
+    heartbeats.extend(state.group.heartbeats());
+    state.members.observe(heartbeats, i64::try_from(clock_ms).unwrap_or(i64::MAX));
+}
+
 /// Applies the shared rows to the state.
-fn apply_shared_rows(node: &ForwardNode, rows: &[StoreRow]) {
+fn apply_shared_rows(node: &ForwardNode, response: &StoreRows) {
     let now = clock::now();
+    let own = own_heartbeat(node, false);
     let mut state = node.state();
-    let mut members = Vec::new();
     let mut leader_row = (None, RowVersion(0));
-    for row in rows {
+    for row in &response.rows {
         let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
         match decoded {
-            Some(Ok(Some(SharedRecord::Node(name, heartbeat)))) => {
-                members.push((name, row.version, heartbeat));
-            }
             Some(Ok(Some(SharedRecord::Duty(record)))) => leader_row = (Some(record), row.version),
-            Some(Ok(Some(SharedRecord::Usage(_) | SharedRecord::Secret(_)) | None)) | None => {}
+            Some(Ok(_)) | None => {}
             Some(Err(error)) => {
                 // Prevents nodes from overwriting a leader record that they cannot decode.
                 if row.key == LEADER_ROW_KEY {
@@ -167,33 +416,23 @@
             }
         }
     }
-    let count_before = state.members.count(now);
-    state.members.observe(members, now);
-    let count = state.members.count(now);
-    if count != count_before {
-        node.log.record("members", json!({ "count": count, "before": count_before }));
+    let count_before = state.members.count();
+    if let Some(heartbeat) = own {
+        state.group.record(&node.settings().name, heartbeat, now);
     }
+    observe_members(&mut state, &response.rows, response.clock_ms);
+    state.members_differ = false;
+    state.members_relayed_at = Some(now);
+    apply_member_count(node, &mut state, count_before);
     if !(leader_row.0.is_none() && leader_row.1 != RowVersion(0)) {
         state.leader_lease.observe(leader_row.0, leader_row.1, now);
     }
-    state.retry_budget.set_nodes(count);
-    state.local_quota.set_nodes(count);
-    let mut offsets = state.members.offsets(now);
+    let mut offsets = state.members.offsets();
     if offsets.is_empty() {
         // No node has published an offset yet, since the whole cluster has just started.
         offsets.extend(state.clock.own_offset(now, clock::wall_ms()));
     }
     state.clock.update_offset(offsets);
-    node.metrics.nodes.set(i64::from(count));
-}
-
-/// Schedule of the writes of this node's row: soon after the end of each window, and at least once
-/// per period.
-#[derive(Debug, Default)]
-struct HeartbeatSchedule {
-    written_at: Option<BootTime>,
-    /// Newest window whose counts were complete at the last write.
-    window: Option<WindowIndex>,
 }
 
 /// Newest window whose counts are complete, and the milliseconds since then.
@@ -204,68 +443,60 @@
     Some((window, now_ms - window.end_ms(length)))
 }
 
-impl HeartbeatSchedule {
-    fn is_due(&self, node: &ForwardNode) -> bool {
-        let now = clock::now();
-        let old = self.written_at.is_none_or(|at| now.since(at) >= HEARTBEAT_PERIOD);
-        old || newest_complete_window(node).map(|(window, _)| window) > self.window
-    }
-
-    /// Time until the next write is due.
-    fn time_until_due(&self, node: &ForwardNode) -> Duration {
-        if self.is_due(node) {
-            return Duration::ZERO;
-        }
-        let since = self.written_at.map_or(HEARTBEAT_PERIOD, |at| clock::now().since(at));
-        HEARTBEAT_PERIOD.saturating_sub(since).min(time_until_counts_due(node))
-    }
-
-    fn record_write(&mut self, node: &ForwardNode) {
-        self.written_at = Some(clock::now());
-        self.window = newest_complete_window(node).map(|(window, _)| window);
-    }
-}
-
 /// Time until the counts of the next window are complete.
 fn time_until_counts_due(node: &ForwardNode) -> Duration {
     let length = node.settings().bounds.usage_window.to_duration();
     let since = newest_complete_window(node).map_or(Duration::ZERO, |(_, since_ms)| {
         Duration::from_millis(u64::try_from(since_ms).unwrap_or(0))
     });
-    length.saturating_sub(since) + HEARTBEAT_DELAY
+    length.saturating_sub(since) + PUBLISH_DELAY
 }
 
-/// Publishes the remaining counts of this node before it exits.
-pub async fn publish_final_counts(node: &ForwardNode) {
+/// Publishes the remaining counts of this node, and those of its followers, before it exits.
+pub async fn publish_final_counts(node: &Rc<ForwardNode>) {
+    let has_followers = node.state().group.has_followers(&node.settings().name, clock::now());
+    if !has_followers && send_to_reader(node, true).await {
+        return;
+    }
     let mut client = PlatformClient::store(node, "shared rows");
-    if let Err(error) = write_heartbeat(node, &mut client, true).await {
+    if let Err(error) = write_group(node, &mut client, true).await {
         node.log.record("counts-unpublished", json!({ "reason": error.to_string() }));
     }
 }
 
-async fn write_heartbeat(
+/// Heartbeat of this node. With `is_final`, no further requests will be counted. `None` until the
+/// store has been read.
+fn own_heartbeat(node: &ForwardNode, is_final: bool) -> Option<NodeHeartbeat> {
+    let settings = node.settings();
+    let incarnation = node.incarnation.get()?;
+    let (peer, domain) = (settings.listen.peer, settings.domain.clone());
+    let now = clock::now();
+    let mut state = node.state();
+    state.rejoin_if_lapsed(now);
+    state.heartbeat(incarnation, peer, domain, is_final, now)
+}
+
+/// Writes the row with the heartbeats of this node's group.
+async fn write_group(
     node: &ForwardNode,
     client: &mut PlatformClient,
     is_final: bool,
 ) -> Result<(), PlatformCallError> {
-    let settings = node.settings();
-    let Some(incarnation) = node.incarnation.get() else { return Ok(()) };
-    let heartbeat = node.state().heartbeat(
-        incarnation,
-        settings.listen.peer,
-        settings.domain.clone(),
-        is_final,
-        clock::now(),
-    );
-    let value = match encode_record(&heartbeat) {
+    let Some(heartbeat) = own_heartbeat(node, is_final) else { return Ok(()) };
+    let heartbeats = {
+        let mut state = node.state();
+        state.group.record(&node.settings().name, heartbeat, clock::now());
+        state.group.record_published();
+        state.group.heartbeats()
+    };
+    let value = match encode_record(&heartbeats) {
         Ok(value) => value,
         Err(error) => {
             node.log.record("beat-unwritable", json!({ "reason": error.to_string() }));
             return Ok(());
         }
     };
-    let key = StoreKey { table: SHARED_TABLE.to_owned(), key: node_key(&settings.name) };
-    let transaction =
-        StoreTransaction { writes: vec![(key, value)], ..StoreTransaction::default() };
+    let writes = vec![(shared_key(own_key(node)), value)];
+    let transaction = StoreTransaction { writes, ..StoreTransaction::default() };
     client.transact(&transaction, STORE_TIMEOUT).await.map(drop)
 }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -11,6 +11,7 @@
         freshness::CatalogFreshness,
         leader::LeaderLease,
         members::{MemberTable, NodeHeartbeat},
+        node_groups::NodeGroup,
         pool_speed::PoolSpeedTable,
         prompt_cache::PromptCacheTable,
         quota::{LocalQuota, PeerLiveness, QuotaOwner, rank_quota_owners},
@@ -22,6 +23,7 @@
     ids::{DomainName, Incarnation, NodeName, RowVersion, WorkspaceName},
     units::Millis,
 };
+use samphiredeck_wire::forward::RelayedMembers;
 
 use crate::forward::{clock, settings::ForwardSettings};
 
@@ -32,6 +34,13 @@
 /// complete this long after its end.
 const COUNT_DELAY_MS: i64 = 1_000;
 
+/// Age of the list of members, in milliseconds, from which this node does not act as a quota owner.
+/// Below the age at which others consider it gone, by a publishing period.
+const OWNER_VIEW_AGE_MAX_MS: i64 = 4_500;
+/// Time without a published heartbeat after which a node joins anew. Just below the age at which
+/// others consider it gone.
+pub const REJOIN_AFTER: Duration = Duration::from_secs(7);
+
 /// State of this run of the node.
 #[derive(Debug)]
 pub struct ForwardState {
@@ -49,6 +58,16 @@
     pub upstreams: UpstreamRegistry,
     /// Nodes of the cluster.
     pub members: MemberTable,
+    /// Nodes that publish through this one, and itself.
+    pub group: NodeGroup,
+    /// Whether the reader holds another list of members than this node.
+    pub members_differ: bool,
+    /// Time at which the list of members was last confirmed by the reader or read from the store.
+    pub members_relayed_at: Option<BootTime>,
+    /// Time at which a heartbeat was last published, or received by a reader.
+    pub published_at: Option<BootTime>,
+    /// Whether this node has looked for live nodes before it joins them.
+    pub has_bootstrapped: bool,
     /// Token buckets of the workspaces that this node owns.
     pub quota_owner: QuotaOwner,
     /// This node's share of the quota that may be granted beyond the limits.
@@ -85,6 +104,11 @@
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
             members: MemberTable::default(),
+            group: NodeGroup::default(),
+            members_differ: false,
+            members_relayed_at: None,
+            published_at: None,
+            has_bootstrapped: false,
             quota_owner: QuotaOwner::new(bounds.quota_slack),
             local_quota: LocalQuota::new(bounds.quota_slack, NODES_ASSUMED),
             liveness: PeerLiveness::default(),
@@ -118,6 +142,7 @@
     }
 
     /// Heartbeat of this node at `now`. With `is_final`, no further requests will be counted.
+    /// `None` until the store's clock is known.
     pub fn heartbeat(
         &self,
         incarnation: Incarnation,
@@ -125,10 +150,11 @@
         domain: DomainName,
         is_final: bool,
         now: BootTime,
-    ) -> NodeHeartbeat {
+    ) -> Option<NodeHeartbeat> {
         let since_ms = self.since_ms.unwrap_or(i64::MAX);
-        NodeHeartbeat {
+        Some(NodeHeartbeat {
             incarnation,
+            beat_ms: self.clock.store_ms(now)?,
             offset_ms: self.clock.own_offset(now, clock::wall_ms()).map(|offset| offset.0),
             counted_to_ms: if is_final {
                 Some(i64::MAX)
@@ -140,37 +166,81 @@
             domain,
             since_ms,
             demand: self.demand.rates(now),
-        }
+        })
     }
 
     /// Store status known to this node at `now`, for a node whose upstream list has the digest
-    /// `known_digest`. Ages are rounded up.
-    pub fn store_status(&self, known_digest: u64, now: BootTime) -> StoreStatus {
+    /// `known_digest` and that has received `skip` entries of the difference. Ages are rounded up.
+    pub fn store_status(&self, known_digest: u64, skip: u32, now: BootTime) -> StoreStatus {
         let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1;
-        let config_age = self.freshness.age(now).filter(|_| self.catalog.is_some());
-        let config = config_age
+        let config = self
+            .freshness
+            .age(now)
             .map(|age| ConfigStatus { row: self.config_row_version, age_ms: millis(age) });
-        let list = self.upstreams.read_at().map(|at| ListStatus {
-            digest: self.upstreams.digest(),
-            age_ms: millis(now.since(at)),
-            delta: self.upstreams.delta_from(known_digest),
+        let list = self.upstreams.read_at().map(|at| {
+            let digest = self.upstreams.digest();
+            let delta = Some(known_digest).filter(|known| *known != digest);
+            let delta = delta.and_then(|known| self.upstreams.delta_from(known));
+            let page = delta.map(|delta| delta.page(usize::try_from(skip).unwrap_or(usize::MAX)));
+            let remaining = page.as_ref().map_or(0, |(_, left)| *left);
+            ListStatus {
+                digest,
+                age_ms: millis(now.since(at)),
+                delta: page.map(|(page, _)| page),
+                remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
+            }
         });
         StoreStatus { config, list }
     }
 
+    /// Members as relayed to a follower whose list has the digest `known_digest` and that has
+    /// received `skip` entries of the difference.
+    pub fn relayed_members(&self, known_digest: u64, skip: u32, now: BootTime) -> RelayedMembers {
+        let list = self.members.list();
+        let delta = Some(known_digest).filter(|known| *known != list.digest());
+        let delta = delta.and_then(|known| list.delta_from(known));
+        let page = delta.map(|delta| delta.page(usize::try_from(skip).unwrap_or(usize::MAX)));
+        let remaining = page.as_ref().map_or(0, |(_, left)| *left);
+        RelayedMembers {
+            digest: list.digest(),
+            delta: page.map(|(page, _)| page),
+            remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
+            observed_ms: self.members.observed_ms(),
+            store_ms: self.clock.store_ms(now),
+            offset: self.clock.offset(),
+        }
+    }
+
+    /// Whether this node's view of the members at `now` is recent enough to act as a quota owner.
+    /// Other nodes may have replaced it otherwise.
+    pub fn knows_members(&self, now: BootTime) -> bool {
+        self.clock
+            .store_ms(now)
+            .is_some_and(|store_ms| store_ms - self.members.observed_ms() < OWNER_VIEW_AGE_MAX_MS)
+    }
+
+    /// Treats this node as new if other nodes may have considered it gone at `now`, so that all
+    /// nodes accept it as a quota owner at the same time.
+    pub fn rejoin_if_lapsed(&mut self, now: BootTime) {
+        let lapsed = self.published_at.is_some_and(|at| now.since(at) >= REJOIN_AFTER);
+        if lapsed && let Some(store_ms) = self.clock.store_ms(now) {
+            self.since_ms = Some(store_ms);
+        }
+    }
+
     /// Quota owners of `workspace` at `now`, in the order in which they are queried.
     pub fn quota_owners(&self, workspace: &WorkspaceName, now: BootTime) -> Vec<NodeName> {
-        let candidates = self.members.quota_owner_candidates(self.clock.store_ms(now), now);
+        let candidates = self.members.quota_owner_candidates(self.clock.store_ms(now));
         rank_quota_owners(workspace, &candidates).into_iter().cloned().collect()
     }
 
     /// Maximum number of this node's connections to an upstream that accepts `max_connections` in
     /// total.
-    pub fn connection_share(&self, max_connections: u32, now: BootTime) -> u32 {
+    pub fn connection_share(&self, max_connections: u32) -> u32 {
         /// Percentage of the connections that nodes use. The rest is a margin, since their counts
         /// of live nodes lag.
         const USED_PERCENT: u32 = 85;
-        let nodes = self.members.count(now);
+        let nodes = self.members.count();
         (max_connections.saturating_mul(USED_PERCENT) / 100 / nodes).max(2)
     }
 }
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -4,16 +4,18 @@
 
 use rand::seq::IndexedRandom;
 use samphiredeck_core::{
+    boot_time::BootTime,
     forward::{
-        store_readers::{ReaderCandidate, order_readers},
-        upstreams::{ListUpdate, PeerListStatus},
+        store_readers::{ReaderCandidate, StoreStatus, order_readers},
+        upstreams::{ListDelta, ListUpdate, PeerListStatus},
     },
     ids::NodeName,
 };
 use serde_json::json;
 
 use crate::forward::{
-    clock, node::ForwardNode, peer_messages::query_store_status, upstream_log::log_upstream_changes,
+    clock, node::ForwardNode, peer_messages::query_store_status, peer_socket::PeerSocket,
+    upstream_log::log_upstream_changes,
 };
 
 /// Number of readers queried before a node reads the store itself.
@@ -26,7 +28,7 @@
 const RELAYED_LIST_AGE_MAX: Duration = Duration::from_secs(1);
 
 fn candidates(node: &ForwardNode) -> Vec<ReaderCandidate> {
-    node.state().members.reader_candidates(clock::now())
+    node.state().members.reader_candidates()
 }
 
 /// Queries the readers of this node until one reaches the store. Returns whether the upstream list
@@ -70,8 +72,7 @@
 /// Queries `other` and applies its store status. Returns `None` if it does not respond.
 async fn query_peer(node: &Rc<ForwardNode>, other: &NodeName) -> Option<PeerStatus> {
     let socket = node.peer_socket.borrow().clone()?;
-    let sent_at = clock::now();
-    let store_status = query_store_status(node, &socket, other).await?;
+    let (store_status, sent_at) = query_whole_status(node, &socket, other).await?;
     let now = clock::now();
     let mut state = node.state();
     let reaches_store = store_status
@@ -83,7 +84,8 @@
     if let Some(config) = store_status.config
         && let Some(as_of) = as_of(config.age_ms)
     {
-        if config.row == state.config_row_version && state.catalog.is_some() {
+        // Before the operator's first write, both versions are zero.
+        if config.row == state.config_row_version {
             state.freshness.record_confirmation(as_of);
         } else if config.row > state.config_row_version {
             state.newer_config_reported = true;
@@ -107,6 +109,38 @@
     Some(PeerStatus { reaches_store, list_is_current: list_is_current && is_recent })
 }
 
+/// Queries the store status of `other` with all pages of the changes of the upstream list. Returns
+/// it with the time of the last query.
+async fn query_whole_status(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    other: &NodeName,
+) -> Option<(StoreStatus, BootTime)> {
+    let mut received: Option<(u64, ListDelta)> = None;
+    loop {
+        let skip = received.as_ref().map_or(0, |(_, delta)| delta.len());
+        let skip = u32::try_from(skip).unwrap_or(u32::MAX);
+        let sent_at = clock::now();
+        let mut status = query_store_status(node, socket, other, skip).await?;
+        let Some(list) = status.list.as_mut() else { return Some((status, sent_at)) };
+        let Some(page) = list.delta.take() else { return Some((status, sent_at)) };
+        let delta = match received.take() {
+            Some((digest, mut delta)) if digest == list.digest && delta.from == page.from => {
+                delta.append(page);
+                delta
+            }
+            // The list changed between two pages. The next round starts from the beginning.
+            Some(_) => return Some((status, sent_at)),
+            None => page,
+        };
+        if list.remaining == 0 {
+            list.delta = Some(delta);
+            return Some((status, sent_at));
+        }
+        received = Some((list.digest, delta));
+    }
+}
+
 /// Sets the node that store status is obtained from. `None` stands for the store itself.
 fn set_reader(node: &ForwardNode, reader: Option<&NodeName>) {
     let mut state = node.state();
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -31,11 +31,25 @@
 /// Poll interval of a node that follows the configuration through other nodes.
 const CONFIG_POLL_PERIOD: Duration = Duration::from_millis(100);
 
+/// Maximum time for which a starting node waits until it knows the others.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Poll interval while it waits.
+const JOIN_POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// Waits until this node knows the others, so that it can ask a reader instead of the store.
+async fn wait_joined(node: &ForwardNode) {
+    let until = clock::now() + JOIN_TIMEOUT;
+    while clock::now() < until && node.peer_socket.borrow().is_none() {
+        sleep(JOIN_POLL_PERIOD).await;
+    }
+}
+
 /// Keeps the configuration up to date.
 pub async fn watch_config(node: Rc<ForwardNode>) {
     let mut client = PlatformClient::store(&node, "configuration");
     let mut monitor = DependencyMonitor::new(&node, "configuration");
     let mut last_version: Option<RowVersion> = None;
+    wait_joined(&node).await;
     loop {
         if !queries_store(&node) {
             // By the next query, the store may have dropped the history since the last response.
@@ -125,6 +139,7 @@
 pub async fn watch_upstreams(node: Rc<ForwardNode>) {
     let mut client = PlatformClient::store(&node, "upstreams");
     let mut monitor = DependencyMonitor::new(&node, "upstreams");
+    wait_joined(&node).await;
     loop {
         if query_readers(&node).await {
             sleep_with_jitter(STATUS_PERIOD).await;
--- a/samphiredeck_core/src/forward/clock.rs
+++ b/samphiredeck_core/src/forward/clock.rs
@@ -8,7 +8,10 @@
 use crate::boot_time::BootTime;
 
 /// Offset of a Unix time from the store's monotonic clock, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
 pub struct ClockOffset(pub i64);
 
 /// Reading of the store's monotonic clock, mapped to this node's boot time.
@@ -67,6 +70,12 @@
         }
     }
 
+    /// Cluster-wide offset, if known.
+    #[must_use]
+    pub fn offset(&self) -> Option<ClockOffset> {
+        self.offset
+    }
+
     /// Unix time at `at` in milliseconds. `None` until there is a sample and an offset.
     #[must_use]
     pub fn unix_ms(&self, at: BootTime) -> Option<i64> {
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -1,29 +1,31 @@
-//! Membership table, built from the heartbeat rows of the nodes in the platform's store.
+//! Membership table, built from the heartbeats that nodes publish in the platform's store.
 //!
-//! A node counts as alive while its row keeps changing. The counts it published stay in use for a
-//! while after it is gone, since the counted requests have run.
+//! Heartbeats carry the time of the store's clock at which they were made, so that all nodes agree
+//! on their age, whatever way they took. The counts that a node published stay in use for a while
+//! after it is gone, since the counted requests have run.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    boot_time::BootTime,
     forward::{
         clock::ClockOffset,
         demand::{DemandRate, PoolDemand},
+        member_list::{MemberDelta, MemberIdentity, MemberList},
+        node_groups::merge_heartbeats,
         store_readers::ReaderCandidate,
-        usage::{WindowCounts, WindowIndex},
+        usage::{WindowCounts, WindowIndex, WorkspaceCount},
     },
-    ids::{DomainName, Incarnation, NodeName, PoolName, RowVersion},
+    ids::{DomainName, Incarnation, NodeName, PoolName},
 };
 
-/// Time without a change of its row after which a node counts as gone: three write periods plus the
-/// maximum delay of reads.
-const MEMBER_LIFETIME: Duration = Duration::from_millis(7_500);
+/// Age of its newest published heartbeat from which a node counts as gone, in milliseconds: a
+/// publishing period, and the maximum delays of a heartbeat and of a read.
+const MEMBER_LIFETIME_MS: i64 = 7_500;
 
 /// Minimum age of a node that owns workspace quotas, in milliseconds. By then every node that
-/// reaches the store has read its row, so that all nodes start to treat it as an owner at the same
+/// reaches the store has learned of it, so that all nodes start to treat it as an owner at the same
 /// time.
 const OWNER_AGE_MIN_MS: i64 = 8_000;
 
@@ -32,6 +34,8 @@
 pub struct NodeHeartbeat {
     /// Distinguishes the runs of a node with the same name.
     pub incarnation: Incarnation,
+    /// Time on the store's clock at which the heartbeat was made, in milliseconds.
+    pub beat_ms: i64,
     /// Offset of its wall clock from the store's clock in milliseconds, if known.
     pub offset_ms: Option<i64>,
     /// Unix time in milliseconds up to which `windows` are complete, if known.
@@ -49,125 +53,180 @@
     pub demand: Vec<PoolDemand>,
 }
 
-/// One row of a [`MemberTable`].
-#[derive(Clone, Debug)]
-pub struct MemberRow {
-    /// Key of the row.
-    pub node: NodeName,
-    /// Version of the row that holds `heartbeat`.
-    pub version: RowVersion,
-    /// Time of the first read that showed `version`.
-    pub seen_at: BootTime,
-    /// Last published heartbeat.
-    pub heartbeat: NodeHeartbeat,
+impl NodeHeartbeat {
+    /// Orders the heartbeats of one node.
+    #[must_use]
+    pub fn stamp(&self) -> (Incarnation, i64) {
+        (self.incarnation, self.beat_ms)
+    }
+
+    /// Adds `count` to the counts of `window`, the last window or a new one after it.
+    pub fn add_count(&mut self, window: WindowIndex, count: &WorkspaceCount) {
+        if self.windows.last().is_none_or(|last| last.window != window) {
+            self.windows.push(WindowCounts::new(window));
+        }
+        if let Some(last) = self.windows.last_mut() {
+            last.add(&count.workspace, count.count);
+        }
+    }
+
+    fn identity(&self, node: &NodeName) -> MemberIdentity {
+        MemberIdentity {
+            node: node.clone(),
+            incarnation: self.incarnation,
+            peer: self.peer,
+            domain: self.domain.clone(),
+            since_ms: self.since_ms,
+        }
+    }
 }
 
+/// Heartbeat of a node, as published by itself or by its reader.
+pub type MemberHeartbeat = (NodeName, NodeHeartbeat);
+
 /// Members known to this node.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
-    /// Sorted by node, without duplicates.
-    rows: Vec<MemberRow>,
+    /// Newest heartbeat of each node, sorted by node, without duplicates. Empty on nodes that don't
+    /// read the store.
+    heartbeats: Vec<MemberHeartbeat>,
+    /// Live nodes. Kept while the store does not respond.
+    list: MemberList,
+    /// Time on the store's clock, in milliseconds, up to which the list is known to be current.
+    observed_ms: i64,
 }
 
 impl MemberTable {
-    /// Replaces the rows with those read at `now`.
-    pub fn observe(
+    /// Replaces the heartbeats by those read when the store's clock showed `store_ms`. A node may
+    /// appear several times.
+    pub fn observe(&mut self, mut read: Vec<MemberHeartbeat>, store_ms: i64) {
+        read.sort_by(|a, b| a.0.cmp(&b.0));
+        self.heartbeats.clear();
+        for (node, heartbeat) in read {
+            match self.heartbeats.last_mut().filter(|(last, _)| *last == node) {
+                Some((_, merged)) => *merged = merge_heartbeats(merged, heartbeat),
+                None => self.heartbeats.push((node, heartbeat)),
+            }
+        }
+        let is_alive = |heartbeat: &NodeHeartbeat| {
+            store_ms.saturating_sub(heartbeat.beat_ms) < MEMBER_LIFETIME_MS
+        };
+        let alive = self.heartbeats.iter().filter(|(_, heartbeat)| is_alive(heartbeat));
+        self.list.replace(alive.map(|(node, heartbeat)| heartbeat.identity(node)).collect());
+        self.observed_ms = self.observed_ms.max(store_ms);
+    }
+
+    /// Applies what a reader relays: its list has `digest` and was current at `store_ms`, and
+    /// `delta` leads to it. Returns whether this node holds that list now.
+    pub fn apply_relayed(
         &mut self,
-        rows_read: Vec<(NodeName, RowVersion, NodeHeartbeat)>,
-        now: BootTime,
-    ) {
-        let old = std::mem::take(&mut self.rows);
-        self.rows = rows_read
-            .into_iter()
-            .map(|(node, version, heartbeat)| {
-                let known = old.binary_search_by(|row| row.node.cmp(&node)).ok();
-                let known = known.map(|at| &old[at]).filter(|row| row.version == version);
-                let seen_at = known.map_or(now, |row| row.seen_at);
-                MemberRow { node, version, seen_at, heartbeat }
-            })
-            .collect();
-        self.rows.sort_by(|a, b| a.node.cmp(&b.node));
-        self.rows.dedup_by(|a, b| a.node == b.node);
-    }
-
-    /// Members that are alive at `now`.
-    pub fn alive(&self, now: BootTime) -> impl Iterator<Item = &MemberRow> {
-        self.rows.iter().filter(move |row| now.since(row.seen_at) < MEMBER_LIFETIME)
-    }
-
-    /// Nodes alive at `now` that may own workspace quotas when the store's clock shows `store_ms`.
-    /// Returns all of them if none is old enough, as after a start of the whole cluster.
+        digest: u64,
+        delta: Option<&MemberDelta>,
+        store_ms: i64,
+    ) -> bool {
+        let is_same = digest == self.list.digest()
+            || delta.is_some_and(|delta| self.list.apply(delta, digest));
+        if is_same {
+            self.observed_ms = self.observed_ms.max(store_ms);
+        }
+        is_same
+    }
+
+    /// Drops the heartbeats, which are no longer read.
+    pub fn forget_heartbeats(&mut self) {
+        self.heartbeats = Vec::new();
+    }
+
+    /// Live nodes.
     #[must_use]
-    pub fn quota_owner_candidates(&self, store_ms: Option<i64>, now: BootTime) -> Vec<&NodeName> {
-        let is_old = |row: &&MemberRow| {
-            store_ms.is_some_and(|at| at >= row.heartbeat.since_ms.saturating_add(OWNER_AGE_MIN_MS))
+    pub fn list(&self) -> &MemberList {
+        &self.list
+    }
+
+    /// Time on the store's clock, in milliseconds, up to which the list is known to be current.
+    #[must_use]
+    pub fn observed_ms(&self) -> i64 {
+        self.observed_ms
+    }
+
+    /// Heartbeats of the live nodes.
+    fn live_heartbeats(&self) -> impl Iterator<Item = &NodeHeartbeat> {
+        let is_listed = |node: &NodeName| {
+            self.list.entries().binary_search_by(|entry| entry.node.cmp(node)).is_ok()
         };
-        let old: Vec<&NodeName> = self.alive(now).filter(is_old).map(|row| &row.node).collect();
-        if old.is_empty() { self.alive(now).map(|row| &row.node).collect() } else { old }
+        let live = self.heartbeats.iter().filter(move |(node, _)| is_listed(node));
+        live.map(|(_, heartbeat)| heartbeat)
     }
 
-    /// Nodes alive at `now` that may read the store on behalf of others.
+    /// Live nodes that may own workspace quotas when the store's clock shows `store_ms`. Returns
+    /// all of them if none is old enough, as after a start of the whole cluster.
     #[must_use]
-    pub fn reader_candidates(&self, now: BootTime) -> Vec<ReaderCandidate> {
-        let rows = self.alive(now);
-        rows.map(|row| ReaderCandidate {
-            node: row.node.clone(),
-            domain: row.heartbeat.domain.clone(),
-        })
-        .collect()
+    pub fn quota_owner_candidates(&self, store_ms: Option<i64>) -> Vec<&NodeName> {
+        let is_old = |entry: &&MemberIdentity| {
+            store_ms.is_some_and(|at| at >= entry.since_ms.saturating_add(OWNER_AGE_MIN_MS))
+        };
+        let entries = self.list.entries();
+        let old: Vec<&NodeName> = entries.iter().filter(is_old).map(|entry| &entry.node).collect();
+        if old.is_empty() { entries.iter().map(|entry| &entry.node).collect() } else { old }
     }
 
-    /// Nodes whose row has not changed for `duration` at `now`, with the version of their row.
+    /// Live nodes, which may read the store on behalf of others.
     #[must_use]
-    pub fn unchanged_for(&self, duration: Duration, now: BootTime) -> Vec<(NodeName, RowVersion)> {
-        let old = self.rows.iter().filter(|row| now.since(row.seen_at) >= duration);
-        old.map(|row| (row.node.clone(), row.version)).collect()
+    pub fn reader_candidates(&self) -> Vec<ReaderCandidate> {
+        let entries = self.list.entries().iter();
+        entries
+            .map(|entry| ReaderCandidate { node: entry.node.clone(), domain: entry.domain.clone() })
+            .collect()
     }
 
-    /// Number of nodes alive at `now`, at least 1.
+    /// Number of live nodes, at least 1.
     #[must_use]
-    pub fn count(&self, now: BootTime) -> u32 {
-        u32::try_from(self.alive(now).count()).unwrap_or(u32::MAX).max(1)
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.list.entries().len()).unwrap_or(u32::MAX).max(1)
     }
 
-    /// Clock offsets of the nodes alive at `now`.
+    /// Clock offsets of the live nodes.
     #[must_use]
-    pub fn offsets(&self, now: BootTime) -> Vec<ClockOffset> {
-        self.alive(now).filter_map(|row| row.heartbeat.offset_ms.map(ClockOffset)).collect()
+    pub fn offsets(&self) -> Vec<ClockOffset> {
+        self.live_heartbeats()
+            .filter_map(|heartbeat| heartbeat.offset_ms.map(ClockOffset))
+            .collect()
     }
 
     /// Address for datagrams to `node`.
     #[must_use]
     pub fn peer_address(&self, node: &NodeName) -> Option<SocketAddr> {
-        let at = self.rows.binary_search_by(|row| row.node.cmp(node)).ok()?;
-        Some(self.rows[at].heartbeat.peer)
+        let entries = self.list.entries();
+        let at = entries.binary_search_by(|entry| entry.node.cmp(node)).ok()?;
+        Some(entries[at].peer)
     }
 
-    /// Demand per second for `pool` over all nodes alive at `now`.
+    /// Demand per second for `pool` over all live nodes.
     #[must_use]
-    pub fn demand(&self, pool: &PoolName, now: BootTime) -> DemandRate {
-        let of = |row: &MemberRow| {
-            let demand = row.heartbeat.demand.iter().find(|demand| demand.pool == *pool);
+    pub fn demand(&self, pool: &PoolName) -> DemandRate {
+        let of = |heartbeat: &NodeHeartbeat| {
+            let demand = heartbeat.demand.iter().find(|demand| demand.pool == *pool);
             demand.map_or(DemandRate::default(), |demand| demand.rate)
         };
-        self.alive(now).map(of).sum()
+        self.live_heartbeats().map(of).sum()
     }
 
     /// Sums the counts of all nodes for `window`, including nodes that are gone.
     #[must_use]
     pub fn sum_window(&self, window: WindowIndex) -> WindowCounts {
         let mut sum = WindowCounts::new(window);
-        for row in &self.rows {
-            for counts in row.heartbeat.windows.iter().filter(|counts| counts.window == window) {
+        for (_, heartbeat) in &self.heartbeats {
+            for counts in heartbeat.windows.iter().filter(|counts| counts.window == window) {
                 sum.merge(counts);
             }
         }
         sum
     }
 
-    /// Whether each node alive at `now` has published all counts from before `end_ms`.
+    /// Whether each live node has published all counts from before `end_ms`.
     #[must_use]
-    pub fn is_usage_complete(&self, end_ms: i64, now: BootTime) -> bool {
-        self.alive(now).all(|row| row.heartbeat.counted_to_ms.is_some_and(|to| to >= end_ms))
+    pub fn is_usage_complete(&self, end_ms: i64) -> bool {
+        let mut live = self.live_heartbeats();
+        live.all(|heartbeat| heartbeat.counted_to_ms.is_some_and(|to| to >= end_ms))
     }
 }
--- a/samphiredeck_core/src/forward/store_readers.rs
+++ b/samphiredeck_core/src/forward/store_readers.rs
@@ -18,9 +18,9 @@
     ids::{DomainName, NodeName, RowVersion},
 };
 
-/// Number of nodes in a failure domain per reader. A reader answers about 60 queries per second,
-/// which takes a hundredth of a core.
-const NODES_PER_READER: usize = 32;
+/// Number of nodes in a failure domain per reader. A reader answers about 200 queries per second,
+/// which takes a few hundredths of a core.
+const NODES_PER_READER: usize = 64;
 
 /// Configuration version known to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,8 +38,11 @@
     pub digest: u64,
     /// Milliseconds since the store returned the list.
     pub age_ms: u64,
-    /// Difference from the list that the asking node holds, if it is small.
+    /// Page of the difference from the list that the asking node holds. `None` if that one is the
+    /// same, or too different.
     pub delta: Option<ListDelta>,
+    /// Number of entries after the page.
+    pub remaining: u32,
 }
 
 /// State of the store as known to a node.
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -27,8 +27,10 @@
 const RELIST_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// Number of recent list changes kept for nodes that hold an older list: those of two seconds.
 const RECENT_CHANGES_MAX: usize = 5;
-/// Maximum number of entries in a delta, so that it fits into one datagram.
-const DELTA_ENTRIES_MAX: usize = 12;
+/// Maximum number of entries in a page of a delta, so that it fits into one datagram.
+const PAGE_ENTRIES_MAX: usize = 8;
+/// Maximum number of entries in a delta. A node that lacks more reads the store.
+const DELTA_ENTRIES_MAX: usize = 1_000;
 /// Half-life of recorded failures and successes.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time over which a load report loses its weight, since other nodes send requests in the meantime.
@@ -96,8 +98,8 @@
 /// Difference between two versions of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListDelta {
-    /// Digest of the list that the delta applies to.
-    pub from: u64,
+    /// Digest of the list that the delta applies to. `None` if it is the whole list.
+    pub from: Option<u64>,
     /// Version of the resulting list.
     pub version: RowVersion,
     /// New and changed entries.
@@ -115,10 +117,43 @@
     pub digest: u64,
     /// Time at which the list was known to be current.
     pub as_of: BootTime,
-    /// Difference from the list that this node holds, if it is small.
+    /// Difference from the list that this node holds, if it is not too large.
     pub delta: Option<ListDelta>,
 }
 
+impl ListDelta {
+    /// Page of the delta without its first `skip` entries, and the number of entries after it.
+    #[must_use]
+    pub fn page(&self, skip: usize) -> (Self, usize) {
+        let upserted = self.upserted.iter().skip(skip).take(PAGE_ENTRIES_MAX);
+        let upserted: Vec<ListedUpstream> = upserted.cloned().collect();
+        let skip_removed = skip.saturating_sub(self.upserted.len());
+        let removed = self.removed.iter().skip(skip_removed);
+        let removed = removed.take(PAGE_ENTRIES_MAX - upserted.len()).cloned().collect();
+        let page = Self { from: self.from, version: self.version, upserted, removed };
+        let left = self.len().saturating_sub(skip + page.len());
+        (page, left)
+    }
+
+    /// Number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.upserted.len() + self.removed.len()
+    }
+
+    /// Whether there are no entries.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Appends the entries of the next page.
+    pub fn append(&mut self, mut next: Self) {
+        self.upserted.append(&mut next.upserted);
+        self.removed.append(&mut next.removed);
+    }
+}
+
 /// Load that an upstream reported with a response.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReport {
@@ -289,26 +324,31 @@
         self.digest
     }
 
-    /// Difference from the list with digest `from` to the current one, if it is known and small.
+    /// Difference from the list with digest `from` to the current one, or the whole list if that
+    /// one is not known. `None` if there is no list yet or it is too large.
     #[must_use]
     pub fn delta_from(&self, from: u64) -> Option<ListDelta> {
-        let first = self.recent_changes.iter().rposition(|(before, _)| *before == from)?;
+        self.read_at?;
+        let version = self.version;
+        let Some(first) = self.recent_changes.iter().rposition(|(before, _)| *before == from)
+        else {
+            let upserted = self.list.clone();
+            let whole = ListDelta { from: None, version, upserted, removed: Vec::new() };
+            return Some(whole).filter(|delta| delta.len() <= DELTA_ENTRIES_MAX);
+        };
         let mut ids: Vec<&UpstreamId> =
             self.recent_changes[first..].iter().flat_map(|(_, ids)| ids).collect();
         ids.sort();
         ids.dedup();
-        if ids.len() > DELTA_ENTRIES_MAX {
-            return None;
-        }
-        let mut delta =
-            ListDelta { from, version: self.version, upserted: Vec::new(), removed: Vec::new() };
+        let (upserted, removed) = (Vec::new(), Vec::new());
+        let mut delta = ListDelta { from: Some(from), version, upserted, removed };
         for id in ids {
             match find_entry(&self.list, id) {
                 Some(entry) => delta.upserted.push(entry.clone()),
                 None => delta.removed.push(id.clone()),
             }
         }
-        Some(delta)
+        Some(delta).filter(|delta| delta.len() <= DELTA_ENTRIES_MAX)
     }
 
     /// Applies the list status reported by another node.
@@ -316,18 +356,18 @@
         if self.read_at.is_some_and(|read_at| status.as_of <= read_at) {
             return ListUpdate::Stale;
         }
-        if self.read_at.is_none() {
-            return ListUpdate::Refetch;
-        }
-        if status.digest == self.digest {
+        if status.digest == self.digest && self.read_at.is_some() {
             let list = std::mem::take(&mut self.list);
             return ListUpdate::Applied(self.apply_list(list, self.version, status.as_of, now));
         }
-        let Some(delta) = status.delta.filter(|delta| delta.from == self.digest) else {
+        let applies = |delta: &ListDelta| delta.from.is_none_or(|from| from == self.digest);
+        let Some(delta) = status.delta.filter(applies) else {
             return ListUpdate::Refetch;
         };
         let replaced = |id: &UpstreamId| {
-            delta.removed.contains(id) || delta.upserted.iter().any(|entry| entry.id == *id)
+            delta.from.is_none()
+                || delta.removed.contains(id)
+                || delta.upserted.iter().any(|entry| entry.id == *id)
         };
         let kept = self.list.iter().filter(|entry| !replaced(&entry.id)).cloned();
         let mut list: Vec<ListedUpstream> = kept.chain(delta.upserted.iter().cloned()).collect();
--- a/samphiredeck_core/src/forward/usage.rs
+++ b/samphiredeck_core/src/forward/usage.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Raises the count of `workspace` to at least `count`.
+    pub fn raise(&mut self, workspace: &WorkspaceName, count: u64) {
+        match self.counts.binary_search_by(|row| row.workspace.cmp(workspace)) {
+            Ok(at) => self.counts[at].count = self.counts[at].count.max(count),
+            Err(at) => {
+                self.counts.insert(at, WorkspaceCount { workspace: workspace.clone(), count });
+            }
+        }
+    }
+
     /// Adds all counts of `other`.
     pub fn merge(&mut self, other: &Self) {
         for row in &other.counts {
@@ -78,6 +88,27 @@
     }
 }
 
+/// Combines two states of the counts of one node. Counts only grow, so the larger one is newer.
+#[must_use]
+pub fn merge_windows(a: &[WindowCounts], b: &[WindowCounts]) -> Vec<WindowCounts> {
+    let mut merged = a.to_vec();
+    for counts in b {
+        let at = match merged.binary_search_by_key(&counts.window, |row| row.window) {
+            Ok(at) => at,
+            Err(at) => {
+                merged.insert(at, WindowCounts::new(counts.window));
+                at
+            }
+        };
+        for row in &counts.counts {
+            merged[at].raise(&row.workspace, row.count);
+        }
+    }
+    let excess = merged.len().saturating_sub(KEPT_WINDOWS);
+    merged.drain(..excess);
+    merged
+}
+
 /// Counts of this node for the newest windows.
 #[derive(Clone, Debug, Default)]
 pub struct UsageLedger {
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -1,8 +1,32 @@
 //! Datagrams between forwarding nodes.
 
-use samphiredeck_core::{forward::store_readers::StoreStatus, ids::WorkspaceName};
+use samphiredeck_core::{
+    forward::{
+        clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
+        store_readers::StoreStatus,
+    },
+    ids::WorkspaceName,
+};
 use serde::{Deserialize, Serialize};
 
+/// Members known to a node that reads the store, for its followers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RelayedMembers {
+    /// Digest of the list of live nodes.
+    pub digest: u64,
+    /// Page of the difference from the list that the follower holds. `None` if that one is the
+    /// same, or too different.
+    pub delta: Option<MemberDelta>,
+    /// Number of entries after the page.
+    pub remaining: u32,
+    /// Time on the store's clock, in milliseconds, up to which the list is known to be current.
+    pub observed_ms: i64,
+    /// The store's clock at the time of the reply, in milliseconds.
+    pub store_ms: Option<i64>,
+    /// Offset of the time of day that the nodes agree on.
+    pub offset: Option<ClockOffset>,
+}
+
 /// Datagram between forwarding nodes.
 ///
 /// The quota owner of a workspace is the node that enforces the workspace's limit for all nodes. If
@@ -63,6 +87,8 @@
         /// Digest of the sender's list of upstreams, against which the reply may give changes.
         #[serde(rename = "list")]
         list_digest: u64,
+        /// Number of changes that the sender has received already.
+        skip: u32,
     },
     /// Replies to [`QueryStoreStatus`](Self::QueryStoreStatus).
     #[serde(rename = "News")]
@@ -74,6 +100,32 @@
         #[serde(rename = "news")]
         store_status: StoreStatus,
     },
+    /// Publishes the sender's heartbeat, or a part of it, through the receiver.
+    Heartbeat {
+        /// Identifies the query in its reply. Unique while the querying node runs.
+        query_id: u64,
+        /// Heartbeat to publish.
+        heartbeat: NodeHeartbeat,
+        /// Digest of the sender's list of members, against which the reply may give changes.
+        members_digest: u64,
+    },
+    /// Queries the next page of the changes of the list of members.
+    QueryMembers {
+        /// Identifies the query in its reply. Unique while the querying node runs.
+        query_id: u64,
+        /// Digest of the sender's list of members.
+        members_digest: u64,
+        /// Number of changes that the sender has received already.
+        skip: u32,
+    },
+    /// Replies to [`Heartbeat`](Self::Heartbeat), which will be published, and to
+    /// [`QueryMembers`](Self::QueryMembers).
+    MemberStatus {
+        /// Identifies the query.
+        query_id: u64,
+        /// Members known to the sender.
+        members: RelayedMembers,
+    },
     /// Asks whether the receiver is alive and can act as an owner.
     Ping,
     /// Replies to a ping: the sender can act as an owner.
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -3,7 +3,7 @@
 use samphiredeck_core::{
     forward::{
         leader::LeaderRecord,
-        members::NodeHeartbeat,
+        members::MemberHeartbeat,
         usage::{WindowCounts, WindowIndex},
     },
     ids::NodeName,
@@ -17,13 +17,13 @@
 pub const LEADER_ROW_KEY: &str = "duty";
 /// Key of the row that holds the secret from which the key of the nodes' datagrams is derived.
 pub const SECRET_ROW_KEY: &str = "secret";
-/// Key prefix of the rows that nodes publish.
-const NODE_PREFIX: &str = "node.";
+/// Key prefix of the rows in which nodes publish the heartbeats of their groups.
+const GROUP_PREFIX: &str = "group.";
 /// Key prefix of the rows of agreed usage. The window number follows, padded with zeros, so that
 /// the rows sort by window.
 const USAGE_PREFIX: &str = "usage.";
 /// Version of the row format, written as the first byte of every row.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 
 /// Reason why a row can't be encoded or decoded.
 #[derive(Debug, Error)]
@@ -44,18 +44,18 @@
 pub enum SharedRecord {
     /// Leader, whose role the store calls the duty.
     Duty(LeaderRecord),
-    /// State that a node publishes of itself.
-    Node(NodeName, NodeHeartbeat),
+    /// Heartbeats of the nodes that publish through the given one.
+    Group(NodeName, Vec<MemberHeartbeat>),
     /// Agreed usage of one time window.
     Usage(WindowCounts),
     /// Secret from which the key of the nodes' datagrams is derived.
     Secret(String),
 }
 
-/// Key of the row that `node` publishes.
+/// Key of the row in which `node` publishes the heartbeats of its group.
 #[must_use]
-pub fn node_key(node: &NodeName) -> String {
-    format!("{NODE_PREFIX}{node}")
+pub fn group_key(node: &NodeName) -> String {
+    format!("{GROUP_PREFIX}{node}")
 }
 
 /// Key of the row of agreed usage of `window`.
@@ -93,9 +93,9 @@
     if key == SECRET_ROW_KEY {
         return Ok(Some(SharedRecord::Secret(decode_content(value)?)));
     }
-    if let Some(name) = key.strip_prefix(NODE_PREFIX) {
+    if let Some(name) = key.strip_prefix(GROUP_PREFIX) {
         let Ok(node) = name.parse() else { return Ok(None) };
-        return Ok(Some(SharedRecord::Node(node, decode_content(value)?)));
+        return Ok(Some(SharedRecord::Group(node, decode_content(value)?)));
     }
     if key.starts_with(USAGE_PREFIX) {
         return Ok(Some(SharedRecord::Usage(decode_content(value)?)));
