Measure prefill speed by certain prompts only; publish jumps of the demand early

Change: only prompts whose own part is at least 0.9 of what has to be computed are samples, at the 0.85 quantile; demand is averaged over 2 s, a reader publishes a jump of its group at once, the leader reads each second.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -380,7 +380,7 @@
     placement: &Placement,
     elapsed: Duration,
 ) {
-    if admitted.engine && in_flight.is_alone {
+    if admitted.engine && in_flight.is_alone && placement.is_prefill_certain {
         let mut state = node.state();
         let speed = state.speeds.speed_mut(&admitted.pool);
         speed.record_first_token(placement.prefill_tokens, elapsed);
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -35,7 +35,10 @@
     state::{ForwardState, REJOIN_AFTER},
 };
 
-/// Interval between reads of the shared rows by readers and by the leader.
+/// Interval between reads of the shared rows by the leader, which orders capacity for the demand in
+/// them.
+const LEADER_PERIOD: Duration = Duration::from_secs(1);
+/// Interval between reads of the shared rows by other readers.
 const SHARED_PERIOD: Duration = Duration::from_millis(1_500);
 /// Minimum interval between reads by a follower whose reader holds another list.
 const REFETCH_PERIOD: Duration = Duration::from_millis(1_500);
@@ -47,8 +50,9 @@
 const UNPUBLISHED_MAX: Duration = Duration::from_millis(2_800);
 /// Maximum interval between writes of a group's row.
 const PUBLISH_PERIOD: Duration = Duration::from_millis(2_200);
-/// Delay of a write because a node joined the group, so that several are published together.
-const JOIN_PERIOD: Duration = Duration::from_millis(400);
+/// Minimum interval between writes because of changes of the group, so that several are published
+/// together.
+const CHANGE_PERIOD: Duration = Duration::from_millis(400);
 /// Time after the end of a window at which its counts are complete and due for publishing, in
 /// milliseconds: the counting delay and one heartbeat of each follower.
 const COUNTS_DUE_MS: i64 = 2_050;
@@ -151,12 +155,15 @@
         let Some(read_at) = self.read_at else { return Duration::ZERO };
         let now = clock::now();
         let state = node.state();
+        let is_leader = state.leader_lease.fence(now).is_some();
         let is_frequent = state.reader.is_none()
-            || state.leader_lease.fence(now).is_some()
+            || is_leader
             || state.leader_lease.needs_read()
             || node.peer_socket.borrow().is_none();
         let is_unrelayed = state.members_relayed_at.is_none_or(|at| now.since(at) >= RELAY_TIMEOUT);
-        let period = if is_frequent {
+        let period = if is_leader {
+            LEADER_PERIOD
+        } else if is_frequent {
             SHARED_PERIOD
         } else if state.members_differ || is_unrelayed {
             REFETCH_PERIOD
@@ -190,7 +197,7 @@
         if self.written_at.is_none() || window > self.window {
             return Duration::ZERO;
         }
-        let period = if node.state().group.has_joined() { JOIN_PERIOD } else { PUBLISH_PERIOD };
+        let period = if node.state().group.has_changed() { CHANGE_PERIOD } else { PUBLISH_PERIOD };
         period.saturating_sub(since).min(time_until_counts_due(node))
     }
 }
--- a/samphiredeck_core/src/forward/demand.rs
+++ b/samphiredeck_core/src/forward/demand.rs
@@ -10,8 +10,9 @@
 
 use crate::{boot_time::BootTime, forward::pool_speed::PoolSpeed, ids::PoolName};
 
-/// Time constant of the moving average: the time that an ordered upstream takes to start.
-const AVERAGING_TIME: Duration = Duration::from_secs(4);
+/// Time constant of the moving average. Half of the time that an ordered upstream takes to start,
+/// so that capacity follows a jump of the load without following single requests.
+const AVERAGING_TIME: Duration = Duration::from_secs(2);
 /// Number of responses among which an engine divides a decoding step, where slots are not the
 /// limit.
 const DECODE_BATCH: f64 = 12.0;
--- a/samphiredeck_core/src/forward/node_groups.rs
+++ b/samphiredeck_core/src/forward/node_groups.rs
@@ -19,6 +19,11 @@
 const RETENTION: Duration = Duration::from_secs(30);
 /// Time without a heartbeat after which a node publishes through another one.
 const FOLLOWER_LIFETIME: Duration = Duration::from_secs(5);
+/// Factor by which the demand has to rise for the group to be published early, so that capacity is
+/// ordered in time.
+const DEMAND_JUMP: f64 = 1.3;
+/// Minimum rise of the demand for that, in milliseconds of engine time a second.
+const DEMAND_JUMP_MIN_MS: f64 = 200.0;
 /// Maximum size of the counts in one part of a heartbeat, in bytes, so that it fits into a
 /// datagram.
 const PART_BYTES_MAX: usize = 800;
@@ -42,6 +47,8 @@
     members: Vec<GroupMember>,
     /// Whether a node joined since the group was last published.
     has_joined: bool,
+    /// Demand of the group when it was last published, in milliseconds of engine time a second.
+    published_demand_ms: f64,
 }
 
 impl NodeGroup {
@@ -75,15 +82,24 @@
         others.any(|member| now.since(member.heard_at) < FOLLOWER_LIFETIME)
     }
 
-    /// Whether a node joined since the group was last published.
+    /// Whether the group has to be published soon: a node joined, or the demand jumped, since it
+    /// was last published.
     #[must_use]
-    pub fn has_joined(&self) -> bool {
+    pub fn has_changed(&self) -> bool {
         self.has_joined
+            || self.demand_ms() > self.published_demand_ms * DEMAND_JUMP + DEMAND_JUMP_MIN_MS
     }
 
     /// Records that the group is being published.
     pub fn record_published(&mut self) {
         self.has_joined = false;
+        self.published_demand_ms = self.demand_ms();
+    }
+
+    /// Time that engines need for the prompts of the group, in milliseconds a second.
+    fn demand_ms(&self) -> f64 {
+        let demands = self.members.iter().flat_map(|member| &member.heartbeat.demand);
+        demands.map(|demand| demand.rate.prefill_ms).sum()
     }
 }
 
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -44,6 +44,9 @@
 /// Share of the maximum event gap from which the prefill of a prompt stalls concurrent streams for
 /// longer than callers accept.
 const LONG_PREFILL_SHARE: f64 = 0.5;
+/// Share of the tokens to compute that must belong to the request's own part, for the time that it
+/// takes to measure the upstream's speed.
+const CERTAIN_SHARE: f64 = 0.9;
 /// Number of upstreams in a pool per dedicated long-prompt upstream.
 const UPSTREAMS_PER_DEDICATED: usize = 8;
 /// Minimum number of upstreams in a pool for dedicating some of them to long prompts.
@@ -118,6 +121,13 @@
         self.engine && max_gap_ms > 0.0 && prefill_ms >= max_gap_ms * LONG_PREFILL_SHARE
     }
 
+    /// Whether nearly all of `prefill_tokens` are those of the request's own part.
+    fn is_certain(&self, prefill_tokens: u64) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
+        let (own, all) = (self.own_tokens() as f64, prefill_tokens as f64);
+        own >= all * CERTAIN_SHARE
+    }
+
     /// Expected number of prompt tokens that the upstream of `row` has to compute.
     fn expected_prefill_tokens(
         &self,
@@ -145,6 +155,9 @@
     pub upstream: UpstreamId,
     /// Prompt tokens that the upstream probably has to compute.
     pub prefill_tokens: u64,
+    /// Whether `prefill_tokens` is certain enough to measure the upstream's speed: few of them
+    /// depend on what other nodes left in its cache.
+    pub is_prefill_certain: bool,
     /// Expected time to the first sign of a response.
     pub expected_wait: Duration,
     /// Whether this is the affinity upstream of the last shared part.
@@ -202,6 +215,7 @@
                 Placement {
                     upstream,
                     prefill_tokens,
+                    is_prefill_certain: request.is_certain(prefill_tokens),
                     expected_wait,
                     has_affinity: affinity == CacheAffinity::First,
                 },
--- a/samphiredeck_core/src/forward/pool_speed.rs
+++ b/samphiredeck_core/src/forward/pool_speed.rs
@@ -32,9 +32,11 @@
 /// Prompts with fewer tokens to compute than this measure the time to the first token, longer ones
 /// the prefill speed.
 const SHORT_PROMPT_TOKENS: u64 = 500;
-/// Quantile of the prefill speed that is tracked. Above the median, since requests of other nodes
-/// that an upstream processes at the same time make some samples too slow.
-const PREFILL_QUANTILE: f64 = 0.7;
+/// Quantile of the prefill speed that is tracked. Far above the median, since requests of other
+/// nodes that an upstream processes at the same time make samples too slow, the more the higher the
+/// load is. Nothing makes them too fast but the cache, and only requests that hardly depend on it
+/// are measured.
+const PREFILL_QUANTILE: f64 = 0.85;
 /// Minimum number of output tokens of a response that measures the time between tokens.
 const OUTPUT_TOKENS_MIN: u64 = 8;
 
--- a/samphiredeck_core/tests/forward_groups.rs
+++ b/samphiredeck_core/tests/forward_groups.rs
@@ -5,6 +5,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        demand::{DemandRate, PoolDemand},
         member_list::{MemberIdentity, MemberList},
         members::{MemberTable, NodeHeartbeat},
         node_groups::{NodeGroup, merge_heartbeats, split_heartbeat},
@@ -111,10 +112,10 @@
     assert!(!group.has_followers(&own, at(1_000)));
     group.record_published();
     group.record(&name(1), heartbeat(&empty, 1_000), at(1_000));
-    assert!(group.has_followers(&own, at(1_000)) && group.has_joined());
+    assert!(group.has_followers(&own, at(1_000)) && group.has_changed());
     group.record_published();
     group.record(&name(1), heartbeat(&empty, 2_000), at(2_000));
-    assert!(!group.has_joined());
+    assert!(!group.has_changed());
     // A follower that has found another reader no longer keeps this node publishing.
     assert!(!group.has_followers(&own, at(7_500)));
     assert_eq!(group.heartbeats().len(), 2, "its counts are still published");
@@ -122,6 +123,24 @@
     assert_eq!(group.heartbeats().len(), 1);
 }
 
+#[test]
+fn jump_of_the_demand_is_published_early() {
+    let mut group = NodeGroup::default();
+    let beat = |beat_ms: i64, prefill_ms: f64| {
+        let rate = DemandRate { prefill_ms, output_tokens: 0.0 };
+        let demand = vec![PoolDemand { pool: "pool".parse().unwrap(), rate }];
+        NodeHeartbeat { demand, ..heartbeat(&UsageLedger::default(), beat_ms) }
+    };
+    group.record(&name(1), beat(1_000, 800.0), at(1_000));
+    group.record_published();
+    group.record(&name(1), beat(2_000, 900.0), at(2_000));
+    assert!(!group.has_changed());
+    group.record(&name(1), beat(3_000, 2_400.0), at(3_000));
+    assert!(group.has_changed());
+    group.record_published();
+    assert!(!group.has_changed());
+}
+
 #[test]
 fn delayed_heartbeat_does_not_replace_a_newer_one() {
     let mut ledger = UsageLedger::default();
