Count the lateness of an upstream's responses in the expected wait

Load pattern: a runner turns slow, or other nodes fill its queue, while its reports look like those of others. Responses later than expected, and the longest overdue one, add to the expected wait; it decays within seconds, so that the runner is tried again.

--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 
 use samphiredeck_core::{
-    forward::placement::{Placement, PromptPart},
+    forward::{
+        placement::{Placement, PromptPart},
+        upstreams::PendingResponse,
+    },
     ids::UpstreamId,
 };
 
@@ -15,7 +18,8 @@
     node: Rc<ForwardNode>,
     /// Upstream that the request was sent to.
     pub upstream: UpstreamId,
-    pending_prefill_tokens: u64,
+    /// Until the response starts.
+    pending: Option<PendingResponse>,
     /// Whether the upstream had no other prompt to process when the request was sent, as far as
     /// known. The time to the first event then measures the upstream's speed.
     pub is_alone: bool,
@@ -35,17 +39,23 @@
             let started_ms = row.entry.started_ms;
             state.prompt_cache.record_sent(&placement.upstream, started_ms, shared, now);
         }
-        state.upstreams.record_request_start(&placement.upstream, placement.prefill_tokens);
+        let pending = PendingResponse {
+            prefill_tokens: placement.prefill_tokens,
+            due_at: now + placement.expected_wait,
+        };
+        state.upstreams.record_request_start(&placement.upstream, &pending);
         drop(guard);
         let upstream = placement.upstream.clone();
-        let pending_prefill_tokens = placement.prefill_tokens;
-        Self { node: Rc::clone(node), upstream, pending_prefill_tokens, is_alone }
+        Self { node: Rc::clone(node), upstream, pending: Some(pending), is_alone }
     }
 
-    /// Records that the upstream has processed the prompt.
-    pub fn record_prompt_processed(&mut self) {
-        let pending_prefill_tokens = std::mem::take(&mut self.pending_prefill_tokens);
-        self.node.state().upstreams.record_prompt_processed(&self.upstream, pending_prefill_tokens);
+    /// Records that the response has started.
+    pub fn record_response_start(&mut self) {
+        if let Some(pending) = self.pending.take() {
+            let mut state = self.node.state();
+            state.upstreams.record_no_longer_pending(&self.upstream, &pending);
+            state.upstreams.record_response_start(&self.upstream, &pending, clock::now());
+        }
     }
 
     /// Records whether the upstream failed.
@@ -57,7 +67,9 @@
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
         let mut state = self.node.state();
-        state.upstreams.record_prompt_processed(&self.upstream, self.pending_prefill_tokens);
+        if let Some(pending) = &self.pending {
+            state.upstreams.record_no_longer_pending(&self.upstream, pending);
+        }
         state.upstreams.record_request_end(&self.upstream);
     }
 }
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -117,7 +117,7 @@
 ) -> Result<ReceivedResponse, SendFailure> {
     let (head, body) = response.into_parts();
     let metadata = decode_response_headers(head.status, &head.headers);
-    in_flight.record_prompt_processed();
+    in_flight.record_response_start();
     apply_metadata(trace, in_flight, &metadata);
     if metadata.not_executed.is_some() {
         let reason = format!("rejected with {}", head.status.as_u16());
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -295,11 +295,12 @@
     let other_load = row.other_nodes_load(now);
     let requests = f64::from(row.in_flight) + other_load;
     if !request.engine {
-        return (requests + 1.0) / f64::from(row.entry.slots.max(1)) * speed.service_ms();
+        let service_ms = (requests + 1.0) / f64::from(row.entry.slots.max(1)) * speed.service_ms();
+        return service_ms + row.lateness_ms(now);
     }
     let waiting = f64::from(row.reported_waiting(now)).min(other_load);
     #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
     let own_tokens = (row.pending_prefill_tokens + prefill_tokens) as f64;
     let other_tokens = (waiting + requests * PREFILL_SHARE) * speed.prompt_tokens();
-    speed.first_token_ms() + speed.prefill_ms(own_tokens + other_tokens)
+    speed.first_token_ms() + speed.prefill_ms(own_tokens + other_tokens) + row.lateness_ms(now)
 }
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -33,6 +33,10 @@
 const DELTA_ENTRIES_MAX: usize = 1_000;
 /// Half-life of recorded failures and successes.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Half-life of the lateness of an upstream without responses, so that it is tried again.
+const LATENESS_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Weight of the newest response in the lateness of its upstream.
+const LATENESS_WEIGHT: f64 = 0.3;
 /// Time over which a load report loses its weight, since other nodes send requests in the meantime.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -154,6 +158,15 @@
     }
 }
 
+/// Request whose response has not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PendingResponse {
+    /// Prompt tokens to compute.
+    pub prefill_tokens: u64,
+    /// Time at which the response is expected to start.
+    pub due_at: BootTime,
+}
+
 /// Load that an upstream reported with a response.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReport {
@@ -187,6 +200,13 @@
     pub pending_prefill_tokens: u64,
     /// Last reported load.
     report: Option<LoadReport>,
+    /// Times at which this node's requests without a sign of a response were expected to have one.
+    /// In the order in which the requests were sent.
+    due_times: Vec<BootTime>,
+    /// Moving average of the time by which responses were later than expected, in milliseconds.
+    /// Decays with [`LATENESS_HALF_LIFE`] from `late_at` on.
+    lateness_ms: f64,
+    late_at: BootTime,
     /// Failures and successes, both decaying with [`FAILURE_HALF_LIFE`].
     failures: f64,
     successes: f64,
@@ -204,6 +224,9 @@
             in_flight: 0,
             pending_prefill_tokens: 0,
             report: None,
+            due_times: Vec::new(),
+            lateness_ms: 0.0,
+            late_at: now,
             failures: 0.0,
             successes: 0.0,
             decayed_at: now,
@@ -239,6 +262,20 @@
         report.map_or(0, |report| report.waiting)
     }
 
+    /// Time by which this upstream's responses are later than expected, in milliseconds: recent ones,
+    /// or the longest overdue one. Work of other nodes and a slow upstream show in it.
+    #[must_use]
+    pub fn lateness_ms(&self, now: BootTime) -> f64 {
+        let first_due = self.due_times.iter().min();
+        let overdue_ms = first_due.map_or(0.0, |due| now.since(*due).as_secs_f64() * 1_000.0);
+        self.decayed_lateness_ms(now).max(overdue_ms)
+    }
+
+    fn decayed_lateness_ms(&self, now: BootTime) -> f64 {
+        let passed = now.since(self.late_at).as_secs_f64();
+        self.lateness_ms * 0.5_f64.powf(passed / LATENESS_HALF_LIFE.as_secs_f64())
+    }
+
     /// Recent failure rate, biased towards 0 when there are few samples.
     #[must_use]
     pub fn failure_rate(&self, now: BootTime) -> f64 {
@@ -493,19 +530,39 @@
         self.find_mut(id).is_some_and(|row| std::mem::replace(&mut row.accepting, false))
     }
 
-    /// Records a request with `prefill_tokens` prompt tokens to compute that is sent to `id`.
-    pub fn record_request_start(&mut self, id: &UpstreamId, prefill_tokens: u64) {
+    /// Records a request that is sent to `id`.
+    pub fn record_request_start(&mut self, id: &UpstreamId, pending: &PendingResponse) {
         if let Some(row) = self.find_mut(id) {
             row.in_flight += 1;
-            row.pending_prefill_tokens += prefill_tokens;
+            row.pending_prefill_tokens += pending.prefill_tokens;
+            row.due_times.push(pending.due_at);
         }
     }
 
-    /// Records that `id` has processed the prompt of a request that had `prefill_tokens` prompt
-    /// tokens to compute.
-    pub fn record_prompt_processed(&mut self, id: &UpstreamId, prefill_tokens: u64) {
+    /// Records that the response of `id` to a request is no longer pending: it has started, or is
+    /// not awaited any more.
+    pub fn record_no_longer_pending(&mut self, id: &UpstreamId, pending: &PendingResponse) {
+        if let Some(row) = self.find_mut(id) {
+            let tokens = row.pending_prefill_tokens;
+            row.pending_prefill_tokens = tokens.saturating_sub(pending.prefill_tokens);
+            if let Some(at) = row.due_times.iter().position(|due| *due == pending.due_at) {
+                row.due_times.remove(at);
+            }
+        }
+    }
+
+    /// Records that the response of `id` to a request started at `now`.
+    pub fn record_response_start(
+        &mut self,
+        id: &UpstreamId,
+        pending: &PendingResponse,
+        now: BootTime,
+    ) {
         if let Some(row) = self.find_mut(id) {
-            row.pending_prefill_tokens = row.pending_prefill_tokens.saturating_sub(prefill_tokens);
+            let late_ms = now.since(pending.due_at).as_secs_f64() * 1_000.0;
+            let decayed = row.decayed_lateness_ms(now);
+            row.lateness_ms = decayed + (late_ms - decayed) * LATENESS_WEIGHT;
+            row.late_at = now;
         }
     }
 
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -9,7 +9,10 @@
         pool_speed::PoolSpeed,
         prompt_cache::PromptCacheTable,
         store_readers::{ReaderCandidate, order_readers},
-        upstreams::{ListUpdate, ListedUpstream, PeerListStatus, UpstreamChange, UpstreamRegistry},
+        upstreams::{
+            ListUpdate, ListedUpstream, PeerListStatus, PendingResponse, UpstreamChange,
+            UpstreamRegistry,
+        },
     },
     ids::{DomainName, NodeName, PoolName, RowVersion, UpstreamId},
 };
@@ -171,6 +174,30 @@
     assert!(row.other_nodes_load(at(3_500)) < 0.1);
 }
 
+fn pending(prefill_tokens: u64, due_millis: u64) -> PendingResponse {
+    PendingResponse { prefill_tokens, due_at: at(due_millis) }
+}
+
+#[test]
+fn slow_upstream_is_avoided_while_its_responses_are_late_and_tried_again_later() {
+    // One runner is slowed down while all report the same load, as in `srv_slow`.
+    let mut registry = UpstreamRegistry::default();
+    read(&mut registry, &["u", "v"], 1_000);
+    let request = pending(0, 1_500);
+    registry.record_request_start(&id("u"), &request);
+    assert_eq!(registry.find(&id("u")).unwrap().lateness_ms(at(1_400)), 0.0);
+    // Not answered yet, and already overdue.
+    let overdue = registry.find(&id("u")).unwrap().lateness_ms(at(1_900));
+    assert!((overdue - 400.0).abs() < 1.0, "{overdue}");
+    assert_eq!(choose(&registry, &[], &[]).as_deref(), Some("v"));
+    registry.record_no_longer_pending(&id("u"), &request);
+    registry.record_response_start(&id("u"), &request, at(2_000));
+    let late = registry.find(&id("u")).unwrap().lateness_ms(at(2_000));
+    assert!(late > 100.0, "{late}");
+    assert_eq!(choose(&registry, &[], &[]).as_deref(), Some("v"));
+    assert!(registry.find(&id("u")).unwrap().lateness_ms(at(10_000)) < 1.0);
+}
+
 fn parts(shared: &str, tokens: u64, own: u64) -> Vec<PromptPart> {
     let part = |id: &str, tokens| PromptPart { id: id.to_owned(), tokens };
     vec![part("base", 500), part(shared, tokens), part("own", own)]
@@ -202,7 +229,7 @@
     let affinity_upstream = affinity_choices[0][0].clone().unwrap();
     let mut registry = UpstreamRegistry::default();
     read(&mut registry, &names, 1_000);
-    registry.record_request_start(&id(&affinity_upstream), 20_000);
+    registry.record_request_start(&id(&affinity_upstream), &pending(20_000, 2_500));
     assert_ne!(choose(&registry, &parts("session0", 5_000, 600), &[]), Some(affinity_upstream));
 }
 
