Keep an upstream that left from accepting again when its entry returns

Cause: a row that is kept for its requests in flight after the entry is gone took a returned entry without the mark as accepting, although the upstream had been marked as leaving. Change: the mark lasts until a restart; only entries that expired without one accept again. The test failed first. Also: a record of failed work is reported as failed, not as cancelled.

--- a/samphiredeck/src/caller/request_lookup.rs
+++ b/samphiredeck/src/caller/request_lookup.rs
@@ -156,7 +156,8 @@
     match row.state {
         WorkState::Open => Err(CallerError::still_running(id)),
         WorkState::Cancelled | WorkState::Failed => {
-            let reason = "cancelled".to_owned();
+            let cancelled = row.state == WorkState::Cancelled;
+            let reason = if cancelled { "cancelled" } else { "failed" }.to_owned();
             let failure = RunFailure { reason, verdict: row.verdict, retry_after_s: 1 };
             Err(CallerError::from(failure).with_request(id))
         }
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -1,8 +1,7 @@
 //! Registry of the upstreams that the platform lists, with this node's observations of them.
 //!
 //! An upstream that was marked as leaving, by whatever source, accepts no new requests until it is
-//! started again, or listed again without the mark after it was gone from the list. Upstreams that
-//! are missing from the list after an outage of the store are kept as a last resort for the time
+//! started again. Upstreams that are missing from the list after an outage of the store are kept as a last resort for the time
 //! that the platform takes to list them again.
 
 use std::{
@@ -186,8 +185,10 @@
     /// Entry as last read. Its id and start time identify the row.
     pub entry: ListedUpstream,
     /// Whether new requests may be sent. Once false, it stays false until the upstream is started
-    /// again, or listed again without a leaving mark after it was gone from the list.
+    /// again or, unless it was marked as leaving, listed again after it was gone from the list.
     accepting: bool,
+    /// Whether the upstream was marked as leaving, by whatever source, since it was started.
+    marked_leaving: bool,
     /// Whether the upstream is still listed.
     listed: bool,
     /// Time until which the row is kept although the first read after a gap did not contain it.
@@ -218,6 +219,7 @@
         let warm_up_until = now + entry.warm_up;
         Self {
             accepting: !entry.leaving,
+            marked_leaving: entry.leaving,
             listed: true,
             missing_until: None,
             warm_up_until,
@@ -515,9 +517,10 @@
             changes.push(UpstreamChange::Returned(entry.id.clone()));
             // A row that expired, was removed, and reappears with the same start time accepts
             // requests again.
-            row.accepting |= !row.listed && !entry.leaving;
+            row.accepting |= !row.listed && !entry.leaving && !row.marked_leaving;
             row.listed = true;
         }
+        row.marked_leaving |= entry.leaving;
         if entry.leaving && row.accepting {
             row.accepting = false;
             changes.push(UpstreamChange::Leaving(entry.id.clone()));
@@ -527,7 +530,10 @@
 
     /// Marks `id` as leaving, as announced in a response. Returns whether it was not marked before.
     pub fn record_leaving_mark(&mut self, id: &UpstreamId) -> bool {
-        self.find_mut(id).is_some_and(|row| std::mem::replace(&mut row.accepting, false))
+        self.find_mut(id).is_some_and(|row| {
+            row.marked_leaving = true;
+            std::mem::replace(&mut row.accepting, false)
+        })
     }
 
     /// Records a request that is sent to `id`.
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -100,6 +100,21 @@
     assert!(accepting(&registry, "u", 2_500), "a restart clears the mark");
 }
 
+#[test]
+fn upstream_that_left_does_not_accept_again_when_its_entry_returns() {
+    let mut registry = UpstreamRegistry::default();
+    read(&mut registry, &["u", "v"], 1_000);
+    // A request in flight keeps the row after its entry is gone.
+    registry.record_request_start(&id("u"), &pending(0, 1_000));
+    registry.record_request_start(&id("v"), &pending(0, 1_000));
+    let leaving = ListedUpstream { leaving: true, ..entry("u") };
+    registry.apply_list(vec![leaving, entry("v")], RowVersion(1_500), at(1_490), at(1_500));
+    read(&mut registry, &[], 2_000);
+    read(&mut registry, &["u", "v"], 2_500);
+    assert!(!accepting(&registry, "u", 2_500), "it was leaving");
+    assert!(accepting(&registry, "v", 2_500), "its entry had expired");
+}
+
 #[test]
 fn leaving_mark_in_a_response_is_kept() {
     let mut registry = UpstreamRegistry::default();
