Cover further losses with on-demand upstreams while replacements are refused

Change: while orders of reclaimable upstreams are refused, one and a half of the largest domain is covered in advance, not half.

--- a/samphiredeck_core/src/forward/capacity.rs
+++ b/samphiredeck_core/src/forward/capacity.rs
@@ -3,7 +3,9 @@
 //! The platform may reclaim all reclaimable upstreams of a failure domain at once, in several
 //! domains in a row, and may have no replacements for a while. Reclaimable upstreams are therefore
 //! ordered so that enough remain after the loss of two domains, and on-demand upstreams cover part
-//! of the shortfall that the next loss would cause.
+//! of the shortfall that the next loss would cause. While the platform refuses replacements,
+//! further losses are likely before any can be made up for, and on-demand upstreams take as long to
+//! start as the next two losses may take to come: these are covered in advance.
 
 use std::time::Duration;
 
@@ -17,6 +19,10 @@
 /// Share of the largest domain's reclaimable upstreams that on-demand ones replace in advance. The
 /// rest is ordered once the domain is reclaimed.
 const COVERED_SHARE: f64 = 0.5;
+/// The same while the platform refuses replacements: one domain, and half of another.
+const COVERED_SHARE_REFUSED: f64 = 1.5;
+/// Time since the last refusal of reclaimable upstreams for which further refusals are expected.
+const REFUSAL_LIFETIME: Duration = Duration::from_secs(3);
 /// Minimum number of upstreams, whatever the demand.
 const MIN_NEEDED: f64 = 2.0;
 /// Share of the upstreams present at startup that is assumed to be needed until demand is known.
@@ -144,6 +150,12 @@
         self.needs.iter().map(|(_, need)| *need).fold(initial, f64::max)
     }
 
+    /// Whether the platform has refused reclaimable upstreams lately.
+    fn lacks_replacements(&self, now: BootTime) -> bool {
+        let mut refusals = self.rows.iter().filter(|row| row.reclaimable);
+        refusals.any(|row| row.refused_at.is_some_and(|at| now.since(at) < REFUSAL_LIFETIME))
+    }
+
     /// Returns the orders to send at `now`, given the capacity of each domain and the number of
     /// upstreams that the current demand needs. Orders for reclaimable upstreams come first.
     #[must_use]
@@ -156,7 +168,9 @@
     ) -> Vec<CapacityOrder> {
         let needed = self.needed(capacities, need, now);
         let reclaimable = reclaimable_per_domain(rule, capacities.len(), needed);
-        let on_demand = on_demand_per_domain(rule, capacities, needed);
+        let covered =
+            if self.lacks_replacements(now) { COVERED_SHARE_REFUSED } else { COVERED_SHARE };
+        let on_demand = on_demand_per_domain(rule, capacities, needed, covered);
         let mut orders = Vec::new();
         for (capacity, on_demand) in capacities.iter().zip(on_demand) {
             let reclaimable = reclaimable.min(rule.max - on_demand);
@@ -190,16 +204,18 @@
 }
 
 /// Number of on-demand upstreams to order in each domain, in the order of `capacities`. Covers the
-/// shortfall that the loss of part of the largest domain's reclaimable upstreams would leave,
-/// starting with the cheapest domains.
+/// shortfall that the loss of `covered` times the largest domain's reclaimable upstreams would
+/// leave, starting with the cheapest domains.
 fn on_demand_per_domain(
     rule: &ScalingRule,
     capacities: &[DomainCapacity],
     needed: f64,
+    covered: f64,
 ) -> Vec<u32> {
     let serving: u32 = capacities.iter().map(|capacity| capacity.reclaimable).sum();
     let largest = capacities.iter().map(|capacity| capacity.reclaimable).max().unwrap_or(0);
-    let mut shortfall = needed - (f64::from(serving) - f64::from(largest) * COVERED_SHARE);
+    let remaining = (f64::from(serving) - f64::from(largest) * covered).max(0.0);
+    let mut shortfall = needed - remaining;
     let mut counts = vec![0; capacities.len()];
     let price = |index: usize| {
         let found =
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -301,6 +301,38 @@
     assert!(orders.iter().any(|order| order.reclaimable), "a refused order is retried");
 }
 
+#[test]
+fn further_losses_are_covered_while_replacements_are_refused() {
+    // Load pattern of the large fleet's calm day: two of six domains are reclaimed, replacements
+    // are refused, and two more domains go eight seconds later, 1.5 s apart, while on-demand
+    // upstreams take 4 s to start.
+    let mut planner = CapacityPlanner::default();
+    let rule = ScalingRule { max: 36, ..rule() };
+    let (need, all) = (18.0, capacities([(10, 0); 4]));
+    // The assumption about the need at startup has expired by the second round.
+    for millis in [0, 30_000] {
+        for order in planner.next_orders(&rule, &all, need, at(millis)) {
+            planner.record_accepted(&order, at(millis));
+        }
+    }
+    let one_lost = capacities([(0, 0), (10, 0), (10, 0), (10, 0)]);
+    assert!(planner.next_orders(&rule, &all, need, at(30_600)).is_empty());
+    let mut on_demand = 0;
+    for step in 0..5 {
+        let now = at(31_000 + step * 600);
+        for order in planner.next_orders(&rule, &one_lost, need, now) {
+            if order.reclaimable {
+                planner.record_refused(&order, now);
+            } else {
+                planner.record_accepted(&order, now);
+                on_demand += order.count;
+            }
+        }
+    }
+    // One more loss and half of another leave 30 - 10 - 5 reclaimable ones.
+    assert_eq!(on_demand, 3);
+}
+
 #[test]
 fn orders_are_repeated_only_for_lost_upstreams() {
     let mut planner = CapacityPlanner::default();
