Relay the configuration to followers

Cause: each change of the configuration was read by all 295 nodes, and at a start of all nodes each of them read it until it had chosen a reader, 1,019 of 2,400 calls in the first two seconds. Change: followers fetch the row from the reader in parts of one datagram, up to 64 KiB; a starting node chooses its reader first, and asks one that is starting itself again instead of the store.

--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -9,7 +9,7 @@
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
     },
-    ids::{NodeName, WorkspaceName},
+    ids::{NodeName, RowVersion, WorkspaceName},
 };
 use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
@@ -151,6 +151,32 @@
     }
 }
 
+/// Fetches the value of the configuration's row of version `row` from `reader`. Returns `None` if
+/// the reader does not respond or does not relay it.
+pub async fn fetch_config(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    reader: &NodeName,
+    row: RowVersion,
+) -> Option<Vec<u8>> {
+    let address = node.state().members.peer_address(reader)?;
+    let mut value = Vec::new();
+    loop {
+        let id = socket.next_id();
+        let skip = u32::try_from(value.len()).ok()?;
+        let datagram = ForwardDatagram::QueryConfig { query_id: id, row, skip };
+        let reply = query(node, socket, (reader, address), (id, &datagram), STATUS_TIMEOUT).await?;
+        let ForwardDatagram::ConfigPart { size, mut bytes, .. } = reply else { return None };
+        if bytes.is_empty() {
+            return None;
+        }
+        value.append(&mut bytes);
+        if value.len() >= usize::try_from(size).ok()? {
+            return Some(value);
+        }
+    }
+}
+
 /// Queries the members known to `reader`, without the first `skip` changes. Returns `None` if it
 /// does not respond.
 pub async fn query_members(
@@ -208,7 +234,9 @@
         | ForwardDatagram::StoreStatus { .. }
         | ForwardDatagram::Heartbeat { .. }
         | ForwardDatagram::QueryMembers { .. }
-        | ForwardDatagram::MemberStatus { .. } => {}
+        | ForwardDatagram::MemberStatus { .. }
+        | ForwardDatagram::QueryConfig { .. }
+        | ForwardDatagram::ConfigPart { .. } => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -247,7 +275,13 @@
         | ForwardDatagram::OverLimit { query_id: id, .. }
         | ForwardDatagram::Declined { query_id: id }
         | ForwardDatagram::StoreStatus { query_id: id, .. }
+        | ForwardDatagram::ConfigPart { query_id: id, .. }
         | ForwardDatagram::MemberStatus { query_id: id, .. } => socket.complete(id, datagram),
+        ForwardDatagram::QueryConfig { query_id: id, row, skip } => {
+            let (size, bytes) = node.state().config_part(row, skip);
+            let reply = ForwardDatagram::ConfigPart { query_id: id, size, bytes };
+            send(node, socket, &sender, from, &reply).await;
+        }
         ForwardDatagram::Heartbeat { query_id: id, heartbeat, members_digest: digest } => {
             let now = clock::now();
             let members = {
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -74,6 +74,8 @@
 #[derive(Debug, Default)]
 struct SyncSchedule {
     read_at: Option<BootTime>,
+    /// Whether this node has looked for live nodes before it joins them.
+    has_looked_for_others: bool,
     /// Time until which this node waits for a reader instead of publishing a row of its own.
     waits_until: BootTime,
     /// Time of the last attempt to publish this node's heartbeat.
@@ -97,7 +99,9 @@
                     monitor.record_success();
                     let is_first = schedule.read_at.is_none();
                     schedule.read_at = Some(sent_at);
-                    if is_first && !has_live_neighbours(&node, &response, sent_at) {
+                    let looks_for_others =
+                        !std::mem::replace(&mut schedule.has_looked_for_others, true);
+                    if looks_for_others && !has_live_neighbours(&node, &response, sent_at) {
                         sleep(BOOTSTRAP_SPREAD.mul_f64(random())).await;
                         schedule.read_at = None;
                         continue;
@@ -124,13 +128,9 @@
     }
 }
 
-/// Whether other nodes of this failure domain are alive, or this is not the first read.
+/// Whether other nodes of this failure domain are alive, or this node itself was until recently.
 fn has_live_neighbours(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) -> bool {
     let mut state = node.state();
-    if state.has_bootstrapped {
-        return true;
-    }
-    state.has_bootstrapped = true;
     state.clock.add_sample(sent_at, clock::now(), response.clock_ms);
     observe_members(&mut state, &response.rows, response.clock_ms);
     let is_restart = state.members.peer_address(&node.settings().name).is_some();
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
@@ -34,6 +35,8 @@
 /// complete this long after its end.
 const COUNT_DELAY_MS: i64 = 1_000;
 
+/// Size of a part of the configuration in bytes, so that it fits into a datagram.
+const CONFIG_PART_BYTES: usize = 1_000;
 /// Age of the list of members, in milliseconds, from which this node does not act as a quota owner.
 /// Below the age at which others consider it gone, by a publishing period.
 const OWNER_VIEW_AGE_MAX_MS: i64 = 4_500;
@@ -50,10 +53,14 @@
     pub freshness: CatalogFreshness,
     /// Newest version of the configuration's row in the store, whether it could be decoded or not.
     pub config_row_version: RowVersion,
+    /// Value of that row, for followers. `None` if it is too large to be relayed.
+    pub config_value: Option<Bytes>,
     /// Whether another node has reported a newer version.
     pub newer_config_reported: bool,
     /// Node that this one queries instead of the store. `None` if it reads the store itself.
     pub reader: Option<NodeName>,
+    /// Whether `reader` was chosen since the start.
+    pub has_chosen_reader: bool,
     /// Known upstreams and their load.
     pub upstreams: UpstreamRegistry,
     /// Nodes of the cluster.
@@ -66,8 +73,6 @@
     pub members_relayed_at: Option<BootTime>,
     /// Time at which a heartbeat was last published, or received by a reader.
     pub published_at: Option<BootTime>,
-    /// Whether this node has looked for live nodes before it joins them.
-    pub has_bootstrapped: bool,
     /// Token buckets of the workspaces that this node owns.
     pub quota_owner: QuotaOwner,
     /// This node's share of the quota that may be granted beyond the limits.
@@ -99,8 +104,10 @@
         Self {
             catalog: None,
             config_row_version: RowVersion::default(),
+            config_value: None,
             newer_config_reported: false,
             reader: None,
+            has_chosen_reader: false,
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
             members: MemberTable::default(),
@@ -108,7 +115,6 @@
             members_differ: false,
             members_relayed_at: None,
             published_at: None,
-            has_bootstrapped: false,
             quota_owner: QuotaOwner::new(bounds.quota_slack),
             local_quota: LocalQuota::new(bounds.quota_slack, NODES_ASSUMED),
             liveness: PeerLiveness::default(),
@@ -193,6 +199,16 @@
         StoreStatus { config, list }
     }
 
+    /// Size of the configuration's row of version `row`, and its next bytes after `skip`. Empty if
+    /// this node does not hold that version or can't relay it.
+    pub fn config_part(&self, row: RowVersion, skip: u32) -> (u32, Vec<u8>) {
+        let value = self.config_value.as_ref().filter(|_| row == self.config_row_version);
+        let Some(value) = value else { return (0, Vec::new()) };
+        let start = usize::try_from(skip).unwrap_or(usize::MAX).min(value.len());
+        let end = (start + CONFIG_PART_BYTES).min(value.len());
+        (u32::try_from(value.len()).unwrap_or(0), value[start..end].to_vec())
+    }
+
     /// Members as relayed to a follower whose list has the digest `known_digest` and that has
     /// received `skip` entries of the difference.
     pub fn relayed_members(&self, known_digest: u64, skip: u32, now: BootTime) -> RelayedMembers {
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -12,9 +12,14 @@
     ids::NodeName,
 };
 use serde_json::json;
+use tokio::time::sleep;
 
 use crate::forward::{
-    clock, node::ForwardNode, peer_messages::query_store_status, peer_socket::PeerSocket,
+    clock,
+    node::ForwardNode,
+    peer_messages::{fetch_config, query_store_status},
+    peer_socket::PeerSocket,
+    store_watch::apply_config_row,
     upstream_log::log_upstream_changes,
 };
 
@@ -22,6 +27,10 @@
 const READERS_QUERIED: usize = 3;
 /// Number of other nodes queried at a time by a node that can't reach the store.
 const PEERS_QUERIED: usize = 2;
+/// Maximum number of further queries to a reader that has just started, by a node that has, too.
+const STARTING_QUERIES: usize = 3;
+/// Pause before each of them.
+const STARTING_PAUSE: Duration = Duration::from_millis(60);
 /// Age from which a node reads the upstream list itself, even if other nodes hold the same one.
 /// Including the time to the next query, it stays well below the users' bound of two seconds on new
 /// requests to leaving upstreams.
@@ -40,7 +49,16 @@
         if *reader == settings.name {
             break;
         }
-        if let Some(status) = query_peer(node, reader).await.filter(|status| status.reaches_store) {
+        let mut status = query_peer(node, reader).await;
+        // After a loss of all nodes, a reader starts together with its followers.
+        for _ in 0..STARTING_QUERIES {
+            if !is_starting(node) || status.as_ref().is_none_or(|status| !status.is_starting) {
+                break;
+            }
+            sleep(STARTING_PAUSE).await;
+            status = query_peer(node, reader).await;
+        }
+        if let Some(status) = status.filter(|status| status.reaches_store) {
             set_reader(node, Some(reader));
             return status.list_is_current;
         }
@@ -49,6 +67,11 @@
     false
 }
 
+/// Whether this node has not learned anything of the store's content yet.
+fn is_starting(node: &ForwardNode) -> bool {
+    node.state().freshness.age(clock::now()).is_none()
+}
+
 /// Queries random nodes for their store status, since the store does not respond to this one.
 pub async fn query_random_peers(node: &Rc<ForwardNode>) {
     let own_name = node.settings().name.clone();
@@ -65,6 +88,8 @@
 struct PeerStatus {
     /// Whether the other node reaches the store.
     reaches_store: bool,
+    /// Whether the other node has not read the store yet.
+    is_starting: bool,
     /// Whether the upstream list is known to be current.
     list_is_current: bool,
 }
@@ -73,6 +98,12 @@
 async fn query_peer(node: &Rc<ForwardNode>, other: &NodeName) -> Option<PeerStatus> {
     let socket = node.peer_socket.borrow().clone()?;
     let (store_status, sent_at) = query_whole_status(node, &socket, other).await?;
+    if let Some(config) = store_status.config
+        && config.row > node.state().config_row_version
+        && let Some(value) = fetch_config(node, &socket, other, config.row).await
+    {
+        apply_config_row(node, config.row, Some(&value), sent_at);
+    }
     let now = clock::now();
     let mut state = node.state();
     let reaches_store = store_status
@@ -106,7 +137,11 @@
     };
     let is_recent =
         state.upstreams.read_at().is_some_and(|at| now.since(at) < RELAYED_LIST_AGE_MAX);
-    Some(PeerStatus { reaches_store, list_is_current: list_is_current && is_recent })
+    Some(PeerStatus {
+        reaches_store,
+        is_starting: store_status.config.is_none(),
+        list_is_current: list_is_current && is_recent,
+    })
 }
 
 /// Queries the store status of `other` with all pages of the changes of the upstream list. Returns
@@ -144,6 +179,7 @@
 /// Sets the node that store status is obtained from. `None` stands for the store itself.
 fn set_reader(node: &ForwardNode, reader: Option<&NodeName>) {
     let mut state = node.state();
+    state.has_chosen_reader = true;
     if state.reader.as_ref() == reader {
         return;
     }
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use samphiredeck_core::{boot_time::BootTime, forward::upstreams::ListedUpstream, ids::RowVersion};
 use samphiredeck_platform::{
     catalog::decode_catalog,
@@ -31,15 +32,18 @@
 /// Poll interval of a node that follows the configuration through other nodes.
 const CONFIG_POLL_PERIOD: Duration = Duration::from_millis(100);
 
+/// Maximum size of a configuration that is relayed to followers, in bytes. They read a larger one
+/// from the store, so that its reader is not kept busy.
+const RELAYED_CONFIG_MAX: usize = 65_536;
 /// Maximum time for which a starting node waits until it knows the others.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Poll interval while it waits.
 const JOIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
-/// Waits until this node knows the others, so that it can ask a reader instead of the store.
-async fn wait_joined(node: &ForwardNode) {
+/// Waits at the start until `is_ready`, so that this node can ask a reader instead of the store.
+async fn wait_started(is_ready: impl Fn() -> bool) {
     let until = clock::now() + JOIN_TIMEOUT;
-    while clock::now() < until && node.peer_socket.borrow().is_none() {
+    while clock::now() < until && !is_ready() {
         sleep(JOIN_POLL_PERIOD).await;
     }
 }
@@ -49,7 +53,7 @@
     let mut client = PlatformClient::store(&node, "configuration");
     let mut monitor = DependencyMonitor::new(&node, "configuration");
     let mut last_version: Option<RowVersion> = None;
-    wait_joined(&node).await;
+    wait_started(|| node.state().has_chosen_reader).await;
     loop {
         if !queries_store(&node) {
             // By the next query, the store may have dropped the history since the last response.
@@ -103,43 +107,55 @@
 
 /// Applies the store's response to a query for the configuration sent at `sent_at`.
 fn apply_config(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) {
-    let mut state = node.state();
-    let received_at = clock::now();
     for row in response.rows.iter().filter(|row| row.key == CATALOG_KEY) {
-        state.config_row_version = state.config_row_version.max(row.version);
-        let decoded = row.value.as_deref().map(decode_catalog);
-        let current = state.catalog.as_ref().map(|catalog| catalog.version());
-        match decoded {
-            Some(Ok(catalog)) if Some(catalog.version()) > current => {
-                let fields = json!({
-                    "version": catalog.version().0, "row": row.version.0,
-                    "before": current.map(|version| version.0),
-                    "routes": catalog.routes().len(),
-                    "answered_in_ms": received_at.since(sent_at).as_millis(),
-                });
-                node.log.record("config", fields);
-                node.metrics.config_version.set(i64::try_from(catalog.version().0).unwrap_or(0));
-                state.catalog = Some(Rc::new(catalog));
-            }
-            Some(Ok(_older)) => {}
-            Some(Err(error)) => {
-                let fields = json!({ "row": row.version.0, "reason": error.to_string() });
-                node.log.record("config-unreadable", fields);
-            }
-            None => {
-                node.log.record("config-unreadable", json!({ "row": row.version.0 }));
-            }
-        }
+        apply_config_row(node, row.version, row.value.as_deref(), sent_at);
     }
+    let mut state = node.state();
     state.freshness.record_confirmation(sent_at);
     state.newer_config_reported = false;
 }
 
+/// Applies version `row` of the configuration's row, which was queried at `sent_at`.
+pub fn apply_config_row(
+    node: &ForwardNode,
+    row: RowVersion,
+    value: Option<&[u8]>,
+    sent_at: BootTime,
+) {
+    let mut state = node.state();
+    if row >= state.config_row_version {
+        state.config_row_version = row;
+        let relayed = value.filter(|value| value.len() <= RELAYED_CONFIG_MAX);
+        state.config_value = relayed.map(Bytes::copy_from_slice);
+    }
+    let decoded = value.map(decode_catalog);
+    let current = state.catalog.as_ref().map(|catalog| catalog.version());
+    match decoded {
+        Some(Ok(catalog)) if Some(catalog.version()) > current => {
+            let fields = json!({
+                "version": catalog.version().0, "row": row.0,
+                "before": current.map(|version| version.0),
+                "routes": catalog.routes().len(),
+                "answered_in_ms": clock::now().since(sent_at).as_millis(),
+            });
+            node.log.record("config", fields);
+            node.metrics.config_version.set(i64::try_from(catalog.version().0).unwrap_or(0));
+            state.catalog = Some(Rc::new(catalog));
+        }
+        Some(Ok(_older)) => {}
+        Some(Err(error)) => {
+            let fields = json!({ "row": row.0, "reason": error.to_string() });
+            node.log.record("config-unreadable", fields);
+        }
+        None => node.log.record("config-unreadable", json!({ "row": row.0 })),
+    }
+}
+
 /// Keeps the upstream list up to date.
 pub async fn watch_upstreams(node: Rc<ForwardNode>) {
     let mut client = PlatformClient::store(&node, "upstreams");
     let mut monitor = DependencyMonitor::new(&node, "upstreams");
-    wait_joined(&node).await;
+    wait_started(|| node.peer_socket.borrow().is_some()).await;
     loop {
         if query_readers(&node).await {
             sleep_with_jitter(STATUS_PERIOD).await;
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -5,7 +5,7 @@
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
         store_readers::StoreStatus,
     },
-    ids::WorkspaceName,
+    ids::{RowVersion, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -100,6 +100,24 @@
         #[serde(rename = "news")]
         store_status: StoreStatus,
     },
+    /// Queries a part of the configuration's row.
+    QueryConfig {
+        /// Identifies the query in its reply. Unique while the querying node runs.
+        query_id: u64,
+        /// Version of the row.
+        row: RowVersion,
+        /// Number of bytes that the sender has received already.
+        skip: u32,
+    },
+    /// Replies to [`QueryConfig`](Self::QueryConfig).
+    ConfigPart {
+        /// Identifies the query.
+        query_id: u64,
+        /// Size of the row in bytes. Zero if the sender does not hold that version.
+        size: u32,
+        /// The next bytes of the row.
+        bytes: Vec<u8>,
+    },
     /// Publishes the sender's heartbeat, or a part of it, through the receiver.
     Heartbeat {
         /// Identifies the query in its reply. Unique while the querying node runs.
