--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -9,7 +9,9 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
-        member_list::MemberIdentity, members::NodeHeartbeat, node_groups::split_heartbeat,
+        member_list::MemberIdentity,
+        members::{NodeHeartbeat, is_lapsed},
+        node_groups::split_heartbeat,
         usage::WindowIndex,
     },
     ids::{Incarnation, NodeName, RowVersion},
@@ -32,7 +34,7 @@
     peer_messages::{self, query_members, send_heartbeat},
     peer_socket::PeerSocket,
     platform_client::{PlatformCallError, PlatformClient},
-    state::{ForwardState, REJOIN_AFTER},
+    state::ForwardState,
 };
 
 /// Interval between reads of the shared rows by the leader, which orders capacity for the demand in
@@ -352,8 +354,8 @@
         decode_groups(&response.rows).iter().filter(|(name, _)| *name == settings.name)
     {
         state.usage_ledger.restore(&heartbeat.windows);
-        let lapsed_ms = started_ms.saturating_sub(heartbeat.beat_ms);
-        let lapsed = u128::try_from(lapsed_ms).is_ok_and(|ms| ms >= REJOIN_AFTER.as_millis());
+        let age_ms = u64::try_from(started_ms.saturating_sub(heartbeat.beat_ms)).unwrap_or(0);
+        let lapsed = is_lapsed(Duration::from_millis(age_ms));
         if heartbeat.peer == settings.listen.peer && !lapsed {
             state.since_ms = Some(heartbeat.since_ms.min(started_ms));
         }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -11,7 +11,7 @@
         demand::DemandMeter,
         freshness::CatalogFreshness,
         leader::LeaderLease,
-        members::{MemberTable, NodeHeartbeat},
+        members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
         pool_speed::PoolSpeedTable,
         prompt_cache::PromptCacheTable,
@@ -37,13 +37,6 @@
 
 /// Size of a part of the configuration in bytes, so that it fits into a datagram.
 const CONFIG_PART_BYTES: usize = 1_000;
-/// Age of the list of members, in milliseconds, from which this node does not act as a quota owner.
-/// Below the age at which others consider it gone, by a publishing period.
-const OWNER_VIEW_AGE_MAX_MS: i64 = 4_500;
-/// Time without a published heartbeat after which a node joins anew. Just below the age at which
-/// others consider it gone.
-pub const REJOIN_AFTER: Duration = Duration::from_secs(7);
-
 /// State of this run of the node.
 #[derive(Debug)]
 pub struct ForwardState {
@@ -230,15 +223,13 @@
     /// Whether this node's view of the members at `now` is recent enough to act as a quota owner.
     /// Other nodes may have replaced it otherwise.
     pub fn knows_members(&self, now: BootTime) -> bool {
-        self.clock
-            .store_ms(now)
-            .is_some_and(|store_ms| store_ms - self.members.observed_ms() < OWNER_VIEW_AGE_MAX_MS)
+        self.clock.store_ms(now).is_some_and(|store_ms| self.members.is_recent(store_ms))
     }
 
     /// Treats this node as new if other nodes may have considered it gone at `now`, so that all
     /// nodes accept it as a quota owner at the same time.
     pub fn rejoin_if_lapsed(&mut self, now: BootTime) {
-        let lapsed = self.published_at.is_some_and(|at| now.since(at) >= REJOIN_AFTER);
+        let lapsed = self.published_at.is_some_and(|at| is_lapsed(now.since(at)));
         if lapsed && let Some(store_ms) = self.clock.store_ms(now) {
             self.since_ms = Some(store_ms);
         }
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -4,7 +4,7 @@
 //! on their age, whatever way they took. The counts that a node published stay in use for a while
 //! after it is gone, since the counted requests have run.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,20 @@
 /// time.
 const OWNER_AGE_MIN_MS: i64 = 8_000;
 
+/// Age of the list of members, in milliseconds, from which a node does not act as a quota owner.
+/// Below [`MEMBER_LIFETIME_MS`] by a publishing period.
+const OWNER_VIEW_AGE_MAX_MS: i64 = 4_500;
+/// Time without a published heartbeat after which a node joins anew. Just below
+/// [`MEMBER_LIFETIME_MS`].
+const REJOIN_AFTER: Duration = Duration::from_secs(7);
+
+/// Whether other nodes may have dropped a node that has not published a heartbeat for `silence`. It
+/// then joins as a new node, so that all nodes accept it as a quota owner at the same time.
+#[must_use]
+pub fn is_lapsed(silence: Duration) -> bool {
+    silence >= REJOIN_AFTER
+}
+
 /// Heartbeat that a node publishes to the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeHeartbeat {
@@ -149,6 +163,13 @@
         self.observed_ms
     }
 
+    /// Whether the list is recent enough, when the store's clock shows `store_ms`, for this node to
+    /// act as a quota owner. Other nodes may have replaced it otherwise.
+    #[must_use]
+    pub fn is_recent(&self, store_ms: i64) -> bool {
+        store_ms.saturating_sub(self.observed_ms) < OWNER_VIEW_AGE_MAX_MS
+    }
+
     /// Heartbeats of the live nodes.
     fn live_heartbeats(&self) -> impl Iterator<Item = &NodeHeartbeat> {
         let is_listed = |node: &NodeName| {
--- a/samphiredeck_core/tests/forward_groups.rs
+++ b/samphiredeck_core/tests/forward_groups.rs
@@ -1,13 +1,15 @@
 //! Tests of the heartbeats that readers publish for their followers, and of the relayed list of
 //! members.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
         demand::{DemandRate, PoolDemand},
         member_list::{MemberIdentity, MemberList},
-        members::{MemberTable, NodeHeartbeat},
+        members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::{NodeGroup, merge_heartbeats, split_heartbeat},
         usage::{UsageLedger, WindowIndex},
     },
@@ -103,6 +105,40 @@
     assert_eq!((table.count(), table.observed_ms()), (2, 20_300));
 }
 
+/// Fault on the bench (commons, scale-2): two nodes were cut off for 12 s and granted units again at
+/// once, while the others still asked the owners that had replaced them.
+#[test]
+fn node_that_was_cut_off_owns_quotas_only_when_all_nodes_know_it_again() {
+    let empty = UsageLedger::default();
+    let beat = |number: usize, beat_ms: i64, since_ms: i64| {
+        (name(number), NodeHeartbeat { since_ms, ..heartbeat(&empty, beat_ms) })
+    };
+    let mut cut_off = MemberTable::default();
+    let mut other = MemberTable::default();
+    for table in [&mut cut_off, &mut other] {
+        table.observe(vec![beat(0, 20_000, 0), beat(1, 20_000, 0)], 20_100);
+    }
+    let owners = |table: &MemberTable, store_ms: i64| -> Vec<NodeName> {
+        table.quota_owner_candidates(Some(store_ms)).into_iter().cloned().collect()
+    };
+    // Node 0 is cut off until 32 s. It stops to grant before the others drop it.
+    assert!(cut_off.is_recent(24_000) && !cut_off.is_recent(25_000));
+    other.observe(vec![beat(0, 20_000, 0), beat(1, 27_000, 0)], 27_100);
+    assert_eq!(owners(&other, 27_100), [name(0), name(1)]);
+    other.observe(vec![beat(0, 20_000, 0), beat(1, 28_000, 0)], 28_100);
+    assert_eq!(owners(&other, 28_100), [name(1)]);
+    assert!(is_lapsed(Duration::from_secs(12)) && !is_lapsed(Duration::from_secs(6)));
+    // It reads the store again and joins as a new node. Both accept it as an owner from 40 s on.
+    cut_off.observe(vec![beat(0, 32_000, 32_000), beat(1, 31_500, 0)], 32_000);
+    assert!(cut_off.is_recent(32_100));
+    assert_eq!(owners(&cut_off, 32_100), [name(1)]);
+    other.observe(vec![beat(0, 32_000, 32_000), beat(1, 34_000, 0)], 34_100);
+    for table in [&cut_off, &other] {
+        assert_eq!(owners(table, 39_999), [name(1)]);
+        assert_eq!(owners(table, 40_000), [name(0), name(1)]);
+    }
+}
+
 #[test]
 fn group_publishes_its_followers_until_they_are_reported() {
     let mut group = NodeGroup::default();
