--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -16,7 +16,7 @@
     RequestMetadata, decode_request_headers, encode_refusal_headers,
 };
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::forward::{
     attempt::{RequestProgress, send_with_retries},
@@ -38,6 +38,11 @@
 /// ready, and they reach another one.
 const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Maximum time for which a request waits for the first configuration of a starting node.
+const FIRST_CATALOG_TIMEOUT: Duration = Duration::from_millis(500);
+/// Poll interval while it waits.
+const FIRST_CATALOG_POLL_PERIOD: Duration = Duration::from_millis(10);
+
 /// Accounts for a buffered request body until the request has ended.
 #[derive(Debug)]
 struct BufferedBody {
@@ -80,6 +85,7 @@
 ) -> Result<(AdmittedRequest, RequestProgress, BufferedBody), ErrorResponse> {
     let node = Rc::clone(&trace.node);
     let (parts, payload) = request.into_parts();
+    wait_for_first_catalog(&node, trace).await;
     let catalog = current_catalog(&node, trace)?;
     let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
@@ -118,6 +124,15 @@
     Ok((admitted, RequestProgress::new(reservation), buffered))
 }
 
+/// Waits for the first configuration on a node that has just started, as after a loss of all nodes.
+/// It arrives within a few store calls, sooner than the caller could come back after a refusal.
+async fn wait_for_first_catalog(node: &ForwardNode, trace: &RequestTrace) {
+    let until = trace.arrived_at + FIRST_CATALOG_TIMEOUT;
+    while node.state().catalog.is_none() && clock::now() < until {
+        sleep(FIRST_CATALOG_POLL_PERIOD).await;
+    }
+}
+
 /// Returns the active configuration, if it is fresh enough to admit requests.
 fn current_catalog(
     node: &ForwardNode,
