--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -200,6 +200,10 @@
     read(&mut registry, &["u", "v"], 1_000);
     let request = pending(0, 1_500);
     registry.record_request_start(&id("u"), &request);
+    // Without its lateness, the first one would be preferred.
+    for _ in 0..3 {
+        registry.record_request_start(&id("v"), &pending(0, 9_000));
+    }
     assert!(registry.find(&id("u")).unwrap().lateness_ms(at(1_400)) < 0.1);
     // Not answered yet, and already overdue.
     let overdue = registry.find(&id("u")).unwrap().lateness_ms(at(1_900));
