--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -5,6 +5,7 @@
 mod connection_pool;
 mod decision_log;
 mod dependency;
+mod heartbeats;
 mod http_connection;
 mod in_flight;
 mod ingress;
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -7,7 +7,8 @@
     boot_time::BootTime,
     forward::{
         store_readers::{ReaderCandidate, StoreStatus, order_readers},
-        upstreams::{ListDelta, ListUpdate, PeerListStatus},
+        upstream_list::ListDelta,
+        upstreams::{ListUpdate, PeerListStatus},
     },
     ids::NodeName,
 };
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use samphiredeck_core::{boot_time::BootTime, forward::upstreams::ListedUpstream, ids::RowVersion};
+use samphiredeck_core::{
+    boot_time::BootTime, forward::upstream_list::ListedUpstream, ids::RowVersion,
+};
 use samphiredeck_platform::{
     catalog::decode_catalog,
     store::{
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -21,5 +21,6 @@
 pub mod quota;
 pub mod retry_budget;
 pub mod store_readers;
+pub mod upstream_list;
 pub mod upstreams;
 pub mod usage;
--- a/samphiredeck_core/src/forward/store_readers.rs
+++ b/samphiredeck_core/src/forward/store_readers.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    forward::upstreams::ListDelta,
+    forward::upstream_list::ListDelta,
     ids::{DomainName, NodeName, RowVersion},
 };
 
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -1,21 +1,15 @@
 //! Registry of the upstreams that the platform lists, with this node's observations of them.
 //!
 //! An upstream that was marked as leaving, by whatever source, accepts no new requests until it is
-//! started again. Upstreams that are missing from the list after an outage of the store are kept as a last resort for the time
-//! that the platform takes to list them again.
+//! started again. Upstreams that are missing from the list after an outage of the store are kept as
+//! a last resort for the time that the platform takes to list them again.
 
-use std::{
-    hash::{Hash, Hasher},
-    net::SocketAddr,
-    time::Duration,
-};
-
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3Default;
+use std::time::Duration;
 
 use crate::{
     boot_time::BootTime,
-    ids::{DomainName, PoolName, RowVersion, UpstreamId},
+    forward::upstream_list::{ListDelta, ListedUpstream, changed_ids, digest_list, find_entry},
+    ids::{RowVersion, UpstreamId},
 };
 
 /// Gap between two reads of the list after which entries of live upstreams may have expired: more
@@ -26,8 +20,6 @@
 const RELIST_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// Number of recent list changes kept for nodes that hold an older list: those of two seconds.
 const RECENT_CHANGES_MAX: usize = 5;
-/// Maximum number of entries in a page of a delta, so that it fits into one datagram.
-const PAGE_ENTRIES_MAX: usize = 8;
 /// Maximum number of entries in a delta. A node that lacks more reads the store.
 const DELTA_ENTRIES_MAX: usize = 1_000;
 /// Half-life of recorded failures and successes.
@@ -39,80 +31,6 @@
 /// Time over which a load report loses its weight, since other nodes send requests in the meantime.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
-/// One entry of the platform's list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListedUpstream {
-    /// Id of the upstream.
-    pub id: UpstreamId,
-    /// Start time of the upstream in Unix milliseconds, if reported. An upstream that restarts
-    /// under the same id has lost all its state.
-    #[serde(rename = "born_ms")]
-    pub started_ms: Option<u64>,
-    /// Pool that the upstream belongs to.
-    pub pool: PoolName,
-    /// Address that the upstream serves on.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: DomainName,
-    /// Number of requests that the upstream runs concurrently.
-    pub slots: u32,
-    /// Whether the upstream has announced that it is leaving.
-    pub leaving: bool,
-    /// Time until the upstream is gone, if reported.
-    pub leaves_in: Option<Duration>,
-    /// Whether the platform may reclaim the upstream at any time.
-    pub reclaimable: bool,
-    /// Remaining time for which the upstream is slow after its start.
-    #[serde(rename = "cold")]
-    pub warm_up: Duration,
-}
-
-impl ListedUpstream {
-    /// Fields that are compared and hashed. Excludes values that only count down.
-    fn identity(&self) -> impl Hash + PartialEq + '_ {
-        let upstream = (&self.id, self.started_ms, &self.pool, self.address);
-        (upstream, &self.domain, self.slots, self.leaving, self.reclaimable)
-    }
-}
-
-/// Digest of the content of `list`.
-fn digest_list(list: &[ListedUpstream]) -> u64 {
-    let mut digest = Xxh3Default::new();
-    for entry in list {
-        entry.identity().hash(&mut digest);
-    }
-    digest.finish()
-}
-
-/// Finds the entry of `id` in `list`, which is sorted by id.
-fn find_entry<'a>(list: &'a [ListedUpstream], id: &UpstreamId) -> Option<&'a ListedUpstream> {
-    list.binary_search_by(|entry| entry.id.cmp(id)).ok().map(|at| &list[at])
-}
-
-/// Ids whose entries differ between `old` and `new`, both sorted by id.
-fn changed_ids(old: &[ListedUpstream], new: &[ListedUpstream]) -> Vec<UpstreamId> {
-    let changed = new.iter().filter(|entry| {
-        find_entry(old, &entry.id).is_none_or(|before| before.identity() != entry.identity())
-    });
-    let removed = old.iter().filter(|entry| find_entry(new, &entry.id).is_none());
-    changed.chain(removed).map(|entry| entry.id.clone()).collect()
-}
-
-/// Difference between two versions of the list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListDelta {
-    /// Digest of the list that the delta applies to. `None` if it is the whole list.
-    pub from: Option<u64>,
-    /// Version of the resulting list.
-    pub version: RowVersion,
-    /// New and changed entries.
-    #[serde(rename = "put")]
-    pub upserted: Vec<ListedUpstream>,
-    /// Ids that are no longer listed.
-    #[serde(rename = "gone")]
-    pub removed: Vec<UpstreamId>,
-}
-
 /// Another node's status of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerListStatus {
@@ -124,39 +42,6 @@
     pub delta: Option<ListDelta>,
 }
 
-impl ListDelta {
-    /// Page of the delta without its first `skip` entries, and the number of entries after it.
-    #[must_use]
-    pub fn page(&self, skip: usize) -> (Self, usize) {
-        let upserted = self.upserted.iter().skip(skip).take(PAGE_ENTRIES_MAX);
-        let upserted: Vec<ListedUpstream> = upserted.cloned().collect();
-        let skip_removed = skip.saturating_sub(self.upserted.len());
-        let removed = self.removed.iter().skip(skip_removed);
-        let removed = removed.take(PAGE_ENTRIES_MAX - upserted.len()).cloned().collect();
-        let page = Self { from: self.from, version: self.version, upserted, removed };
-        let left = self.len().saturating_sub(skip + page.len());
-        (page, left)
-    }
-
-    /// Number of entries.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.upserted.len() + self.removed.len()
-    }
-
-    /// Whether there are no entries.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Appends the entries of the next page.
-    pub fn append(&mut self, mut next: Self) {
-        self.upserted.append(&mut next.upserted);
-        self.removed.append(&mut next.removed);
-    }
-}
-
 /// Request whose response has not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PendingResponse {
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -9,9 +9,9 @@
         pool_speed::PoolSpeed,
         prompt_cache::PromptCacheTable,
         store_readers::{ReaderCandidate, order_readers},
+        upstream_list::ListedUpstream,
         upstreams::{
-            ListUpdate, ListedUpstream, PeerListStatus, PendingResponse, UpstreamChange,
-            UpstreamRegistry,
+            ListUpdate, PeerListStatus, PendingResponse, UpstreamChange, UpstreamRegistry,
         },
     },
     ids::{DomainName, NodeName, PoolName, RowVersion, UpstreamId},
