--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use samphiredeck_core::ids::Incarnation;
+use samphiredeck_core::{boot_time::BootTime, ids::Incarnation};
 use tokio::sync::watch;
 
 use crate::forward::{
@@ -42,6 +42,7 @@
     /// Socket for datagrams to other nodes. `None` until the peer secret is known.
     pub peer_socket: RefCell<Option<Rc<PeerSocket>>>,
     pub phase: watch::Sender<ShutdownPhase>,
+    pub started_at: BootTime,
     /// Total size of the buffered request bodies in bytes.
     pub buffered_bytes: Cell<usize>,
 }
@@ -60,6 +61,7 @@
             metrics: ForwardMetrics::new(),
             connections: ConnectionPool::default(),
             phase: watch::Sender::new(ShutdownPhase::Serving),
+            started_at: clock::now(),
             buffered_bytes: Cell::new(0),
         }
     }
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -12,6 +12,7 @@
     ids::{NodeName, WorkspaceName},
 };
 use serde_json::json;
+use tokio::time::sleep;
 
 use crate::forward::{
     clock,
@@ -24,6 +25,13 @@
 /// replaced.
 const UNCHECKED_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after its own start for which a node takes silent owners for starting ones.
+const OWNERS_START_TIME: Duration = Duration::from_secs(2);
+/// Maximum time for which a request waits for them.
+const OWNERS_WAIT_MAX: Duration = Duration::from_millis(600);
+/// Interval between queries while it waits.
+const OWNERS_POLL_PERIOD: Duration = Duration::from_millis(60);
+
 /// Units granted by a quota owner.
 #[derive(Debug)]
 struct OwnerGrant {
@@ -89,7 +97,12 @@
     if node.state().local_quota.take_small(row, units, clock::now()) {
         return Ok(QuotaReservation::new(None));
     }
-    match query_owners(&node, row, units).await {
+    let mut decision = query_owners(&node, row, units).await;
+    while decision.is_none() && awaits_owners(&node, trace) {
+        sleep(OWNERS_POLL_PERIOD).await;
+        decision = query_owners(&node, row, units).await;
+    }
+    match decision {
         Some((owner, QuotaDecision::Granted)) => {
             let workspace = row.name.clone();
             return Ok(QuotaReservation::new(Some(OwnerGrant { node, owner, workspace, units })));
@@ -122,6 +135,13 @@
     Err(ErrorResponse::not_executed("the workspace's limit can't be checked", wait))
 }
 
+/// Whether the owners may only be starting, as after a loss of all nodes, so that the request should
+/// wait for them.
+fn awaits_owners(node: &ForwardNode, trace: &RequestTrace) -> bool {
+    let now = clock::now();
+    now.since(node.started_at) < OWNERS_START_TIME && now.since(trace.arrived_at) < OWNERS_WAIT_MAX
+}
+
 async fn query_owners(
     node: &Rc<ForwardNode>,
     row: &WorkspaceRow,
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -39,7 +39,7 @@
 const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Maximum time for which a request waits for the first configuration of a starting node.
-const FIRST_CATALOG_TIMEOUT: Duration = Duration::from_millis(500);
+const FIRST_CATALOG_TIMEOUT: Duration = Duration::from_secs(1);
 /// Poll interval while it waits.
 const FIRST_CATALOG_POLL_PERIOD: Duration = Duration::from_millis(10);
 
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -91,26 +91,11 @@
     let mut schedule = SyncSchedule::default();
     loop {
         if schedule.time_until_read(&node).is_zero() {
-            let sent_at = clock::now();
-            match client.read_table(SHARED_TABLE, STORE_TIMEOUT).await {
-                Ok(response) => {
-                    monitor.record_success();
-                    let is_first = schedule.read_at.is_none();
-                    schedule.read_at = Some(sent_at);
-                    let looks_for_others =
-                        !std::mem::replace(&mut schedule.has_looked_for_others, true);
-                    if looks_for_others && !has_live_neighbours(&node, &response, sent_at) {
-                        sleep(BOOTSTRAP_SPREAD.mul_f64(random())).await;
-                        schedule.read_at = None;
-                        continue;
-                    }
-                    if is_first && response.rows.iter().any(|row| row.key == own_key(&node)) {
-                        schedule.written_at = Some(sent_at);
-                    }
-                    handle_response(&node, &response, &mut client, sent_at).await;
-                    if is_first && has_neighbours(&node, &node.state()) {
-                        schedule.waits_until = sent_at + READER_CHOICE_TIME;
-                    }
+            match read_rows(&node, &mut client, &mut schedule).await {
+                Ok(ReadStep::Applied) => monitor.record_success(),
+                Ok(ReadStep::LookAgain) => {
+                    sleep(BOOTSTRAP_SPREAD.mul_f64(random())).await;
+                    continue;
                 }
                 Err(error) => {
                     if send_to_successor(&node).await {
@@ -129,6 +114,38 @@
     }
 }
 
+/// Result of a read of the shared rows.
+enum ReadStep {
+    /// The rows were applied.
+    Applied,
+    /// No other node of the failure domain is alive yet, and others may be starting.
+    LookAgain,
+}
+
+/// Reads the shared rows and applies them.
+async fn read_rows(
+    node: &Rc<ForwardNode>,
+    client: &mut PlatformClient,
+    schedule: &mut SyncSchedule,
+) -> Result<ReadStep, PlatformCallError> {
+    let sent_at = clock::now();
+    let response = client.read_table(SHARED_TABLE, STORE_TIMEOUT).await?;
+    let looks_for_others = !std::mem::replace(&mut schedule.has_looked_for_others, true);
+    if looks_for_others && !has_live_neighbours(node, &response, sent_at) {
+        return Ok(ReadStep::LookAgain);
+    }
+    let is_first = schedule.read_at.is_none();
+    schedule.read_at = Some(sent_at);
+    if is_first && response.rows.iter().any(|row| row.key == own_key(node)) {
+        schedule.written_at = Some(sent_at);
+    }
+    handle_response(node, &response, client, sent_at).await;
+    if is_first && has_neighbours(node, &node.state()) {
+        schedule.waits_until = sent_at + READER_CHOICE_TIME;
+    }
+    Ok(ReadStep::Applied)
+}
+
 /// Whether other nodes of this failure domain are alive, or this node itself was until recently.
 fn has_live_neighbours(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) -> bool {
     let mut state = node.state();
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -46,7 +46,9 @@
 pub async fn query_readers(node: &Rc<ForwardNode>) -> bool {
     let settings = node.settings();
     let order = order_readers(&settings.name, &settings.domain, candidates(node));
-    for reader in order.iter().take(READERS_QUERIED) {
+    // A starting node reads for itself sooner: callers wait for its first configuration.
+    let queried = if is_starting(node) { 1 } else { READERS_QUERIED };
+    for reader in order.iter().take(queried) {
         if *reader == settings.name {
             break;
         }
