Take back the way over another node for nodes that the store turns away

Three of eight nodes are cut from the store from 1 to 13 s; one owns the limit of a workspace at 6 times its load. Published through others it stays an owner, joins anew at 8 s, and is replaced while some still ask it.

--- a/samphiredeck/src/forward/heartbeats.rs
+++ b/samphiredeck/src/forward/heartbeats.rs
@@ -7,7 +7,6 @@
     forward::{
         members::{NodeHeartbeat, is_view_recent},
         node_groups::split_heartbeat,
-        store_readers::order_readers,
     },
     ids::NodeName,
 };
@@ -22,9 +21,6 @@
     state::ForwardState,
 };
 
-/// Number of nodes that are asked in turn by a node that the store does not respond to.
-const SUCCESSORS_TRIED: usize = 2;
-
 /// Sends this node's heartbeat to its reader. Returns whether the reader has all of it.
 pub async fn send_to_reader(node: &Rc<ForwardNode>, is_final: bool) -> bool {
     let reader = node.state().reader.clone();
@@ -32,20 +28,6 @@
     send_to(node, &reader, is_final).await
 }
 
-/// Sends this node's heartbeat to one of the nodes that would read the store after it, since the
-/// store does not respond to this one. Returns whether one of them has all of it.
-pub async fn send_to_successor(node: &Rc<ForwardNode>) -> bool {
-    let settings = node.settings();
-    let candidates = node.state().members.reader_candidates();
-    let order = order_readers(&settings.name, &settings.domain, candidates);
-    for other in order.iter().filter(|name| **name != settings.name).take(SUCCESSORS_TRIED) {
-        if send_to(node, other, false).await {
-            return true;
-        }
-    }
-    false
-}
-
 /// Sends this node's heartbeat to `reader` and applies the members that it relays. Returns whether
 /// the reader has all of it and reaches the store, so that it will be published.
 async fn send_to(node: &Rc<ForwardNode>, reader: &NodeName, is_final: bool) -> bool {
@@ -93,10 +75,8 @@
     if let Some(store_ms) = members.store_ms.and_then(|ms| u64::try_from(ms).ok()) {
         state.clock.add_sample(sent_at, now, store_ms);
     }
-    // Nodes that read the rows themselves need no list, unless the store does not respond to them.
-    let reads = state.reader.is_none() || state.leader_lease.fence(now).is_some();
-    let store_ms = state.clock.store_ms(now);
-    if reads && store_ms.is_some_and(|store_ms| state.members.is_recent(store_ms)) {
+    // The leader and nodes that read the store read the rows themselves.
+    if state.reader.is_none() || state.leader_lease.fence(now).is_some() {
         return;
     }
     if let Some(offset) = members.offset {
@@ -107,9 +87,7 @@
     if state.members.apply_relayed(digest, delta, members.observed_ms) {
         state.members_differ = false;
         state.members_relayed_at = Some(now);
-        if !reads {
-            state.members.forget_heartbeats();
-        }
+        state.members.forget_heartbeats();
         apply_member_count(node, &mut state, count_before);
     } else {
         state.members_differ = true;
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -331,7 +331,7 @@
     is_failover: bool,
 ) -> Option<QuotaDecision> {
     let now = clock::now();
-    if !node.state().knows_members(now) {
+    if !node.state().may_own_quotas(&socket.own_name, now) {
         return None;
     }
     let owners = node.state().quota_owners(workspace, now);
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -26,7 +26,7 @@
 use crate::forward::{
     clock,
     dependency::{DependencyMonitor, STORE_TIMEOUT, sleep_with_jitter},
-    heartbeats::{apply_member_count, own_heartbeat, send_to_reader, send_to_successor},
+    heartbeats::{apply_member_count, own_heartbeat, send_to_reader},
     node::ForwardNode,
     peer_messages,
     platform_client::{PlatformCallError, PlatformClient},
@@ -98,9 +98,6 @@
                     continue;
                 }
                 Err(error) => {
-                    if send_to_successor(&node).await {
-                        node.state().published_at = Some(clock::now());
-                    }
                     monitor.record_failure(&error).await;
                     continue;
                 }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -220,10 +220,12 @@
         }
     }
 
-    /// Whether this node's view of the members at `now` is recent enough to act as a quota owner.
-    /// Other nodes may have replaced it otherwise.
-    pub fn knows_members(&self, now: BootTime) -> bool {
-        self.clock.store_ms(now).is_some_and(|store_ms| self.members.is_recent(store_ms))
+    /// Whether this node, called `own`, may act as a quota owner at `now`. Other nodes may have
+    /// replaced it otherwise.
+    pub fn may_own_quotas(&self, own: &NodeName, now: BootTime) -> bool {
+        let since_ms = self.since_ms.unwrap_or(i64::MAX);
+        let store_ms = self.clock.store_ms(now);
+        store_ms.is_some_and(|store_ms| self.members.may_own_quotas(own, since_ms, store_ms))
     }
 
     /// Treats this node as new if other nodes may have considered it gone at `now`, so that all
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -199,6 +199,17 @@
         if old.is_empty() { entries.iter().map(|entry| &entry.node).collect() } else { old }
     }
 
+    /// Whether node `own`, whose current run joined at `own_since_ms`, may act as a quota owner when
+    /// the store's clock shows `store_ms`. A node that joined anew knows so before the others, and
+    /// must stop before they ask its successor.
+    #[must_use]
+    pub fn may_own_quotas(&self, own: &NodeName, own_since_ms: i64, store_ms: i64) -> bool {
+        let is_old = |since_ms: i64| store_ms >= since_ms.saturating_add(OWNER_AGE_MIN_MS);
+        let mut others = self.list.entries().iter().filter(|entry| entry.node != *own);
+        self.is_recent(store_ms)
+            && (is_old(own_since_ms) || !others.any(|entry| is_old(entry.since_ms)))
+    }
+
     /// Live nodes, which may read the store on behalf of others.
     #[must_use]
     pub fn reader_candidates(&self) -> Vec<ReaderCandidate> {
--- a/samphiredeck_core/tests/forward_groups.rs
+++ b/samphiredeck_core/tests/forward_groups.rs
@@ -134,6 +134,7 @@
     // It reads the store again and joins as a new node. Both accept it as an owner from 40 s on.
     cut_off.observe(vec![beat(0, 32_000, 32_000), beat(1, 31_500, 0)], 32_000);
     assert!(cut_off.is_recent(32_100));
+    assert!(!cut_off.may_own_quotas(&name(0), 32_000, 32_100));
     assert_eq!(owners(&cut_off, 32_100), [name(1)]);
     other.observe(vec![beat(0, 32_000, 32_000), beat(1, 34_000, 0)], 34_100);
     for table in [&cut_off, &other] {
@@ -142,6 +143,24 @@
     }
 }
 
+/// Fault on the bench (vakatoka, scale-2): an owner that the store had turned away joined anew with
+/// the help of another node, and granted units for two seconds while others asked its successor.
+#[test]
+fn node_that_joins_anew_stops_to_grant_before_the_others_know() {
+    let empty = UsageLedger::default();
+    let beat = |number: usize, since_ms: i64| {
+        (name(number), NodeHeartbeat { since_ms, ..heartbeat(&empty, 20_000) })
+    };
+    let mut table = MemberTable::default();
+    // Its own list still has the time at which it joined first.
+    table.observe(vec![beat(0, 0), beat(1, 0)], 20_100);
+    assert!(table.may_own_quotas(&name(0), 0, 20_200));
+    assert!(!table.may_own_quotas(&name(0), 20_150, 20_200));
+    // After an outage for all, every node joins anew, and none is older.
+    table.observe(vec![beat(0, 20_050), beat(1, 20_060)], 20_300);
+    assert!(table.may_own_quotas(&name(0), 20_150, 20_400));
+}
+
 #[test]
 fn group_publishes_its_followers_until_they_are_reported() {
     let mut group = NodeGroup::default();
