--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -30,8 +30,8 @@
 const OWNER_AGE_MIN_MS: i64 = 8_000;
 
 /// Age of the list of members, in milliseconds, from which a node does not act as a quota owner.
-/// Below [`MEMBER_LIFETIME_MS`] by a publishing period.
-const OWNER_VIEW_AGE_MAX_MS: i64 = 4_500;
+/// Below [`MEMBER_LIFETIME_MS`], and close to it: between the two, nobody decides for its workspaces.
+const OWNER_VIEW_AGE_MAX_MS: i64 = 6_000;
 /// Time without a published heartbeat after which a node joins anew. Just below
 /// [`MEMBER_LIFETIME_MS`].
 const REJOIN_AFTER: Duration = Duration::from_secs(7);
