--- a/samphiredeck/src/caller.rs
+++ b/samphiredeck/src/caller.rs
@@ -1,6 +1,7 @@
 //! HTTP API for callers: routes, shared handler context and completion requests.
 
 pub mod claim_lock;
+mod claimed_call;
 pub mod error;
 pub mod request;
 pub mod request_lookup;
