--- a/samphiredeck_standins/src/engine.rs
+++ b/samphiredeck_standins/src/engine.rs
@@ -3,6 +3,7 @@
 
 mod cache;
 mod model;
+mod options;
 
 use std::{
     io,
@@ -26,8 +27,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-pub use self::model::{EngineOptions, EngineStats};
 use self::model::{EngineState, StreamRequest};
+pub use self::options::{EngineOptions, EngineStats};
 
 /// Interval between two steps of the batch.
 const STEP_INTERVAL: Duration = Duration::from_millis(2);
