Bound the tokens that one request adds to the demand

Cause, found by reading: callers state their prompt tokens themselves, and 2^64 of them in one request ordered the most engines a pool may have. The new test fails without the bound: 4.6e17 ms of prefill a second.

--- a/samphiredeck_core/src/forward/demand.rs
+++ b/samphiredeck_core/src/forward/demand.rs
@@ -10,6 +10,9 @@
 
 use crate::{boot_time::BootTime, forward::pool_speed::PoolSpeed, ids::PoolName};
 
+/// Maximum number of tokens that one request adds to the demand. Above the context of common models;
+/// callers state their numbers themselves, and an absurd one must not order capacity.
+const REQUEST_TOKENS_MAX: u64 = 1_000_000;
 /// Time constant of the moving average. Half of the time that an ordered upstream takes to start,
 /// so that capacity follows a jump of the load without following single requests.
 const AVERAGING_TIME: Duration = Duration::from_secs(2);
@@ -40,7 +43,9 @@
     /// tokens of response, for engines with `speed`.
     #[must_use]
     pub fn of(prefill_tokens: u64, output: u64, speed: &PoolSpeed) -> Self {
-        #[expect(clippy::cast_precision_loss, reason = "requests have far fewer tokens")]
+        let (prefill_tokens, output) =
+            (prefill_tokens.min(REQUEST_TOKENS_MAX), output.min(REQUEST_TOKENS_MAX));
+        #[expect(clippy::cast_precision_loss, reason = "the numbers are bounded")]
         let (prefill_tokens, output) = (prefill_tokens as f64, output as f64);
         Self { prefill_ms: speed.prefill_ms(prefill_tokens), output_tokens: output }
     }
--- a/samphiredeck_core/tests/forward_speed.rs
+++ b/samphiredeck_core/tests/forward_speed.rs
@@ -144,6 +144,17 @@
     }
 }
 
+#[test]
+fn absurd_token_counts_of_a_caller_neither_order_capacity_nor_overflow() {
+    let speed = PoolSpeed::default();
+    let demand = DemandRate::of(u64::MAX, u64::MAX, &speed);
+    assert!(demand.engines_needed(64, &speed) < 1_000.0, "{demand:?}");
+    let cache = PromptCacheTable::default();
+    let parts = [part("absurd", u64::MAX)];
+    let miss = cache.expected_miss((&upstream("u"), None), CacheAffinity::None, &parts, 1, at(1));
+    assert!(miss.is_finite());
+}
+
 #[test]
 fn remembered_parts_are_bounded() {
     let mut cache = PromptCacheTable::default();
