Use one type for the differences of relayed lists

The lists of upstreams and of members had the same code for pages, changes and their application. The version of the upstream list is part of its status now. Comments no longer speak of data sheets, as no time is taken from one.

--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -11,6 +11,7 @@
         demand::DemandMeter,
         freshness::CatalogFreshness,
         leader::LeaderLease,
+        member_list::MEMBER_PAGE_ENTRIES,
         members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
         pool_speed::PoolSpeedTable,
@@ -18,6 +19,7 @@
         quota::{LocalQuota, PeerLiveness, QuotaOwner, rank_quota_owners},
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
+        upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
     },
@@ -180,10 +182,11 @@
             let digest = self.upstreams.digest();
             let delta = Some(known_digest).filter(|known| *known != digest);
             let delta = delta.and_then(|known| self.upstreams.delta_from(known));
-            let page = delta.map(|delta| delta.page(usize::try_from(skip).unwrap_or(usize::MAX)));
+            let page = delta.map(|delta| delta.page(to_usize(skip), UPSTREAM_PAGE_ENTRIES));
             let remaining = page.as_ref().map_or(0, |(_, left)| *left);
             ListStatus {
                 digest,
+                version: self.upstreams.version(),
                 age_ms: millis(now.since(at)),
                 delta: page.map(|(page, _)| page),
                 remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
@@ -197,7 +200,7 @@
     pub fn config_part(&self, row: RowVersion, skip: u32) -> (u32, Vec<u8>) {
         let value = self.config_value.as_ref().filter(|_| row == self.config_row_version);
         let Some(value) = value else { return (0, Vec::new()) };
-        let start = usize::try_from(skip).unwrap_or(usize::MAX).min(value.len());
+        let start = to_usize(skip).min(value.len());
         let end = (start + CONFIG_PART_BYTES).min(value.len());
         (u32::try_from(value.len()).unwrap_or(0), value[start..end].to_vec())
     }
@@ -208,7 +211,7 @@
         let list = self.members.list();
         let delta = Some(known_digest).filter(|known| *known != list.digest());
         let delta = delta.and_then(|known| list.delta_from(known));
-        let page = delta.map(|delta| delta.page(usize::try_from(skip).unwrap_or(usize::MAX)));
+        let page = delta.map(|delta| delta.page(to_usize(skip), MEMBER_PAGE_ENTRIES));
         let remaining = page.as_ref().map_or(0, |(_, left)| *left);
         RelayedMembers {
             digest: list.digest(),
@@ -253,3 +256,7 @@
         (max_connections.saturating_mul(USED_PERCENT) / 100 / nodes).max(2)
     }
 }
+
+fn to_usize(count: u32) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -7,7 +7,7 @@
     boot_time::BootTime,
     forward::{
         store_readers::{ReaderCandidate, StoreStatus, order_readers},
-        upstream_list::ListDelta,
+        upstream_list::UpstreamDelta,
         upstreams::{ListUpdate, PeerListStatus},
     },
     ids::NodeName,
@@ -127,7 +127,12 @@
     }
     let list_status = store_status.list.and_then(|list| {
         let as_of = as_of(list.age_ms)?;
-        Some(PeerListStatus { digest: list.digest, as_of, delta: list.delta })
+        Some(PeerListStatus {
+            digest: list.digest,
+            version: list.version,
+            as_of,
+            delta: list.delta,
+        })
     });
     let update = list_status.map(|list_status| state.upstreams.apply_peer_status(list_status, now));
     let list_is_current = match update {
@@ -154,7 +159,7 @@
     socket: &PeerSocket,
     other: &NodeName,
 ) -> Option<(StoreStatus, BootTime)> {
-    let mut received: Option<(u64, ListDelta)> = None;
+    let mut received: Option<(u64, UpstreamDelta)> = None;
     loop {
         let skip = received.as_ref().map_or(0, |(_, delta)| delta.len());
         let skip = u32::try_from(skip).unwrap_or(u32::MAX);
--- a/samphiredeck_core/src/forward/member_list.rs
+++ b/samphiredeck_core/src/forward/member_list.rs
@@ -12,14 +12,15 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::ids::{DomainName, Incarnation, NodeName};
+use crate::{
+    forward::list_delta::ListDelta,
+    ids::{DomainName, Incarnation, NodeName},
+};
 
 /// Number of recent changes kept for followers that hold an older list.
 const RECENT_CHANGES_MAX: usize = 8;
-/// Maximum number of entries in a page of a delta, so that it fits into one datagram.
-const PAGE_ENTRIES_MAX: usize = 10;
-/// Maximum number of entries in a delta. A node that lacks more reads the store.
-const DELTA_ENTRIES_MAX: usize = 1_000;
+/// Maximum number of entries in a page of a [`MemberDelta`], so that it fits into one datagram.
+pub const MEMBER_PAGE_ENTRIES: usize = 10;
 
 /// Entry of the list.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,49 +37,8 @@
     pub since_ms: i64,
 }
 
-/// Difference between two lists.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberDelta {
-    /// Digest of the list that the delta applies to. `None` if it is the whole list.
-    pub from: Option<u64>,
-    /// New and changed entries.
-    pub upserted: Vec<MemberIdentity>,
-    /// Nodes that are gone.
-    pub removed: Vec<NodeName>,
-}
-
-impl MemberDelta {
-    /// Page of the delta without its first `skip` entries, and the number of entries after it.
-    #[must_use]
-    pub fn page(&self, skip: usize) -> (Self, usize) {
-        let upserted = self.upserted.iter().skip(skip).take(PAGE_ENTRIES_MAX);
-        let upserted: Vec<MemberIdentity> = upserted.cloned().collect();
-        let skip_removed = skip.saturating_sub(self.upserted.len());
-        let removed = self.removed.iter().skip(skip_removed);
-        let removed = removed.take(PAGE_ENTRIES_MAX - upserted.len()).cloned().collect();
-        let page = Self { from: self.from, upserted, removed };
-        let left = self.len().saturating_sub(skip + page.len());
-        (page, left)
-    }
-
-    /// Number of entries.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.upserted.len() + self.removed.len()
-    }
-
-    /// Whether there are no entries.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Appends the entries of the next page.
-    pub fn append(&mut self, mut next: Self) {
-        self.upserted.append(&mut next.upserted);
-        self.removed.append(&mut next.removed);
-    }
-}
+/// Difference between two versions of the list.
+pub type MemberDelta = ListDelta<MemberIdentity, NodeName>;
 
 /// List of live nodes with its recent changes.
 #[derive(Clone, Debug, Default)]
@@ -125,38 +85,19 @@
     pub fn delta_from(&self, from: u64) -> Option<MemberDelta> {
         let Some(first) = self.recent_changes.iter().rposition(|(before, _)| *before == from)
         else {
-            let upserted = self.entries.clone();
-            let whole = MemberDelta { from: None, upserted, removed: Vec::new() };
-            return Some(whole).filter(|delta| delta.len() <= DELTA_ENTRIES_MAX);
+            return ListDelta::whole(&self.entries);
         };
-        let mut nodes: Vec<&NodeName> =
-            self.recent_changes[first..].iter().flat_map(|(_, nodes)| nodes).collect();
-        nodes.sort();
-        nodes.dedup();
-        let mut delta = MemberDelta { from: Some(from), upserted: Vec::new(), removed: Vec::new() };
-        for node in nodes {
-            match find_entry(&self.entries, node) {
-                Some(entry) => delta.upserted.push(entry.clone()),
-                None => delta.removed.push(node.clone()),
-            }
-        }
-        Some(delta).filter(|delta| delta.len() <= DELTA_ENTRIES_MAX)
+        let nodes = self.recent_changes[first..].iter().flat_map(|(_, nodes)| nodes).collect();
+        ListDelta::changed(from, nodes, |node| find_entry(&self.entries, node))
     }
 
     /// Applies `delta`. Returns whether the list has the digest `expected` now; otherwise it is
     /// unchanged.
     pub fn apply(&mut self, delta: &MemberDelta, expected: u64) -> bool {
-        let mut entries = match delta.from {
-            Some(from) if from != self.digest => return false,
-            Some(_) => self.entries.clone(),
-            None => Vec::new(),
-        };
-        entries.retain(|entry| {
-            !delta.removed.contains(&entry.node)
-                && !delta.upserted.iter().any(|upserted| upserted.node == entry.node)
-        });
-        entries.extend(delta.upserted.iter().cloned());
-        entries.sort_by(|a, b| a.node.cmp(&b.node));
+        if !delta.applies_to(self.digest) {
+            return false;
+        }
+        let entries = delta.apply_to(&self.entries, |entry| &entry.node);
         let is_expected = digest_entries(&entries) == expected;
         if is_expected {
             self.replace(entries);
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -11,7 +11,7 @@
 //! An engine processes a very long prompt in steps that stall all streams next to it. Such prompts
 //! go to a few dedicated upstreams, the same ones on every node, which other requests avoid.
 //!
-//! Times follow from the measured speed of the pool; none is taken from a data sheet.
+//! Times follow from the measured speed of the pool.
 
 use std::time::Duration;
 
@@ -36,8 +36,8 @@
 /// Cost of an upstream that is missing from the list after a read gap, in milliseconds. Exceeds
 /// that of any other upstream that can serve at all.
 const MISSING_COST_MS: f64 = 5_000.0;
-/// Cost of an upstream in another failure domain, in milliseconds: two one-way delays on the users'
-/// networks.
+/// Cost of an upstream in another failure domain, in milliseconds. Decides only between upstreams
+/// that are otherwise alike, since traffic between domains is slower and billed.
 const CROSS_DOMAIN_COST_MS: f64 = 2.0;
 /// Range of the jitter that spreads nodes over similar upstreams, in milliseconds.
 const JITTER_MS: f64 = 4.0;
@@ -144,7 +144,7 @@
             reason = "a number of tokens is not negative and far smaller"
         )]
         let miss = miss.round() as u64;
-        self.own_tokens() + miss
+        self.own_tokens().saturating_add(miss)
     }
 }
 
--- a/samphiredeck_core/src/forward/store_readers.rs
+++ b/samphiredeck_core/src/forward/store_readers.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    forward::upstream_list::ListDelta,
+    forward::upstream_list::UpstreamDelta,
     ids::{DomainName, NodeName, RowVersion},
 };
 
@@ -36,11 +36,13 @@
 pub struct ListStatus {
     /// Digest of the list.
     pub digest: u64,
+    /// Version of the list in the store.
+    pub version: RowVersion,
     /// Milliseconds since the store returned the list.
     pub age_ms: u64,
     /// Page of the difference from the list that the asking node holds. `None` if that one is the
     /// same, or too different.
-    pub delta: Option<ListDelta>,
+    pub delta: Option<UpstreamDelta>,
     /// Number of entries after the page.
     pub remaining: u32,
 }
--- a/samphiredeck_core/src/forward/upstream_list.rs
+++ b/samphiredeck_core/src/forward/upstream_list.rs
@@ -1,7 +1,4 @@
-//! List of the platform's upstreams and differences between two versions of it.
-//!
-//! The list of a large fleet changes with each reclaim of a failure domain. Nodes relay what changed
-//! in pages of one datagram, and verify the resulting list by its digest.
+//! List of the platform's upstreams, which nodes relay to each other by its differences.
 
 use std::{
     hash::{Hash, Hasher},
@@ -12,10 +9,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::ids::{DomainName, PoolName, RowVersion, UpstreamId};
+use crate::{
+    forward::list_delta::ListDelta,
+    ids::{DomainName, PoolName, UpstreamId},
+};
 
-/// Maximum number of entries in a page of a delta, so that it fits into one datagram.
-const PAGE_ENTRIES_MAX: usize = 8;
+/// Maximum number of entries in a page of an [`UpstreamDelta`], so that it fits into one datagram.
+pub const UPSTREAM_PAGE_ENTRIES: usize = 8;
 
 /// One entry of the platform's list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -80,49 +80,4 @@
 }
 
 /// Difference between two versions of the list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListDelta {
-    /// Digest of the list that the delta applies to. `None` if it is the whole list.
-    pub from: Option<u64>,
-    /// Version of the resulting list.
-    pub version: RowVersion,
-    /// New and changed entries.
-    #[serde(rename = "put")]
-    pub upserted: Vec<ListedUpstream>,
-    /// Ids that are no longer listed.
-    #[serde(rename = "gone")]
-    pub removed: Vec<UpstreamId>,
-}
-
-impl ListDelta {
-    /// Page of the delta without its first `skip` entries, and the number of entries after it.
-    #[must_use]
-    pub fn page(&self, skip: usize) -> (Self, usize) {
-        let upserted = self.upserted.iter().skip(skip).take(PAGE_ENTRIES_MAX);
-        let upserted: Vec<ListedUpstream> = upserted.cloned().collect();
-        let skip_removed = skip.saturating_sub(self.upserted.len());
-        let removed = self.removed.iter().skip(skip_removed);
-        let removed = removed.take(PAGE_ENTRIES_MAX - upserted.len()).cloned().collect();
-        let page = Self { from: self.from, version: self.version, upserted, removed };
-        let left = self.len().saturating_sub(skip + page.len());
-        (page, left)
-    }
-
-    /// Number of entries.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.upserted.len() + self.removed.len()
-    }
-
-    /// Whether there are no entries.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Appends the entries of the next page.
-    pub fn append(&mut self, mut next: Self) {
-        self.upserted.append(&mut next.upserted);
-        self.removed.append(&mut next.removed);
-    }
-}
+pub type UpstreamDelta = ListDelta<ListedUpstream, UpstreamId>;
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -8,7 +8,10 @@
 
 use crate::{
     boot_time::BootTime,
-    forward::upstream_list::{ListDelta, ListedUpstream, changed_ids, digest_list, find_entry},
+    forward::{
+        list_delta::ListDelta,
+        upstream_list::{ListedUpstream, UpstreamDelta, changed_ids, digest_list, find_entry},
+    },
     ids::{RowVersion, UpstreamId},
 };
 
@@ -20,8 +23,6 @@
 const RELIST_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// Number of recent list changes kept for nodes that hold an older list: those of two seconds.
 const RECENT_CHANGES_MAX: usize = 5;
-/// Maximum number of entries in a delta. A node that lacks more reads the store.
-const DELTA_ENTRIES_MAX: usize = 1_000;
 /// Half-life of recorded failures and successes.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Half-life of the lateness of an upstream without responses, so that it is tried again.
@@ -36,10 +37,12 @@
 pub struct PeerListStatus {
     /// Digest of the list.
     pub digest: u64,
+    /// Version of the list in the store.
+    pub version: RowVersion,
     /// Time at which the list was known to be current.
     pub as_of: BootTime,
     /// Difference from the list that this node holds, if it is not too large.
-    pub delta: Option<ListDelta>,
+    pub delta: Option<UpstreamDelta>,
 }
 
 /// Request whose response has not started.
@@ -251,28 +254,20 @@
     /// Difference from the list with digest `from` to the current one, or the whole list if that
     /// one is not known. `None` if there is no list yet or it is too large.
     #[must_use]
-    pub fn delta_from(&self, from: u64) -> Option<ListDelta> {
+    pub fn delta_from(&self, from: u64) -> Option<UpstreamDelta> {
         self.read_at?;
-        let version = self.version;
         let Some(first) = self.recent_changes.iter().rposition(|(before, _)| *before == from)
         else {
-            let upserted = self.list.clone();
-            let whole = ListDelta { from: None, version, upserted, removed: Vec::new() };
-            return Some(whole).filter(|delta| delta.len() <= DELTA_ENTRIES_MAX);
+            return ListDelta::whole(&self.list);
         };
-        let mut ids: Vec<&UpstreamId> =
-            self.recent_changes[first..].iter().flat_map(|(_, ids)| ids).collect();
-        ids.sort();
-        ids.dedup();
-        let (upserted, removed) = (Vec::new(), Vec::new());
-        let mut delta = ListDelta { from: Some(from), version, upserted, removed };
-        for id in ids {
-            match find_entry(&self.list, id) {
-                Some(entry) => delta.upserted.push(entry.clone()),
-                None => delta.removed.push(id.clone()),
-            }
-        }
-        Some(delta).filter(|delta| delta.len() <= DELTA_ENTRIES_MAX)
+        let ids = self.recent_changes[first..].iter().flat_map(|(_, ids)| ids).collect();
+        ListDelta::changed(from, ids, |id| find_entry(&self.list, id))
+    }
+
+    /// Version of the current list in the store.
+    #[must_use]
+    pub fn version(&self) -> RowVersion {
+        self.version
     }
 
     /// Applies the list status reported by another node.
@@ -284,22 +279,14 @@
             let list = std::mem::take(&mut self.list);
             return ListUpdate::Applied(self.apply_list(list, self.version, status.as_of, now));
         }
-        let applies = |delta: &ListDelta| delta.from.is_none_or(|from| from == self.digest);
-        let Some(delta) = status.delta.filter(applies) else {
+        let Some(delta) = status.delta.filter(|delta| delta.applies_to(self.digest)) else {
             return ListUpdate::Refetch;
         };
-        let replaced = |id: &UpstreamId| {
-            delta.from.is_none()
-                || delta.removed.contains(id)
-                || delta.upserted.iter().any(|entry| entry.id == *id)
-        };
-        let kept = self.list.iter().filter(|entry| !replaced(&entry.id)).cloned();
-        let mut list: Vec<ListedUpstream> = kept.chain(delta.upserted.iter().cloned()).collect();
-        list.sort_by(|a, b| a.id.cmp(&b.id));
+        let list = delta.apply_to(&self.list, |entry| &entry.id);
         if digest_list(&list) != status.digest {
             return ListUpdate::Refetch;
         }
-        ListUpdate::Applied(self.apply_list(list, delta.version, status.as_of, now))
+        ListUpdate::Applied(self.apply_list(list, status.version, status.as_of, now))
     }
 
     /// Time of the first read that listed any upstream.
@@ -425,7 +412,8 @@
     pub fn record_request_start(&mut self, id: &UpstreamId, pending: &PendingResponse) {
         if let Some(row) = self.find_mut(id) {
             row.in_flight += 1;
-            row.pending_prefill_tokens += pending.prefill_tokens;
+            row.pending_prefill_tokens =
+                row.pending_prefill_tokens.saturating_add(pending.prefill_tokens);
             row.due_times.push(pending.due_at);
         }
     }
--- a/samphiredeck_core/tests/forward_groups.rs
+++ b/samphiredeck_core/tests/forward_groups.rs
@@ -8,7 +8,7 @@
     boot_time::BootTime,
     forward::{
         demand::{DemandRate, PoolDemand},
-        member_list::{MemberIdentity, MemberList},
+        member_list::{MEMBER_PAGE_ENTRIES, MemberIdentity, MemberList},
         members::{MemberTable, NodeHeartbeat, is_lapsed, is_view_recent},
         node_groups::{NodeGroup, merge_heartbeats, split_heartbeat},
         usage::{UsageLedger, WindowIndex},
@@ -55,9 +55,9 @@
     let mut follower = MemberList::default();
     // The whole list comes in pages that each fit into a datagram.
     let whole = reader.delta_from(follower.digest()).unwrap();
-    let (mut received, mut left) = whole.page(0);
+    let (mut received, mut left) = whole.page(0, MEMBER_PAGE_ENTRIES);
     while left > 0 {
-        let (page, left_after) = whole.page(received.len());
+        let (page, left_after) = whole.page(received.len(), MEMBER_PAGE_ENTRIES);
         assert!(page.len() <= 10);
         received.append(page);
         left = left_after;
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -9,7 +9,7 @@
         pool_speed::PoolSpeed,
         prompt_cache::PromptCacheTable,
         store_readers::{ReaderCandidate, order_readers},
-        upstream_list::ListedUpstream,
+        upstream_list::{ListedUpstream, UPSTREAM_PAGE_ENTRIES},
         upstreams::{
             ListUpdate, PeerListStatus, PendingResponse, UpstreamChange, UpstreamRegistry,
         },
@@ -271,7 +271,7 @@
 }
 
 fn peer_status(digest: u64, as_of: u64) -> PeerListStatus {
-    PeerListStatus { digest, as_of: at(as_of), delta: None }
+    PeerListStatus { digest, version: RowVersion(as_of), as_of: at(as_of), delta: None }
 }
 
 #[test]
@@ -416,9 +416,9 @@
     for from in [follower.digest(), 12_345] {
         let whole = reader.delta_from(from).unwrap();
         assert_eq!(whole.from.is_none(), from == 12_345);
-        let (mut received, mut left) = whole.page(0);
+        let (mut received, mut left) = whole.page(0, UPSTREAM_PAGE_ENTRIES);
         while left > 0 {
-            let (page, left_after) = whole.page(received.len());
+            let (page, left_after) = whole.page(received.len(), UPSTREAM_PAGE_ENTRIES);
             assert!(page.len() <= 8, "fits into a datagram");
             assert!(left_after < left);
             received.append(page);
