Log why a broken stream does not go on elsewhere

A stream that its route or its attempts did not let go on left only `stream-broken` and `end`, as one whose upstream broke off. Now `stream-unresumed` names these reasons too, and `stream-broken` says how often the request was sent and under which configuration. No change of logic.

--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -95,7 +95,8 @@
         drop(source);
         let fields = json!({
             "request": trace.attempt_id, "upstream": upstream.as_str(), "reason": reason,
-            "last_event": last_id, "age_ms": trace.age_ms(),
+            "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
+            "version": admitted.config_version,
         });
         trace.node.log.record("stream-broken", fields);
         let Some(resumed) = resume(&admitted, &mut progress, &trace, last_id).await else {
@@ -182,9 +183,16 @@
     trace: &RequestTrace,
     last_id: Option<u64>,
 ) -> Option<Box<StreamingResponse>> {
-    if admitted.route.retry_policy != RetryPolicy::Resumable
-        || progress.attempts >= admitted.route.max_attempts
-    {
+    let forbidden = match admitted.route.retry_policy {
+        RetryPolicy::NonIdempotent | RetryPolicy::Idempotent => Some("route does not permit it"),
+        RetryPolicy::Resumable if progress.attempts >= admitted.route.max_attempts => {
+            Some("no attempts left")
+        }
+        RetryPolicy::Resumable => None,
+    };
+    if let Some(reason) = forbidden {
+        let fields = json!({ "request": trace.attempt_id, "reason": reason });
+        trace.node.log.record("stream-unresumed", fields);
         return None;
     }
     progress.verdict = progress.verdict.join(RunVerdict::MayHaveRun);
