Keep streams of silent upstreams until another one has taken over

Cause: silence was taken for a loss. `relay.rs` closed the connection to an upstream after two event gaps without an event, and asked only then whether the stream may go on elsewhere. With no attempt, no retry budget, no other upstream or no confirmed configuration it could not, and the caller's connection was cut. `attempt.rs` did the same with a request that had no response at half of its time.

Now the silent upstream is kept. Another one is asked beside it where that is permitted, and the first event decides which of the two goes on; the other connection is closed then. Nothing ends while its upstream may still go on. Before the first event, a silent upstream is left only for another that could take the request at that moment. An attempt counts as soon as it is sent, so that one whose response is not awaited counts, too. Routes without an event gap no longer count every pause as a silence.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -28,6 +28,7 @@
     node::ForwardNode,
     quota::QuotaReservation,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
+    state::ForwardState,
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
         UpstreamStream, receive_response,
@@ -40,6 +41,9 @@
 /// upstream, as its upstream is considered lost. A busy one is given this much, since the work that
 /// it has begun would be repeated.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
+/// Interval at which the node checks whether another upstream can take a request whose upstream has
+/// not responded in time.
+const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum number of failed connection attempts per request.
 const CONNECT_FAILURES_MAX: usize = 3;
 
@@ -48,7 +52,7 @@
 pub struct RequestProgress {
     /// Upstreams that received the request or could not be reached.
     pub tried: Vec<UpstreamId>,
-    /// Number of upstreams that the request was sent to.
+    /// Number of upstreams that the request was sent to, including one whose response is awaited.
     pub attempts: u32,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
@@ -104,9 +108,7 @@
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
-        let sent = failure.outcome != SendOutcome::Unsent;
-        progress.attempts += u32::from(sent);
-        connect_failures += usize::from(!sent);
+        connect_failures += usize::from(failure.outcome == SendOutcome::Unsent);
         progress.verdict = progress.verdict.join(failure.outcome.verdict());
         progress.reservation.set_consumed(progress.verdict != RunVerdict::NotRun);
         progress.tried.push(placement.upstream.clone());
@@ -176,22 +178,9 @@
     time_left: Duration,
 ) -> Result<Placement, ErrorResponse> {
     let node = &trace.node;
-    let settings = node.settings();
     let mut state = node.state();
     let speed = state.speeds.speed(&admitted.pool);
-    let request = PlacementRequest {
-        pool: &admitted.pool,
-        engine: admitted.engine,
-        parts: &admitted.metadata.prompt_parts,
-        tried: &progress.tried,
-        max_connections: state.connection_share(admitted.max_connections),
-        max_event_gap: admitted.route.max_event_gap,
-        speed,
-        prompt_cache: &state.prompt_cache,
-        nodes: state.members.count(),
-    };
-    let placement =
-        choose_upstream(&state.upstreams, &request, &settings.domain, now, random::<f64>);
+    let placement = find_placement(admitted, &progress.tried, node, &state, now);
     if admitted.engine && progress.tried.is_empty() {
         // Counts requests that are refused, too: capacity is ordered for them.
         let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
@@ -232,6 +221,47 @@
     Ok(placement)
 }
 
+/// Chooses an upstream other than those `tried`.
+fn find_placement(
+    admitted: &AdmittedRequest,
+    tried: &[UpstreamId],
+    node: &ForwardNode,
+    state: &ForwardState,
+    now: BootTime,
+) -> Option<Placement> {
+    let request = PlacementRequest {
+        pool: &admitted.pool,
+        engine: admitted.engine,
+        parts: &admitted.metadata.prompt_parts,
+        tried,
+        max_connections: state.connection_share(admitted.max_connections),
+        max_event_gap: admitted.route.max_event_gap,
+        speed: state.speeds.speed(&admitted.pool),
+        prompt_cache: &state.prompt_cache,
+        nodes: state.members.count(),
+    };
+    choose_upstream(&state.upstreams, &request, &node.settings().domain, now, random::<f64>)
+}
+
+/// Whether the request that `silent` has received could be sent to another upstream now.
+fn can_go_elsewhere(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    node: &ForwardNode,
+    silent: &UpstreamId,
+) -> bool {
+    let now = clock::now();
+    let mut state = node.state();
+    let is_permitted = progress.attempts < admitted.route.max_attempts
+        && state.freshness.allows_admission(now)
+        && state.retry_budget.has_room(&admitted.pool, now);
+    let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
+    let placement = find_placement(admitted, &tried, node, &state, now);
+    let time_left = admitted.deadline.since(now);
+    is_permitted
+        && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
+}
+
 /// Builds the request for the upstream of `placement`.
 fn build_request(
     admitted: &AdmittedRequest,
@@ -292,20 +322,22 @@
         // The caller may disconnect at any point after this, leaving it unknown whether the request
         // ran.
         progress.reservation.set_consumed(true);
-        let exchange = async {
-            let response = connection.send(request).await.map_err(|error| {
-                let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
-                SendFailure::new(outcome, error.reason)
-            })?;
-            receive_response(admitted, trace, response, &mut in_flight).await
-        };
-        let received = match timeout(time_limit, exchange).await {
-            Ok(received) => received,
-            Err(_elapsed) => {
-                let reason = format!("no response within {time_limit:?}");
-                Err(SendFailure::new(SendOutcome::Broken, reason))
-            }
+        progress.attempts += 1;
+        let received = {
+            let exchange = async {
+                let response = connection.send(request).await.map_err(|error| {
+                    let outcome =
+                        if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
+                    SendFailure::new(outcome, error.reason)
+                })?;
+                receive_response(admitted, trace, response, &mut in_flight).await
+            };
+            let is_lost = || can_go_elsewhere(admitted, progress, node, &placement.upstream);
+            wait_for_response(exchange, time_limit, admitted.deadline, is_lost).await
         };
+        if received.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unsent) {
+            progress.attempts -= 1;
+        }
         return match received {
             Err(failure) if failure.outcome == SendOutcome::Unsent && !is_new => continue,
             Err(failure) => {
@@ -324,7 +356,6 @@
                 if !metadata.closes_connection {
                     node.connections.put_back(&placement.upstream, connection, metadata.keep_alive);
                 }
-                progress.attempts += 1;
                 progress.verdict = RunVerdict::Ran;
                 Ok(UpstreamResponse::Complete(response))
             }
@@ -338,7 +369,6 @@
                 metadata,
             }) => {
                 count_usage(admitted, progress, node, clock::now());
-                progress.attempts += 1;
                 progress.verdict = RunVerdict::Ran;
                 progress.tried.push(placement.upstream.clone());
                 let first_event_at = clock::now();
@@ -359,6 +389,33 @@
     }
 }
 
+/// Waits for the response of an upstream. After `time_limit` the upstream is considered lost as soon
+/// as `is_lost`: a silent one may still respond, so it is only left for another that can take the
+/// request.
+async fn wait_for_response(
+    exchange: impl Future<Output = Result<ReceivedResponse, SendFailure>>,
+    time_limit: Duration,
+    deadline: BootTime,
+    is_lost: impl Fn() -> bool,
+) -> Result<ReceivedResponse, SendFailure> {
+    tokio::pin!(exchange);
+    let started_at = clock::now();
+    let mut wait = time_limit;
+    loop {
+        if let Ok(received) = timeout(wait, exchange.as_mut()).await {
+            return received;
+        }
+        let now = clock::now();
+        let time_left = deadline.since(now);
+        if time_left.is_zero() || is_lost() {
+            let waited = now.since(started_at);
+            let reason = format!("no response within {waited:?}");
+            return Err(SendFailure::new(SendOutcome::Broken, reason));
+        }
+        wait = LOST_CHECK_PERIOD.min(time_left);
+    }
+}
+
 /// Records the time that a plain upstream took for its whole `response`.
 fn record_service_time(
     admitted: &AdmittedRequest,
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -20,9 +20,11 @@
     upstream_response::{StreamingResponse, UpstreamResponse, UpstreamStream},
 };
 
-/// Maximum time between two events of a resumable stream, as a multiple of the route's event gap.
-/// Callers wait longer than this.
-const EVENT_GAPS_MAX: f64 = 2.0;
+/// Time between two events of a resumable stream after which its upstream counts as silent, as a
+/// multiple of the route's event gap. Callers wait longer than this.
+const SILENT_GAPS: f64 = 2.0;
+/// The same for routes that declare no event gap.
+const SILENCE_DEFAULT: Duration = Duration::from_secs(1);
 
 /// Next step of a stream.
 enum StreamStep {
@@ -31,6 +33,8 @@
     Ended,
     /// The stream failed.
     Broken(String),
+    /// The upstream has been silent for too long, but may go on.
+    Silent,
     /// The deadline has passed.
     TimedOut,
     /// The caller has disconnected.
@@ -49,11 +53,16 @@
     let mut last_id = admitted.metadata.last_event_id;
     let mut pending = first_batch;
     let mut ended = ended;
+    let mut next_step = None;
     loop {
-        let step = match pending.take() {
-            Some(batch) => StreamStep::Events(batch),
-            None if ended => StreamStep::Ended,
-            None => read_step(&admitted, &mut source, &sender).await,
+        let step = match (next_step.take(), pending.take()) {
+            (Some(step), _) => step,
+            (None, Some(batch)) => StreamStep::Events(batch),
+            (None, None) if ended => StreamStep::Ended,
+            (None, None) => {
+                let max_silence = max_silence(&admitted, &progress);
+                read_step(&admitted, &mut source, &sender, max_silence).await
+            }
         };
         let reason = match step {
             StreamStep::Events(batch) => match send_batch(&sender, batch, &mut last_id).await {
@@ -80,6 +89,29 @@
                 return;
             }
             StreamStep::Broken(reason) => reason,
+            StreamStep::Silent => {
+                let upstream = source.in_flight.upstream.clone();
+                let mut fields = json!({
+                    "request": trace.attempt_id, "upstream": upstream.as_str(),
+                    "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
+                });
+                trace.node.log.record("stream-silent", fields.clone());
+                let resumption = resume(&admitted, &mut progress, &trace, last_id);
+                match read_beside(&admitted, &mut source, &sender, resumption).await {
+                    SilenceEnd::GoesOn(step) => {
+                        next_step = step;
+                        if next_step.is_some() {
+                            fields["age_ms"] = json!(trace.age_ms());
+                            trace.node.log.record("stream-went-on", fields);
+                        }
+                    }
+                    SilenceEnd::Resumed(resumed) => {
+                        source.in_flight.record_outcome(true);
+                        StreamingResponse { first_batch: pending, ended, source, .. } = *resumed;
+                    }
+                }
+                continue;
+            }
             StreamStep::TimedOut => {
                 trace.finish("broken-off", 200, "no time left");
                 return;
@@ -109,6 +141,51 @@
     }
 }
 
+/// Time after which the upstream of a stream counts as silent. Another one may only take over
+/// resumable streams with attempts left.
+fn max_silence(admitted: &AdmittedRequest, progress: &RequestProgress) -> Duration {
+    let route = &admitted.route;
+    if route.retry_policy != RetryPolicy::Resumable || progress.attempts >= route.max_attempts {
+        return Duration::MAX;
+    }
+    if route.max_event_gap.is_zero() {
+        return SILENCE_DEFAULT;
+    }
+    route.max_event_gap.mul_f64(SILENT_GAPS)
+}
+
+/// How the silence of an upstream ended.
+enum SilenceEnd {
+    /// The upstream is still awaited, or has gone on with this step.
+    GoesOn(Option<StreamStep>),
+    /// Another upstream has taken over.
+    Resumed(Box<StreamingResponse>),
+}
+
+/// Awaits the `resumption` of a stream at another upstream, while its silent one may still go on. The
+/// first event decides between them, so that no caller loses its stream to a silence.
+async fn read_beside(
+    admitted: &AdmittedRequest,
+    source: &mut UpstreamStream,
+    sender: &StreamSender,
+    resumption: impl Future<Output = Option<Box<StreamingResponse>>>,
+) -> SilenceEnd {
+    tokio::pin!(resumption);
+    let step = select! {
+        resumed = resumption.as_mut() => {
+            return resumed.map_or(SilenceEnd::GoesOn(None), SilenceEnd::Resumed);
+        }
+        step = read_step(admitted, source, sender, Duration::MAX) => step,
+    };
+    match step {
+        StreamStep::Broken(_) => match resumption.await {
+            Some(resumed) => SilenceEnd::Resumed(resumed),
+            None => SilenceEnd::GoesOn(Some(step)),
+        },
+        step => SilenceEnd::GoesOn(Some(step)),
+    }
+}
+
 /// Records the speed at which the response of `source`, which is complete, was generated.
 fn record_speed(admitted: &AdmittedRequest, trace: &RequestTrace, source: &UpstreamStream) {
     if admitted.engine {
@@ -140,21 +217,18 @@
     admitted: &AdmittedRequest,
     source: &mut UpstreamStream,
     sender: &StreamSender,
+    max_silence: Duration,
 ) -> StreamStep {
-    let time_left = admitted.deadline.since(clock::now());
-    let max_gap = match admitted.route.retry_policy {
-        RetryPolicy::Resumable => admitted.route.max_event_gap.mul_f64(EVENT_GAPS_MAX),
-        RetryPolicy::NonIdempotent | RetryPolicy::Idempotent => Duration::MAX,
-    };
     loop {
+        let time_left = admitted.deadline.since(clock::now());
         let frame = select! {
             frame = source.body.frame() => frame,
             () = sender.closed() => return StreamStep::CallerLeft,
-            () = sleep(time_left.min(max_gap)) => {
-                if time_left <= max_gap {
+            () = sleep(time_left.min(max_silence)) => {
+                if time_left <= max_silence {
                     return StreamStep::TimedOut;
                 }
-                return StreamStep::Broken(format!("no event for {max_gap:?}"));
+                return StreamStep::Silent;
             }
         };
         match frame {
--- a/samphiredeck_core/src/forward/retry_budget.rs
+++ b/samphiredeck_core/src/forward/retry_budget.rs
@@ -93,19 +93,22 @@
         }
     }
 
-    /// Takes one retry from the budget. Returns whether one was available.
-    pub fn take(&mut self, pool: &PoolName, now: BootTime) -> bool {
+    /// Whether a retry is available.
+    pub fn has_room(&mut self, pool: &PoolName, now: BootTime) -> bool {
         let limit = self.limit;
         let share = limit.extra / f64::from(self.nodes);
         let row = self.current_window(pool, now);
         let requests: f64 = row.steps.iter().map(|step| step.requests).sum();
         let retries: f64 = row.steps.iter().map(|step| step.retries).sum();
-        if retries + 1.0 > (requests * limit.ratio + share) * USABLE_SHARE {
-            return false;
-        }
-        if let Some(last) = row.steps.back_mut() {
+        retries + 1.0 <= (requests * limit.ratio + share) * USABLE_SHARE
+    }
+
+    /// Takes one retry from the budget. Returns whether one was available.
+    pub fn take(&mut self, pool: &PoolName, now: BootTime) -> bool {
+        let has_room = self.has_room(pool, now);
+        if has_room && let Some(last) = self.current_window(pool, now).steps.back_mut() {
             last.retries += 1.0;
         }
-        true
+        has_room
     }
 }
