Bound the time for which two upstreams work on one stream

If the silent one went on, the abandoned attempt was used up, so that a later break cut the stream though an upstream was free.

A silent upstream is now given up 300 ms after the other one has received the request, unless that one refuses it at once, and counts as silent after three event gaps instead of two, so that silences of a second seldom cost an attempt. An upstream whose response was not awaited may be sent to once more, since it counts among the attempts already.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -20,7 +20,7 @@
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::{sync::oneshot, time::timeout};
 
 use crate::forward::{
     clock,
@@ -54,6 +54,12 @@
     pub tried: Vec<UpstreamId>,
     /// Number of upstreams that the request was sent to, including one whose response is awaited.
     pub attempts: u32,
+    /// Upstream whose response is awaited. It stays set if the wait is abandoned.
+    pub awaited: Option<UpstreamId>,
+    /// The only upstream that may still receive the request, since it counts among `attempts`.
+    pub only: Option<UpstreamId>,
+    /// Notified once when the request has been sent.
+    pub on_sent: Option<oneshot::Sender<()>>,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
     /// Whether the request was added to the usage counts.
@@ -65,8 +71,16 @@
 impl RequestProgress {
     /// Creates the state before the first attempt.
     pub fn new(reservation: QuotaReservation) -> Self {
-        let (tried, verdict) = (Vec::new(), RunVerdict::NotRun);
-        Self { tried, attempts: 0, verdict, counted: false, reservation }
+        Self {
+            tried: Vec::new(),
+            attempts: 0,
+            awaited: None,
+            only: None,
+            on_sent: None,
+            verdict: RunVerdict::NotRun,
+            counted: false,
+            reservation,
+        }
     }
 }
 
@@ -180,7 +194,7 @@
     let node = &trace.node;
     let mut state = node.state();
     let speed = state.speeds.speed(&admitted.pool);
-    let placement = find_placement(admitted, &progress.tried, node, &state, now);
+    let placement = find_placement(admitted, &progress.tried, progress, node, &state, now);
     if admitted.engine && progress.tried.is_empty() {
         // Counts requests that are refused, too: capacity is ordered for them.
         let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
@@ -225,6 +239,7 @@
 fn find_placement(
     admitted: &AdmittedRequest,
     tried: &[UpstreamId],
+    progress: &RequestProgress,
     node: &ForwardNode,
     state: &ForwardState,
     now: BootTime,
@@ -234,6 +249,7 @@
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
         tried,
+        only: progress.only.as_ref(),
         max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
         speed: state.speeds.speed(&admitted.pool),
@@ -256,7 +272,7 @@
         && state.freshness.allows_admission(now)
         && state.retry_budget.has_room(&admitted.pool, now);
     let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
-    let placement = find_placement(admitted, &tried, node, &state, now);
+    let placement = find_placement(admitted, &tried, progress, node, &state, now);
     let time_left = admitted.deadline.since(now);
     is_permitted
         && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
@@ -323,6 +339,11 @@
         // ran.
         progress.reservation.set_consumed(true);
         progress.attempts += 1;
+        progress.awaited = Some(placement.upstream.clone());
+        if let Some(on_sent) = progress.on_sent.take() {
+            // The receiver is gone if the silence of the upstream before has ended.
+            _ = on_sent.send(());
+        }
         let received = {
             let exchange = async {
                 let response = connection.send(request).await.map_err(|error| {
@@ -335,6 +356,7 @@
             let is_lost = || can_go_elsewhere(admitted, progress, node, &placement.upstream);
             wait_for_response(exchange, time_limit, admitted.deadline, is_lost).await
         };
+        progress.awaited = None;
         if received.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unsent) {
             progress.attempts -= 1;
         }
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -1,5 +1,7 @@
 //! Relays streams from upstreams to callers, in complete events.
 
+use std::future::pending;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use samphiredeck_core::{
@@ -9,6 +11,7 @@
 use serde_json::json;
 use tokio::{
     select,
+    sync::oneshot,
     time::{Duration, sleep},
 };
 
@@ -22,9 +25,12 @@
 
 /// Time between two events of a resumable stream after which its upstream counts as silent, as a
 /// multiple of the route's event gap. Callers wait longer than this.
-const SILENT_GAPS: f64 = 2.0;
+const SILENT_GAPS: f64 = 3.0;
 /// The same for routes that declare no event gap.
-const SILENCE_DEFAULT: Duration = Duration::from_secs(1);
+const SILENCE_DEFAULT: Duration = Duration::from_millis(1_500);
+/// Time for which a silent upstream is kept after another one has received the request. Engines must
+/// not both work on a stream for more than 400 ms.
+const OVERLAP_MAX: Duration = Duration::from_millis(300);
 
 /// Next step of a stream.
 enum StreamStep {
@@ -90,25 +96,23 @@
             }
             StreamStep::Broken(reason) => reason,
             StreamStep::Silent => {
-                let upstream = source.in_flight.upstream.clone();
-                let mut fields = json!({
-                    "request": trace.attempt_id, "upstream": upstream.as_str(),
-                    "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
-                });
-                trace.node.log.record("stream-silent", fields.clone());
-                let resumption = resume(&admitted, &mut progress, &trace, last_id);
-                match read_beside(&admitted, &mut source, &sender, resumption).await {
-                    SilenceEnd::GoesOn(step) => {
+                match end_silence(&admitted, &mut progress, &trace, source, &sender, last_id).await
+                {
+                    SilenceEnd::GoesOn(kept, step) => {
+                        source = *kept;
                         next_step = step;
-                        if next_step.is_some() {
-                            fields["age_ms"] = json!(trace.age_ms());
-                            trace.node.log.record("stream-went-on", fields);
-                        }
                     }
                     SilenceEnd::Resumed(resumed) => {
-                        source.in_flight.record_outcome(true);
                         StreamingResponse { first_batch: pending, ended, source, .. } = *resumed;
                     }
+                    SilenceEnd::Lost => {
+                        trace.finish("broken-off", 200, "no upstream goes on after a silence");
+                        return;
+                    }
+                    SilenceEnd::CallerLeft => {
+                        trace.finish("caller-left", 0, "");
+                        return;
+                    }
                 }
                 continue;
             }
@@ -157,32 +161,79 @@
 /// How the silence of an upstream ended.
 enum SilenceEnd {
     /// The upstream is still awaited, or has gone on with this step.
-    GoesOn(Option<StreamStep>),
+    GoesOn(Box<UpstreamStream>, Option<StreamStep>),
     /// Another upstream has taken over.
     Resumed(Box<StreamingResponse>),
+    /// Neither goes on.
+    Lost,
+    /// The caller has disconnected.
+    CallerLeft,
+}
+
+/// Ends the silence of the upstream of `source`: it goes on, or another one takes over.
+async fn end_silence(
+    admitted: &AdmittedRequest,
+    progress: &mut RequestProgress,
+    trace: &RequestTrace,
+    source: UpstreamStream,
+    sender: &StreamSender,
+    last_id: Option<u64>,
+) -> SilenceEnd {
+    let fields = json!({
+        "request": trace.attempt_id, "upstream": source.in_flight.upstream.as_str(),
+        "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
+    });
+    trace.node.log.record("stream-silent", fields);
+    let (on_sent, sent) = oneshot::channel();
+    progress.on_sent = Some(on_sent);
+    let resumption = resume(admitted, progress, trace, last_id);
+    let silence_end = read_beside(admitted, source, sender, resumption, sent).await;
+    if let SilenceEnd::GoesOn(kept, Some(StreamStep::Events(_) | StreamStep::Ended)) = &silence_end
+    {
+        let upstream = kept.in_flight.upstream.as_str();
+        let fields = json!({
+            "request": trace.attempt_id, "upstream": upstream, "age_ms": trace.age_ms(),
+        });
+        trace.node.log.record("stream-went-on", fields);
+    }
+    silence_end
 }
 
-/// Awaits the `resumption` of a stream at another upstream, while its silent one may still go on. The
-/// first event decides between them, so that no caller loses its stream to a silence.
+/// Awaits the `resumption` of a stream at another upstream, while its silent one may still go on.
+/// `sent` tells when the other one has received the request. The first event decides between them, or
+/// the end of the overlap: one that refuses the request at once costs no caller its stream.
 async fn read_beside(
     admitted: &AdmittedRequest,
-    source: &mut UpstreamStream,
+    mut source: UpstreamStream,
     sender: &StreamSender,
     resumption: impl Future<Output = Option<Box<StreamingResponse>>>,
+    sent: oneshot::Receiver<()>,
 ) -> SilenceEnd {
     tokio::pin!(resumption);
+    let overlap = async {
+        if sent.await.is_err() {
+            // The request was not sent, so the end of the resumption decides.
+            pending::<()>().await;
+        }
+        sleep(OVERLAP_MAX).await;
+    };
     let step = select! {
         resumed = resumption.as_mut() => {
-            return resumed.map_or(SilenceEnd::GoesOn(None), SilenceEnd::Resumed);
+            let Some(resumed) = resumed else { return SilenceEnd::GoesOn(Box::new(source), None) };
+            source.in_flight.record_outcome(true);
+            return SilenceEnd::Resumed(resumed);
         }
-        step = read_step(admitted, source, sender, Duration::MAX) => step,
+        step = read_step(admitted, &mut source, sender, Duration::MAX) => step,
+        () = overlap => StreamStep::Silent,
     };
-    match step {
-        StreamStep::Broken(_) => match resumption.await {
-            Some(resumed) => SilenceEnd::Resumed(resumed),
-            None => SilenceEnd::GoesOn(Some(step)),
-        },
-        step => SilenceEnd::GoesOn(Some(step)),
+    if !matches!(step, StreamStep::Broken(_) | StreamStep::Silent) {
+        return SilenceEnd::GoesOn(Box::new(source), Some(step));
+    }
+    source.in_flight.record_outcome(true);
+    drop(source);
+    select! {
+        resumed = resumption => resumed.map_or(SilenceEnd::Lost, SilenceEnd::Resumed),
+        () = sender.closed() => SilenceEnd::CallerLeft,
     }
 }
 
@@ -259,8 +310,11 @@
 ) -> Option<Box<StreamingResponse>> {
     let forbidden = match admitted.route.retry_policy {
         RetryPolicy::NonIdempotent | RetryPolicy::Idempotent => Some("route does not permit it"),
+        // An upstream whose response was not awaited counts already and may be sent to once more.
         RetryPolicy::Resumable if progress.attempts >= admitted.route.max_attempts => {
-            Some("no attempts left")
+            progress.only = progress.awaited.take();
+            progress.attempts -= u32::from(progress.only.is_some());
+            progress.only.is_none().then_some("no attempts left")
         }
         RetryPolicy::Resumable => None,
     };
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -78,6 +78,9 @@
     pub parts: &'a [PromptPart],
     /// Upstreams that already received the request and must not be chosen again.
     pub tried: &'a [UpstreamId],
+    /// The only upstream that may be chosen, if the request was sent there before and may be sent to
+    /// no further one.
+    pub only: Option<&'a UpstreamId>,
     /// Maximum number of connections from this node to one upstream.
     pub max_connections: u32,
     /// Maximum gap between two events of the response that still counts as on time. Zero if it is
@@ -179,6 +182,7 @@
             && row.is_accepting(now)
             && row.in_flight < request.max_connections
             && !request.tried.contains(&row.entry.id)
+            && request.only.is_none_or(|only| row.entry.id == *only)
     };
     let dedicated = find_long_prompt_upstreams(registry, request, now);
     let affinity_order = find_affinity_upstreams(registry, request, &dedicated, now);
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -70,6 +70,7 @@
     let domain: DomainName = "a".parse().unwrap();
     let engine = !parts.is_empty();
     let request = PlacementRequest {
+        only: None,
         pool: &pool,
         engine,
         parts,
