End the resumption of a broken stream when its caller leaves

A stream that broke was resumed at another upstream for a caller that had left: the upstream worked on for up to the time left of the request (rule GONE). The node noticed the caller only when it sent the next event. Found by a review; resumption_ends_when_the_caller_leaves_after_a_break failed before and passes.

--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -135,7 +135,14 @@
             "version": admitted.config_version,
         });
         trace.node.log.record("stream-broken", fields);
-        let Some(resumed) = resume(&admitted, &mut progress, &trace, last_id).await else {
+        let resumed = select! {
+            resumed = resume(&admitted, &mut progress, &trace, last_id) => resumed,
+            () = sender.closed() => {
+                trace.finish("caller-left", 0, "");
+                return;
+            }
+        };
+        let Some(resumed) = resumed else {
             trace.finish("broken-off", 200, "upstream broke the stream");
             return;
         };
