Let a stopping node wait until its callers have their responses

Requests count as finished when their response is handed to the HTTP library. The stop now waits for the connections, too, which close after the last response. Found by a review; stop_waits_until_a_slow_caller_has_the_response failed before and passes, as do the other tests of stops.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -182,11 +182,10 @@
     node.phase.send_replace(ShutdownPhase::Closing);
     let time_left = grace.saturating_sub(clock::now().since(started_at));
     let drained = async {
-        while running() > 0 {
+        // A connection stays open until its caller has received the last response.
+        while running() > 0 || node.open_connections() > 0 {
             sleep(DRAIN_POLL_PERIOD).await;
         }
-        // Leaves time to flush the last response bytes.
-        sleep(DRAIN_POLL_PERIOD).await;
     };
     let in_order = timeout(time_left, drained).await.is_ok();
     shared_rows::publish_final_counts(node).await;
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -49,18 +49,18 @@
 ) -> std::io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     let mut phase = node.phase.subscribe();
-    let open_connections = Rc::new(());
     loop {
         let accepted = select! {
             accepted = listener.accept() => accepted,
             _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => return Ok(()),
         };
         match accepted {
-            Ok((stream, _)) if Rc::strong_count(&open_connections) <= CALLER_CONNECTIONS_MAX => {
-                let (node, open_connections) = (Rc::clone(&node), Rc::clone(&open_connections));
+            Ok((stream, _)) if node.open_connections() < CALLER_CONNECTIONS_MAX => {
+                let open_connection = Rc::clone(&node.caller_connections);
+                let node = Rc::clone(&node);
                 actix_web::rt::spawn(async move {
                     serve_connection(node, stream).await;
-                    drop(open_connections);
+                    drop(open_connection);
                 });
             }
             // Closing the connection without reading from it tells the caller that nothing ran.
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -43,6 +43,8 @@
     pub peer_socket: RefCell<Option<Rc<PeerSocket>>>,
     pub phase: watch::Sender<ShutdownPhase>,
     pub started_at: BootTime,
+    /// Cloned by each open connection of a caller.
+    pub caller_connections: Rc<()>,
     /// Total size of the buffered request bodies in bytes.
     pub buffered_bytes: Cell<usize>,
 }
@@ -62,6 +64,7 @@
             connections: ConnectionPool::default(),
             phase: watch::Sender::new(ShutdownPhase::Serving),
             started_at: clock::now(),
+            caller_connections: Rc::new(()),
             buffered_bytes: Cell::new(0),
         }
     }
@@ -81,6 +84,11 @@
         *self.phase.borrow()
     }
 
+    /// Number of open connections of callers.
+    pub fn open_connections(&self) -> usize {
+        Rc::strong_count(&self.caller_connections) - 1
+    }
+
     /// Whether the load balancer should route new connections to this node.
     pub fn is_ready(&self) -> bool {
         let state = self.state();
