Log software versions of upstreams and resumed attempts

Both are decoded now, relayed with the upstream list, and logged in `upstream` and `place` lines. No decision uses them yet.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -201,6 +201,10 @@
         state.speeds.speed_mut(&admitted.pool).record_prompt(tokens);
     }
     let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
+    let software = placement.as_ref().and_then(|placement| {
+        let row = state.upstreams.find(&placement.upstream)?;
+        Some(row.entry.software.clone())
+    });
     drop(state);
     let Some(placement) = placement else {
         let fields = json!({
@@ -212,6 +216,7 @@
     };
     let fields = json!({
         "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
+        "software": software, "resumes": admitted.metadata.resumed_attempt,
         "expected_ms": placement.expected_wait.as_millis(),
         "unread": placement.prefill_tokens, "home": placement.has_affinity,
         "left_ms": time_left.as_millis(), "version": admitted.config_version,
--- a/samphiredeck/src/forward/upstream_log.rs
+++ b/samphiredeck/src/forward/upstream_log.rs
@@ -23,6 +23,7 @@
         let fields = json!({
             "upstream": upstream.as_str(), "change": what,
             "pool": entry.map(|entry| entry.pool.as_str()),
+            "software": entry.map(|entry| entry.software.as_str()),
             "domain": entry.map(|entry| entry.domain.as_str()),
             "reclaimable": entry.map(|entry| entry.reclaimable),
             "born_ms": entry.and_then(|entry| entry.started_ms),
--- a/samphiredeck_core/src/forward/upstream_list.rs
+++ b/samphiredeck_core/src/forward/upstream_list.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     forward::list_delta::ListDelta,
-    ids::{DomainName, PoolName, UpstreamId},
+    ids::{DomainName, PoolName, SoftwareVersion, UpstreamId},
 };
 
 /// Maximum number of entries in a page of an [`UpstreamDelta`], so that it fits into one datagram.
@@ -28,6 +28,8 @@
     pub started_ms: Option<u64>,
     /// Pool that the upstream belongs to.
     pub pool: PoolName,
+    /// Software that the upstream runs. Upstreams of several versions may serve side by side.
+    pub software: SoftwareVersion,
     /// Address that the upstream serves on.
     pub address: SocketAddr,
     /// Failure domain.
@@ -49,7 +51,7 @@
     /// Fields that are compared and hashed. Excludes values that only count down.
     fn identity(&self) -> impl Hash + PartialEq + '_ {
         let upstream = (&self.id, self.started_ms, &self.pool, self.address);
-        (upstream, &self.domain, self.slots, self.leaving, self.reclaimable)
+        (upstream, &self.software, &self.domain, self.slots, self.leaving, self.reclaimable)
     }
 }
 
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -1,6 +1,7 @@
 //! Identifier types, validated when they are parsed.
 
 use std::{
+    convert::Infallible,
     fmt::{self, Display, Formatter},
     str::FromStr,
 };
@@ -229,6 +230,51 @@
     }
 }
 
+/// Label of the software that an upstream runs. Labels have no order; two upstreams run the same
+/// software if and only if their labels are equal.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Label as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for SoftwareVersion {
+    /// Keeps labels of up to [`NAME_MAX_BYTES`] and replaces longer ones by their hash, so that
+    /// labels of any length can be relayed in datagrams.
+    fn from(label: String) -> Self {
+        if label.len() <= NAME_MAX_BYTES {
+            return Self(label);
+        }
+        Self(blake3::hash(label.as_bytes()).to_hex().to_string())
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0
+    }
+}
+
+impl Display for SoftwareVersion {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(label: &str) -> Result<Self, Self::Err> {
+        Ok(Self::from(label.to_owned()))
+    }
+}
+
 /// Hash of a bearer key. The key itself is never stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -26,6 +26,7 @@
         id: id.parse().unwrap(),
         started_ms: Some(1),
         pool: "pool".parse().unwrap(),
+        software: "v1".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "a".parse().unwrap(),
         slots: 6,
