Resume streams only at the software version that began them

Cause: the version in an upstream's entry was dropped, so neither a resume within one response nor one by a caller could choose by it, and a node did not know where a stream began that another one had relayed.

The version is now part of a stream's state: a resume is placed at upstreams of that version only. Where a stream began is kept by the node that relayed its first event and announced to three others before the caller gets that event; all nodes find the same ones by rendezvous hashing of the attempt. A node that does not know the origin asks them. While a pool has had one version for longer than any stream lasts, nothing is announced: a stream can only have begun there. The versions observed are published beside the group's heartbeats, so that nodes which start after a loss of all nodes know them, too. Without certainty a resume is refused as not run, with a time to come back.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -25,6 +25,7 @@
 mod state;
 mod store_status;
 mod store_watch;
+mod stream_versions;
 mod upstream_log;
 mod upstream_response;
 
@@ -125,6 +126,7 @@
     spawn(store_watch::watch_upstreams(Rc::clone(node)));
     spawn(shared_rows::sync_shared_rows(Rc::clone(node)));
     spawn(leader::run_leader(Rc::clone(node)));
+    spawn(stream_versions::announce_origins(Rc::clone(node)));
     spawn(maintain(Rc::clone(node)));
     spawn(ingress::accept_callers(Rc::clone(node), listeners.caller));
     spawn(ingress::serve_readiness(Rc::clone(node), listeners.ready));
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -14,8 +14,9 @@
         demand::DemandRate,
         outcome::{NextStep, SendOutcome, next_step},
         placement::{Placement, PlacementRequest, choose_upstream},
+        upstream_list::ListedUpstream,
     },
-    ids::UpstreamId,
+    ids::{SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
@@ -28,6 +29,7 @@
     node::ForwardNode,
     quota::QuotaReservation,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
+    stream_versions::record_origin,
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
         UpstreamStream, receive_response,
@@ -52,6 +54,9 @@
     pub attempts: u32,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
+    /// Software version of the upstream at which the stream began. Only upstreams of this version
+    /// can continue it.
+    pub software: Option<SoftwareVersion>,
     /// Whether the request was added to the usage counts.
     pub counted: bool,
     /// Quota reserved from the workspace's limit.
@@ -59,10 +64,11 @@
 }
 
 impl RequestProgress {
-    /// Creates the state before the first attempt.
-    pub fn new(reservation: QuotaReservation) -> Self {
+    /// Creates the state before the first attempt. `software` is the version at which the stream
+    /// began that the caller resumes.
+    pub fn new(reservation: QuotaReservation, software: Option<SoftwareVersion>) -> Self {
         let (tried, verdict) = (Vec::new(), RunVerdict::NotRun);
-        Self { tried, attempts: 0, verdict, counted: false, reservation }
+        Self { tried, attempts: 0, verdict, software, counted: false, reservation }
     }
 }
 
@@ -183,6 +189,7 @@
         pool: &admitted.pool,
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
+        software: progress.software.as_ref(),
         tried: &progress.tried,
         max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
@@ -209,7 +216,7 @@
     let Some(placement) = placement else {
         let fields = json!({
             "request": trace.attempt_id, "pool": admitted.pool.as_str(), "list_age_ms": list_age,
-            "tried": progress.tried.len(),
+            "tried": progress.tried.len(), "software": progress.software,
         });
         node.log.record("no-upstream", fields);
         return Err(unanswered_error(progress, "no upstream takes work", time_left));
@@ -268,8 +275,8 @@
     resume: Option<u64>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let node = &trace.node;
-    let address = node.state().upstreams.find(&placement.upstream).map(|row| row.entry.address);
-    let Some(address) = address else {
+    let entry = node.state().upstreams.find(&placement.upstream).map(|row| row.entry.clone());
+    let Some(ListedUpstream { address, software, .. }) = entry else {
         return Err(SendFailure::new(SendOutcome::Unsent, "no longer in the upstream list"));
     };
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
@@ -346,6 +353,10 @@
                 progress.attempts += 1;
                 progress.verdict = RunVerdict::Ran;
                 progress.tried.push(placement.upstream.clone());
+                if first_batch.is_some() {
+                    record_origin(admitted, node, &software).await;
+                    progress.software = Some(software);
+                }
                 let first_event_at = clock::now();
                 let elapsed = first_event_at.since(sent_at);
                 record_first_token(admitted, node, &in_flight, placement, elapsed);
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -8,8 +8,9 @@
         members::NodeHeartbeat,
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
+        stream_origins::{OriginSource, StreamOrigin},
     },
-    ids::{NodeName, RowVersion, WorkspaceName},
+    ids::{AttemptKey, NodeName, PoolName, RowVersion, WorkspaceName},
 };
 use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
@@ -31,6 +32,8 @@
 /// Time without contact to any other node after which this node considers itself isolated and
 /// grants nothing beyond its local quota.
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_500);
+/// Response timeout of a query for the origin of a stream, for which a caller waits.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(80);
 /// Response timeout of a status query. Covers slow nodes, since no request waits for it.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -207,6 +210,36 @@
     send(node, socket, owner, address, &ForwardDatagram::ReleaseUnits { workspace, units }).await;
 }
 
+/// Tells the node at `address` where the stream of `attempt` began.
+pub async fn announce_origin(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    (keeper, address): (&NodeName, SocketAddr),
+    (attempt, origin): (AttemptKey, StreamOrigin),
+    lifetime: Duration,
+) {
+    let lifetime_ms = u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX);
+    let datagram = ForwardDatagram::AnnounceOrigin { attempt, origin, lifetime_ms };
+    send(node, socket, keeper, address, &datagram).await;
+}
+
+/// Asks the node at `address` where the stream of `attempt` began, which one of `pools` serves.
+/// Returns `None` if it does not respond, and `Some(None)` if it does not know.
+pub async fn query_origin(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    (keeper, address): (&NodeName, SocketAddr),
+    attempt: AttemptKey,
+    pools: Vec<PoolName>,
+) -> Option<Option<StreamOrigin>> {
+    let id = socket.next_id();
+    let datagram = ForwardDatagram::QueryOrigin { query_id: id, attempt, pools };
+    match query(node, socket, (keeper, address), (id, &datagram), ORIGIN_TIMEOUT).await {
+        Some(ForwardDatagram::OriginStatus { origin, .. }) => Some(origin),
+        _ => None,
+    }
+}
+
 /// Receives datagrams until the process exits.
 async fn receive_datagrams(node: Rc<ForwardNode>, socket: Rc<PeerSocket>) {
     loop {
@@ -236,7 +269,10 @@
         | ForwardDatagram::QueryMembers { .. }
         | ForwardDatagram::MemberStatus { .. }
         | ForwardDatagram::QueryConfig { .. }
-        | ForwardDatagram::ConfigPart { .. } => {}
+        | ForwardDatagram::ConfigPart { .. }
+        | ForwardDatagram::AnnounceOrigin { .. }
+        | ForwardDatagram::QueryOrigin { .. }
+        | ForwardDatagram::OriginStatus { .. } => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -276,6 +312,7 @@
         | ForwardDatagram::Declined { query_id: id }
         | ForwardDatagram::StoreStatus { query_id: id, .. }
         | ForwardDatagram::ConfigPart { query_id: id, .. }
+        | ForwardDatagram::OriginStatus { query_id: id, .. }
         | ForwardDatagram::MemberStatus { query_id: id, .. } => socket.complete(id, datagram),
         ForwardDatagram::QueryConfig { query_id: id, row, skip } => {
             let (size, bytes) = node.state().config_part(row, skip);
@@ -297,6 +334,16 @@
             let reply = ForwardDatagram::MemberStatus { query_id: id, members };
             send(node, socket, &sender, from, &reply).await;
         }
+        ForwardDatagram::AnnounceOrigin { attempt, origin, lifetime_ms } => {
+            let lifetime = Duration::from_millis(lifetime_ms);
+            let source = OriginSource::Announced;
+            node.state().origins.record(attempt, origin, source, lifetime, clock::now());
+        }
+        ForwardDatagram::QueryOrigin { query_id: id, attempt, pools } => {
+            let origin = node.state().find_origin(Some(attempt), &pools, clock::now());
+            let reply = ForwardDatagram::OriginStatus { query_id: id, origin };
+            send(node, socket, &sender, from, &reply).await;
+        }
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             node.state().quota_owner.refund(&workspace, units);
         }
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -26,11 +26,12 @@
     relay::relay_stream,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, with_jitter},
     response_body::ResponseBody,
+    stream_versions::resolve_origin,
     upstream_response::UpstreamResponse,
 };
 
 /// Time limit of a request that does not state a deadline.
-const TIME_LIMIT_DEFAULT: Duration = Duration::from_secs(15);
+pub const TIME_LIMIT_DEFAULT: Duration = Duration::from_secs(15);
 /// Maximum total size of buffered request bodies. A quarter of the memory of the users' smallest
 /// instances.
 const BUFFERED_BYTES_MAX: usize = 40 * 1_024 * 1_024;
@@ -99,9 +100,12 @@
     let time_limit = metadata.deadline.unwrap_or(TIME_LIMIT_DEFAULT);
     let deadline = trace.arrived_at + time_limit.min(route.timeout);
     let (body, buffered) = read_body(&node, &catalog, payload, deadline).await?;
+    let origin = resolve_origin(trace, &route, &metadata).await?;
     let tokens = metadata.tokens.map(|(prompt, output)| prompt + output);
     let reservation = reserve_quota(trace, workspace, tokens).await?;
-    let pool_name = route.pick_pool(random()).clone();
+    let begun_pool = origin.as_ref().and_then(|origin| origin.pool.as_ref());
+    let begun_pool = begun_pool.filter(|begun| route.pools().contains(begun));
+    let pool_name = begun_pool.unwrap_or_else(|| route.pick_pool(random())).clone();
     trace.pool = pool_name.to_string();
     let pool = catalog.find_pool(&pool_name);
     let engine = pool.is_some_and(|pool| pool.engine);
@@ -121,7 +125,8 @@
         route,
     };
     node.state().retry_budget.record_request(&admitted.pool, trace.arrived_at);
-    Ok((admitted, RequestProgress::new(reservation), buffered))
+    let software = origin.map(|origin| origin.software);
+    Ok((admitted, RequestProgress::new(reservation, software), buffered))
 }
 
 /// Waits for the first configuration on a node that has just started, as after a loss of all nodes.
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -12,13 +12,14 @@
         member_list::MemberIdentity,
         members::{NodeHeartbeat, is_lapsed},
         usage::WindowIndex,
+        version_history::PublishedHistory,
     },
     ids::{Incarnation, NodeName, RowVersion},
 };
 use samphiredeck_platform::store::{StoreKey, StoreRow, StoreRows, StoreTransaction};
 use samphiredeck_wire::record::{
     LEADER_ROW_KEY, SECRET_ROW_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record,
-    group_key,
+    group_key, versions_key,
 };
 use serde_json::json;
 use tokio::time::sleep;
@@ -133,6 +134,9 @@
     }
     let is_first = schedule.read_at.is_none();
     schedule.read_at = Some(sent_at);
+    if is_first && decode_groups(&response.rows).is_empty() {
+        node.state().upstreams.versions.record_first_start();
+    }
     if is_first && response.rows.iter().any(|row| row.key == own_key(node)) {
         schedule.written_at = Some(sent_at);
     }
@@ -243,8 +247,9 @@
     }
     if schedule.written_at.is_some_and(|at| now.since(at) >= ABANDONED_AFTER) {
         schedule.written_at = None;
-        let key = shared_key(own_key(node));
-        let removal = StoreTransaction { removals: vec![key], ..StoreTransaction::default() };
+        let versions_key = versions_key(&node.settings().name);
+        let removals = vec![shared_key(own_key(node)), shared_key(versions_key)];
+        let removal = StoreTransaction { removals, ..StoreTransaction::default() };
         client.transact(&removal, STORE_TIMEOUT).await?;
     }
     Ok(())
@@ -350,6 +355,9 @@
         let decoded = row.value.as_deref().map(|value| decode_record(&row.key, value));
         match decoded {
             Some(Ok(Some(SharedRecord::Duty(record)))) => leader_row = (Some(record), row.version),
+            Some(Ok(Some(SharedRecord::Versions(published)))) => {
+                merge_versions(&mut state, &published, now);
+            }
             Some(Ok(_)) | None => {}
             Some(Err(error)) => {
                 // Prevents nodes from overwriting a leader record that they cannot decode.
@@ -409,6 +417,29 @@
     }
 }
 
+/// Adds the software versions that another node has published.
+fn merge_versions(state: &mut ForwardState, published: &PublishedHistory, now: BootTime) {
+    let Some(store_ms) = state.clock.store_ms(now) else { return };
+    let to_boot = |at_ms: i64| {
+        let age_ms = u64::try_from(store_ms.saturating_sub(at_ms)).unwrap_or(0);
+        now - Duration::from_millis(age_ms)
+    };
+    state.upstreams.versions.merge(published, to_boot);
+}
+
+/// Row with the software versions that this node has observed.
+fn encode_versions(node: &ForwardNode) -> Option<(StoreKey, Vec<u8>)> {
+    let state = node.state();
+    let published = state.upstreams.versions.publish(|at| state.clock.store_ms(at))?;
+    match encode_record(&published) {
+        Ok(value) => Some((shared_key(versions_key(&node.settings().name)), value)),
+        Err(error) => {
+            node.log.record("versions-unwritable", json!({ "reason": error.to_string() }));
+            None
+        }
+    }
+}
+
 /// Writes the row with the heartbeats of this node's group.
 async fn write_group(
     node: &ForwardNode,
@@ -429,7 +460,8 @@
             return Ok(());
         }
     };
-    let writes = vec![(shared_key(own_key(node)), value)];
+    let mut writes = vec![(shared_key(own_key(node)), value)];
+    writes.extend(encode_versions(node));
     let transaction = StoreTransaction { writes, ..StoreTransaction::default() };
     client.transact(&transaction, STORE_TIMEOUT).await.map(drop)
 }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -19,11 +19,15 @@
         quota::{LocalQuota, PeerLiveness, QuotaOwner, rank_quota_owners},
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
+        stream_origins::{OriginTable, StreamOrigin},
         upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
     },
-    ids::{DomainName, Incarnation, NodeName, RowVersion, WorkspaceName},
+    ids::{
+        AttemptKey, DomainName, Incarnation, NodeName, PoolName, RowVersion, SoftwareVersion,
+        WorkspaceName,
+    },
     units::Millis,
 };
 use samphiredeck_wire::forward::RelayedMembers;
@@ -58,6 +62,8 @@
     pub has_chosen_reader: bool,
     /// Known upstreams and their load.
     pub upstreams: UpstreamRegistry,
+    /// Where streams began that may be resumed.
+    pub origins: OriginTable,
     /// Nodes of the cluster.
     pub members: MemberTable,
     /// Nodes that publish through this one, and itself.
@@ -105,6 +111,7 @@
             has_chosen_reader: false,
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
+            origins: OriginTable::default(),
             members: MemberTable::default(),
             group: NodeGroup::default(),
             members_differ: false,
@@ -223,6 +230,48 @@
         }
     }
 
+    /// Where the stream of `attempt` began, as far as this node can tell without others. `pools` may
+    /// have served it.
+    pub fn find_origin(
+        &self,
+        attempt: Option<AttemptKey>,
+        pools: &[PoolName],
+        now: BootTime,
+    ) -> Option<StreamOrigin> {
+        let announced = attempt.and_then(|attempt| self.origins.find(attempt));
+        announced.cloned().or_else(|| {
+            let software = self.only_version(pools, now)?.clone();
+            Some(StreamOrigin { software, pool: None })
+        })
+    }
+
+    /// The version at which all streams began that `pools` serve and that may be resumed, if there
+    /// is certainly just one.
+    pub fn only_version(&self, pools: &[PoolName], now: BootTime) -> Option<&SoftwareVersion> {
+        let timeout = self.catalog.as_ref()?.longest_resumable();
+        self.upstreams.versions.only_version(pools, timeout, now)
+    }
+
+    /// Takes up to `count` origins of own streams that other nodes can't tell from the versions that
+    /// served, with the time for which the streams may be resumed.
+    pub fn take_unannounced(
+        &mut self,
+        count: usize,
+        now: BootTime,
+    ) -> Vec<(AttemptKey, StreamOrigin, Duration)> {
+        let Some(catalog) = &self.catalog else { return Vec::new() };
+        let routes = catalog.resumable_pools().into_iter();
+        let uncertain = routes.filter(|pools| self.only_version(pools, now).is_none()).flatten();
+        let uncertain: Vec<PoolName> = uncertain.collect();
+        if uncertain.is_empty() {
+            return Vec::new();
+        }
+        let is_due = |origin: &StreamOrigin| {
+            origin.pool.as_ref().is_some_and(|pool| uncertain.contains(pool))
+        };
+        self.origins.take_unannounced(count, is_due, now)
+    }
+
     /// Whether this node, called `own`, may act as a quota owner at `now`. Other nodes may have
     /// replaced it otherwise.
     pub fn may_own_quotas(&self, own: &NodeName, now: BootTime) -> bool {
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -22,6 +22,8 @@
 pub mod quota;
 pub mod retry_budget;
 pub mod store_readers;
+pub mod stream_origins;
 pub mod upstream_list;
 pub mod upstreams;
 pub mod usage;
+pub mod version_history;
--- a/samphiredeck_core/src/forward/catalog.rs
+++ b/samphiredeck_core/src/forward/catalog.rs
@@ -54,6 +54,12 @@
 }
 
 impl RouteRow {
+    /// Pools that serve the route.
+    #[must_use]
+    pub fn pools(&self) -> Vec<PoolName> {
+        self.split.iter().map(|(pool, _)| pool.clone()).collect()
+    }
+
     /// Picks a pool at random by weight. `random` is uniform in 0 to 1.
     #[must_use]
     pub fn pick_pool(&self, random: f64) -> &PoolName {
@@ -223,6 +229,26 @@
         Some(&self.pools[index])
     }
 
+    /// Longest timeout of a resumable route. Zero if there is none.
+    #[must_use]
+    pub fn longest_resumable(&self) -> Duration {
+        let timeouts = self.resumable_routes().map(|row| row.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
+    /// Pools of each resumable route, without duplicates.
+    #[must_use]
+    pub fn resumable_pools(&self) -> Vec<Vec<PoolName>> {
+        let mut pools: Vec<Vec<PoolName>> = self.resumable_routes().map(RouteRow::pools).collect();
+        pools.sort_unstable();
+        pools.dedup();
+        pools
+    }
+
+    fn resumable_routes(&self) -> impl Iterator<Item = &RouteRow> {
+        self.routes.iter().filter(|row| row.retry_policy == RetryPolicy::Resumable)
+    }
+
     /// Finds the workspace `name`.
     #[must_use]
     pub fn find_workspace(&self, name: &WorkspaceName) -> Option<&WorkspaceRow> {
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -24,7 +24,7 @@
         prompt_cache::{CacheAffinity, PromptCacheTable},
         upstreams::{TrackedUpstream, UpstreamRegistry},
     },
-    ids::{DomainName, PoolName, UpstreamId},
+    ids::{DomainName, PoolName, SoftwareVersion, UpstreamId},
 };
 
 /// Share of the running requests of an engine whose prompt is assumed to be still in prefill.
@@ -76,6 +76,9 @@
     pub engine: bool,
     /// Parts of the prompt in order. The last one is unique to the request.
     pub parts: &'a [PromptPart],
+    /// Software version at which the request's stream began, if it has begun. Other versions can't
+    /// continue it.
+    pub software: Option<&'a SoftwareVersion>,
     /// Upstreams that already received the request and must not be chosen again.
     pub tried: &'a [UpstreamId],
     /// Maximum number of connections from this node to one upstream.
@@ -176,6 +179,7 @@
 ) -> Option<Placement> {
     let fits = |row: &&TrackedUpstream| {
         row.entry.pool == *request.pool
+            && request.software.is_none_or(|software| row.entry.software == *software)
             && row.is_accepting(now)
             && row.in_flight < request.max_connections
             && !request.tried.contains(&row.entry.id)
--- a/samphiredeck_core/src/forward/upstream_list.rs
+++ b/samphiredeck_core/src/forward/upstream_list.rs
@@ -48,6 +48,12 @@
 }
 
 impl ListedUpstream {
+    /// Whether `other`, an entry with the same id, belongs to another run of the upstream.
+    pub(super) fn identifies_other_run(&self, other: &Self) -> bool {
+        let run = |entry: &Self| (entry.started_ms, entry.address);
+        run(self) != run(other) || self.software != other.software
+    }
+
     /// Fields that are compared and hashed. Excludes values that only count down.
     fn identity(&self) -> impl Hash + PartialEq + '_ {
         let upstream = (&self.id, self.started_ms, &self.pool, self.address);
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -11,6 +11,7 @@
     forward::{
         list_delta::ListDelta,
         upstream_list::{ListedUpstream, UpstreamDelta, changed_ids, digest_list, find_entry},
+        version_history::VersionHistory,
     },
     ids::{RowVersion, UpstreamId},
 };
@@ -206,6 +207,8 @@
     /// Sorted by id, without duplicates. Unlisted rows are kept while this node has requests in
     /// flight there.
     rows: Vec<TrackedUpstream>,
+    /// Software versions that were listed.
+    pub versions: VersionHistory,
     /// Send time of the last applied read.
     read_at: Option<BootTime>,
     /// Time of the first read that listed any upstream.
@@ -328,6 +331,7 @@
         }
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
+        self.versions.observe(list.iter().map(|entry| (&entry.pool, &entry.software)), sent_at);
         self.store_list(&list);
         for row in self.rows.iter_mut().filter(|row| row.listed) {
             if find_entry(&list, &row.entry.id).is_some() {
@@ -378,7 +382,7 @@
             }
         };
         let row = &mut self.rows[at];
-        if row.entry.started_ms != entry.started_ms || row.entry.address != entry.address {
+        if row.entry.identifies_other_run(&entry) {
             changes.push(UpstreamChange::Joined(entry.id.clone()));
             let in_flight = row.in_flight;
             *row = TrackedUpstream { in_flight, ..TrackedUpstream::new(entry, now) };
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Maximum length of a name in bytes.
 const NAME_MAX_BYTES: usize = 64;
@@ -275,6 +276,41 @@
     }
 }
 
+/// Hash of the identifier of a caller's attempt. Identifiers are chosen by callers and may have any
+/// length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AttemptKey(u128);
+
+impl AttemptKey {
+    /// Hashes the attempt identifier `id`.
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        Self(xxh3_128(id.as_bytes()))
+    }
+
+    /// Bytes of the hash.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; 16] {
+        self.0.to_le_bytes()
+    }
+}
+
+impl Display for AttemptKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for AttemptKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let key = u128::from_str_radix(text, 16);
+        key.map(Self).map_err(|_parse| IdError::Number(text.chars().take(NAME_MAX_BYTES).collect()))
+    }
+}
+
 /// Hash of a bearer key. The key itself is never stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -71,6 +71,7 @@
     let domain: DomainName = "a".parse().unwrap();
     let engine = !parts.is_empty();
     let request = PlacementRequest {
+        software: None,
         pool: &pool,
         engine,
         parts,
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -3,9 +3,9 @@
 use samphiredeck_core::{
     forward::{
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
-        store_readers::StoreStatus,
+        store_readers::StoreStatus, stream_origins::StreamOrigin,
     },
-    ids::{RowVersion, WorkspaceName},
+    ids::{AttemptKey, PoolName, RowVersion, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -144,6 +144,31 @@
         /// Members known to the sender.
         members: RelayedMembers,
     },
+    /// Tells where the stream of `attempt` began, for nodes at which its caller may resume it.
+    AnnounceOrigin {
+        /// Attempt that brought the first event.
+        attempt: AttemptKey,
+        /// Where the stream began.
+        origin: StreamOrigin,
+        /// Milliseconds for which the stream may be resumed.
+        lifetime_ms: u64,
+    },
+    /// Queries where the stream of `attempt` began.
+    QueryOrigin {
+        /// Identifies the query in its reply. Unique while the querying node runs.
+        query_id: u64,
+        /// Attempt that brought the first event.
+        attempt: AttemptKey,
+        /// Pools that may have served it.
+        pools: Vec<PoolName>,
+    },
+    /// Replies to [`QueryOrigin`](Self::QueryOrigin).
+    OriginStatus {
+        /// Identifies the query.
+        query_id: u64,
+        /// Where the stream began, if the sender knows it for certain.
+        origin: Option<StreamOrigin>,
+    },
     /// Asks whether the receiver is alive and can act as an owner.
     Ping,
     /// Replies to a ping: the sender can act as an owner.
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -5,6 +5,7 @@
         leader::LeaderRecord,
         members::MemberHeartbeat,
         usage::{WindowCounts, WindowIndex},
+        version_history::PublishedHistory,
     },
     ids::NodeName,
 };
@@ -19,6 +20,8 @@
 pub const SECRET_ROW_KEY: &str = "secret";
 /// Key prefix of the rows in which nodes publish the heartbeats of their groups.
 const GROUP_PREFIX: &str = "group.";
+/// Key prefix of the rows in which nodes publish the software versions that they observed.
+const VERSIONS_PREFIX: &str = "versions.";
 /// Key prefix of the rows of agreed usage. The window number follows, padded with zeros, so that
 /// the rows sort by window.
 const USAGE_PREFIX: &str = "usage.";
@@ -46,6 +49,8 @@
     Duty(LeaderRecord),
     /// Heartbeats of the nodes that publish through the given one.
     Group(NodeName, Vec<MemberHeartbeat>),
+    /// Software versions that a node observed.
+    Versions(PublishedHistory),
     /// Agreed usage of one time window.
     Usage(WindowCounts),
     /// Secret from which the key of the nodes' datagrams is derived.
@@ -58,6 +63,12 @@
     format!("{GROUP_PREFIX}{node}")
 }
 
+/// Key of the row in which `node` publishes the software versions that it observed.
+#[must_use]
+pub fn versions_key(node: &NodeName) -> String {
+    format!("{VERSIONS_PREFIX}{node}")
+}
+
 /// Key of the row of agreed usage of `window`.
 #[must_use]
 pub fn usage_key(window: WindowIndex) -> String {
@@ -97,6 +108,9 @@
         let Ok(node) = name.parse() else { return Ok(None) };
         return Ok(Some(SharedRecord::Group(node, decode_content(value)?)));
     }
+    if key.starts_with(VERSIONS_PREFIX) {
+        return Ok(Some(SharedRecord::Versions(decode_content(value)?)));
+    }
     if key.starts_with(USAGE_PREFIX) {
         return Ok(Some(SharedRecord::Usage(decode_content(value)?)));
     }
