--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -14,8 +14,9 @@
         demand::DemandRate,
         outcome::{NextStep, SendOutcome, next_step},
         placement::{Placement, PlacementRequest, choose_upstream},
+        upstream_list::ListedUpstream,
     },
-    ids::UpstreamId,
+    ids::{SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
@@ -24,11 +25,13 @@
 
 use crate::forward::{
     clock,
+    http_connection::HttpConnection,
     in_flight::InFlightRequest,
     node::ForwardNode,
     quota::QuotaReservation,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
     state::ForwardState,
+    stream_versions::record_origin,
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
         UpstreamStream, receive_response,
@@ -62,6 +65,9 @@
     pub on_sent: Option<oneshot::Sender<()>>,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
+    /// Software version of the upstream at which the stream began. Only upstreams of this version
+    /// can continue it.
+    pub software: Option<SoftwareVersion>,
     /// Whether the request was added to the usage counts.
     pub counted: bool,
     /// Quota reserved from the workspace's limit.
@@ -69,8 +75,9 @@
 }
 
 impl RequestProgress {
-    /// Creates the state before the first attempt.
-    pub fn new(reservation: QuotaReservation) -> Self {
+    /// Creates the state before the first attempt. `software` is the version at which the stream
+    /// began that the caller resumes.
+    pub fn new(reservation: QuotaReservation, software: Option<SoftwareVersion>) -> Self {
         Self {
             tried: Vec::new(),
             attempts: 0,
@@ -78,6 +85,7 @@
             only: None,
             on_sent: None,
             verdict: RunVerdict::NotRun,
+            software,
             counted: false,
             reservation,
         }
@@ -204,17 +212,22 @@
         state.speeds.speed_mut(&admitted.pool).record_prompt(tokens);
     }
     let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
+    let software = placement.as_ref().and_then(|placement| {
+        let row = state.upstreams.find(&placement.upstream)?;
+        Some(row.entry.software.clone())
+    });
     drop(state);
     let Some(placement) = placement else {
         let fields = json!({
             "request": trace.attempt_id, "pool": admitted.pool.as_str(), "list_age_ms": list_age,
-            "tried": progress.tried.len(),
+            "tried": progress.tried.len(), "software": progress.software,
         });
         node.log.record("no-upstream", fields);
         return Err(unanswered_error(progress, "no upstream takes work", time_left));
     };
     let fields = json!({
         "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
+        "software": software, "resumes": admitted.metadata.resumed_attempt,
         "expected_ms": placement.expected_wait.as_millis(),
         "unread": placement.prefill_tokens, "home": placement.has_affinity,
         "left_ms": time_left.as_millis(), "version": admitted.config_version,
@@ -250,6 +263,7 @@
         parts: &admitted.metadata.prompt_parts,
         tried,
         only: progress.only.as_ref(),
+        software: progress.software.as_ref(),
         max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
         speed: state.speeds.speed(&admitted.pool),
@@ -309,8 +323,8 @@
     resume: Option<u64>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let node = &trace.node;
-    let address = node.state().upstreams.find(&placement.upstream).map(|row| row.entry.address);
-    let Some(address) = address else {
+    let entry = node.state().upstreams.find(&placement.upstream).map(|row| row.entry.clone());
+    let Some(ListedUpstream { address, software, .. }) = entry else {
         return Err(SendFailure::new(SendOutcome::Unsent, "no longer in the upstream list"));
     };
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
@@ -345,14 +359,7 @@
             _ = on_sent.send(());
         }
         let received = {
-            let exchange = async {
-                let response = connection.send(request).await.map_err(|error| {
-                    let outcome =
-                        if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
-                    SendFailure::new(outcome, error.reason)
-                })?;
-                receive_response(admitted, trace, response, &mut in_flight).await
-            };
+            let exchange = exchange(admitted, trace, &mut connection, request, &mut in_flight);
             let is_lost = || can_go_elsewhere(admitted, progress, node, &placement.upstream);
             wait_for_response(exchange, time_limit, admitted.deadline, is_lost).await
         };
@@ -393,6 +400,10 @@
                 count_usage(admitted, progress, node, clock::now());
                 progress.verdict = RunVerdict::Ran;
                 progress.tried.push(placement.upstream.clone());
+                if first_batch.is_some() {
+                    record_origin(admitted, node, &software).await;
+                    progress.software = Some(software);
+                }
                 let first_event_at = clock::now();
                 let elapsed = first_event_at.since(sent_at);
                 record_first_token(admitted, node, &in_flight, placement, elapsed);
@@ -411,6 +422,21 @@
     }
 }
 
+/// Sends `request` on `connection` and receives the response, or the first event of its stream.
+async fn exchange(
+    admitted: &AdmittedRequest,
+    trace: &RequestTrace,
+    connection: &mut HttpConnection,
+    request: Request<Full<Bytes>>,
+    in_flight: &mut InFlightRequest,
+) -> Result<ReceivedResponse, SendFailure> {
+    let response = connection.send(request).await.map_err(|error| {
+        let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
+        SendFailure::new(outcome, error.reason)
+    })?;
+    receive_response(admitted, trace, response, in_flight).await
+}
+
 /// Waits for the response of an upstream. After `time_limit` the upstream is considered lost as soon
 /// as `is_lost`: a silent one may still respond, so it is only left for another that can take the
 /// request.
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -1,12 +1,14 @@
 //! Identifier types, validated when they are parsed.
 
 use std::{
+    convert::Infallible,
     fmt::{self, Display, Formatter},
     str::FromStr,
 };
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Maximum length of a name in bytes.
 const NAME_MAX_BYTES: usize = 64;
@@ -229,6 +231,86 @@
     }
 }
 
+/// Label of the software that an upstream runs. Labels have no order; two upstreams run the same
+/// software if and only if their labels are equal.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Label as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for SoftwareVersion {
+    /// Keeps labels of up to [`NAME_MAX_BYTES`] and replaces longer ones by their hash, so that
+    /// labels of any length can be relayed in datagrams.
+    fn from(label: String) -> Self {
+        if label.len() <= NAME_MAX_BYTES {
+            return Self(label);
+        }
+        Self(blake3::hash(label.as_bytes()).to_hex().to_string())
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0
+    }
+}
+
+impl Display for SoftwareVersion {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(label: &str) -> Result<Self, Self::Err> {
+        Ok(Self::from(label.to_owned()))
+    }
+}
+
+/// Hash of the identifier of a caller's attempt. Identifiers are chosen by callers and may have any
+/// length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AttemptKey(u128);
+
+impl AttemptKey {
+    /// Hashes the attempt identifier `id`.
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        Self(xxh3_128(id.as_bytes()))
+    }
+
+    /// Bytes of the hash.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; 16] {
+        self.0.to_le_bytes()
+    }
+}
+
+impl Display for AttemptKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for AttemptKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let key = u128::from_str_radix(text, 16);
+        key.map(Self).map_err(|_parse| IdError::Number(text.chars().take(NAME_MAX_BYTES).collect()))
+    }
+}
+
 /// Hash of a bearer key. The key itself is never stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
