Decide by one state per upstream whether it takes requests

Cause: a node kept on sending to an upstream that had announced in a response that it leaves, until the list said so, and to one that had asked for no requests for some time. The marks of upstreams were three flags, and were forgotten when an entry without a request in flight disappeared. Change: an upstream has one state (accepting, paused, missing, leaving, gone) with one function for each event; every choice of an upstream and every send asks it, the latter once more after a connection was opened. Only a restart (new id, newer start time) ends leaving. What a response of an earlier start says is ignored. If all upstreams of a pool are paused, requests are refused at once until the earliest end. Idle connections to upstreams that leave are closed. Paused upstreams count as capacity, so that no replacement is ordered for them. Each change has a log line with its cause and the request whose response told it, and metrics by state and cause.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -25,7 +25,7 @@
 mod state;
 mod store_status;
 mod store_watch;
-mod upstream_log;
+mod upstream_changes;
 mod upstream_response;
 
 use std::{
@@ -45,6 +45,7 @@
 };
 
 use crate::forward::{
+    metrics::StateLabels,
     node::{ForwardNode, ShutdownPhase},
     settings::{ForwardSettings, load_forward_settings},
 };
@@ -148,6 +149,11 @@
     let read_at = state.upstreams.read_at();
     metrics.list_age.set(read_at.map(|at| now.since(at)).unwrap_or_default().as_secs_f64());
     let accepting = state.upstreams.rows().iter().filter(|row| row.is_accepting(now)).count();
+    metrics.upstreams.clear();
+    for row in state.upstreams.rows() {
+        let (state, cause) = row.state().labels(now);
+        metrics.upstreams.get_or_create(&StateLabels { state, cause }).inc();
+    }
     metrics.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(node.log.dropped_lines()).unwrap_or(i64::MAX));
 }
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -10,12 +10,12 @@
     boot_time::BootTime,
     forward::{
         catalog::RetryPolicy,
-        deadline::fits_deadline,
+        deadline::{fits_deadline, retry_after_pause},
         demand::DemandRate,
         outcome::{NextStep, SendOutcome, next_step},
         placement::{Placement, PlacementRequest, choose_upstream},
     },
-    ids::UpstreamId,
+    ids::{PoolName, UpstreamId},
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
@@ -104,12 +104,13 @@
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
-        let sent = failure.outcome != SendOutcome::Unsent;
-        progress.attempts += u32::from(sent);
-        connect_failures += usize::from(!sent);
+        progress.attempts += u32::from(failure.outcome.is_sent());
+        connect_failures += usize::from(failure.outcome == SendOutcome::Unsent);
         progress.verdict = progress.verdict.join(failure.outcome.verdict());
         progress.reservation.set_consumed(progress.verdict != RunVerdict::NotRun);
-        progress.tried.push(placement.upstream.clone());
+        if failure.outcome != SendOutcome::Withdrawn {
+            progress.tried.push(placement.upstream.clone());
+        }
         let attempts_left = admitted.route.max_attempts.saturating_sub(progress.attempts);
         let attempts_left =
             if connect_failures >= CONNECT_FAILURES_MAX { 0 } else { attempts_left };
@@ -131,7 +132,7 @@
             (NextStep::SendAgain, _) => {}
             (NextStep::Deliver, Some(response)) => return Ok(UpstreamResponse::Complete(response)),
             (NextStep::RefuseUnrun, _) => {
-                let wait = retry_delay(Duration::ZERO, time_left);
+                let wait = pool_retry_delay(node, &admitted.pool, time_left);
                 return Err(ErrorResponse::not_executed("upstream did not take the request", wait));
             }
             (NextStep::Deliver | NextStep::GiveUp, _) if time_left < SEND_TIME_MIN => {
@@ -168,6 +169,17 @@
     ErrorResponse::not_retryable(StatusCode::BAD_GATEWAY, reason)
 }
 
+/// Retry delay of a caller that `pool` can't serve now: until the first upstream takes requests
+/// again, if all of them have asked for time.
+fn pool_retry_delay(node: &ForwardNode, pool: &PoolName, time_left: Duration) -> Duration {
+    let now = clock::now();
+    let pause_end = node.state().upstreams.pool_pause_end(pool, now);
+    pause_end.map_or_else(
+        || retry_delay(Duration::ZERO, time_left),
+        |end| retry_after_pause(end.since(now), time_left, random()),
+    )
+}
+
 fn place(
     admitted: &AdmittedRequest,
     progress: &RequestProgress,
@@ -201,13 +213,19 @@
         state.speeds.speed_mut(&admitted.pool).record_prompt(tokens);
     }
     let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
+    let pause_end = state.upstreams.pool_pause_end(&admitted.pool, now);
     drop(state);
     let Some(placement) = placement else {
         let fields = json!({
             "request": trace.attempt_id, "pool": admitted.pool.as_str(), "list_age_ms": list_age,
             "tried": progress.tried.len(),
+            "pause_ms": pause_end.map(|end| end.since(now).as_millis()),
         });
         node.log.record("no-upstream", fields);
+        if progress.verdict == RunVerdict::NotRun {
+            let wait = pool_retry_delay(node, &admitted.pool, time_left);
+            return Err(ErrorResponse::not_executed("no upstream takes work", wait));
+        }
         return Err(unanswered_error(progress, "no upstream takes work", time_left));
     };
     let fields = json!({
@@ -286,6 +304,11 @@
             },
         };
         let sent_at = clock::now();
+        // The upstream may have left or asked for time while the connection was being opened.
+        if !node.state().upstreams.accepts(&placement.upstream, sent_at) {
+            node.keep_connection(&placement.upstream, connection, None);
+            return Err(SendFailure::new(SendOutcome::Withdrawn, "takes no requests any more"));
+        }
         let time_left = admitted.deadline.since(sent_at);
         let time_limit = attempt_time_limit(admitted, time_left, can_retry);
         let request = build_request(admitted, placement, time_left, resume);
@@ -309,8 +332,7 @@
         return match received {
             Err(failure) if failure.outcome == SendOutcome::Unsent && !is_new => continue,
             Err(failure) => {
-                let may_have_run = failure.outcome != SendOutcome::Rejected
-                    && failure.outcome != SendOutcome::Unsent;
+                let may_have_run = failure.outcome.verdict() != RunVerdict::NotRun;
                 if may_have_run && !admitted.route.streams {
                     count_usage(admitted, progress, node, sent_at);
                 }
@@ -322,7 +344,7 @@
                 record_service_time(admitted, node, &response, sent_at);
                 count_usage(admitted, progress, node, sent_at);
                 if !metadata.closes_connection {
-                    node.connections.put_back(&placement.upstream, connection, metadata.keep_alive);
+                    node.keep_connection(&placement.upstream, connection, metadata.keep_alive);
                 }
                 progress.attempts += 1;
                 progress.verdict = RunVerdict::Ran;
--- a/samphiredeck/src/forward/connection_pool.rs
+++ b/samphiredeck/src/forward/connection_pool.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// Closes the idle connections to `upstream`.
+    pub fn close_idle(&self, upstream: &UpstreamId) {
+        let mut rows = self.rows.borrow_mut();
+        if let Ok(at) = rows.binary_search_by(|row| row.upstream.cmp(upstream)) {
+            rows.remove(at);
+        }
+    }
+
     /// Closes connections that expired or that the upstream has closed.
     pub fn remove_expired(&self) {
         let now = clock::now();
--- a/samphiredeck/src/forward/decision_log.rs
+++ b/samphiredeck/src/forward/decision_log.rs
@@ -3,7 +3,7 @@
 //! A separate thread writes the lines from a bounded queue, so a stalled reader of the output never
 //! blocks the node. Each kind of line is rate-limited; suppressed lines are counted and reported.
 
-use std::cell::RefCell;
+use std::{cell::RefCell, time::Duration};
 
 use samphiredeck_core::boot_time::BootTime;
 use serde_json::{Map, Value};
@@ -15,6 +15,8 @@
 const QUEUE_LINES_MAX: usize = 4_096;
 /// Length of a rate-limiting period in milliseconds.
 const PERIOD_MS: u64 = 1_000;
+/// Time between two lines that are written once a minute.
+const MINUTE: Duration = Duration::from_secs(60);
 
 /// Number of lines of one kind in the current period.
 #[derive(Debug)]
@@ -35,6 +37,9 @@
     rate: u32,
     /// Sorted by kind, without duplicates.
     kinds: RefCell<Vec<KindCounter>>,
+    /// Kinds and subjects of the lines that are written once a minute, with the time of the last
+    /// one. Sorted by kind and subject, without duplicates.
+    minute_lines: RefCell<Vec<(&'static str, &'static str, BootTime)>>,
 }
 
 impl DecisionLog {
@@ -49,6 +54,7 @@
             node,
             rate,
             kinds: RefCell::new(Vec::new()),
+            minute_lines: RefCell::new(Vec::new()),
         }
     }
 
@@ -73,6 +79,20 @@
         drop(std::io::Write::write_all(&mut *self.writer.borrow_mut(), text.as_bytes()));
     }
 
+    /// Writes a line of kind `kind` with `fields`, unless one of the same kind and subject was written
+    /// within the last minute.
+    pub fn record_once_a_minute(&self, kind: &'static str, subject: &'static str, fields: Value) {
+        let now = clock::now();
+        let mut lines = self.minute_lines.borrow_mut();
+        match lines.binary_search_by_key(&(kind, subject), |(kind, subject, _)| (*kind, *subject)) {
+            Ok(at) if now.since(lines[at].2) < MINUTE => return,
+            Ok(at) => lines[at].2 = now,
+            Err(at) => lines.insert(at, (kind, subject, now)),
+        }
+        drop(lines);
+        self.record(kind, fields);
+    }
+
     /// Number of lines dropped because the queue was full.
     pub fn dropped_lines(&self) -> usize {
         self.writer.borrow().error_counter().dropped_lines()
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -18,6 +18,8 @@
     node: Rc<ForwardNode>,
     /// Upstream that the request was sent to.
     pub upstream: UpstreamId,
+    /// Start time of that upstream when the request was sent. Its responses concern no later start.
+    pub started_ms: Option<u64>,
     /// Until the response starts.
     pending: Option<PendingResponse>,
     /// Whether the upstream had no other prompt to process when the request was sent, as far as
@@ -35,8 +37,8 @@
         let is_alone = row
             .is_some_and(|row| row.pending_prefill_tokens == 0 && row.reported_waiting(now) == 0);
         let shared = &parts[..parts.len().saturating_sub(1)];
-        if let Some(row) = row {
-            let started_ms = row.entry.started_ms;
+        let started_ms = row.and_then(|row| row.entry.started_ms);
+        if row.is_some() {
             state.prompt_cache.record_sent(&placement.upstream, started_ms, shared, now);
         }
         let pending = PendingResponse {
@@ -46,7 +48,7 @@
         state.upstreams.record_request_start(&placement.upstream, &pending);
         drop(guard);
         let upstream = placement.upstream.clone();
-        Self { node: Rc::clone(node), upstream, pending: Some(pending), is_alone }
+        Self { node: Rc::clone(node), upstream, started_ms, pending: Some(pending), is_alone }
     }
 
     /// Records that the response has started.
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -371,19 +371,19 @@
             }
             let domains = rule.prices.iter().map(|(domain, _)| domain.clone());
             let capacity_of = |domain: DomainName| {
-                let count_accepting = |reclaimable: bool| {
+                let count_serving = |reclaimable: bool| {
                     let rows = state.upstreams.rows().iter();
                     let count = rows
                         .filter(|row| {
                             row.entry.pool == pool.name
                                 && row.entry.domain == domain
-                                && row.is_accepting(now)
+                                && row.is_serving(now)
                                 && row.entry.reclaimable == reclaimable
                         })
                         .count();
                     u32::try_from(count).unwrap_or(u32::MAX)
                 };
-                let (reclaimable, on_demand) = (count_accepting(true), count_accepting(false));
+                let (reclaimable, on_demand) = (count_serving(true), count_serving(false));
                 DomainCapacity { domain, reclaimable, on_demand }
             };
             let capacities: Vec<DomainCapacity> = domains.map(capacity_of).collect();
@@ -447,7 +447,7 @@
 
 /// Number of slots of the smallest upstream in `pool`.
 fn pool_slots(upstreams: &UpstreamRegistry, pool: &PoolName) -> u32 {
-    let rows = upstreams.rows().iter().filter(|row| row.entry.pool == *pool);
+    let rows = upstreams.rows().iter().filter(|row| row.entry.pool == *pool && row.is_listed());
     rows.map(|row| row.entry.slots).min().unwrap_or(u32::MAX)
 }
 
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -31,6 +31,14 @@
     pub pool: String,
 }
 
+/// Labels of a state of upstreams.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct StateLabels {
+    pub state: &'static str,
+    /// How this node learned of the state, empty for upstreams that take requests.
+    pub cause: &'static str,
+}
+
 /// Labels of a call to the platform.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct PlatformCallLabels {
@@ -74,6 +82,10 @@
     pub list_age: Gauge<f64, AtomicU64>,
     /// Number of upstreams that accept requests.
     pub accepting: Gauge,
+    /// Number of upstreams by state and its cause.
+    pub upstreams: Family<StateLabels, Gauge>,
+    /// Number of state changes that responses caused.
+    pub state_changes: Family<StateLabels, Counter>,
     /// Number of live nodes.
     pub nodes: Gauge,
     /// Fencing token of this node as the leader, 0 if it is not the leader.
@@ -97,6 +109,8 @@
             config_age: Gauge::default(),
             list_age: Gauge::default(),
             accepting: Gauge::default(),
+            upstreams: Family::default(),
+            state_changes: Family::default(),
             nodes: Gauge::default(),
             leader_fence: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -137,6 +151,12 @@
             metrics.list_age.clone(),
         );
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
+        registry.register("upstreams", "Upstreams by state", metrics.upstreams.clone());
+        registry.register(
+            "upstream_changes",
+            "Changes of state that answers told of",
+            metrics.state_changes.clone(),
+        );
         registry.register("nodes", "Nodes alive", metrics.nodes.clone());
         registry.register(
             "duty_fence",
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -3,14 +3,19 @@
 use std::{
     cell::{Cell, RefCell, RefMut},
     rc::Rc,
+    time::Duration,
 };
 
-use samphiredeck_core::{boot_time::BootTime, ids::Incarnation};
+use samphiredeck_core::{
+    boot_time::BootTime,
+    ids::{Incarnation, UpstreamId},
+};
 use tokio::sync::watch;
 
 use crate::forward::{
-    clock, connection_pool::ConnectionPool, decision_log::DecisionLog, metrics::ForwardMetrics,
-    peer_socket::PeerSocket, settings::ForwardSettings, state::ForwardState,
+    clock, connection_pool::ConnectionPool, decision_log::DecisionLog,
+    http_connection::HttpConnection, metrics::ForwardMetrics, peer_socket::PeerSocket,
+    settings::ForwardSettings, state::ForwardState,
 };
 
 /// Phase of a graceful shutdown.
@@ -76,6 +81,20 @@
         self.state.borrow_mut()
     }
 
+    /// Keeps `connection` for further requests, unless its upstream leaves.
+    pub fn keep_connection(
+        &self,
+        upstream: &UpstreamId,
+        connection: HttpConnection,
+        keep_alive: Option<Duration>,
+    ) {
+        let has_left =
+            self.state().upstreams.find(upstream).is_none_or(|row| row.state().has_left());
+        if !has_left {
+            self.connections.put_back(upstream, connection, keep_alive);
+        }
+    }
+
     /// Current phase of the shutdown.
     pub fn phase(&self) -> ShutdownPhase {
         *self.phase.borrow()
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -69,7 +69,7 @@
                 record_speed(&admitted, &trace, &source);
                 if !source.metadata.closes_connection {
                     let upstream = source.in_flight.upstream.clone();
-                    trace.node.connections.put_back(
+                    trace.node.keep_connection(
                         &upstream,
                         source.connection,
                         source.metadata.keep_alive,
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -21,7 +21,7 @@
     peer_messages::{fetch_config, query_store_status},
     peer_socket::PeerSocket,
     store_watch::apply_config_row,
-    upstream_log::log_upstream_changes,
+    upstream_changes::handle_list_changes,
 };
 
 /// Number of readers queried before a node reads the store itself.
@@ -137,7 +137,7 @@
     let update = list_status.map(|list_status| state.upstreams.apply_peer_status(list_status, now));
     let list_is_current = match update {
         Some(ListUpdate::Applied(changes)) => {
-            log_upstream_changes(node, &state, &changes, now);
+            handle_list_changes(node, &state, &changes, now);
             true
         }
         Some(ListUpdate::Stale) | None => true,
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -23,7 +23,7 @@
     node::ForwardNode,
     platform_client::{PlatformCallError, PlatformClient},
     store_status::{query_random_peers, query_readers},
-    upstream_log::log_upstream_changes,
+    upstream_changes::handle_list_changes,
 };
 
 /// Interval between reads of the upstream list by a reader. Together with [`STATUS_PERIOD`], half
@@ -205,5 +205,5 @@
     let mut state = node.state();
     state.clock.add_sample(sent_at, now, response.clock_ms);
     let changes = state.upstreams.apply_list(list, response.newest, sent_at, now);
-    log_upstream_changes(node, &state, &changes, now);
+    handle_list_changes(node, &state, &changes, now);
 }
--- /dev/null
+++ b/samphiredeck/src/forward/upstream_changes.rs
@@ -0,0 +1,101 @@
+//! Handles changes of upstreams, as read from the list or from their responses: logs them, and
+//! closes idle connections to those that leave.
+
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{upstream_state::ResponseEvent, upstreams::UpstreamChange},
+};
+use samphiredeck_platform::{
+    WireError,
+    headers::{ResponseAnnouncements, RetryDelay},
+};
+use serde_json::json;
+
+use crate::forward::{
+    clock, in_flight::InFlightRequest, metrics::StateLabels, node::ForwardNode,
+    request::RequestTrace, state::ForwardState,
+};
+
+/// Handles `changes` of the list.
+pub fn handle_list_changes(
+    node: &ForwardNode,
+    state: &ForwardState,
+    changes: &[UpstreamChange],
+    now: BootTime,
+) {
+    let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
+    for change in changes {
+        let (what, upstream) = match change {
+            UpstreamChange::Joined(id) => ("joined", id),
+            UpstreamChange::Leaving(id) => ("leaving", id),
+            UpstreamChange::Gone(id) => ("gone", id),
+            UpstreamChange::Returned(id) => ("returned", id),
+        };
+        if matches!(change, UpstreamChange::Leaving(_) | UpstreamChange::Gone(_)) {
+            node.connections.close_idle(upstream);
+        }
+        let row = state.upstreams.find(upstream);
+        let entry = row.map(|row| &row.entry);
+        let fields = json!({
+            "upstream": upstream.as_str(), "change": what, "cause": "entry",
+            "state": row.map(|row| row.state().labels(now).0),
+            "pool": entry.map(|entry| entry.pool.as_str()),
+            "domain": entry.map(|entry| entry.domain.as_str()),
+            "reclaimable": entry.map(|entry| entry.reclaimable),
+            "born_ms": entry.and_then(|entry| entry.started_ms),
+            "leaves_in_ms": entry.and_then(|entry| entry.leaves_in).map(|left| left.as_millis()),
+            "list_age_ms": list_age,
+        });
+        node.log.record("upstream", fields);
+    }
+}
+
+/// Handles what the upstream of `in_flight` announced about itself in a response.
+pub fn handle_announcements(
+    trace: &RequestTrace,
+    in_flight: &InFlightRequest,
+    announcements: &ResponseAnnouncements,
+) {
+    if announcements.leaving.is_some() {
+        handle_response_event(trace, in_flight, ResponseEvent::Leaving);
+    }
+    if let Some(delay) = announcements.retry_delay.map(RetryDelay::to_duration) {
+        handle_response_event(trace, in_flight, ResponseEvent::Pause(delay));
+    }
+    for error in &announcements.invalid {
+        let WireError::InvalidField { field, reason } = error else { continue };
+        let fields = json!({
+            "upstream": in_flight.upstream.as_str(), "request": trace.attempt_id, "field": field,
+            "reason": reason,
+        });
+        trace.node.log.record_once_a_minute("announcement-unreadable", field, fields);
+    }
+}
+
+/// Handles an event that a response revealed about the upstream of `in_flight`.
+pub fn handle_response_event(
+    trace: &RequestTrace,
+    in_flight: &InFlightRequest,
+    event: ResponseEvent,
+) {
+    let node = &trace.node;
+    let upstream = &in_flight.upstream;
+    let now = clock::now();
+    let mut state = node.state();
+    let changed = state.upstreams.record_response_event(upstream, in_flight.started_ms, event, now);
+    drop(state);
+    let Some(changed) = changed else { return };
+    if changed.has_left() {
+        node.connections.close_idle(upstream);
+    }
+    let (what, cause) = changed.labels(now);
+    node.metrics.state_changes.get_or_create(&StateLabels { state: what, cause }).inc();
+    let pause = changed.accepts_from(now).map(|until| until.since(now).as_millis());
+    let until_ms = pause.and_then(|pause| i64::try_from(pause).ok());
+    let fields = json!({
+        "upstream": upstream.as_str(), "change": what, "cause": cause,
+        "until_ms": until_ms.map(|pause| clock::wall_ms() + pause), "pause_ms": pause,
+        "request": trace.attempt_id,
+    });
+    node.log.record("upstream", fields);
+}
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -9,18 +9,20 @@
     forward::{
         events::{EventBatch, EventBuffer},
         outcome::SendOutcome,
+        upstream_state::ResponseEvent,
     },
 };
 use samphiredeck_platform::headers::{
-    NotExecutedReason, ResponseMetadata, decode_response_headers, encode_response_headers,
+    NotExecutedReason, ResponseMetadata, decode_announcements, decode_response_headers,
+    encode_response_headers,
 };
-use serde_json::json;
 
 use crate::forward::{
     clock,
     http_connection::HttpConnection,
     in_flight::InFlightRequest,
     request::{AdmittedRequest, RequestTrace},
+    upstream_changes::{handle_announcements, handle_response_event},
 };
 
 /// Maximum size of a complete response, which is buffered and validated before it is relayed.
@@ -119,11 +121,17 @@
     let metadata = decode_response_headers(head.status, &head.headers);
     in_flight.record_response_start();
     apply_metadata(trace, in_flight, &metadata);
+    let is_foreign =
+        metadata.attempt_id.as_deref().is_some_and(|id| id != admitted.metadata.attempt_id);
+    if !is_foreign {
+        let announcements = decode_announcements(head.status, &head.headers);
+        handle_announcements(trace, in_flight, &announcements);
+    }
     if metadata.not_executed.is_some() {
         let reason = format!("rejected with {}", head.status.as_u16());
         return Err(SendFailure::new(SendOutcome::Rejected, reason));
     }
-    if metadata.attempt_id.as_deref().is_some_and(|id| id != admitted.metadata.attempt_id) {
+    if is_foreign {
         return Err(SendFailure::new(
             SendOutcome::Broken,
             "response carries the attempt id of another request",
@@ -215,18 +223,11 @@
 
 /// Applies the load and state of the upstream that a response reports.
 fn apply_metadata(trace: &RequestTrace, in_flight: &InFlightRequest, metadata: &ResponseMetadata) {
-    let mut state = trace.node.state();
-    let now = clock::now();
     if let Some((running, waiting)) = metadata.load {
-        state.upstreams.record_load(&in_flight.upstream, running, waiting, now);
+        let mut state = trace.node.state();
+        state.upstreams.record_load(&in_flight.upstream, running, waiting, clock::now());
     }
-    if metadata.not_executed == Some(NotExecutedReason::Misdirected)
-        && state.upstreams.record_leaving_mark(&in_flight.upstream)
-    {
-        let fields = json!({
-            "upstream": in_flight.upstream.as_str(), "change": "leaving",
-            "reason": "its address serves another upstream", "request": trace.attempt_id,
-        });
-        trace.node.log.record("upstream", fields);
+    if metadata.not_executed == Some(NotExecutedReason::Misdirected) {
+        handle_response_event(trace, in_flight, ResponseEvent::AddressReused);
     }
 }
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -23,5 +23,6 @@
 pub mod retry_budget;
 pub mod store_readers;
 pub mod upstream_list;
+pub mod upstream_state;
 pub mod upstreams;
 pub mod usage;
--- a/samphiredeck_core/src/forward/deadline.rs
+++ b/samphiredeck_core/src/forward/deadline.rs
@@ -30,3 +30,10 @@
     let delay = (RETRY_AFTER_MIN + excess).min(max_delay);
     delay.mul_f64(0.75 + jitter.clamp(0.0, 1.0) / 2.0).min(max_delay)
 }
+
+/// Retry delay for a caller that was refused because all upstreams asked for no requests until
+/// `pause` is over. `jitter` is uniform in 0 to 1 and spreads callers, none of which returns early.
+#[must_use]
+pub fn retry_after_pause(pause: Duration, remaining: Duration, jitter: f64) -> Duration {
+    (pause + RETRY_AFTER_MIN.mul_f64(jitter.clamp(0.0, 1.0))).min(remaining)
+}
--- a/samphiredeck_core/src/forward/outcome.rs
+++ b/samphiredeck_core/src/forward/outcome.rs
@@ -11,6 +11,8 @@
 pub enum SendOutcome {
     /// No byte of the request left this node.
     Unsent,
+    /// The upstream ceased to take requests before this one was sent.
+    Withdrawn,
     /// The upstream stated that it has not run the request and will not run it.
     Rejected,
     /// The upstream returned a complete error response of its own.
@@ -20,11 +22,17 @@
 }
 
 impl SendOutcome {
+    /// Whether any byte of the request may have left this node.
+    #[must_use]
+    pub fn is_sent(self) -> bool {
+        !matches!(self, Self::Unsent | Self::Withdrawn)
+    }
+
     /// Whether the request may have run after this attempt.
     #[must_use]
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::Unsent | Self::Rejected => RunVerdict::NotRun,
+            Self::Unsent | Self::Withdrawn | Self::Rejected => RunVerdict::NotRun,
             Self::Broken => RunVerdict::MayHaveRun,
             Self::Failed => RunVerdict::Ran,
         }
@@ -58,9 +66,14 @@
     match outcome {
         _ if retry => NextStep::SendAgain,
         SendOutcome::Failed => NextStep::Deliver,
-        SendOutcome::Unsent | SendOutcome::Rejected if combined == RunVerdict::NotRun => {
+        SendOutcome::Unsent | SendOutcome::Withdrawn | SendOutcome::Rejected
+            if combined == RunVerdict::NotRun =>
+        {
             NextStep::RefuseUnrun
         }
-        SendOutcome::Unsent | SendOutcome::Rejected | SendOutcome::Broken => NextStep::GiveUp,
+        SendOutcome::Unsent
+        | SendOutcome::Withdrawn
+        | SendOutcome::Rejected
+        | SendOutcome::Broken => NextStep::GiveUp,
     }
 }
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -1,8 +1,6 @@
 //! Registry of the upstreams that the platform lists, with this node's observations of them.
 //!
-//! An upstream that was marked as leaving, by whatever source, accepts no new requests until it is
-//! started again. Upstreams that are missing from the list after an outage of the store are kept as
-//! a last resort for the time that the platform takes to list them again.
+//! Whether an upstream takes new requests is decided by its [`UpstreamState`] alone.
 
 use std::time::Duration;
 
@@ -11,16 +9,14 @@
     forward::{
         list_delta::ListDelta,
         upstream_list::{ListedUpstream, UpstreamDelta, changed_ids, digest_list, find_entry},
+        upstream_state::{ResponseEvent, UpstreamState},
     },
-    ids::{RowVersion, UpstreamId},
+    ids::{PoolName, RowVersion, UpstreamId},
 };
 
 /// Gap between two reads of the list after which entries of live upstreams may have expired: more
 /// than two heartbeats of upstreams.
 const READ_GAP_MIN: Duration = Duration::from_millis(2_500);
-/// Time after such a gap within which live upstreams are listed again: about two seconds, as
-/// documented by the platform.
-const RELIST_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// Number of recent list changes kept for nodes that hold an older list: those of two seconds.
 const RECENT_CHANGES_MAX: usize = 5;
 /// Half-life of recorded failures and successes.
@@ -72,15 +68,8 @@
 pub struct TrackedUpstream {
     /// Entry as last read. Its id and start time identify the row.
     pub entry: ListedUpstream,
-    /// Whether new requests may be sent. Once false, it stays false until the upstream is started
-    /// again or, unless it was marked as leaving, listed again after it was gone from the list.
-    accepting: bool,
-    /// Whether the upstream was marked as leaving, by whatever source, since it was started.
-    marked_leaving: bool,
-    /// Whether the upstream is still listed.
-    listed: bool,
-    /// Time until which the row is kept although the first read after a gap did not contain it.
-    missing_until: Option<BootTime>,
+    /// Whether the upstream takes new requests.
+    state: UpstreamState,
     /// Time until which the upstream is slow after its start.
     pub warm_up_until: BootTime,
     /// Requests of this node that have not completed.
@@ -106,10 +95,7 @@
     fn new(entry: ListedUpstream, now: BootTime) -> Self {
         let warm_up_until = now + entry.warm_up;
         Self {
-            accepting: !entry.leaving,
-            marked_leaving: entry.leaving,
-            listed: true,
-            missing_until: None,
+            state: UpstreamState::started(entry.leaving),
             warm_up_until,
             in_flight: 0,
             pending_prefill_tokens: 0,
@@ -124,16 +110,41 @@
         }
     }
 
+    /// State of the upstream, as known to this node.
+    #[must_use]
+    pub fn state(&self) -> UpstreamState {
+        self.state
+    }
+
     /// Whether new requests may be sent at `now`.
     #[must_use]
     pub fn is_accepting(&self, now: BootTime) -> bool {
-        self.accepting && self.missing_until.is_none_or(|until| now < until)
+        self.state.accepts(now)
     }
 
     /// Whether the row is kept although it is missing from the list.
     #[must_use]
     pub fn is_missing(&self) -> bool {
-        self.missing_until.is_some()
+        matches!(self.state, UpstreamState::Missing { .. })
+    }
+
+    /// Whether the upstream is listed, or may be listed again after a gap between reads.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        !matches!(self.state, UpstreamState::Gone { .. })
+    }
+
+    /// Whether the upstream serves its pool at `now`, or will again when its pause is over.
+    #[must_use]
+    pub fn is_serving(&self, now: BootTime) -> bool {
+        self.state.accepts(now) || self.state.accepts_from(now).is_some()
+    }
+
+    /// Whether `entry` belongs to a later start than this row. Entries without a start time belong
+    /// to the same one, unless the address differs.
+    fn is_restarted(&self, entry: &ListedUpstream) -> bool {
+        let (known, listed) = (self.entry.started_ms, entry.started_ms);
+        listed > known || (listed == known && entry.address != self.entry.address)
     }
 
     /// Estimated number of requests of other nodes on this upstream at `now`.
@@ -302,6 +313,12 @@
         Some(&self.rows[at])
     }
 
+    /// Whether requests may be sent to `id` at `now`.
+    #[must_use]
+    pub fn accepts(&self, id: &UpstreamId, now: BootTime) -> bool {
+        self.find(id).is_some_and(|row| row.is_accepting(now))
+    }
+
     fn find_mut(&mut self, id: &UpstreamId) -> Option<&mut TrackedUpstream> {
         let at = self.rows.binary_search_by(|row| row.entry.id.cmp(id)).ok()?;
         Some(&mut self.rows[at])
@@ -329,25 +346,20 @@
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
         self.store_list(&list);
-        for row in self.rows.iter_mut().filter(|row| row.listed) {
+        for row in &mut self.rows {
             if find_entry(&list, &row.entry.id).is_some() {
                 continue;
             }
-            // Only entries missing from the first read after the gap may have expired during it.
-            // Entries that disappear later have left.
-            if after_gap && row.missing_until.is_none() {
-                row.missing_until = Some(now + RELIST_TIMEOUT);
-            }
-            if row.missing_until.is_none_or(|until| now >= until) {
-                row.listed = false;
-                row.accepting = false;
+            let was_gone = matches!(row.state, UpstreamState::Gone { .. });
+            row.state = row.state.on_unlisted(after_gap, now);
+            if !was_gone && matches!(row.state, UpstreamState::Gone { .. }) {
                 changes.push(UpstreamChange::Gone(row.entry.id.clone()));
             }
         }
         for entry in list {
             self.apply_entry(entry, now, &mut changes);
         }
-        self.rows.retain(|row| row.listed || row.in_flight > 0);
+        self.rows.retain(|row| row.in_flight > 0 || row.state.must_be_kept(now));
         changes
     }
 
@@ -378,34 +390,47 @@
             }
         };
         let row = &mut self.rows[at];
-        if row.entry.started_ms != entry.started_ms || row.entry.address != entry.address {
+        if row.is_restarted(&entry) {
             changes.push(UpstreamChange::Joined(entry.id.clone()));
             let in_flight = row.in_flight;
             *row = TrackedUpstream { in_flight, ..TrackedUpstream::new(entry, now) };
             return;
         }
-        let missing = row.missing_until.take().is_some();
-        if missing || !row.listed {
+        let before = row.state;
+        row.state = before.on_listed(entry.leaving);
+        if matches!(before, UpstreamState::Missing { .. } | UpstreamState::Gone { .. }) {
             changes.push(UpstreamChange::Returned(entry.id.clone()));
-            // A row that expired, was removed, and reappears with the same start time accepts
-            // requests again.
-            row.accepting |= !row.listed && !entry.leaving && !row.marked_leaving;
-            row.listed = true;
         }
-        row.marked_leaving |= entry.leaving;
-        if entry.leaving && row.accepting {
-            row.accepting = false;
+        if row.state.has_left() && !before.has_left() {
             changes.push(UpstreamChange::Leaving(entry.id.clone()));
         }
-        row.entry = entry;
+        // An outdated entry must not make the next one look like that of a restart.
+        let started_ms = row.entry.started_ms.max(entry.started_ms);
+        row.entry = ListedUpstream { started_ms, ..entry };
+    }
+
+    /// Records what a response of `id`, started at `started_ms`, revealed at `now`. Returns the new
+    /// state of the upstream, if it differs by more than the end of a pause.
+    pub fn record_response_event(
+        &mut self,
+        id: &UpstreamId,
+        started_ms: Option<u64>,
+        event: ResponseEvent,
+        now: BootTime,
+    ) -> Option<UpstreamState> {
+        let row = self.find_mut(id).filter(|row| row.entry.started_ms == started_ms)?;
+        let before = row.state;
+        row.state = before.on_response(event, now);
+        Some(row.state).filter(|state| state.labels(now) != before.labels(now))
     }
 
-    /// Marks `id` as leaving, as announced in a response. Returns whether it was not marked before.
-    pub fn record_leaving_mark(&mut self, id: &UpstreamId) -> bool {
-        self.find_mut(id).is_some_and(|row| {
-            row.marked_leaving = true;
-            std::mem::replace(&mut row.accepting, false)
-        })
+    /// Earliest end of a pause in `pool`, if every upstream there that has not left is paused at
+    /// `now`.
+    #[must_use]
+    pub fn pool_pause_end(&self, pool: &PoolName, now: BootTime) -> Option<BootTime> {
+        let rows = self.rows.iter().filter(|row| row.entry.pool == *pool && row.is_serving(now));
+        let ends = rows.map(|row| row.state.accepts_from(now));
+        ends.collect::<Option<Vec<BootTime>>>()?.into_iter().min()
     }
 
     /// Records a request that is sent to `id`.
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -10,6 +10,7 @@
         prompt_cache::PromptCacheTable,
         store_readers::{ReaderCandidate, order_readers},
         upstream_list::{ListedUpstream, UPSTREAM_PAGE_ENTRIES},
+        upstream_state::ResponseEvent,
         upstreams::{
             ListUpdate, PeerListStatus, PendingResponse, UpstreamChange, UpstreamRegistry,
         },
@@ -119,8 +120,10 @@
 fn leaving_mark_in_a_response_is_kept() {
     let mut registry = UpstreamRegistry::default();
     read(&mut registry, &["u"], 1_000);
-    assert!(registry.record_leaving_mark(&id("u")));
-    assert!(!registry.record_leaving_mark(&id("u")), "reported once");
+    let mut record =
+        || registry.record_response_event(&id("u"), Some(1), ResponseEvent::Leaving, at(1_200));
+    assert!(record().is_some());
+    assert!(record().is_none(), "reported once");
     read(&mut registry, &["u"], 1_700);
     assert!(!accepting(&registry, "u", 1_700));
 }
