Take no refusal from a response to another request

Cause, found while reading announcements: a late response to an earlier request was recognized by its attempt id only after its statement that nothing had run was believed. A request that had run was then sent again, or its caller told that it had not run. Change: the id is checked first; such a response says nothing about the request, the load or the state of the upstream. The state of upstreams also answers by itself whether one serves or is gone.

--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -377,7 +377,7 @@
                         .filter(|row| {
                             row.entry.pool == pool.name
                                 && row.entry.domain == domain
-                                && row.is_serving(now)
+                                && row.state().serves(now)
                                 && row.entry.reclaimable == reclaimable
                         })
                         .count();
@@ -447,7 +447,8 @@
 
 /// Number of slots of the smallest upstream in `pool`.
 fn pool_slots(upstreams: &UpstreamRegistry, pool: &PoolName) -> u32 {
-    let rows = upstreams.rows().iter().filter(|row| row.entry.pool == *pool && row.is_listed());
+    let rows =
+        upstreams.rows().iter().filter(|row| row.entry.pool == *pool && !row.state().is_gone());
     rows.map(|row| row.entry.slots).min().unwrap_or(u32::MAX)
 }
 
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -120,23 +120,20 @@
     let (head, body) = response.into_parts();
     let metadata = decode_response_headers(head.status, &head.headers);
     in_flight.record_response_start();
-    apply_metadata(trace, in_flight, &metadata);
-    let is_foreign =
-        metadata.attempt_id.as_deref().is_some_and(|id| id != admitted.metadata.attempt_id);
-    if !is_foreign {
-        let announcements = decode_announcements(head.status, &head.headers);
-        handle_announcements(trace, in_flight, &announcements);
-    }
-    if metadata.not_executed.is_some() {
-        let reason = format!("rejected with {}", head.status.as_u16());
-        return Err(SendFailure::new(SendOutcome::Rejected, reason));
-    }
-    if is_foreign {
+    // A late response to an earlier request, whatever it says, does not tell what became of this one.
+    if metadata.attempt_id.as_deref().is_some_and(|id| id != admitted.metadata.attempt_id) {
         return Err(SendFailure::new(
             SendOutcome::Broken,
             "response carries the attempt id of another request",
         ));
     }
+    apply_metadata(trace, in_flight, &metadata);
+    let announcements = decode_announcements(head.status, &head.headers);
+    handle_announcements(trace, in_flight, &announcements);
+    if metadata.not_executed.is_some() {
+        let reason = format!("rejected with {}", head.status.as_u16());
+        return Err(SendFailure::new(SendOutcome::Rejected, reason));
+    }
     let headers = encode_response_headers(&head.headers);
     if head.status.is_success() {
         if !metadata.signed || metadata.encoded {
--- a/samphiredeck_core/src/forward/upstream_state.rs
+++ b/samphiredeck_core/src/forward/upstream_state.rs
@@ -105,6 +105,18 @@
         end.filter(|end| now < *end)
     }
 
+    /// Whether the upstream takes requests at `now`, or will when its pause is over.
+    #[must_use]
+    pub fn serves(self, now: BootTime) -> bool {
+        self.accepts(now) || self.accepts_from(now).is_some()
+    }
+
+    /// Whether the upstream is no longer listed.
+    #[must_use]
+    pub fn is_gone(self) -> bool {
+        matches!(self, Self::Gone { .. })
+    }
+
     /// Whether the upstream is leaving or has left.
     #[must_use]
     pub fn has_left(self) -> bool {
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -128,18 +128,6 @@
         matches!(self.state, UpstreamState::Missing { .. })
     }
 
-    /// Whether the upstream is listed, or may be listed again after a gap between reads.
-    #[must_use]
-    pub fn is_listed(&self) -> bool {
-        !matches!(self.state, UpstreamState::Gone { .. })
-    }
-
-    /// Whether the upstream serves its pool at `now`, or will again when its pause is over.
-    #[must_use]
-    pub fn is_serving(&self, now: BootTime) -> bool {
-        self.state.accepts(now) || self.state.accepts_from(now).is_some()
-    }
-
     /// Whether `entry` belongs to a later start than this row. Entries without a start time belong
     /// to the same one, unless the address differs.
     fn is_restarted(&self, entry: &ListedUpstream) -> bool {
@@ -350,9 +338,9 @@
             if find_entry(&list, &row.entry.id).is_some() {
                 continue;
             }
-            let was_gone = matches!(row.state, UpstreamState::Gone { .. });
+            let was_gone = row.state.is_gone();
             row.state = row.state.on_unlisted(after_gap, now);
-            if !was_gone && matches!(row.state, UpstreamState::Gone { .. }) {
+            if !was_gone && row.state.is_gone() {
                 changes.push(UpstreamChange::Gone(row.entry.id.clone()));
             }
         }
@@ -428,7 +416,7 @@
     /// `now`.
     #[must_use]
     pub fn pool_pause_end(&self, pool: &PoolName, now: BootTime) -> Option<BootTime> {
-        let rows = self.rows.iter().filter(|row| row.entry.pool == *pool && row.is_serving(now));
+        let rows = self.rows.iter().filter(|row| row.entry.pool == *pool && row.state.serves(now));
         let ends = rows.map(|row| row.state.accepts_from(now));
         ends.collect::<Option<Vec<BootTime>>>()?.into_iter().min()
     }
