--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -18,6 +18,7 @@
 mod quota;
 mod relay;
 mod request;
+mod request_progress;
 mod response_body;
 mod serve;
 pub mod settings;
@@ -27,6 +28,7 @@
 mod store_watch;
 mod stream_versions;
 mod upstream_changes;
+mod upstream_choice;
 mod upstream_response;
 
 use std::{
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -5,33 +5,29 @@
 use bytes::Bytes;
 use http::{Request, StatusCode, Uri, uri::PathAndQuery};
 use http_body_util::Full;
-use rand::random;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
         catalog::RetryPolicy,
-        deadline::{fits_deadline, retry_after_pause},
-        demand::DemandRate,
         outcome::{NextStep, SendOutcome, next_step},
-        placement::{Placement, PlacementRequest, choose_upstream},
+        placement::Placement,
         upstream_list::ListedUpstream,
     },
-    ids::{PoolName, SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
 use serde_json::json;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::time::timeout;
 
 use crate::forward::{
     clock,
     http_connection::HttpConnection,
     in_flight::InFlightRequest,
     node::ForwardNode,
-    quota::QuotaReservation,
-    request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
-    state::ForwardState,
+    request::{AdmittedRequest, ErrorResponse, RequestTrace},
+    request_progress::{RequestProgress, deadline_error, unanswered_error},
     stream_versions::record_origin,
+    upstream_choice::{can_go_elsewhere, place, pool_retry_delay},
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
         UpstreamStream, receive_response,
@@ -50,48 +46,6 @@
 /// Maximum number of failed connection attempts per request.
 const CONNECT_FAILURES_MAX: usize = 3;
 
-/// State of a request over all its attempts.
-#[derive(Debug)]
-pub struct RequestProgress {
-    /// Upstreams that received the request or could not be reached.
-    pub tried: Vec<UpstreamId>,
-    /// Number of upstreams that the request was sent to, including one whose response is awaited.
-    pub attempts: u32,
-    /// Upstream whose response is awaited. It stays set if the wait is abandoned.
-    pub awaited: Option<UpstreamId>,
-    /// The only upstream that may still receive the request, since it counts among `attempts`.
-    pub only: Option<UpstreamId>,
-    /// Notified once when the request has been sent.
-    pub on_sent: Option<oneshot::Sender<()>>,
-    /// Whether the request may have run.
-    pub verdict: RunVerdict,
-    /// Software version of the upstream at which the stream began. Only upstreams of this version
-    /// can continue it.
-    pub software: Option<SoftwareVersion>,
-    /// Whether the request was added to the usage counts.
-    pub counted: bool,
-    /// Quota reserved from the workspace's limit.
-    reservation: QuotaReservation,
-}
-
-impl RequestProgress {
-    /// Creates the state before the first attempt. `software` is the version at which the stream
-    /// began that the caller resumes.
-    pub fn new(reservation: QuotaReservation, software: Option<SoftwareVersion>) -> Self {
-        Self {
-            tried: Vec::new(),
-            attempts: 0,
-            awaited: None,
-            only: None,
-            on_sent: None,
-            verdict: RunVerdict::NotRun,
-            software,
-            counted: false,
-            reservation,
-        }
-    }
-}
-
 /// Sends `admitted` to upstreams until one responds or no further attempt is permitted. With
 /// `resume`, the upstream resumes the stream after that event.
 ///
@@ -171,146 +125,6 @@
     }
 }
 
-/// Error response for a request whose deadline has passed.
-fn deadline_error(progress: &RequestProgress, time_left: Duration) -> ErrorResponse {
-    if progress.verdict == RunVerdict::NotRun {
-        return ErrorResponse::not_executed(
-            "no time left to send the request",
-            retry_delay(time_left, time_left),
-        );
-    }
-    ErrorResponse::not_retryable(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-}
-
-/// Error response for a request that is not retried.
-fn unanswered_error(
-    progress: &RequestProgress,
-    reason: &'static str,
-    time_left: Duration,
-) -> ErrorResponse {
-    if progress.verdict == RunVerdict::NotRun {
-        return ErrorResponse::not_executed(reason, retry_delay(Duration::ZERO, time_left));
-    }
-    ErrorResponse::not_retryable(StatusCode::BAD_GATEWAY, reason)
-}
-
-/// Retry delay of a caller that `pool` can't serve now: until the first upstream takes requests
-/// again, if all of them have asked for time.
-fn pool_retry_delay(node: &ForwardNode, pool: &PoolName, time_left: Duration) -> Duration {
-    let now = clock::now();
-    let pause_end = node.state().upstreams.pool_pause_end(pool, now);
-    pause_end.map_or_else(
-        || retry_delay(Duration::ZERO, time_left),
-        |end| retry_after_pause(end.since(now), time_left, random()),
-    )
-}
-
-fn place(
-    admitted: &AdmittedRequest,
-    progress: &RequestProgress,
-    trace: &RequestTrace,
-    now: BootTime,
-    time_left: Duration,
-) -> Result<Placement, ErrorResponse> {
-    let node = &trace.node;
-    let mut state = node.state();
-    let speed = state.speeds.speed(&admitted.pool);
-    let placement = find_placement(admitted, &progress.tried, progress, node, &state, now);
-    if admitted.engine && progress.tried.is_empty() {
-        // Counts requests that are refused, too: capacity is ordered for them.
-        let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
-        let tokens = placement.as_ref().map_or(own_tokens, |placement| placement.prefill_tokens);
-        let demand = DemandRate::of(tokens, admitted.output_tokens(), &speed);
-        state.demand.record(&admitted.pool, demand, now);
-        state.speeds.speed_mut(&admitted.pool).record_prompt(tokens);
-    }
-    let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
-    let software = placement.as_ref().and_then(|placement| {
-        let row = state.upstreams.find(&placement.upstream)?;
-        Some(row.entry.software.clone())
-    });
-    let pause_end = state.upstreams.pool_pause_end(&admitted.pool, now);
-    drop(state);
-    let Some(placement) = placement else {
-        let fields = json!({
-            "request": trace.attempt_id, "pool": admitted.pool.as_str(), "list_age_ms": list_age,
-            "tried": progress.tried.len(), "software": progress.software,
-            "pause_ms": pause_end.map(|end| end.since(now).as_millis()),
-        });
-        node.log.record("no-upstream", fields);
-        if progress.verdict == RunVerdict::NotRun {
-            let wait = pool_retry_delay(node, &admitted.pool, time_left);
-            return Err(ErrorResponse::not_executed("no upstream takes work", wait));
-        }
-        return Err(unanswered_error(progress, "no upstream takes work", time_left));
-    };
-    let fields = json!({
-        "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
-        "software": software, "resumes": admitted.metadata.resumed_attempt,
-        "expected_ms": placement.expected_wait.as_millis(),
-        "unread": placement.prefill_tokens, "home": placement.has_affinity,
-        "left_ms": time_left.as_millis(), "version": admitted.config_version,
-        "list_age_ms": list_age,
-    });
-    if !fits_deadline(placement.expected_wait, time_left) {
-        node.log.record("overloaded", fields);
-        let excess = placement.expected_wait.saturating_sub(time_left / 2);
-        if progress.verdict == RunVerdict::NotRun {
-            return Err(ErrorResponse::not_executed(
-                "too long a wait",
-                retry_delay(excess, time_left),
-            ));
-        }
-        return Err(unanswered_error(progress, "too long a wait", time_left));
-    }
-    node.log.record("place", fields);
-    Ok(placement)
-}
-
-/// Chooses an upstream other than those `tried`.
-fn find_placement(
-    admitted: &AdmittedRequest,
-    tried: &[UpstreamId],
-    progress: &RequestProgress,
-    node: &ForwardNode,
-    state: &ForwardState,
-    now: BootTime,
-) -> Option<Placement> {
-    let request = PlacementRequest {
-        pool: &admitted.pool,
-        engine: admitted.engine,
-        parts: &admitted.metadata.prompt_parts,
-        tried,
-        only: progress.only.as_ref(),
-        software: progress.software.as_ref(),
-        max_connections: state.connection_share(admitted.max_connections),
-        max_event_gap: admitted.route.max_event_gap,
-        speed: state.speeds.speed(&admitted.pool),
-        prompt_cache: &state.prompt_cache,
-        nodes: state.members.count(),
-    };
-    choose_upstream(&state.upstreams, &request, &node.settings().domain, now, random::<f64>)
-}
-
-/// Whether the request that `silent` has received could be sent to another upstream now.
-fn can_go_elsewhere(
-    admitted: &AdmittedRequest,
-    progress: &RequestProgress,
-    node: &ForwardNode,
-    silent: &UpstreamId,
-) -> bool {
-    let now = clock::now();
-    let mut state = node.state();
-    let is_permitted = progress.attempts < admitted.route.max_attempts
-        && state.freshness.allows_admission(now)
-        && state.retry_budget.has_room(&admitted.pool, now);
-    let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
-    let placement = find_placement(admitted, &tried, progress, node, &state, now);
-    let time_left = admitted.deadline.since(now);
-    is_permitted
-        && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
-}
-
 /// Builds the request for the upstream of `placement`.
 fn build_request(
     admitted: &AdmittedRequest,
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -16,9 +16,10 @@
 };
 
 use crate::forward::{
-    attempt::{RequestProgress, send_with_retries},
+    attempt::send_with_retries,
     clock,
     request::{AdmittedRequest, RequestTrace},
+    request_progress::RequestProgress,
     response_body::StreamSender,
     upstream_response::{StreamingResponse, UpstreamResponse, UpstreamStream},
 };
--- /dev/null
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -0,0 +1,80 @@
+//! State of a request over all its attempts, and the errors that follow from it.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use samphiredeck_core::{
+    ids::{SoftwareVersion, UpstreamId},
+    verdict::RunVerdict,
+};
+use tokio::sync::oneshot;
+
+use crate::forward::{
+    quota::QuotaReservation,
+    request::{ErrorResponse, retry_delay},
+};
+
+/// State of a request over all its attempts.
+#[derive(Debug)]
+pub struct RequestProgress {
+    /// Upstreams that received the request or could not be reached.
+    pub tried: Vec<UpstreamId>,
+    /// Number of upstreams that the request was sent to, including one whose response is awaited.
+    pub attempts: u32,
+    /// Upstream whose response is awaited. It stays set if the wait is abandoned.
+    pub awaited: Option<UpstreamId>,
+    /// The only upstream that may still receive the request, since it counts among `attempts`.
+    pub only: Option<UpstreamId>,
+    /// Notified once when the request has been sent.
+    pub on_sent: Option<oneshot::Sender<()>>,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// Software version of the upstream at which the stream began. Only upstreams of this version
+    /// can continue it.
+    pub software: Option<SoftwareVersion>,
+    /// Whether the request was added to the usage counts.
+    pub counted: bool,
+    /// Quota reserved from the workspace's limit.
+    pub reservation: QuotaReservation,
+}
+
+impl RequestProgress {
+    /// Creates the state before the first attempt. `software` is the version at which the stream
+    /// began that the caller resumes.
+    pub fn new(reservation: QuotaReservation, software: Option<SoftwareVersion>) -> Self {
+        Self {
+            tried: Vec::new(),
+            attempts: 0,
+            awaited: None,
+            only: None,
+            on_sent: None,
+            verdict: RunVerdict::NotRun,
+            software,
+            counted: false,
+            reservation,
+        }
+    }
+}
+
+/// Error response for a request whose deadline has passed.
+pub fn deadline_error(progress: &RequestProgress, time_left: Duration) -> ErrorResponse {
+    if progress.verdict == RunVerdict::NotRun {
+        return ErrorResponse::not_executed(
+            "no time left to send the request",
+            retry_delay(time_left, time_left),
+        );
+    }
+    ErrorResponse::not_retryable(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+}
+
+/// Error response for a request that is not retried.
+pub fn unanswered_error(
+    progress: &RequestProgress,
+    reason: &'static str,
+    time_left: Duration,
+) -> ErrorResponse {
+    if progress.verdict == RunVerdict::NotRun {
+        return ErrorResponse::not_executed(reason, retry_delay(Duration::ZERO, time_left));
+    }
+    ErrorResponse::not_retryable(StatusCode::BAD_GATEWAY, reason)
+}
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -19,12 +19,13 @@
 use tokio::time::{sleep, timeout};
 
 use crate::forward::{
-    attempt::{RequestProgress, send_with_retries},
+    attempt::send_with_retries,
     clock,
     node::{ForwardNode, ShutdownPhase},
     quota::reserve_quota,
     relay::relay_stream,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, with_jitter},
+    request_progress::RequestProgress,
     response_body::ResponseBody,
     stream_versions::resolve_origin,
     upstream_response::UpstreamResponse,
--- /dev/null
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -0,0 +1,147 @@
+//! Chooses the upstream of an attempt from the state of the node, and refuses requests that none can
+//! take in time.
+
+use std::time::Duration;
+
+use rand::random;
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        deadline::{fits_deadline, retry_after_pause},
+        demand::DemandRate,
+        placement::{Placement, PlacementRequest, choose_upstream},
+    },
+    ids::{PoolName, UpstreamId},
+    verdict::RunVerdict,
+};
+use serde_json::json;
+
+use crate::forward::{
+    clock,
+    node::ForwardNode,
+    request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
+    request_progress::{RequestProgress, unanswered_error},
+    state::ForwardState,
+};
+
+/// Retry delay of a caller that `pool` can't serve now: until the first upstream takes requests
+/// again, if all of them have asked for time.
+pub fn pool_retry_delay(node: &ForwardNode, pool: &PoolName, time_left: Duration) -> Duration {
+    let now = clock::now();
+    let pause_end = node.state().upstreams.pool_pause_end(pool, now);
+    pause_end.map_or_else(
+        || retry_delay(Duration::ZERO, time_left),
+        |end| retry_after_pause(end.since(now), time_left, random()),
+    )
+}
+
+/// Chooses the upstream of the next attempt.
+///
+/// # Errors
+///
+/// Returns the error response if no upstream can take the request in time.
+pub fn place(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    trace: &RequestTrace,
+    now: BootTime,
+    time_left: Duration,
+) -> Result<Placement, ErrorResponse> {
+    let node = &trace.node;
+    let mut state = node.state();
+    let speed = state.speeds.speed(&admitted.pool);
+    let placement = find_placement(admitted, &progress.tried, progress, node, &state, now);
+    if admitted.engine && progress.tried.is_empty() {
+        // Counts requests that are refused, too: capacity is ordered for them.
+        let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
+        let tokens = placement.as_ref().map_or(own_tokens, |placement| placement.prefill_tokens);
+        let demand = DemandRate::of(tokens, admitted.output_tokens(), &speed);
+        state.demand.record(&admitted.pool, demand, now);
+        state.speeds.speed_mut(&admitted.pool).record_prompt(tokens);
+    }
+    let list_age = state.upstreams.read_at().map(|at| now.since(at).as_millis());
+    let software = placement.as_ref().and_then(|placement| {
+        let row = state.upstreams.find(&placement.upstream)?;
+        Some(row.entry.software.clone())
+    });
+    let pause_end = state.upstreams.pool_pause_end(&admitted.pool, now);
+    drop(state);
+    let Some(placement) = placement else {
+        let fields = json!({
+            "request": trace.attempt_id, "pool": admitted.pool.as_str(), "list_age_ms": list_age,
+            "tried": progress.tried.len(), "software": progress.software,
+            "pause_ms": pause_end.map(|end| end.since(now).as_millis()),
+        });
+        node.log.record("no-upstream", fields);
+        if progress.verdict == RunVerdict::NotRun {
+            let wait = pool_retry_delay(node, &admitted.pool, time_left);
+            return Err(ErrorResponse::not_executed("no upstream takes work", wait));
+        }
+        return Err(unanswered_error(progress, "no upstream takes work", time_left));
+    };
+    let fields = json!({
+        "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
+        "software": software, "resumes": admitted.metadata.resumed_attempt,
+        "expected_ms": placement.expected_wait.as_millis(),
+        "unread": placement.prefill_tokens, "home": placement.has_affinity,
+        "left_ms": time_left.as_millis(), "version": admitted.config_version,
+        "list_age_ms": list_age,
+    });
+    if !fits_deadline(placement.expected_wait, time_left) {
+        node.log.record("overloaded", fields);
+        let excess = placement.expected_wait.saturating_sub(time_left / 2);
+        if progress.verdict == RunVerdict::NotRun {
+            return Err(ErrorResponse::not_executed(
+                "too long a wait",
+                retry_delay(excess, time_left),
+            ));
+        }
+        return Err(unanswered_error(progress, "too long a wait", time_left));
+    }
+    node.log.record("place", fields);
+    Ok(placement)
+}
+
+/// Chooses an upstream other than those `tried`.
+fn find_placement(
+    admitted: &AdmittedRequest,
+    tried: &[UpstreamId],
+    progress: &RequestProgress,
+    node: &ForwardNode,
+    state: &ForwardState,
+    now: BootTime,
+) -> Option<Placement> {
+    let request = PlacementRequest {
+        pool: &admitted.pool,
+        engine: admitted.engine,
+        parts: &admitted.metadata.prompt_parts,
+        tried,
+        only: progress.only.as_ref(),
+        software: progress.software.as_ref(),
+        max_connections: state.connection_share(admitted.max_connections),
+        max_event_gap: admitted.route.max_event_gap,
+        speed: state.speeds.speed(&admitted.pool),
+        prompt_cache: &state.prompt_cache,
+        nodes: state.members.count(),
+    };
+    choose_upstream(&state.upstreams, &request, &node.settings().domain, now, random::<f64>)
+}
+
+/// Whether the request that `silent` has received could be sent to another upstream now.
+pub fn can_go_elsewhere(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    node: &ForwardNode,
+    silent: &UpstreamId,
+) -> bool {
+    let now = clock::now();
+    let mut state = node.state();
+    let is_permitted = progress.attempts < admitted.route.max_attempts
+        && state.freshness.allows_admission(now)
+        && state.retry_budget.has_room(&admitted.pool, now);
+    let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
+    let placement = find_placement(admitted, &tried, progress, node, &state, now);
+    let time_left = admitted.deadline.since(now);
+    is_permitted
+        && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
+}
