Log which prompt parts a request had whose upstream ended

The log could not tell which parts the requests had that were at a crashed engine, nor whether the engine closed the connection or the node gave up.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -102,6 +102,7 @@
         let fields = json!({
             "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
             "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
+            "closed": failure.closed, "parts": admitted.shared_part_ids(),
             "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
             "sent": progress.attempts, "age_ms": trace.age_ms(),
         });
@@ -269,7 +270,7 @@
 ) -> Result<ReceivedResponse, SendFailure> {
     let response = connection.send(request).await.map_err(|error| {
         let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
-        SendFailure::new(outcome, error.reason)
+        SendFailure { closed: error.closed, ..SendFailure::new(outcome, error.reason) }
     })?;
     receive_response(admitted, trace, response, in_flight).await
 }
--- a/samphiredeck/src/forward/http_connection.rs
+++ b/samphiredeck/src/forward/http_connection.rs
@@ -4,7 +4,12 @@
 //! connection. Dropping [`HttpConnection`] closes the socket immediately, which cancels the request
 //! at the peer.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    error::Error as _,
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -29,7 +34,7 @@
 pub enum ConnectError {
     /// Socket error.
     #[error("{0}")]
-    Io(#[from] std::io::Error),
+    Io(#[from] io::Error),
     /// The peer did not accept the connection in time.
     #[error("no connection within {0:?}")]
     Timeout(Duration),
@@ -44,6 +49,8 @@
 pub struct SendError {
     /// Whether no byte of the request was sent.
     pub unsent: bool,
+    /// Whether the peer closed the connection.
+    pub closed: bool,
     /// Description of the error.
     pub reason: String,
 }
@@ -92,13 +99,33 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| SendError {
-            unsent: error.take_message().is_some(),
-            reason: error.into_error().to_string(),
+        self.sender.try_send_request(request).await.map_err(|mut error| {
+            let unsent = error.take_message().is_some();
+            let error = error.into_error();
+            SendError { unsent, closed: is_closed_by_peer(&error), reason: error.to_string() }
         })
     }
 }
 
+/// Whether `error` means that the peer closed the connection, as the end of its process does. Invalid
+/// bytes and timeouts don't.
+pub fn is_closed_by_peer(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(io) = cause.downcast_ref::<io::Error>() {
+            return matches!(
+                io.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            );
+        }
+        source = cause.source();
+    }
+    error.is_incomplete_message()
+}
+
 impl Drop for HttpConnection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -133,7 +133,7 @@
         let fields = json!({
             "request": trace.attempt_id, "upstream": upstream.as_str(), "reason": reason,
             "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
-            "version": admitted.config_version,
+            "version": admitted.config_version, "parts": admitted.shared_part_ids(),
         });
         trace.node.log.record("stream-broken", fields);
         let resumed = select! {
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -169,6 +169,13 @@
         self.route.retry_policy == RetryPolicy::NonIdempotent
     }
 
+    /// Identifiers of the prompt parts that other requests may share: all but the last.
+    pub fn shared_part_ids(&self) -> Vec<&str> {
+        let parts = &self.metadata.prompt_parts;
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        shared.iter().map(|part| part.id.as_str()).collect()
+    }
+
     /// Estimated number of output tokens.
     pub fn output_tokens(&self) -> u64 {
         let max = self.metadata.tokens.map_or(OUTPUT_TOKENS_DEFAULT, |(_, output)| output);
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -19,7 +19,7 @@
 
 use crate::forward::{
     clock,
-    http_connection::HttpConnection,
+    http_connection::{HttpConnection, is_closed_by_peer},
     in_flight::InFlightRequest,
     request::{AdmittedRequest, RequestTrace},
     upstream_changes::{handle_announcements, handle_response_event},
@@ -85,12 +85,20 @@
     pub reason: String,
     /// Error response of the upstream, if it may be relayed.
     pub response: Option<CompleteResponse>,
+    /// Whether the upstream closed the connection before the response was complete.
+    pub closed: bool,
 }
 
 impl SendFailure {
     /// Creates a failure without a response.
     pub fn new(outcome: SendOutcome, reason: impl Into<String>) -> Self {
-        Self { outcome, reason: reason.into(), response: None }
+        Self { outcome, reason: reason.into(), response: None, closed: false }
+    }
+
+    /// Creates the failure of a response whose body could not be read.
+    fn unread(error: &hyper::Error) -> Self {
+        let closed = is_closed_by_peer(error);
+        Self { closed, ..Self::new(SendOutcome::Broken, error.to_string()) }
     }
 }
 
@@ -147,8 +155,11 @@
         }
     }
     let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
-    let body =
-        body.map_err(|error| SendFailure::new(SendOutcome::Broken, error.to_string()))?.to_bytes();
+    let body = body.map_err(|error| match error.downcast_ref::<hyper::Error>() {
+        Some(error) => SendFailure::unread(error),
+        None => SendFailure::new(SendOutcome::Broken, error.to_string()),
+    })?;
+    let body = body.to_bytes();
     let complete = CompleteResponse { status: head.status, headers, body };
     let client_error =
         head.status.is_client_error() && metadata.signed && !implies_not_executed(head.status);
@@ -160,7 +171,7 @@
     // statement.
     let response =
         Some(complete).filter(|complete| !implies_not_executed(complete.status) && metadata.signed);
-    Err(SendFailure { outcome: SendOutcome::Failed, reason, response })
+    Err(SendFailure { response, ..SendFailure::new(SendOutcome::Failed, reason) })
 }
 
 /// Whether the status tells a caller that its request has not run and will not run.
@@ -197,8 +208,7 @@
                 metadata,
             });
         };
-        let frame =
-            frame.map_err(|error| SendFailure::new(SendOutcome::Broken, error.to_string()))?;
+        let frame = frame.map_err(|error| SendFailure::unread(&error))?;
         let Some(chunk) = frame.data_ref() else { continue };
         if let Some(first_batch) = buffer.push(chunk) {
             let (first_batch, ended) = (Some(first_batch), false);
