--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -27,6 +27,7 @@
 mod store_status;
 mod store_watch;
 mod stream_versions;
+mod suspect_parts;
 mod upstream_changes;
 mod upstream_choice;
 mod upstream_response;
@@ -130,6 +131,8 @@
     spawn(shared_rows::sync_shared_rows(Rc::clone(node)));
     spawn(leader::run_leader(Rc::clone(node)));
     spawn(stream_versions::announce_origins(Rc::clone(node)));
+    spawn(suspect_parts::announce_suspects(Rc::clone(node)));
+    spawn(suspect_parts::compare_suspects(Rc::clone(node)));
     spawn(maintain(Rc::clone(node)));
     spawn(ingress::accept_callers(Rc::clone(node), listeners.caller));
     spawn(ingress::serve_readiness(Rc::clone(node), listeners.ready));
@@ -158,6 +161,7 @@
         let (state, cause) = row.state().labels(now);
         metrics.upstreams.get_or_create(&StateLabels { state, cause }).inc();
     }
+    metrics.suspect_reports.set(i64::try_from(state.suspects.reports().len()).unwrap_or(i64::MAX));
     metrics.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(node.log.dropped_lines()).unwrap_or(i64::MAX));
 }
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -27,6 +27,7 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{RequestProgress, deadline_error, unanswered_error},
     stream_versions::record_origin,
+    suspect_parts::{REFUSAL_REASON, check_parts, handle_closed, is_barred, record_proof},
     upstream_choice::{can_go_elsewhere, place, pool_retry_delay},
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
@@ -73,6 +74,9 @@
                 time_left,
             ));
         }
+        check_parts(admitted, progress, trace).await?;
+        let now = clock::now();
+        let time_left = admitted.deadline.since(now);
         let placement = place(admitted, progress, trace, now, time_left)?;
         if progress.attempts > 0 {
             if !node.state().retry_budget.take(&admitted.pool, now) {
@@ -180,10 +184,9 @@
             },
         };
         let sent_at = clock::now();
-        // The upstream may have left or asked for time while the connection was being opened.
-        if !node.state().upstreams.accepts(&placement.upstream, sent_at) {
+        if let Some(reason) = withdrawal_reason(admitted, node, placement, sent_at) {
             node.keep_connection(&placement.upstream, connection, None);
-            return Err(SendFailure::new(SendOutcome::Withdrawn, "takes no requests any more"));
+            return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
         }
         let time_left = admitted.deadline.since(sent_at);
         let time_limit = attempt_time_limit(admitted, time_left, can_retry);
@@ -209,15 +212,14 @@
         return match received {
             Err(failure) if failure.outcome == SendOutcome::Unsent && !is_new => continue,
             Err(failure) => {
-                let may_have_run = failure.outcome.verdict() != RunVerdict::NotRun;
-                if may_have_run && !admitted.route.streams {
-                    count_usage(admitted, progress, node, sent_at);
-                }
-                in_flight.record_outcome(true);
+                handle_failure(admitted, progress, trace, &in_flight, &failure, sent_at).await;
                 Err(failure)
             }
             Ok(ReceivedResponse::Complete(response, metadata)) => {
                 in_flight.record_outcome(false);
+                if response.status.is_success() {
+                    record_proof(admitted, progress, node);
+                }
                 record_service_time(admitted, node, &response, sent_at);
                 count_usage(admitted, progress, node, sent_at);
                 if !metadata.closes_connection {
@@ -260,6 +262,40 @@
     }
 }
 
+/// Records that an attempt sent at `sent_at` has failed.
+async fn handle_failure(
+    admitted: &AdmittedRequest,
+    progress: &mut RequestProgress,
+    trace: &RequestTrace,
+    in_flight: &InFlightRequest,
+    failure: &SendFailure,
+    sent_at: BootTime,
+) {
+    let may_have_run = failure.outcome.verdict() != RunVerdict::NotRun;
+    if may_have_run && !admitted.route.streams {
+        count_usage(admitted, progress, &trace.node, sent_at);
+    }
+    in_flight.record_outcome(true);
+    if failure.closed && failure.outcome == SendOutcome::Broken {
+        handle_closed(admitted, progress, trace, in_flight).await;
+    }
+}
+
+/// Why the request must not be sent to the upstream of `placement` any more, as known after its
+/// connection was opened: the upstream has left or asked for time, or a prompt part has crashed
+/// engines meanwhile.
+fn withdrawal_reason(
+    admitted: &AdmittedRequest,
+    node: &ForwardNode,
+    placement: &Placement,
+    now: BootTime,
+) -> Option<&'static str> {
+    if !node.state().upstreams.accepts(&placement.upstream, now) {
+        return Some("takes no requests any more");
+    }
+    is_barred(admitted, node).then_some(REFUSAL_REASON)
+}
+
 /// Sends `request` on `connection` and receives the response, or the first event of its stream.
 async fn exchange(
     admitted: &AdmittedRequest,
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -86,6 +86,14 @@
     pub upstreams: Family<StateLabels, Gauge>,
     /// Number of state changes that responses caused.
     pub state_changes: Family<StateLabels, Counter>,
+    /// Number of engine crashes at which requests of this node waited for their first event.
+    pub engine_crashes: Counter,
+    /// Number of requests refused for a prompt part that crashes engines.
+    pub part_refusals: Counter,
+    /// Number of requests sent as a trial of a suspected prompt part.
+    pub part_trials: Counter,
+    /// Number of reports that cast suspicion on a prompt part.
+    pub suspect_reports: Gauge,
     /// Number of live nodes.
     pub nodes: Gauge,
     /// Fencing token of this node as the leader, 0 if it is not the leader.
@@ -111,6 +119,10 @@
             accepting: Gauge::default(),
             upstreams: Family::default(),
             state_changes: Family::default(),
+            engine_crashes: Counter::default(),
+            part_refusals: Counter::default(),
+            part_trials: Counter::default(),
+            suspect_reports: Gauge::default(),
             nodes: Gauge::default(),
             leader_fence: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -157,6 +169,26 @@
             "Changes of state that answers told of",
             metrics.state_changes.clone(),
         );
+        registry.register(
+            "engine_crashes",
+            "Requests that waited at an engine when it crashed",
+            metrics.engine_crashes.clone(),
+        );
+        registry.register(
+            "part_refusals",
+            "Requests refused for a prompt part that crashes engines",
+            metrics.part_refusals.clone(),
+        );
+        registry.register(
+            "part_trials",
+            "Requests sent as a trial of a suspected prompt part",
+            metrics.part_trials.clone(),
+        );
+        registry.register(
+            "suspect_reports",
+            "Reports that cast suspicion on a prompt part",
+            metrics.suspect_reports.clone(),
+        );
         registry.register("nodes", "Nodes alive", metrics.nodes.clone());
         registry.register(
             "duty_fence",
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -15,7 +15,7 @@
 use crate::forward::{
     clock, connection_pool::ConnectionPool, decision_log::DecisionLog,
     http_connection::HttpConnection, metrics::ForwardMetrics, peer_socket::PeerSocket,
-    settings::ForwardSettings, state::ForwardState,
+    settings::ForwardSettings, state::ForwardState, suspect_parts::SuspectOutbox,
 };
 
 /// Phase of a graceful shutdown.
@@ -46,6 +46,8 @@
     pub connections: ConnectionPool,
     /// Socket for datagrams to other nodes. `None` until the peer secret is known.
     pub peer_socket: RefCell<Option<Rc<PeerSocket>>>,
+    /// What other nodes are to be told about suspected prompt parts.
+    pub suspect_outbox: SuspectOutbox,
     pub phase: watch::Sender<ShutdownPhase>,
     pub started_at: BootTime,
     /// Cloned by each open connection of a caller.
@@ -67,6 +69,7 @@
             log,
             metrics: ForwardMetrics::new(),
             connections: ConnectionPool::default(),
+            suspect_outbox: SuspectOutbox::default(),
             phase: watch::Sender::new(ShutdownPhase::Serving),
             started_at: clock::now(),
             caller_connections: Rc::new(()),
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -9,8 +9,9 @@
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
         stream_origins::{OriginSource, StreamOrigin},
+        suspect_parts::SuspectUpdate,
     },
-    ids::{AttemptKey, NodeName, PoolName, RowVersion, WorkspaceName},
+    ids::{AttemptKey, NodeName, PartKey, PoolName, RowVersion, WorkspaceName},
 };
 use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
@@ -20,6 +21,7 @@
     clock,
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
+    suspect_parts::{answer_comparison, handle_update},
 };
 
 /// Response timeout of a quota owner. Several times the users' longest latency between domains, so
@@ -34,6 +36,8 @@
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_500);
 /// Response timeout of a query for the origin of a stream, for which a caller waits.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(80);
+/// Response timeout of a query for the trial of a prompt part, for which a caller waits.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(80);
 /// Response timeout of a status query. Covers slow nodes, since no request waits for it.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -53,7 +57,8 @@
     }
 }
 
-async fn send(
+/// Sends `datagram`, which may be lost.
+pub async fn send(
     node: &ForwardNode,
     socket: &PeerSocket,
     receiver: &NodeName,
@@ -240,6 +245,31 @@
     }
 }
 
+/// Tells the node at `address` about suspected prompt parts.
+pub async fn send_suspects(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    (peer, address): (&NodeName, SocketAddr),
+    update: SuspectUpdate,
+) {
+    send(node, socket, peer, address, &ForwardDatagram::AnnounceSuspects { update }).await;
+}
+
+/// Asks the keeper at `address` for a trial of `part`. Returns `None` if it does not respond.
+pub async fn query_trial(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    (keeper, address): (&NodeName, SocketAddr),
+    part: PartKey,
+) -> Option<bool> {
+    let id = socket.next_id();
+    let datagram = ForwardDatagram::AcquireTrial { query_id: id, part };
+    match query(node, socket, (keeper, address), (id, &datagram), TRIAL_TIMEOUT).await {
+        Some(ForwardDatagram::TrialDecision { granted, .. }) => Some(granted),
+        _ => None,
+    }
+}
+
 /// Receives datagrams until the process exits.
 async fn receive_datagrams(node: Rc<ForwardNode>, socket: Rc<PeerSocket>) {
     loop {
@@ -272,7 +302,11 @@
         | ForwardDatagram::ConfigPart { .. }
         | ForwardDatagram::AnnounceOrigin { .. }
         | ForwardDatagram::QueryOrigin { .. }
-        | ForwardDatagram::OriginStatus { .. } => {}
+        | ForwardDatagram::OriginStatus { .. }
+        | ForwardDatagram::AnnounceSuspects { .. }
+        | ForwardDatagram::QuerySuspects { .. }
+        | ForwardDatagram::AcquireTrial { .. }
+        | ForwardDatagram::TrialDecision { .. } => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -313,6 +347,7 @@
         | ForwardDatagram::StoreStatus { query_id: id, .. }
         | ForwardDatagram::ConfigPart { query_id: id, .. }
         | ForwardDatagram::OriginStatus { query_id: id, .. }
+        | ForwardDatagram::TrialDecision { query_id: id, .. }
         | ForwardDatagram::MemberStatus { query_id: id, .. } => socket.complete(id, datagram),
         ForwardDatagram::QueryConfig { query_id: id, row, skip } => {
             let (size, bytes) = node.state().config_part(row, skip);
@@ -344,6 +379,17 @@
             let reply = ForwardDatagram::OriginStatus { query_id: id, origin };
             send(node, socket, &sender, from, &reply).await;
         }
+        ForwardDatagram::AnnounceSuspects { update } => {
+            handle_update(node, socket, (&sender, from), update).await;
+        }
+        ForwardDatagram::QuerySuspects { digest } => {
+            answer_comparison(node, socket, (&sender, from), digest).await;
+        }
+        ForwardDatagram::AcquireTrial { query_id: id, part } => {
+            let granted = node.state().suspects.grant_trial(part, clock::now());
+            let reply = ForwardDatagram::TrialDecision { query_id: id, granted };
+            send(node, socket, &sender, from, &reply).await;
+        }
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             node.state().quota_owner.refund(&workspace, units);
         }
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -18,9 +18,11 @@
 use crate::forward::{
     attempt::send_with_retries,
     clock,
+    http_connection::is_closed_by_peer,
     request::{AdmittedRequest, RequestTrace},
     request_progress::RequestProgress,
     response_body::StreamSender,
+    suspect_parts::{handle_closed, record_proof},
     upstream_response::{StreamingResponse, UpstreamResponse, UpstreamStream},
 };
 
@@ -29,6 +31,9 @@
 const SILENT_GAPS: f64 = 3.0;
 /// The same for routes that declare no event gap.
 const SILENCE_DEFAULT: Duration = Duration::from_millis(1_500);
+/// Number of event batches of one upstream that prove the prompt sound. An engine that crashes as it
+/// begins a response may have written its first event.
+const BATCHES_PROVING: u32 = 2;
 /// Time for which a silent upstream is kept after another one has received the request. Engines must
 /// not both work on a stream for more than 400 ms.
 const OVERLAP_MAX: Duration = Duration::from_millis(300);
@@ -39,7 +44,7 @@
     /// The upstream completed the stream.
     Ended,
     /// The stream failed.
-    Broken(String),
+    Broken(StreamBreak),
     /// The upstream has been silent for too long, but may go on.
     Silent,
     /// The deadline has passed.
@@ -48,6 +53,19 @@
     CallerLeft,
 }
 
+/// Failure of a stream.
+struct StreamBreak {
+    reason: String,
+    /// Whether the upstream closed the connection.
+    closed: bool,
+}
+
+impl StreamBreak {
+    fn new(reason: impl Into<String>) -> Self {
+        Self { reason: reason.into(), closed: false }
+    }
+}
+
 /// Relays a stream to its end. Resumes it at another upstream if the route permits.
 pub async fn relay_stream(
     admitted: AdmittedRequest,
@@ -61,6 +79,7 @@
     let mut pending = first_batch;
     let mut ended = ended;
     let mut next_step = None;
+    let mut batches = 0;
     loop {
         let step = match (next_step.take(), pending.take()) {
             (Some(step), _) => step,
@@ -71,31 +90,27 @@
                 read_step(&admitted, &mut source, &sender, max_silence).await
             }
         };
-        let reason = match step {
+        let stream_break = match step {
             StreamStep::Events(batch) => match send_batch(&sender, batch, &mut last_id).await {
-                Ok(true) => continue,
+                Ok(true) => {
+                    batches += 1;
+                    if batches >= BATCHES_PROVING {
+                        record_proof(&admitted, &mut progress, &trace.node);
+                    }
+                    continue;
+                }
                 Ok(false) => {
                     trace.finish("caller-left", 0, "");
                     return;
                 }
-                Err(reason) => reason,
+                Err(reason) => StreamBreak::new(reason),
             },
             StreamStep::Ended => {
-                source.in_flight.record_outcome(false);
-                record_speed(&admitted, &trace, &source);
-                if !source.metadata.closes_connection {
-                    let upstream = source.in_flight.upstream.clone();
-                    trace.node.keep_connection(
-                        &upstream,
-                        source.connection,
-                        source.metadata.keep_alive,
-                    );
-                }
-                let delivered = sender.finish().await;
-                trace.finish(if delivered { "served" } else { "caller-left" }, 200, "");
+                record_proof(&admitted, &mut progress, &trace.node);
+                complete_stream(&admitted, trace, source, sender).await;
                 return;
             }
-            StreamStep::Broken(reason) => reason,
+            StreamStep::Broken(stream_break) => stream_break,
             StreamStep::Silent => {
                 match end_silence(&admitted, &mut progress, &trace, source, &sender, last_id).await
                 {
@@ -105,6 +120,7 @@
                     }
                     SilenceEnd::Resumed(resumed) => {
                         StreamingResponse { first_batch: pending, ended, source, .. } = *resumed;
+                        batches = 0;
                     }
                     SilenceEnd::Lost => {
                         trace.finish("broken-off", 200, "no upstream goes on after a silence");
@@ -127,15 +143,12 @@
             }
         };
         source.in_flight.record_outcome(true);
-        let upstream = source.in_flight.upstream.clone();
+        if stream_break.closed && batches < BATCHES_PROVING {
+            handle_closed(&admitted, &mut progress, &trace, &source.in_flight).await;
+        }
+        log_break(&admitted, &progress, &trace, &source, &stream_break, last_id);
         // Closes the connection to cancel the old run before another upstream resumes it.
         drop(source);
-        let fields = json!({
-            "request": trace.attempt_id, "upstream": upstream.as_str(), "reason": reason,
-            "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
-            "version": admitted.config_version, "parts": admitted.shared_part_ids(),
-        });
-        trace.node.log.record("stream-broken", fields);
         let resumed = select! {
             resumed = resume(&admitted, &mut progress, &trace, last_id) => resumed,
             () = sender.closed() => {
@@ -150,7 +163,43 @@
         pending = resumed.first_batch;
         ended = resumed.ended;
         source = resumed.source;
+        batches = 0;
+    }
+}
+
+/// Completes the response to the caller after the last event of `source`.
+async fn complete_stream(
+    admitted: &AdmittedRequest,
+    mut trace: RequestTrace,
+    source: UpstreamStream,
+    sender: StreamSender,
+) {
+    source.in_flight.record_outcome(false);
+    record_speed(admitted, &trace, &source);
+    if !source.metadata.closes_connection {
+        let upstream = source.in_flight.upstream.clone();
+        trace.node.keep_connection(&upstream, source.connection, source.metadata.keep_alive);
     }
+    let delivered = sender.finish().await;
+    trace.finish(if delivered { "served" } else { "caller-left" }, 200, "");
+}
+
+fn log_break(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    trace: &RequestTrace,
+    source: &UpstreamStream,
+    stream_break: &StreamBreak,
+    last_id: Option<u64>,
+) {
+    let upstream = source.in_flight.upstream.as_str();
+    let fields = json!({
+        "request": trace.attempt_id, "upstream": upstream, "reason": stream_break.reason,
+        "closed": stream_break.closed, "last_event": last_id, "age_ms": trace.age_ms(),
+        "sent": progress.attempts, "version": admitted.config_version,
+        "parts": admitted.shared_part_ids(),
+    });
+    trace.node.log.record("stream-broken", fields);
 }
 
 /// Time after which the upstream of a stream counts as silent. Another one may only take over
@@ -297,12 +346,16 @@
                     return StreamStep::Events(batch);
                 }
                 if source.buffer.is_overlong() {
-                    return StreamStep::Broken("event exceeds the size limit".to_owned());
+                    return StreamStep::Broken(StreamBreak::new("event exceeds the size limit"));
                 }
             }
-            Some(Err(error)) => return StreamStep::Broken(error.to_string()),
+            Some(Err(error)) => {
+                let closed = is_closed_by_peer(&error);
+                return StreamStep::Broken(StreamBreak { reason: error.to_string(), closed });
+            }
             None if source.buffer.is_partial() => {
-                return StreamStep::Broken("stream ended within an event".to_owned());
+                let reason = "stream ended within an event".to_owned();
+                return StreamStep::Broken(StreamBreak { reason, closed: true });
             }
             None => return StreamStep::Ended,
         }
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -10,8 +10,9 @@
     forward::{
         catalog::{RetryPolicy, RouteRow},
         deadline::retry_after,
+        placement::PromptPart,
     },
-    ids::{PoolName, WorkspaceName},
+    ids::{PartKey, PoolName, WorkspaceName},
 };
 use samphiredeck_platform::headers::RequestMetadata;
 use serde_json::json;
@@ -169,11 +170,23 @@
         self.route.retry_policy == RetryPolicy::NonIdempotent
     }
 
-    /// Identifiers of the prompt parts that other requests may share: all but the last.
-    pub fn shared_part_ids(&self) -> Vec<&str> {
+    /// Prompt parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
         let parts = &self.metadata.prompt_parts;
-        let shared = &parts[..parts.len().saturating_sub(1)];
-        shared.iter().map(|part| part.id.as_str()).collect()
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
+    /// Identifiers of the shared prompt parts.
+    pub fn shared_part_ids(&self) -> Vec<&str> {
+        self.shared_parts().iter().map(|part| part.id.as_str()).collect()
+    }
+
+    /// Keys of the shared prompt parts. Empty if no engine computes the prompt.
+    pub fn part_keys(&self) -> Vec<PartKey> {
+        if !self.engine {
+            return Vec::new();
+        }
+        self.shared_parts().iter().map(|part| PartKey::of(&part.id)).collect()
     }
 
     /// Estimated number of output tokens.
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -32,6 +32,10 @@
     /// Software version of the upstream at which the stream began. Only upstreams of this version
     /// can continue it.
     pub software: Option<SoftwareVersion>,
+    /// Number of engines that crashed while the request waited there for its first event.
+    pub crashes_met: u32,
+    /// Whether its prompt parts have been proven sound by its response.
+    pub proven: bool,
     /// Whether the request was added to the usage counts.
     pub counted: bool,
     /// Quota reserved from the workspace's limit.
@@ -50,6 +54,8 @@
             on_sent: None,
             verdict: RunVerdict::NotRun,
             software,
+            crashes_met: 0,
+            proven: false,
             counted: false,
             reservation,
         }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -20,6 +20,7 @@
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
+        suspect_parts::SuspectTable,
         upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
@@ -64,6 +65,8 @@
     pub upstreams: UpstreamRegistry,
     /// Where streams began that may be resumed.
     pub origins: OriginTable,
+    /// Prompt parts that may crash engines.
+    pub suspects: SuspectTable,
     /// Nodes of the cluster.
     pub members: MemberTable,
     /// Nodes that publish through this one, and itself.
@@ -112,6 +115,7 @@
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
             origins: OriginTable::default(),
+            suspects: SuspectTable::default(),
             members: MemberTable::default(),
             group: NodeGroup::default(),
             members_differ: false,
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -1,7 +1,10 @@
 //! Receives and validates upstream responses before they are relayed.
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode};
+use http::{
+    HeaderMap, Response, StatusCode,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use samphiredeck_core::{
@@ -151,7 +154,9 @@
             ));
         }
         if admitted.route.streams {
-            return receive_stream(head.status, headers, body, metadata).await;
+            let is_unframed = !head.headers.contains_key(CONTENT_LENGTH)
+                && !head.headers.contains_key(TRANSFER_ENCODING);
+            return receive_stream(head.status, headers, body, metadata, is_unframed).await;
         }
     }
     let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
@@ -190,12 +195,17 @@
     headers: HeaderMap,
     mut body: Incoming,
     metadata: ResponseMetadata,
+    is_unframed: bool,
 ) -> Result<ReceivedResponse, SendFailure> {
     let mut buffer = EventBuffer::default();
     loop {
         let Some(frame) = body.frame().await else {
-            if buffer.is_partial() {
-                return Err(SendFailure::new(SendOutcome::Broken, "stream ended within an event"));
+            // Without a length and chunks, only the end of the connection ends a stream. One without any
+            // event is none.
+            if buffer.is_partial() || is_unframed {
+                let reason = "stream ended within or before its first event";
+                let failure = SendFailure::new(SendOutcome::Broken, reason);
+                return Err(SendFailure { closed: true, ..failure });
             }
             let (first_batch, ended) = (None, true);
             return Ok(ReceivedResponse::Streaming {
--- /dev/null
+++ b/samphiredeck_core/src/forward/suspect_parts.rs
@@ -0,0 +1,459 @@
+//! Finds prompt parts that crash engines, and decides whether requests with them may be sent.
+//!
+//! Answers the load pattern of a prompt part that crashes each engine which begins a response to it,
+//! in requests that arrive at any node and share their other parts with sound ones. Every crash
+//! breaks dozens of streams and empties a cache, so the part has to be found after few of them.
+//!
+//! **Evidence.** A crash is reported with the shared parts of each request that was waiting for its
+//! first event there. A response to a request proves all of its parts sound, so parts that sound
+//! requests share are cleared at once, wherever they are served. Crashes close to each other count
+//! once: a failure domain that is lost takes many engines at the same time.
+//!
+//! **Blame.** Of the parts of a request, the one with the most crashes is blamed. A part is not blamed
+//! for a crash that another part of the same request explains as well, unless the request in question
+//! has that one, too.
+//!
+//! **Consequence.** Requests with a suspected part are sent one at a time over all nodes, as a trial.
+//! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. A
+//! trial that brings a response ends the suspicion.
+
+use std::{cmp::Reverse, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    boot_time::BootTime,
+    forward::member_list::MemberIdentity,
+    ids::{NodeName, PartKey, RunKey},
+};
+
+/// Time within which crashes count once.
+const CRASH_SPACING: Duration = Duration::from_millis(100);
+/// Time within which reports of the same run and parts are the same report. Covers differences of
+/// clocks and the network delay of their exchange.
+const SAME_REPORT_WINDOW: Duration = Duration::from_millis(300);
+/// Time for which a response to a request speaks for its parts in a later crash.
+const PROOF_VALIDITY: Duration = Duration::from_secs(60);
+/// Number of crashes from which a part that has had responses of late is suspected.
+const PROVEN_CRASHES: u32 = 3;
+/// Number of crashes from which a request is not repeated as a trial. Callers may still bring one.
+const REPEAT_CRASHES: u32 = 2;
+/// Time between the last crash and the next trial, by the number of crashes. The last one doubles
+/// with each further crash.
+const TRIAL_DELAYS: [Duration; 5] = [
+    Duration::ZERO,
+    Duration::from_secs(1),
+    Duration::from_secs(10),
+    Duration::from_secs(60),
+    Duration::from_secs(300),
+];
+/// Maximum time between two trials.
+const TRIAL_DELAY_MAX: Duration = Duration::from_secs(1_800);
+/// Time after which a trial without a result no longer holds up the next one. Callers wait less for a
+/// first event.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a report is dropped.
+const REPORT_LIFETIME: Duration = Duration::from_secs(7_200);
+/// Maximum number of reports. The oldest are dropped first.
+const REPORTS_MAX: usize = 256;
+/// Maximum number of parts in a report.
+pub const REPORT_PARTS_MAX: usize = 16;
+/// Maximum number of parts that are known to be sound. The oldest are dropped first.
+const PROOFS_MAX: usize = 8_192;
+/// Maximum number of trials that a keeper remembers.
+const TRIALS_MAX: usize = 256;
+
+/// Report that a request was waiting for its first event at an engine that crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashReport {
+    /// Run of the engine.
+    pub run: RunKey,
+    /// Shared parts of the request, sorted, without duplicates. At least one, at most
+    /// [`REPORT_PARTS_MAX`].
+    parts: Vec<PartKey>,
+    /// Time of the crash.
+    pub at: BootTime,
+}
+
+impl CrashReport {
+    /// Creates the report of a request with the shared `parts`. `None` if it has none.
+    #[must_use]
+    pub fn new(run: RunKey, mut parts: Vec<PartKey>, at: BootTime) -> Option<Self> {
+        parts.sort_unstable();
+        parts.dedup();
+        parts.truncate(REPORT_PARTS_MAX);
+        (!parts.is_empty()).then_some(Self { run, parts, at })
+    }
+
+    /// Shared parts of the request, sorted.
+    #[must_use]
+    pub fn parts(&self) -> &[PartKey] {
+        &self.parts
+    }
+
+    fn contains(&self, part: PartKey) -> bool {
+        self.parts.binary_search(&part).is_ok()
+    }
+
+    fn is_same(&self, other: &Self) -> bool {
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        self.run == other.run && self.parts == other.parts && apart < SAME_REPORT_WINDOW
+    }
+}
+
+/// Response that proves a part sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartProof {
+    /// Part of the request.
+    pub part: PartKey,
+    /// Time of the response.
+    pub at: BootTime,
+}
+
+impl PartProof {
+    /// The proof as sent to other nodes at `now`.
+    #[must_use]
+    pub fn share(&self, now: BootTime) -> SharedProof {
+        SharedProof { part: self.part, age_ms: age_ms(self.at, now) }
+    }
+}
+
+/// Trial that a keeper granted.
+#[derive(Clone, Copy, Debug)]
+struct PartTrial {
+    part: PartKey,
+    granted_at: BootTime,
+}
+
+/// Report as sent to other nodes, whose clocks have other origins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedReport {
+    /// Run of the engine.
+    pub run: RunKey,
+    /// Shared parts of the request.
+    pub parts: Vec<PartKey>,
+    /// Milliseconds since the crash.
+    pub age_ms: u64,
+}
+
+/// Proof as sent to other nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedProof {
+    /// Part that is sound.
+    pub part: PartKey,
+    /// Milliseconds since the response.
+    pub age_ms: u64,
+}
+
+/// What one node tells another about suspected parts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectUpdate {
+    /// Reports of crashes.
+    pub reports: Vec<SharedReport>,
+    /// Proofs of parts that were reported.
+    pub proofs: Vec<SharedProof>,
+}
+
+impl SuspectUpdate {
+    /// Whether it says nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty() && self.proofs.is_empty()
+    }
+}
+
+/// What is known against a part of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartSuspicion {
+    /// The part that is blamed.
+    pub part: PartKey,
+    /// Number of crashes that it is blamed for. At least 1.
+    pub crashes: u32,
+    /// Time of the last one.
+    pub last_crash: BootTime,
+    /// Time from which a trial may be sent.
+    pub trial_at: BootTime,
+}
+
+impl PartSuspicion {
+    /// Whether hardly anything speaks against the part.
+    #[must_use]
+    pub fn is_thin(&self) -> bool {
+        self.crashes < REPEAT_CRASHES
+    }
+
+    /// Whether a request that waited at `crashes_met` engines as they crashed may be sent as a trial.
+    #[must_use]
+    pub fn permits_trial_of(&self, crashes_met: u32) -> bool {
+        crashes_met == 0 || crashes_met == 1 && self.is_thin()
+    }
+}
+
+/// Reports, proofs and trials known to a node.
+#[derive(Clone, Debug, Default)]
+pub struct SuspectTable {
+    /// Reports with at least one part that no later proof clears. In the order of arrival. At most
+    /// [`REPORTS_MAX`].
+    reports: Vec<CrashReport>,
+    /// Latest proof of each part. Sorted by part, without duplicates. At most [`PROOFS_MAX`].
+    proofs: Vec<PartProof>,
+    /// Trials granted by this node as a keeper. At most [`TRIALS_MAX`].
+    trials: Vec<PartTrial>,
+}
+
+impl SuspectTable {
+    /// Reports that still cast suspicion.
+    #[must_use]
+    pub fn reports(&self) -> &[CrashReport] {
+        &self.reports
+    }
+
+    fn proven_at(&self, part: PartKey) -> Option<BootTime> {
+        let at = self.proofs.binary_search_by_key(&part, |proof| proof.part).ok()?;
+        Some(self.proofs[at].at)
+    }
+
+    fn is_cleared(&self, part: PartKey, at: BootTime) -> bool {
+        self.proven_at(part).is_some_and(|proven_at| at <= proven_at)
+    }
+
+    /// Adds `report`. Returns whether it is new and casts suspicion on any part.
+    pub fn add_report(&mut self, report: CrashReport) -> bool {
+        if self.reports.iter().any(|known| known.is_same(&report)) {
+            return false;
+        }
+        if report.parts.iter().all(|part| self.is_cleared(*part, report.at)) {
+            return false;
+        }
+        if self.reports.len() >= REPORTS_MAX {
+            let oldest = self.reports.iter().enumerate().min_by_key(|(_, known)| known.at);
+            if let Some((at, _)) = oldest {
+                self.reports.remove(at);
+            }
+        }
+        self.reports.push(report);
+        true
+    }
+
+    /// Adds `proof`. Returns whether it clears a part that was reported.
+    pub fn add_proof(&mut self, proof: PartProof) -> bool {
+        let PartProof { part, at } = proof;
+        let clears = self.reports.iter().any(|report| {
+            report.contains(part) && report.at <= at && !self.is_cleared(part, report.at)
+        });
+        match self.proofs.binary_search_by_key(&part, |known| known.part) {
+            Ok(row) => self.proofs[row].at = self.proofs[row].at.max(at),
+            Err(row) => self.proofs.insert(row, proof),
+        }
+        if self.proofs.len() > PROOFS_MAX {
+            let oldest = self.proofs.iter().enumerate().min_by_key(|(_, known)| known.at);
+            if let Some((row, _)) = oldest {
+                self.proofs.remove(row);
+            }
+        }
+        clears
+    }
+
+    /// Drops reports that are too old or whose parts are all cleared at `now`.
+    pub fn remove_settled(&mut self, now: BootTime) {
+        let proofs = &self.proofs;
+        let proven_at = |part: &PartKey| {
+            let at = proofs.binary_search_by_key(part, |proof| proof.part).ok()?;
+            Some(proofs[at].at)
+        };
+        self.reports.retain(|report| {
+            let is_open = |part| proven_at(part).is_none_or(|proven_at| proven_at < report.at);
+            now.since(report.at) < REPORT_LIFETIME && report.parts.iter().any(is_open)
+        });
+        self.trials.retain(|trial| now.since(trial.granted_at) < TRIAL_TIMEOUT);
+    }
+
+    /// Times of the crashes reported with `part` since it was last proven sound, for which `counts`
+    /// holds, without those shortly after another.
+    fn crash_times(&self, part: PartKey, counts: impl Fn(&CrashReport) -> bool) -> Vec<BootTime> {
+        let mut times: Vec<BootTime> = self
+            .reports
+            .iter()
+            .filter(|report| report.contains(part) && !self.is_cleared(part, report.at))
+            .filter(|report| counts(report))
+            .map(|report| report.at)
+            .collect();
+        times.sort_unstable();
+        let mut counted: Vec<BootTime> = Vec::new();
+        for at in times {
+            if counted.last().is_none_or(|last| at.since(*last) >= CRASH_SPACING) {
+                counted.push(at);
+            }
+        }
+        counted
+    }
+
+    /// What is known against a request with the shared `parts`. `None` if it may be sent like any
+    /// other.
+    #[must_use]
+    pub fn assess(&self, parts: &[PartKey]) -> Option<PartSuspicion> {
+        if self.reports.is_empty() {
+            return None;
+        }
+        let suspicions = parts.iter().filter_map(|part| self.assess_part(*part, parts));
+        suspicions.max_by_key(|suspicion| (suspicion.crashes, suspicion.trial_at))
+    }
+
+    /// What is known against `part` of a request with the shared `parts`.
+    fn assess_part(&self, part: PartKey, parts: &[PartKey]) -> Option<PartSuspicion> {
+        let all = self.crash_times(part, |_| true).len();
+        if all == 0 {
+            return None;
+        }
+        // A crash is not held against this part if a part that the request lacks explains it as well.
+        let suspects: Vec<PartKey> = {
+            let cases = self.reports.iter().filter(|report| report.contains(part));
+            let mut others: Vec<PartKey> = cases.flat_map(|report| report.parts.clone()).collect();
+            others.sort_unstable();
+            others.dedup();
+            others.retain(|other| {
+                !parts.contains(other) && self.crash_times(*other, |_| true).len() >= all
+            });
+            others
+        };
+        let times = self.crash_times(part, |report| {
+            report.parts.iter().all(|other| suspects.binary_search(other).is_err())
+        });
+        let (first, last_crash) = (*times.first()?, *times.last()?);
+        let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
+        let is_proven =
+            self.proven_at(part).is_some_and(|proven_at| first.since(proven_at) < PROOF_VALIDITY);
+        if is_proven && crashes < PROVEN_CRASHES {
+            return None;
+        }
+        let trial_at = last_crash + trial_delay(crashes);
+        Some(PartSuspicion { part, crashes, last_crash, trial_at })
+    }
+
+    /// Decides as the keeper of `part` whether a request with it may be sent as a trial at `now`:
+    /// one at a time, and not before the delay after the last crash.
+    pub fn grant_trial(&mut self, part: PartKey, now: BootTime) -> bool {
+        self.trials.retain(|trial| now.since(trial.granted_at) < TRIAL_TIMEOUT);
+        let times = self.crash_times(part, |_| true);
+        let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
+        if times.last().is_some_and(|last| now < *last + trial_delay(crashes)) {
+            return false;
+        }
+        let has_result = |trial: &PartTrial| {
+            times.last().is_some_and(|last| trial.granted_at <= *last)
+                || self.is_cleared(part, trial.granted_at)
+        };
+        let is_running = |trial: &PartTrial| trial.part == part && !has_result(trial);
+        if self.trials.iter().any(is_running) || self.trials.len() >= TRIALS_MAX {
+            return false;
+        }
+        self.trials.push(PartTrial { part, granted_at: now });
+        true
+    }
+
+    /// Digest of what is open: tables with the same open reports have the same.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut digest = 0_u64;
+        for report in &self.reports {
+            let mut hash = xxh3_64_with_seed(&report.run.to_bytes(), 0);
+            let mut is_open = false;
+            for part in &report.parts {
+                let cleared = self.is_cleared(*part, report.at);
+                is_open |= !cleared;
+                hash = xxh3_64_with_seed(&part.to_bytes(), hash ^ u64::from(cleared));
+            }
+            if is_open {
+                digest = digest.wrapping_add(hash);
+            }
+        }
+        digest
+    }
+
+    /// Report and the proofs of its parts, as sent to other nodes at `now`.
+    #[must_use]
+    pub fn share(&self, report: &CrashReport, now: BootTime) -> (SharedReport, Vec<SharedProof>) {
+        let shared = SharedReport {
+            run: report.run,
+            parts: report.parts.clone(),
+            age_ms: age_ms(report.at, now),
+        };
+        let proofs = report.parts.iter().filter_map(|part| {
+            let at = self.proven_at(*part).filter(|at| report.at <= *at)?;
+            Some(PartProof { part: *part, at }.share(now))
+        });
+        (shared, proofs.collect())
+    }
+
+    /// Applies what another node told at `now`. Returns the reports and proofs that are new, to be
+    /// told to others, and those proofs that the other node lacks.
+    pub fn apply_update(&mut self, update: SuspectUpdate, now: BootTime) -> AppliedUpdate {
+        let mut applied = AppliedUpdate::default();
+        let time_of = |age_ms| now - Duration::from_millis(age_ms);
+        let told: Vec<PartProof> = update
+            .proofs
+            .iter()
+            .map(|proof| PartProof { part: proof.part, at: time_of(proof.age_ms) })
+            .collect();
+        for shared in update.reports {
+            let at = time_of(shared.age_ms);
+            let Some(report) = CrashReport::new(shared.run, shared.parts, at) else { continue };
+            if now.since(at) >= REPORT_LIFETIME {
+                continue;
+            }
+            for part in &report.parts {
+                if let Some(proven_at) = self.proven_at(*part).filter(|proven| at <= *proven)
+                    && !told.iter().any(|proof| proof.part == *part && at <= proof.at)
+                    && applied.missing.iter().all(|proof| proof.part != *part)
+                {
+                    applied.missing.push(PartProof { part: *part, at: proven_at });
+                }
+            }
+            if self.add_report(report.clone()) {
+                applied.reports.push(report);
+            }
+        }
+        for proof in told {
+            if self.add_proof(proof) {
+                applied.proofs.push(proof);
+            }
+        }
+        applied
+    }
+}
+
+/// Result of applying another node's update.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AppliedUpdate {
+    /// Reports that were not known.
+    pub reports: Vec<CrashReport>,
+    /// Proofs that cleared a part.
+    pub proofs: Vec<PartProof>,
+    /// Proofs that the other node lacks.
+    pub missing: Vec<PartProof>,
+}
+
+fn age_ms(at: BootTime, now: BootTime) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Time between the last of `crashes` crashes and the next trial.
+fn trial_delay(crashes: u32) -> Duration {
+    let at = usize::try_from(crashes).unwrap_or(usize::MAX).saturating_sub(1);
+    if let Some(delay) = TRIAL_DELAYS.get(at) {
+        return *delay;
+    }
+    let doublings = u32::try_from(at - TRIAL_DELAYS.len() + 1).unwrap_or(u32::MAX).min(16);
+    (TRIAL_DELAYS[TRIAL_DELAYS.len() - 1] * 2_u32.pow(doublings)).min(TRIAL_DELAY_MAX)
+}
+
+/// Node that grants the trials of `part`. All nodes with the same list of `members` find the same.
+/// `None` if there are no members.
+#[must_use]
+pub fn find_keeper(part: PartKey, members: &[MemberIdentity]) -> Option<&MemberIdentity> {
+    let weight = |node: &NodeName| {
+        xxh3_64_with_seed(&part.to_bytes(), xxh3_64_with_seed(node.as_str().as_bytes(), 0))
+    };
+    members.iter().min_by_key(|entry| Reverse(weight(&entry.node)))
+}
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use xxhash_rust::xxh3::xxh3_128;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
 
 /// Maximum length of a name in bytes.
 const NAME_MAX_BYTES: usize = 64;
@@ -311,6 +311,66 @@
     }
 }
 
+macro_rules! hash_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Bytes of the hash.
+            #[must_use]
+            pub fn to_bytes(self) -> [u8; 8] {
+                self.0.to_le_bytes()
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let hash = u64::from_str_radix(text, 16);
+                hash.map(Self)
+                    .map_err(|_parse| IdError::Number(text.chars().take(NAME_MAX_BYTES).collect()))
+            }
+        }
+    };
+}
+
+hash_type!(
+    /// Hash of the identifier of a prompt part. Identifiers are chosen by callers and may have any
+    /// length.
+    PartKey
+);
+
+hash_type!(
+    /// Hash of an upstream and its start, which names one run of its process.
+    RunKey
+);
+
+impl PartKey {
+    /// Hashes the part identifier `id`.
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        Self(xxh3_64(id.as_bytes()))
+    }
+}
+
+impl RunKey {
+    /// Hashes the run of `upstream` that started at `started_ms`.
+    #[must_use]
+    pub fn of(upstream: &UpstreamId, started_ms: Option<u64>) -> Self {
+        Self(xxh3_64_with_seed(upstream.as_str().as_bytes(), started_ms.unwrap_or(0)))
+    }
+}
+
 /// Hash of a bearer key. The key itself is never stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- /dev/null
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -0,0 +1,395 @@
+//! Tests of the search for prompt parts that crash engines.
+
+use std::{net::SocketAddr, time::Duration};
+
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{
+        member_list::MemberIdentity,
+        suspect_parts::{CrashReport, PartProof, SuspectTable, SuspectUpdate, find_keeper},
+    },
+    ids::{Incarnation, PartKey, RunKey},
+};
+
+/// Later than any age of a report.
+const START: Duration = Duration::from_secs(100_000);
+
+fn at(millis: u64) -> BootTime {
+    BootTime::new(START) + Duration::from_millis(millis)
+}
+
+fn part(name: &str) -> PartKey {
+    PartKey::of(name)
+}
+
+fn parts(names: &[&str]) -> Vec<PartKey> {
+    names.iter().map(|name| part(name)).collect()
+}
+
+fn report(engine: u64, names: &[&str], millis: u64) -> CrashReport {
+    let run = RunKey::of(&format!("e{engine}").parse().unwrap(), Some(engine));
+    CrashReport::new(run, parts(names), at(millis)).unwrap()
+}
+
+fn proof(name: &str, millis: u64) -> PartProof {
+    PartProof { part: part(name), at: at(millis) }
+}
+
+/// Table with the reports of `crashes` crashes a second apart, of requests with the parts `names`.
+fn table_after(crashes: u64, names: &[&str]) -> SuspectTable {
+    let mut table = SuspectTable::default();
+    for number in 0..crashes {
+        assert!(table.add_report(report(number, names, number * 1_000)));
+    }
+    table
+}
+
+fn update_of(table: &SuspectTable, now: BootTime) -> SuspectUpdate {
+    let mut update = SuspectUpdate::default();
+    for report in table.reports() {
+        let (shared, proofs) = table.share(report, now);
+        update.reports.push(shared);
+        update.proofs.extend(proofs);
+    }
+    update
+}
+
+#[test]
+fn trials_wait_longer_with_each_crash() {
+    let delays_ms: Vec<u128> = (1..=9)
+        .map(|crashes| {
+            let table = table_after(crashes, &["first", "dead"]);
+            let suspicion = table.assess(&parts(&["first", "dead"])).unwrap();
+            assert_eq!(u64::from(suspicion.crashes), crashes);
+            assert_eq!(suspicion.is_thin(), crashes == 1);
+            assert!(suspicion.permits_trial_of(0));
+            assert_eq!(suspicion.permits_trial_of(1), crashes == 1);
+            assert!(!suspicion.permits_trial_of(2));
+            suspicion.trial_at.since(suspicion.last_crash).as_millis()
+        })
+        .collect();
+    assert!(delays_ms.is_sorted());
+    assert_eq!(delays_ms[0], 0);
+    // Of a part that crashes engines, no more than three requests may reach them in the minutes after
+    // the fifth crash.
+    assert!(delays_ms[4] >= 300_000, "{delays_ms:?}");
+    assert!(*delays_ms.last().unwrap() <= 1_800_000, "{delays_ms:?}");
+}
+
+#[test]
+fn parts_of_sound_requests_are_not_blamed() {
+    let mut table = table_after(4, &["first", "second", "dead"]);
+    assert!(table.add_proof(proof("first", 3_500)));
+    assert!(!table.add_proof(proof("first", 3_600)), "it is cleared already");
+    assert_eq!(table.assess(&parts(&["first"])), None);
+    let blamed = table.assess(&parts(&["first", "second", "dead"])).unwrap();
+    assert_ne!(blamed.part, part("first"));
+    assert!(table.add_proof(proof("second", 3_700)));
+    let blamed = table.assess(&parts(&["first", "second", "dead"])).unwrap();
+    assert_eq!((blamed.part, blamed.crashes), (part("dead"), 4));
+    // A response from before a crash says nothing about it.
+    table.add_report(report(9, &["first"], 9_000));
+    let mut other = table.clone();
+    other.add_proof(proof("first", 8_900));
+    assert!(!other.reports().last().unwrap().parts().is_empty());
+    assert_eq!(table.assess(&parts(&["first"])), None, "one crash soon after a response");
+}
+
+#[test]
+fn part_that_always_comes_with_a_deadly_one_is_tried_on_its_own() {
+    let mut table = table_after(4, &["companion", "dead"]);
+    assert!(table.assess(&parts(&["companion", "dead"])).unwrap().crashes == 4);
+    assert_eq!(table.assess(&parts(&["companion"])), None);
+    assert_eq!(table.assess(&parts(&["dead"])), None);
+    // What happens then tells them apart.
+    table.add_report(report(8, &["dead"], 8_000));
+    assert_eq!(table.assess(&parts(&["dead"])).unwrap().crashes, 5);
+    assert_eq!(table.assess(&parts(&["companion"])), None);
+    assert_eq!(table.assess(&parts(&["companion", "dead"])).unwrap().part, part("dead"));
+}
+
+#[test]
+fn loss_of_many_engines_at_once_counts_once() {
+    let mut table = SuspectTable::default();
+    table.add_proof(proof("hot", 0));
+    for engine in 0..20 {
+        table.add_report(report(engine, &["hot", "rare"], 5_000 + engine * 4));
+    }
+    assert_eq!(table.assess(&parts(&["hot"])), None, "it was sound shortly before");
+    let rare = table.assess(&parts(&["hot", "rare"])).unwrap();
+    assert_eq!((rare.part, rare.crashes), (part("rare"), 1));
+    assert_eq!(rare.trial_at, rare.last_crash, "it may be tried at once");
+}
+
+#[test]
+fn part_that_was_sound_and_turns_deadly_is_found() {
+    let mut table = SuspectTable::default();
+    table.add_proof(proof("turned", 0));
+    for number in 1..=3 {
+        assert_eq!(table.assess(&parts(&["turned"])), None);
+        table.add_report(report(number, &["turned"], number * 1_000));
+    }
+    assert_eq!(table.assess(&parts(&["turned"])).unwrap().crashes, 3);
+}
+
+#[test]
+fn trials_run_one_at_a_time() {
+    let mut table = table_after(1, &["dead"]);
+    assert!(table.grant_trial(part("dead"), at(100)));
+    assert!(!table.grant_trial(part("dead"), at(200)), "one runs");
+    assert!(table.grant_trial(part("other"), at(200)), "of another part");
+    // A crash ends it, and the next one waits.
+    table.add_report(report(7, &["dead"], 900));
+    assert!(!table.grant_trial(part("dead"), at(1_000)));
+    assert!(table.grant_trial(part("dead"), at(1_950)));
+    // So does its loss.
+    assert!(!table.grant_trial(part("dead"), at(6_900)));
+    assert!(table.grant_trial(part("dead"), at(7_000)));
+    // A response ends the suspicion.
+    table.add_proof(proof("dead", 7_200));
+    assert_eq!(table.assess(&parts(&["dead"])), None);
+    assert!(table.grant_trial(part("dead"), at(7_300)));
+}
+
+#[test]
+fn tables_are_bounded() {
+    let mut table = SuspectTable::default();
+    for number in 0..3_000 {
+        let names: Vec<String> = (0..40).map(|at| format!("p{number}-{at}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        table.add_report(report(number, &names, number * 10));
+        table.add_proof(proof(&format!("s{number}"), number * 10));
+        table.grant_trial(part(&format!("t{number}")), at(number * 10));
+    }
+    assert!(table.reports().len() <= 256);
+    assert!(table.reports().iter().all(|report| report.parts().len() <= 16));
+    table.remove_settled(at(20 * 3_600_000));
+    assert_eq!(table.reports().len(), 0, "reports expire");
+}
+
+#[test]
+fn cleared_reports_are_dropped_and_do_not_return() {
+    let mut table = table_after(2, &["first", "second"]);
+    let others = update_of(&table, at(2_000));
+    table.add_proof(proof("first", 2_100));
+    table.add_proof(proof("second", 2_100));
+    table.remove_settled(at(2_200));
+    assert_eq!(table.reports().len(), 0);
+    assert_eq!(table.digest(), SuspectTable::default().digest());
+    let applied = table.apply_update(others, at(2_200));
+    assert_eq!(applied.reports.len(), 0);
+    assert_eq!(applied.missing.len(), 2, "the other node is told why");
+}
+
+fn member(number: usize) -> MemberIdentity {
+    MemberIdentity {
+        node: format!("n{number}").parse().unwrap(),
+        incarnation: Incarnation::default(),
+        peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: "a".parse().unwrap(),
+        since_ms: 0,
+    }
+}
+
+/// Nodes that exchange what they know with a delay, and requests with a deadly part among sound ones
+/// that share its other parts.
+struct Simulation {
+    tables: Vec<SuspectTable>,
+    members: Vec<MemberIdentity>,
+    random: StdRng,
+    /// Reports and proofs under way to all nodes, with the time of their arrival.
+    underway: Vec<(u64, Result<CrashReport, PartProof>)>,
+    crashes: Vec<u64>,
+    deadly_arrivals: Vec<u64>,
+    sound_refused: u64,
+    sound_sent: u64,
+}
+
+impl Simulation {
+    fn new(nodes: usize, seed: u64) -> Self {
+        Self {
+            tables: vec![SuspectTable::default(); nodes],
+            members: (0..nodes).map(member).collect(),
+            random: StdRng::seed_from_u64(seed),
+            underway: Vec::new(),
+            crashes: Vec::new(),
+            deadly_arrivals: Vec::new(),
+            sound_refused: 0,
+            sound_sent: 0,
+        }
+    }
+
+    /// Whether a node permits a request with `names` at `now`, as the node does.
+    fn permits(&mut self, node: usize, names: &[&str], now: u64) -> bool {
+        let Some(suspicion) = self.tables[node].assess(&parts(names)) else { return true };
+        let keeper = find_keeper(suspicion.part, &self.members).unwrap();
+        let keeper = self.members.iter().position(|other| other == keeper).unwrap();
+        suspicion.trial_at <= at(now) && self.tables[keeper].grant_trial(suspicion.part, at(now))
+    }
+
+    fn step(&mut self, now: u64, deadly_share: f64) {
+        for position in (0..self.underway.len()).rev() {
+            if self.underway[position].0 > now {
+                continue;
+            }
+            let (_, news) = self.underway.swap_remove(position);
+            for table in &mut self.tables {
+                match &news {
+                    Ok(report) => {
+                        table.add_report(report.clone());
+                    }
+                    Err(proof) => {
+                        table.add_proof(*proof);
+                    }
+                }
+            }
+        }
+        let node = self.random.random_range(0..self.tables.len());
+        let sibling = format!("s{}", self.random.random_range(0..20));
+        if self.random.random_bool(deadly_share) {
+            let names = ["first", sibling.as_str(), "dead"];
+            if self.permits(node, &names, now) {
+                self.deadly_arrivals.push(now);
+                let crashed_at = now + 120;
+                self.crashes.push(crashed_at);
+                let engine = self.random.random_range(0..50);
+                self.underway.push((crashed_at + 80, Ok(report(engine, &names, crashed_at))));
+            }
+            return;
+        }
+        if !self.permits(node, &["first", sibling.as_str()], now) {
+            self.sound_refused += 1;
+            return;
+        }
+        self.sound_sent += 1;
+        for name in ["first", sibling.as_str()] {
+            self.underway.push((now + 230, Err(proof(name, now + 150))));
+        }
+    }
+}
+
+#[test]
+fn few_requests_with_a_deadly_part_reach_engines_however_many_nodes_there_are() {
+    for (nodes, deadly_share, seed) in [(1, 0.1, 1), (9, 0.02, 2), (9, 0.5, 3), (300, 0.2, 4)] {
+        let mut simulation = Simulation::new(nodes, seed);
+        for step in 0..6_000 {
+            simulation.step(step * 50, deadly_share);
+        }
+        simulation.crashes.sort_unstable();
+        let fifth = simulation.crashes.get(4).copied().unwrap_or(u64::MAX - 3_000);
+        let late = simulation.deadly_arrivals.iter().filter(|at| **at > fifth + 3_000).count();
+        let crashes = simulation.crashes.len();
+        let (refused, sent) = (simulation.sound_refused, simulation.sound_sent);
+        println!("{nodes} nodes: {crashes} crashes, {late} late, {refused} of {sent} refused");
+        assert!(late <= 3, "{nodes} nodes: {late} late arrivals");
+        assert!(crashes <= 10, "{nodes} nodes: {crashes} crashes");
+        assert!(refused * 20 <= sent, "{nodes} nodes: {refused} of {sent} sound ones refused");
+    }
+}
+
+#[test]
+fn suspicion_ends_when_the_part_is_sound() {
+    let mut simulation = Simulation::new(5, 7);
+    for step in 0..400 {
+        simulation.step(step * 50, 0.2);
+    }
+    assert!(simulation.crashes.len() >= 3);
+    // The engines are mended. A trial that is due brings a response.
+    let trial_at = simulation.tables[0].assess(&parts(&["dead"])).unwrap().trial_at;
+    let now = u64::try_from(trial_at.since(at(0)).as_millis()).unwrap() + 100;
+    assert!(simulation.permits(2, &["dead"], now));
+    assert!(!simulation.permits(3, &["dead"], now), "one trial at a time");
+    for table in &mut simulation.tables {
+        table.add_proof(proof("dead", now + 100));
+        assert_eq!(table.assess(&parts(&["first", "dead"])), None);
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Report(usize, u64, Vec<usize>, u64),
+    Proof(usize, usize, u64),
+    Tell(usize, usize),
+    Settle(usize),
+}
+
+fn step_strategy() -> impl Strategy<Value = Step> {
+    let names = proptest::collection::vec(0_usize..5, 1..4);
+    prop_oneof![
+        (0_usize..3, 0_u64..6, names, 0_u64..60)
+            .prop_map(|(node, engine, names, at)| Step::Report(node, engine, names, at * 1_000)),
+        (0_usize..3, 0_usize..5, 0_u64..60).prop_map(|(node, name, at)| Step::Proof(
+            node,
+            name,
+            at * 1_000
+        )),
+        (0_usize..3, 0_usize..3).prop_map(|(from, to)| Step::Tell(from, to)),
+        (0_usize..3).prop_map(Step::Settle),
+    ]
+}
+
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+proptest! {
+    /// Whatever was lost on the way, nodes that exchange what they hold come to the same view.
+    #[test]
+    fn nodes_agree_after_an_exchange(steps in proptest::collection::vec(step_strategy(), 0..60)) {
+        let mut tables = vec![SuspectTable::default(); 3];
+        let now = at(60_000);
+        for step in steps {
+            match step {
+                Step::Report(node, engine, names, millis) => {
+                    let names: Vec<&str> = names.iter().map(|name| NAMES[*name]).collect();
+                    tables[node].add_report(report(engine, &names, millis));
+                }
+                Step::Proof(node, name, millis) => {
+                    tables[node].add_proof(proof(NAMES[name], millis));
+                }
+                Step::Tell(from, to) => {
+                    let update = update_of(&tables[from], now);
+                    tables[to].apply_update(update, now);
+                }
+                Step::Settle(node) => tables[node].remove_settled(now),
+            }
+        }
+        for _ in 0..4 {
+            for (from, to) in [(0, 1), (1, 2), (2, 0), (1, 0), (2, 1), (0, 2)] {
+                let update = update_of(&tables[from], now);
+                for missing in tables[to].apply_update(update, now).missing {
+                    tables[from].add_proof(missing);
+                }
+            }
+        }
+        for table in &mut tables {
+            table.remove_settled(now);
+        }
+        for name in NAMES {
+            let views: Vec<_> = tables.iter().map(|table| table.assess(&[part(name)])).collect();
+            let crashes: Vec<_> = views.iter().map(|view| view.map(|view| view.crashes)).collect();
+            // A node that has seen a response of late needs more crashes to suspect a part.
+            let suspected: Vec<u32> = crashes.iter().flatten().copied().collect();
+            prop_assert!(suspected.windows(2).all(|pair| pair[0] == pair[1]), "{:?}", crashes);
+        }
+        prop_assert_eq!(tables[0].digest(), tables[1].digest());
+        prop_assert_eq!(tables[1].digest(), tables[2].digest());
+    }
+
+    /// A part with a response after its last crash is never held back.
+    #[test]
+    fn proven_parts_are_never_held_back(
+        reports in proptest::collection::vec((0_u64..6, 0_usize..5, 0_u64..60_000), 0..40)
+    ) {
+        let mut table = SuspectTable::default();
+        for (engine, name, millis) in reports {
+            table.add_report(report(engine, &[NAMES[name], "shared"], millis));
+        }
+        for name in NAMES {
+            table.add_proof(proof(name, 60_000));
+        }
+        for name in NAMES {
+            prop_assert_eq!(table.assess(&[part(name)]), None);
+        }
+    }
+}
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -3,9 +3,9 @@
 use samphiredeck_core::{
     forward::{
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
-        store_readers::StoreStatus, stream_origins::StreamOrigin,
+        store_readers::StoreStatus, stream_origins::StreamOrigin, suspect_parts::SuspectUpdate,
     },
-    ids::{AttemptKey, PoolName, RowVersion, WorkspaceName},
+    ids::{AttemptKey, PartKey, PoolName, RowVersion, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -177,4 +177,28 @@
     /// is the newest.
     #[serde(rename = "Unable")]
     NotEligible,
+    /// Tells about prompt parts that may crash engines.
+    AnnounceSuspects {
+        /// Reports and proofs, as far as they fit.
+        update: SuspectUpdate,
+    },
+    /// Asks for the receiver's reports, unless they have this digest.
+    QuerySuspects {
+        /// Digest of the sender's reports.
+        digest: u64,
+    },
+    /// Asks the keeper of `part` whether a request with it may be sent as a trial.
+    AcquireTrial {
+        /// Identifies the query in its reply. Unique while the querying node runs.
+        query_id: u64,
+        /// Suspected part.
+        part: PartKey,
+    },
+    /// Replies to [`AcquireTrial`](Self::AcquireTrial).
+    TrialDecision {
+        /// Identifies the query.
+        query_id: u64,
+        /// Whether the request may be sent.
+        granted: bool,
+    },
 }
