Keep suspected prompt parts in the platform's store

Cause: what the nodes knew lived on them alone.

Change: a reader writes the reports of parts that more than one crash speaks against into a row of its own, in the transaction that publishes its heartbeats; nodes apply such rows whenever they read the shared table. The row goes when the parts are cleared.

The test fails without the rows being read (502, engine crashed), and passes with it.

--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -11,6 +11,7 @@
     forward::{
         member_list::MemberIdentity,
         members::{NodeHeartbeat, is_lapsed},
+        suspect_parts::{CrashReport, PublishedSuspects, SuspectUpdate},
         usage::WindowIndex,
         version_history::PublishedHistory,
     },
@@ -19,7 +20,7 @@
 use samphiredeck_platform::store::{StoreKey, StoreRow, StoreRows, StoreTransaction};
 use samphiredeck_wire::record::{
     LEADER_ROW_KEY, SECRET_ROW_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record,
-    group_key, versions_key,
+    group_key, suspects_key, versions_key,
 };
 use serde_json::json;
 use tokio::time::sleep;
@@ -216,7 +217,11 @@
         if self.written_at.is_none() || window > self.window {
             return Duration::ZERO;
         }
-        let period = if node.state().group.has_changed() { CHANGE_PERIOD } else { PUBLISH_PERIOD };
+        let has_changed = {
+            let state = node.state();
+            state.group.has_changed() || state.has_unpublished_suspects()
+        };
+        let period = if has_changed { CHANGE_PERIOD } else { PUBLISH_PERIOD };
         period.saturating_sub(since).min(time_until_counts_due(node))
     }
 }
@@ -247,8 +252,10 @@
     }
     if schedule.written_at.is_some_and(|at| now.since(at) >= ABANDONED_AFTER) {
         schedule.written_at = None;
-        let versions_key = versions_key(&node.settings().name);
-        let removals = vec![shared_key(own_key(node)), shared_key(versions_key)];
+        let name = node.settings().name.clone();
+        let keys = [own_key(node), versions_key(&name), suspects_key(&name)];
+        let removals = keys.into_iter().map(shared_key).collect();
+        node.state().published_suspects = Some(Vec::new());
         let removal = StoreTransaction { removals, ..StoreTransaction::default() };
         client.transact(&removal, STORE_TIMEOUT).await?;
     }
@@ -291,6 +298,10 @@
     for (follower, heartbeat) in decode_groups(&own_rows) {
         state.group.record(&follower, heartbeat, clock::now());
     }
+    let suspects_key = suspects_key(&settings.name);
+    if response.rows.iter().any(|row| row.key == suspects_key) {
+        state.published_suspects = None;
+    }
     for (_, heartbeat) in
         decode_groups(&response.rows).iter().filter(|(name, _)| *name == settings.name)
     {
@@ -358,6 +369,9 @@
             Some(Ok(Some(SharedRecord::Versions(published)))) => {
                 merge_versions(&mut state, &published, now);
             }
+            Some(Ok(Some(SharedRecord::Suspects(published)))) => {
+                merge_suspects(node, &mut state, published, now);
+            }
             Some(Ok(_)) | None => {}
             Some(Err(error)) => {
                 // Prevents nodes from overwriting a leader record that they cannot decode.
@@ -427,6 +441,53 @@
     state.upstreams.versions.merge(published, to_boot);
 }
 
+/// Adds the suspected prompt parts that another node, or an earlier run, has published.
+fn merge_suspects(
+    node: &ForwardNode,
+    state: &mut ForwardState,
+    published: PublishedSuspects,
+    now: BootTime,
+) {
+    let Some(store_ms) = state.clock.store_ms(now) else { return };
+    let applied = state.suspects.apply_update(published.into_update(store_ms), now);
+    if !applied.reports.is_empty() {
+        let fields = json!({
+            "from": "store", "reports": state.suspects.reports().len(),
+            "new_reports": applied.reports.len(), "cleared": applied.proofs.len(),
+        });
+        node.log.record("suspects", fields);
+    }
+}
+
+/// Row with the suspected prompt parts, or its removal, if it has to change.
+fn encode_suspects(node: &ForwardNode) -> Option<(StoreKey, Option<Vec<u8>>)> {
+    let mut state = node.state();
+    if !state.has_unpublished_suspects() {
+        return None;
+    }
+    let now = clock::now();
+    let written_ms = state.clock.store_ms(now)?;
+    let reports: Vec<CrashReport> = state.suspects.lasting_reports().into_iter().cloned().collect();
+    let mut update = SuspectUpdate::default();
+    for report in &reports {
+        let (shared, proofs) = state.suspects.share(report, now);
+        update.reports.push(shared);
+        update.proofs.extend(proofs);
+    }
+    state.published_suspects = Some(reports);
+    let key = shared_key(suspects_key(&node.settings().name));
+    if update.is_empty() {
+        return Some((key, None));
+    }
+    match encode_record(&PublishedSuspects { written_ms, update }) {
+        Ok(value) => Some((key, Some(value))),
+        Err(error) => {
+            node.log.record("suspects-unwritable", json!({ "reason": error.to_string() }));
+            None
+        }
+    }
+}
+
 /// Row with the software versions that this node has observed.
 fn encode_versions(node: &ForwardNode) -> Option<(StoreKey, Vec<u8>)> {
     let state = node.state();
@@ -462,6 +523,17 @@
     };
     let mut writes = vec![(shared_key(own_key(node)), value)];
     writes.extend(encode_versions(node));
-    let transaction = StoreTransaction { writes, ..StoreTransaction::default() };
-    client.transact(&transaction, STORE_TIMEOUT).await.map(drop)
+    let mut removals = Vec::new();
+    match encode_suspects(node) {
+        Some((key, Some(value))) => writes.push((key, value)),
+        Some((key, None)) => removals.push(key),
+        None => {}
+    }
+    let transaction = StoreTransaction { writes, removals, ..StoreTransaction::default() };
+    let written = client.transact(&transaction, STORE_TIMEOUT).await;
+    if written.is_err() {
+        // Whether the row has been written is not known.
+        node.state().published_suspects = None;
+    }
+    written.map(drop)
 }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -20,7 +20,7 @@
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
-        suspect_parts::SuspectTable,
+        suspect_parts::{CrashReport, SuspectTable},
         upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
@@ -67,6 +67,9 @@
     pub origins: OriginTable,
     /// Prompt parts that may crash engines.
     pub suspects: SuspectTable,
+    /// Reports of crashes in this node's row in the store. `None` if it is not known what the row
+    /// holds.
+    pub published_suspects: Option<Vec<CrashReport>>,
     /// Nodes of the cluster.
     pub members: MemberTable,
     /// Nodes that publish through this one, and itself.
@@ -116,6 +119,7 @@
             upstreams: UpstreamRegistry::default(),
             origins: OriginTable::default(),
             suspects: SuspectTable::default(),
+            published_suspects: Some(Vec::new()),
             members: MemberTable::default(),
             group: NodeGroup::default(),
             members_differ: false,
@@ -234,6 +238,12 @@
         }
     }
 
+    /// Whether the suspected prompt parts in this node's row in the store are out of date.
+    pub fn has_unpublished_suspects(&self) -> bool {
+        let lasting = self.suspects.lasting_reports().into_iter();
+        self.published_suspects.as_ref().is_none_or(|published| lasting.ne(published))
+    }
+
     /// Where the stream of `attempt` began, as far as this node can tell without others. `pools` may
     /// have served it.
     pub fn find_origin(
--- a/samphiredeck_core/src/forward/suspect_parts.rs
+++ b/samphiredeck_core/src/forward/suspect_parts.rs
@@ -163,6 +163,30 @@
     }
 }
 
+/// Suspected parts as kept in the platform's store, for nodes that start after a loss of all nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishedSuspects {
+    /// Time on the store's clock, in milliseconds, to which the ages in `update` refer.
+    pub written_ms: i64,
+    /// Reports and proofs.
+    pub update: SuspectUpdate,
+}
+
+impl PublishedSuspects {
+    /// What the row says at `store_ms` on the store's clock.
+    #[must_use]
+    pub fn into_update(mut self, store_ms: i64) -> SuspectUpdate {
+        let passed = u64::try_from(store_ms.saturating_sub(self.written_ms)).unwrap_or(0);
+        for report in &mut self.update.reports {
+            report.age_ms = report.age_ms.saturating_add(passed);
+        }
+        for proof in &mut self.update.proofs {
+            proof.age_ms = proof.age_ms.saturating_add(passed);
+        }
+        self.update
+    }
+}
+
 /// What is known against a part of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartSuspicion {
@@ -371,6 +395,17 @@
         digest
     }
 
+    /// Reports of parts that more than one crash speaks against. They have to outlast a loss of all
+    /// nodes.
+    #[must_use]
+    pub fn lasting_reports(&self) -> Vec<&CrashReport> {
+        let is_lasting = |part: &PartKey| {
+            let crashes = self.crash_times(*part, |_| true).len();
+            u32::try_from(crashes).is_ok_and(|crashes| REPEAT_CRASHES <= crashes)
+        };
+        self.reports.iter().filter(|report| report.parts.iter().any(is_lasting)).collect()
+    }
+
     /// Report and the proofs of its parts, as sent to other nodes at `now`.
     #[must_use]
     pub fn share(&self, report: &CrashReport, now: BootTime) -> (SharedReport, Vec<SharedProof>) {
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -4,6 +4,7 @@
     forward::{
         leader::LeaderRecord,
         members::MemberHeartbeat,
+        suspect_parts::PublishedSuspects,
         usage::{WindowCounts, WindowIndex},
         version_history::PublishedHistory,
     },
@@ -22,6 +23,8 @@
 const GROUP_PREFIX: &str = "group.";
 /// Key prefix of the rows in which nodes publish the software versions that they observed.
 const VERSIONS_PREFIX: &str = "versions.";
+/// Key prefix of the rows in which nodes publish suspected prompt parts.
+const SUSPECTS_PREFIX: &str = "suspects.";
 /// Key prefix of the rows of agreed usage. The window number follows, padded with zeros, so that
 /// the rows sort by window.
 const USAGE_PREFIX: &str = "usage.";
@@ -51,6 +54,8 @@
     Group(NodeName, Vec<MemberHeartbeat>),
     /// Software versions that a node observed.
     Versions(PublishedHistory),
+    /// Suspected prompt parts known to a node.
+    Suspects(PublishedSuspects),
     /// Agreed usage of one time window.
     Usage(WindowCounts),
     /// Secret from which the key of the nodes' datagrams is derived.
@@ -69,6 +74,12 @@
     format!("{VERSIONS_PREFIX}{node}")
 }
 
+/// Key of the row in which `node` publishes suspected prompt parts.
+#[must_use]
+pub fn suspects_key(node: &NodeName) -> String {
+    format!("{SUSPECTS_PREFIX}{node}")
+}
+
 /// Key of the row of agreed usage of `window`.
 #[must_use]
 pub fn usage_key(window: WindowIndex) -> String {
@@ -111,6 +122,9 @@
     if key.starts_with(VERSIONS_PREFIX) {
         return Ok(Some(SharedRecord::Versions(decode_content(value)?)));
     }
+    if key.starts_with(SUSPECTS_PREFIX) {
+        return Ok(Some(SharedRecord::Suspects(decode_content(value)?)));
+    }
     if key.starts_with(USAGE_PREFIX) {
         return Ok(Some(SharedRecord::Usage(decode_content(value)?)));
     }
