Show operators which prompt parts are suspected, and let them release one

GET /suspects at the metrics address lists the evidence of a node, POST /suspects/release/KEY clears a part on all nodes; samphirectl suspects asks several nodes.

--- a/samphirectl/src/cli.rs
+++ b/samphirectl/src/cli.rs
@@ -50,6 +50,7 @@
             Script(ScriptArgs),
             Explain(ExplainArgs),
             Plot(PlotArgs),
+            Suspects(SuspectsArgs),
         }
 
         impl CtlCommand {
@@ -58,9 +59,11 @@
             pub fn into_statement(self) -> Statement {
                 match self {
                     $(Self::$name(args) => Statement::$name(args),)+
-                    Self::Shell(_) | Self::Script(_) | Self::Explain(_) | Self::Plot(_) => {
-                        Statement::Nodes(NodesArgs {})
-                    }
+                    Self::Shell(_)
+                    | Self::Script(_)
+                    | Self::Explain(_)
+                    | Self::Plot(_)
+                    | Self::Suspects(_) => Statement::Nodes(NodesArgs {}),
                 }
             }
         }
@@ -248,6 +251,18 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Show which prompt parts forwarding nodes suspect of crashing engines, or release one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "suspects")]
+pub struct SuspectsArgs {
+    /// metrics address of a forwarding node; may be repeated
+    #[argh(option)]
+    pub at: Vec<String>,
+    /// key of a part that is to be served again on all nodes, as shown or as in the log
+    #[argh(option)]
+    pub release: Option<String>,
+}
+
 /// Plot response times, refusals and capacity over time, from the logs of nodes.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "plot")]
--- a/samphirectl/src/main.rs
+++ b/samphirectl/src/main.rs
@@ -9,6 +9,7 @@
 mod plot;
 mod query;
 mod statement;
+mod suspects;
 
 use std::{
     io::{BufRead, IsTerminal, Write},
@@ -25,6 +26,7 @@
     explain::explain_request,
     plot::plot_logs,
     statement::{ExitKind, run_statement},
+    suspects::show_suspects,
 };
 
 #[global_allocator]
@@ -37,6 +39,10 @@
             return exit_code(explain_request(&explain.request, &explain.files));
         }
         CtlCommand::Plot(plot) => return exit_code(plot_logs(&plot.out, &plot.files)),
+        CtlCommand::Suspects(suspects) => {
+            let shown = show_suspects(suspects, args.json);
+            return exit_code(actix_web::rt::System::new().block_on(shown));
+        }
         _ => {}
     }
     exit_code(actix_web::rt::System::new().block_on(run(args)))
--- a/samphirectl/tests/command_line.rs
+++ b/samphirectl/tests/command_line.rs
@@ -18,7 +18,13 @@
 
 #[test]
 fn invalid_arguments_are_reported_in_one_line() {
-    let cases: [(&[&str], &str); 3] = [
+    let cases: [(&[&str], &str); 6] = [
+        (&["suspects"], "at: give the metrics address of a node"),
+        (&["suspects", "--at", "x:1"], "at: \"x:1\" is not an IP address with a port"),
+        (
+            &["suspects", "--at", "127.0.0.1:1", "--release", "part"],
+            "release: \"part\" is not a number of the expected form",
+        ),
         (&["nodes"], "node: give an address with --node or in SAMPHIREDECK_NODES"),
         (&["--node", "here", "nodes"], "node: \"here\" is not an IP address with a port"),
         (
--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -12,6 +12,7 @@
 mod leader;
 mod metrics;
 mod node;
+mod operator;
 mod peer_messages;
 mod peer_socket;
 mod platform_client;
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -21,6 +21,7 @@
 
 use crate::forward::{
     node::{ForwardNode, ShutdownPhase},
+    operator::respond_to_operator,
     serve::serve_request,
 };
 
@@ -112,21 +113,26 @@
     node: Rc<ForwardNode>,
     listener: StdTcpListener,
 ) -> std::io::Result<()> {
-    serve_constant(listener, move || {
+    serve_plain(listener, move |_request| {
         let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         (status, Bytes::new())
     })
     .await
 }
 
+/// Serves the metrics, and the requests of operators.
 pub async fn serve_metrics(node: Rc<ForwardNode>, listener: StdTcpListener) -> std::io::Result<()> {
-    serve_constant(listener, move || (StatusCode::OK, Bytes::from(node.metrics.render()))).await
+    serve_plain(listener, move |request| {
+        let metrics = || (StatusCode::OK, Bytes::from(node.metrics.render()));
+        respond_to_operator(&node, request.method(), request.uri().path()).unwrap_or_else(metrics)
+    })
+    .await
 }
 
-/// Serves the same response for all requests.
-async fn serve_constant(
+/// Serves responses that depend on the request line alone.
+async fn serve_plain(
     listener: StdTcpListener,
-    handler: impl Fn() -> (StatusCode, Bytes) + 'static,
+    handler: impl Fn(&Request<Incoming>) -> (StatusCode, Bytes) + 'static,
 ) -> std::io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     let handler = Rc::new(handler);
@@ -137,8 +143,8 @@
         };
         let handler = Rc::clone(&handler);
         actix_web::rt::spawn(async move {
-            let service = service_fn(move |_request: Request<Incoming>| {
-                let (status, body) = handler();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, body) = handler(&request);
                 let mut response = Response::new(Full::new(body));
                 *response.status_mut() = status;
                 async move { Ok::<_, Infallible>(response) }
--- a/samphiredeck/src/forward/suspect_parts.rs
+++ b/samphiredeck/src/forward/suspect_parts.rs
@@ -206,6 +206,16 @@
     }
 }
 
+/// Releases `part` on behalf of an operator, on all nodes. Returns whether it was suspected here.
+pub fn release_part(node: &ForwardNode, part: PartKey) -> bool {
+    let proof = PartProof { part, at: clock::now() };
+    let released = node.state().suspects.add_proof(proof);
+    node.log.record("part-released", json!({ "part": part.to_string(), "suspected": released }));
+    // Other nodes may suspect it even if this one does not.
+    node.suspect_outbox.add_proof(proof);
+    released
+}
+
 /// Checks before a send whether the prompt parts of the request permit it. Waits for a trial that
 /// another request has begun, as long as little speaks against the part.
 ///
--- a/samphiredeck_core/src/forward/suspect_parts.rs
+++ b/samphiredeck_core/src/forward/suspect_parts.rs
@@ -214,6 +214,23 @@
     }
 }
 
+/// Evidence against a part, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartEvidence {
+    /// The part.
+    pub part: PartKey,
+    /// Number of crashes since a response proved the part sound, without those shortly after another.
+    pub crashes: u32,
+    /// Runs of the engines that crashed, sorted, without duplicates.
+    pub runs: Vec<RunKey>,
+    /// Time of the last crash.
+    pub last_crash: BootTime,
+    /// Time from which a trial may be sent.
+    pub trial_at: BootTime,
+    /// Time of the last response that proved the part sound.
+    pub proven_at: Option<BootTime>,
+}
+
 /// Reports, proofs and trials known to a node.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
@@ -355,6 +372,38 @@
         Some(PartSuspicion { part, crashes, last_crash, trial_at })
     }
 
+    /// Evidence against all reported parts, the strongest first.
+    #[must_use]
+    pub fn evidence(&self) -> Vec<PartEvidence> {
+        let mut parts: Vec<PartKey> =
+            self.reports.iter().flat_map(|report| report.parts.clone()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let evidence_of = |part: PartKey| {
+            let times = self.crash_times(part, |_| true);
+            let last_crash = *times.last()?;
+            let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
+            let reports = self
+                .reports
+                .iter()
+                .filter(|report| report.contains(part) && !self.is_cleared(part, report.at));
+            let mut runs: Vec<RunKey> = reports.map(|report| report.run).collect();
+            runs.sort_unstable();
+            runs.dedup();
+            Some(PartEvidence {
+                part,
+                crashes,
+                runs,
+                last_crash,
+                trial_at: last_crash + trial_delay(crashes),
+                proven_at: self.proven_at(part),
+            })
+        };
+        let mut evidence: Vec<PartEvidence> = parts.into_iter().filter_map(evidence_of).collect();
+        evidence.sort_by_key(|evidence| Reverse((evidence.crashes, evidence.last_crash)));
+        evidence
+    }
+
     /// Decides as the keeper of `part` whether a request with it may be sent as a trial at `now`:
     /// one at a time, and not before the delay after the last crash.
     pub fn grant_trial(&mut self, part: PartKey, now: BootTime) -> bool {
