Handle signals from the start of a node on

A SIGHUP that reached a node while it read its settings ended it, so that callers lost it until it was started again. Cause: the handlers were registered after the settings had been read and the listeners bound. Change: they are registered first. What remains is the time before the program itself runs.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -45,7 +45,7 @@
 use serde_json::json;
 use tokio::{
     select,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{sleep, timeout},
 };
 
@@ -76,9 +76,30 @@
 
 /// Runs a node with the settings in `path` until it receives a termination signal.
 pub fn run_forward(path: &Path) -> eyre::Result<()> {
-    let settings = load_forward_settings(path)?;
-    let listeners = bind_listeners(&settings)?;
-    System::new().block_on(serve(settings, listeners, path.to_owned()))
+    System::new().block_on(async {
+        // Until a signal is handled, it ends the process.
+        let signals = NodeSignals::register()?;
+        let settings = load_forward_settings(path)?;
+        let listeners = bind_listeners(&settings)?;
+        serve(settings, listeners, path.to_owned(), signals).await
+    })
+}
+
+/// Signals that a node handles.
+struct NodeSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl NodeSignals {
+    fn register() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
 }
 
 fn bind_listeners(settings: &ForwardSettings) -> eyre::Result<NodeListeners> {
@@ -96,18 +117,16 @@
     settings: ForwardSettings,
     listeners: NodeListeners,
     path: PathBuf,
+    mut signals: NodeSignals,
 ) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
     let node = Rc::new(ForwardNode::new(settings));
     log_start(&node);
     start_tasks(&node, listeners);
     loop {
         select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&node, &path, "signal"),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload(&node, &path, "signal"),
             () = sleep(SETTINGS_POLL_PERIOD) => reload(&node, &path, "file"),
         }
     }
