--- a/samphiredeck/src/forward/suspect_parts.rs
+++ b/samphiredeck/src/forward/suspect_parts.rs
@@ -163,7 +163,7 @@
     });
     node.log.record("engine-crashed", fields);
     let run = RunKey::of(upstream, in_flight.started_ms);
-    let Some(report) = CrashReport::new(run, keys, at) else { return };
+    let Some(report) = node.state().suspects.report(run, keys, at) else { return };
     if node.state().suspects.add_report(report.clone()) {
         node.suspect_outbox.add_report(report);
     }
--- a/samphiredeck_core/src/forward/suspect_parts.rs
+++ b/samphiredeck_core/src/forward/suspect_parts.rs
@@ -255,6 +255,20 @@
         Some(self.proofs[at].at)
     }
 
+    /// Report of a request with the shared `parts`. Of more than fit, it has those without a response,
+    /// or with the oldest one. `None` if there are none.
+    #[must_use]
+    pub fn report(
+        &self,
+        run: RunKey,
+        mut parts: Vec<PartKey>,
+        at: BootTime,
+    ) -> Option<CrashReport> {
+        parts.sort_by_cached_key(|part| self.proven_at(*part));
+        parts.truncate(REPORT_PARTS_MAX);
+        CrashReport::new(run, parts, at)
+    }
+
     fn is_cleared(&self, part: PartKey, at: BootTime) -> bool {
         self.proven_at(part).is_some_and(|proven_at| at <= proven_at)
     }
--- a/samphiredeck_core/tests/forward_suspects.rs
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -156,6 +156,22 @@
     assert!(table.grant_trial(part("dead"), at(7_300)));
 }
 
+#[test]
+fn long_prompts_are_reported_with_the_parts_that_had_no_response() {
+    let mut table = SuspectTable::default();
+    let names: Vec<String> = (0..40).map(|number| format!("p{number}")).collect();
+    for name in &names {
+        table.add_proof(proof(name, 100));
+    }
+    for number in 0..40 {
+        let mut all: Vec<PartKey> = names.iter().map(|name| part(name)).collect();
+        let deadly = part(&format!("dead{number}"));
+        all.push(deadly);
+        let run = report(1, &["x"], 0).run;
+        assert!(table.report(run, all, at(200)).unwrap().parts().contains(&deadly));
+    }
+}
+
 #[test]
 fn tables_are_bounded() {
     let mut table = SuspectTable::default();
