Tell of crashed engines through the store while no other node is in reach

Nodes that reach the store and no other node would have learned of each other's crashes only after two of their own. Found by reading; the test with two nodes that can't exchange datagrams failed before (none informed after 3 s) and passes now. What a reader learns from the store goes to its followers at once.

--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -21,6 +21,7 @@
     clock,
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
+    state::ISOLATED_AFTER,
     suspect_parts::{answer_comparison, handle_update},
 };
 
@@ -31,9 +32,6 @@
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(90);
 /// Number of nodes probed by a node that has not heard from any other.
 const PEERS_PROBED: usize = 3;
-/// Time without contact to any other node after which this node considers itself isolated and
-/// grants nothing beyond its local quota.
-const ISOLATED_AFTER: Duration = Duration::from_millis(1_500);
 /// Response timeout of a query for the origin of a stream, for which a caller waits.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(80);
 /// Response timeout of a query for the trial of a prompt part, for which a caller waits.
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -11,7 +11,7 @@
     forward::{
         member_list::MemberIdentity,
         members::{NodeHeartbeat, is_lapsed},
-        suspect_parts::{CrashReport, PublishedSuspects, SuspectUpdate},
+        suspect_parts::{PublishedSuspects, SuspectUpdate},
         usage::WindowIndex,
         version_history::PublishedHistory,
     },
@@ -219,7 +219,7 @@
         }
         let has_changed = {
             let state = node.state();
-            state.group.has_changed() || state.has_unpublished_suspects()
+            state.group.has_changed() || state.has_unpublished_suspects(now)
         };
         let period = if has_changed { CHANGE_PERIOD } else { PUBLISH_PERIOD };
         period.saturating_sub(since).min(time_until_counts_due(node))
@@ -457,17 +457,19 @@
         });
         node.log.record("suspects", fields);
     }
+    // Followers don't read the store.
+    node.suspect_outbox.add(applied);
 }
 
 /// Row with the suspected prompt parts, or its removal, if it has to change.
 fn encode_suspects(node: &ForwardNode) -> Option<(StoreKey, Option<Vec<u8>>)> {
     let mut state = node.state();
-    if !state.has_unpublished_suspects() {
+    let now = clock::now();
+    if !state.has_unpublished_suspects(now) {
         return None;
     }
-    let now = clock::now();
     let written_ms = state.clock.store_ms(now)?;
-    let reports: Vec<CrashReport> = state.suspects.lasting_reports().into_iter().cloned().collect();
+    let reports = state.reports_to_publish(now);
     let mut update = SuspectUpdate::default();
     for report in &reports {
         let (shared, proofs) = state.suspects.share(report, now);
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -42,6 +42,10 @@
 /// complete this long after its end.
 const COUNT_DELAY_MS: i64 = 1_000;
 
+/// Time without contact to any other node after which this node considers itself isolated and
+/// grants nothing beyond its local quota.
+pub const ISOLATED_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Size of a part of the configuration in bytes, so that it fits into a datagram.
 const CONFIG_PART_BYTES: usize = 1_000;
 /// State of this run of the node.
@@ -238,10 +242,20 @@
         }
     }
 
+    /// Reports of crashes that belong into this node's row in the store: those that have to outlast a
+    /// loss of all nodes, or all of them while other nodes can't be told otherwise.
+    pub fn reports_to_publish(&self, now: BootTime) -> Vec<CrashReport> {
+        let is_isolated =
+            self.members.count() > 1 && !self.liveness.has_recent_contact(ISOLATED_AFTER, now);
+        if is_isolated {
+            return self.suspects.reports().to_vec();
+        }
+        self.suspects.lasting_reports().into_iter().cloned().collect()
+    }
+
     /// Whether the suspected prompt parts in this node's row in the store are out of date.
-    pub fn has_unpublished_suspects(&self) -> bool {
-        let lasting = self.suspects.lasting_reports().into_iter();
-        self.published_suspects.as_ref().is_none_or(|published| lasting.ne(published))
+    pub fn has_unpublished_suspects(&self, now: BootTime) -> bool {
+        self.published_suspects.as_ref() != Some(&self.reports_to_publish(now))
     }
 
     /// Where the stream of `attempt` began, as far as this node can tell without others. `pools` may
--- a/samphiredeck/src/forward/suspect_parts.rs
+++ b/samphiredeck/src/forward/suspect_parts.rs
@@ -7,7 +7,8 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::suspect_parts::{
-        CrashReport, PartProof, PartSuspicion, SuspectUpdate, TRIAL_TIMEOUT, find_keeper,
+        AppliedUpdate, CrashReport, PartProof, PartSuspicion, SuspectUpdate, TRIAL_TIMEOUT,
+        find_keeper,
     },
     ids::{NodeName, PartKey, RunKey},
     verdict::RunVerdict,
@@ -112,6 +113,12 @@
 }
 
 impl SuspectOutbox {
+    /// Adds what another node or the store has told.
+    pub fn add(&self, applied: AppliedUpdate) {
+        applied.reports.into_iter().for_each(|report| self.add_report(report));
+        applied.proofs.into_iter().for_each(|proof| self.add_proof(proof));
+    }
+
     fn add_report(&self, report: CrashReport) {
         let mut reports = self.reports.borrow_mut();
         if reports.len() < OUTBOX_MAX {
