--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -28,6 +28,7 @@
 mod store_status;
 mod store_watch;
 mod stream_versions;
+mod suspect_exchange;
 mod suspect_parts;
 mod upstream_changes;
 mod upstream_choice;
@@ -151,8 +152,8 @@
     spawn(shared_rows::sync_shared_rows(Rc::clone(node)));
     spawn(leader::run_leader(Rc::clone(node)));
     spawn(stream_versions::announce_origins(Rc::clone(node)));
-    spawn(suspect_parts::announce_suspects(Rc::clone(node)));
-    spawn(suspect_parts::compare_suspects(Rc::clone(node)));
+    spawn(suspect_exchange::announce_suspects(Rc::clone(node)));
+    spawn(suspect_exchange::compare_suspects(Rc::clone(node)));
     spawn(maintain(Rc::clone(node)));
     spawn(ingress::accept_callers(Rc::clone(node), listeners.caller));
     spawn(ingress::serve_readiness(Rc::clone(node), listeners.ready));
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -15,7 +15,7 @@
 use crate::forward::{
     clock, connection_pool::ConnectionPool, decision_log::DecisionLog,
     http_connection::HttpConnection, metrics::ForwardMetrics, peer_socket::PeerSocket,
-    settings::ForwardSettings, state::ForwardState, suspect_parts::SuspectOutbox,
+    settings::ForwardSettings, state::ForwardState, suspect_exchange::SuspectOutbox,
 };
 
 /// Phase of a graceful shutdown.
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -9,7 +9,7 @@
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
         stream_origins::{OriginSource, StreamOrigin},
-        suspect_parts::SuspectUpdate,
+        suspect_parts::exchange::SuspectUpdate,
     },
     ids::{AttemptKey, NodeName, PartKey, PoolName, RowVersion, WorkspaceName},
 };
@@ -22,7 +22,7 @@
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
     state::ISOLATED_AFTER,
-    suspect_parts::{answer_comparison, handle_update},
+    suspect_exchange::{answer_comparison, handle_update},
 };
 
 /// Response timeout of a quota owner. Several times the users' longest latency between domains, so
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -11,7 +11,7 @@
     forward::{
         member_list::MemberIdentity,
         members::{NodeHeartbeat, is_lapsed},
-        suspect_parts::{PublishedSuspects, SuspectUpdate},
+        suspect_parts::exchange::{PublishedSuspects, SuspectUpdate},
         usage::WindowIndex,
         version_history::PublishedHistory,
     },
--- a/samphiredeck_core/src/forward/suspect_parts.rs
+++ b/samphiredeck_core/src/forward/suspect_parts.rs
@@ -17,9 +17,10 @@
 //! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. A
 //! trial that brings a response ends the suspicion.
 
+pub mod exchange;
+
 use std::{cmp::Reverse, time::Duration};
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -111,14 +112,6 @@
     pub at: BootTime,
 }
 
-impl PartProof {
-    /// The proof as sent to other nodes at `now`.
-    #[must_use]
-    pub fn share(&self, now: BootTime) -> SharedProof {
-        SharedProof { part: self.part, age_ms: age_ms(self.at, now) }
-    }
-}
-
 /// Trial that a keeper granted.
 #[derive(Clone, Copy, Debug)]
 struct PartTrial {
@@ -126,67 +119,6 @@
     granted_at: BootTime,
 }
 
-/// Report as sent to other nodes, whose clocks have other origins.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SharedReport {
-    /// Run of the engine.
-    pub run: RunKey,
-    /// Shared parts of the request.
-    pub parts: Vec<PartKey>,
-    /// Milliseconds since the crash.
-    pub age_ms: u64,
-}
-
-/// Proof as sent to other nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SharedProof {
-    /// Part that is sound.
-    pub part: PartKey,
-    /// Milliseconds since the response.
-    pub age_ms: u64,
-}
-
-/// What one node tells another about suspected parts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectUpdate {
-    /// Reports of crashes.
-    pub reports: Vec<SharedReport>,
-    /// Proofs of parts that were reported.
-    pub proofs: Vec<SharedProof>,
-}
-
-impl SuspectUpdate {
-    /// Whether it says nothing.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.reports.is_empty() && self.proofs.is_empty()
-    }
-}
-
-/// Suspected parts as kept in the platform's store, for nodes that start after a loss of all nodes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PublishedSuspects {
-    /// Time on the store's clock, in milliseconds, to which the ages in `update` refer.
-    pub written_ms: i64,
-    /// Reports and proofs.
-    pub update: SuspectUpdate,
-}
-
-impl PublishedSuspects {
-    /// What the row says at `store_ms` on the store's clock.
-    #[must_use]
-    pub fn into_update(mut self, store_ms: i64) -> SuspectUpdate {
-        let passed = u64::try_from(store_ms.saturating_sub(self.written_ms)).unwrap_or(0);
-        for report in &mut self.update.reports {
-            report.age_ms = report.age_ms.saturating_add(passed);
-        }
-        for proof in &mut self.update.proofs {
-            proof.age_ms = proof.age_ms.saturating_add(passed);
-        }
-        self.update
-    }
-}
-
 /// What is known against a part of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartSuspicion {
@@ -445,25 +377,6 @@
         self.trials.retain(|trial| trial.part != part);
     }
 
-    /// Digest of what is open: tables with the same open reports have the same.
-    #[must_use]
-    pub fn digest(&self) -> u64 {
-        let mut digest = 0_u64;
-        for report in &self.reports {
-            let mut hash = xxh3_64_with_seed(&report.run.to_bytes(), 0);
-            let mut is_open = false;
-            for part in &report.parts {
-                let cleared = self.is_cleared(*part, report.at);
-                is_open |= !cleared;
-                hash = xxh3_64_with_seed(&part.to_bytes(), hash ^ u64::from(cleared));
-            }
-            if is_open {
-                digest = digest.wrapping_add(hash);
-            }
-        }
-        digest
-    }
-
     /// Reports of parts that more than one crash speaks against. They have to outlast a loss of all
     /// nodes.
     #[must_use]
@@ -474,72 +387,6 @@
         };
         self.reports.iter().filter(|report| report.parts.iter().any(is_lasting)).collect()
     }
-
-    /// Report and the proofs of its parts, as sent to other nodes at `now`.
-    #[must_use]
-    pub fn share(&self, report: &CrashReport, now: BootTime) -> (SharedReport, Vec<SharedProof>) {
-        let shared = SharedReport {
-            run: report.run,
-            parts: report.parts.clone(),
-            age_ms: age_ms(report.at, now),
-        };
-        let proofs = report.parts.iter().filter_map(|part| {
-            let at = self.proven_at(*part).filter(|at| report.at <= *at)?;
-            Some(PartProof { part: *part, at }.share(now))
-        });
-        (shared, proofs.collect())
-    }
-
-    /// Applies what another node told at `now`. Returns the reports and proofs that are new, to be
-    /// told to others, and those proofs that the other node lacks.
-    pub fn apply_update(&mut self, update: SuspectUpdate, now: BootTime) -> AppliedUpdate {
-        let mut applied = AppliedUpdate::default();
-        let time_of = |age_ms| now - Duration::from_millis(age_ms);
-        let told: Vec<PartProof> = update
-            .proofs
-            .iter()
-            .map(|proof| PartProof { part: proof.part, at: time_of(proof.age_ms) })
-            .collect();
-        for shared in update.reports {
-            let at = time_of(shared.age_ms);
-            let Some(report) = CrashReport::new(shared.run, shared.parts, at) else { continue };
-            if now.since(at) >= REPORT_LIFETIME {
-                continue;
-            }
-            for part in &report.parts {
-                if let Some(proven_at) = self.proven_at(*part).filter(|proven| at <= *proven)
-                    && !told.iter().any(|proof| proof.part == *part && at <= proof.at)
-                    && applied.missing.iter().all(|proof| proof.part != *part)
-                {
-                    applied.missing.push(PartProof { part: *part, at: proven_at });
-                }
-            }
-            if self.add_report(report.clone()) {
-                applied.reports.push(report);
-            }
-        }
-        for proof in told {
-            if self.add_proof(proof) {
-                applied.proofs.push(proof);
-            }
-        }
-        applied
-    }
-}
-
-/// Result of applying another node's update.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct AppliedUpdate {
-    /// Reports that were not known.
-    pub reports: Vec<CrashReport>,
-    /// Proofs that cleared a part.
-    pub proofs: Vec<PartProof>,
-    /// Proofs that the other node lacks.
-    pub missing: Vec<PartProof>,
-}
-
-fn age_ms(at: BootTime, now: BootTime) -> u64 {
-    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Time between the last of `crashes` crashes and the next trial.
--- a/samphiredeck_core/tests/forward_suspects.rs
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -8,7 +8,9 @@
     boot_time::BootTime,
     forward::{
         member_list::MemberIdentity,
-        suspect_parts::{CrashReport, PartProof, SuspectTable, SuspectUpdate, find_keeper},
+        suspect_parts::{
+            CrashReport, PartProof, SuspectTable, exchange::SuspectUpdate, find_keeper,
+        },
     },
     ids::{Incarnation, PartKey, RunKey},
 };
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -3,7 +3,8 @@
 use samphiredeck_core::{
     forward::{
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
-        store_readers::StoreStatus, stream_origins::StreamOrigin, suspect_parts::SuspectUpdate,
+        store_readers::StoreStatus, stream_origins::StreamOrigin,
+        suspect_parts::exchange::SuspectUpdate,
     },
     ids::{AttemptKey, PartKey, PoolName, RowVersion, WorkspaceName},
 };
