--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -12,7 +12,7 @@
 use crate::forward::{
     quota::QuotaReservation,
     request::{ErrorResponse, retry_delay},
-    suspect_parts::PartTrial,
+    suspect_parts::TrialLease,
 };
 
 /// State of a request over all its attempts.
@@ -36,7 +36,7 @@
     /// Number of engines that crashed while the request waited there for its first event.
     pub crashes_met: u32,
     /// Trial of a suspected prompt part that this request is.
-    pub trial: Option<PartTrial>,
+    pub trial: Option<TrialLease>,
     /// Whether its prompt parts have been proven sound by its response.
     pub proven: bool,
     /// Whether the request was added to the usage counts.
--- a/samphiredeck/src/forward/suspect_parts.rs
+++ b/samphiredeck/src/forward/suspect_parts.rs
@@ -33,10 +33,11 @@
 const TRIAL_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// Minimum retry delay of a caller whose request has a suspected part. A trial takes about as long.
 const REFUSED_DELAY_MIN: Duration = Duration::from_secs(1);
+
 /// Trial of a suspected part, granted to one request. If dropped without a result, the next one may
 /// begin.
 #[derive(Debug)]
-pub struct PartTrial {
+pub struct TrialLease {
     node: Rc<ForwardNode>,
     part: PartKey,
     /// Node that granted it, unless it is this one.
@@ -46,7 +47,7 @@
     has_result: bool,
 }
 
-impl PartTrial {
+impl TrialLease {
     /// Whether it still covers a send of its request.
     fn covers(&self, part: PartKey, now: BootTime) -> bool {
         self.part == part && now.since(self.granted_at) < TRIAL_TIMEOUT
@@ -57,7 +58,7 @@
     }
 }
 
-impl Drop for PartTrial {
+impl Drop for TrialLease {
     fn drop(&mut self) {
         match &self.keeper {
             _ if self.has_result => {}
@@ -227,9 +228,9 @@
 }
 
 /// Asks the keeper of the suspected part for a trial.
-async fn acquire_trial(node: &Rc<ForwardNode>, suspicion: &PartSuspicion) -> Option<PartTrial> {
+async fn acquire_trial(node: &Rc<ForwardNode>, suspicion: &PartSuspicion) -> Option<TrialLease> {
     let part = suspicion.part;
-    let grant = |keeper| PartTrial {
+    let grant = |keeper| TrialLease {
         node: Rc::clone(node),
         part,
         keeper,
