--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -30,6 +30,7 @@
 mod stream_versions;
 mod suspect_exchange;
 mod suspect_parts;
+mod suspect_rows;
 mod upstream_changes;
 mod upstream_choice;
 mod upstream_response;
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -11,7 +11,6 @@
     forward::{
         member_list::MemberIdentity,
         members::{NodeHeartbeat, is_lapsed},
-        suspect_parts::exchange::{PublishedSuspects, SuspectUpdate},
         usage::WindowIndex,
         version_history::PublishedHistory,
     },
@@ -33,6 +32,7 @@
     peer_messages,
     platform_client::{PlatformCallError, PlatformClient},
     state::ForwardState,
+    suspect_rows::{encode_suspects, merge_suspects},
 };
 
 /// Interval between reads of the shared rows by the leader, which orders capacity for the demand in
@@ -262,7 +262,8 @@
     Ok(())
 }
 
-fn shared_key(key: String) -> StoreKey {
+/// Key of a row that the nodes share.
+pub fn shared_key(key: String) -> StoreKey {
     StoreKey { table: SHARED_TABLE.to_owned(), key }
 }
 
@@ -441,55 +442,6 @@
     state.upstreams.versions.merge(published, to_boot);
 }
 
-/// Adds the suspected prompt parts that another node, or an earlier run, has published.
-fn merge_suspects(
-    node: &ForwardNode,
-    state: &mut ForwardState,
-    published: PublishedSuspects,
-    now: BootTime,
-) {
-    let Some(store_ms) = state.clock.store_ms(now) else { return };
-    let applied = state.suspects.apply_update(published.into_update(store_ms), now);
-    if !applied.reports.is_empty() {
-        let fields = json!({
-            "from": "store", "reports": state.suspects.reports().len(),
-            "new_reports": applied.reports.len(), "cleared": applied.proofs.len(),
-        });
-        node.log.record("suspects", fields);
-    }
-    // Followers don't read the store.
-    node.suspect_outbox.add(applied);
-}
-
-/// Row with the suspected prompt parts, or its removal, if it has to change.
-fn encode_suspects(node: &ForwardNode) -> Option<(StoreKey, Option<Vec<u8>>)> {
-    let mut state = node.state();
-    let now = clock::now();
-    if !state.has_unpublished_suspects(now) {
-        return None;
-    }
-    let written_ms = state.clock.store_ms(now)?;
-    let reports = state.reports_to_publish(now);
-    let mut update = SuspectUpdate::default();
-    for report in &reports {
-        let (shared, proofs) = state.suspects.share(report, now);
-        update.reports.push(shared);
-        update.proofs.extend(proofs);
-    }
-    state.published_suspects = Some(reports);
-    let key = shared_key(suspects_key(&node.settings().name));
-    if update.is_empty() {
-        return Some((key, None));
-    }
-    match encode_record(&PublishedSuspects { written_ms, update }) {
-        Ok(value) => Some((key, Some(value))),
-        Err(error) => {
-            node.log.record("suspects-unwritable", json!({ "reason": error.to_string() }));
-            None
-        }
-    }
-}
-
 /// Row with the software versions that this node has observed.
 fn encode_versions(node: &ForwardNode) -> Option<(StoreKey, Vec<u8>)> {
     let state = node.state();
