Read the limit that an upstream names, and log it

The record of an upstream that got more than its limit does not tell whether any node had read the limit, or which one and when. Responses with Server-Limit are decoded, the newest statement of each upstream is kept with its row, and each change is logged (upstream-limit: upstream, rate, request, source) and counted. No request is sent or held back differently.

A response whose request was sent before the current statement was read changes nothing: it may be older. An invalid or repeated header neither names nor lifts a limit.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -184,6 +184,8 @@
         metrics.upstreams.get_or_create(&StateLabels { state, cause }).inc();
     }
     metrics.suspect_reports.set(i64::try_from(state.suspects.reports().len()).unwrap_or(i64::MAX));
+    let limited = state.upstreams.rows().iter().filter(|row| row.is_limited()).count();
+    metrics.limits.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
     metrics.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(node.log.dropped_lines()).unwrap_or(i64::MAX));
 }
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -184,6 +184,7 @@
             },
         };
         let sent_at = clock::now();
+        in_flight.sent_at = sent_at;
         if let Some(reason) = withdrawal_reason(admitted, node, placement, sent_at) {
             node.keep_connection(&placement.upstream, connection, None);
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use samphiredeck_core::{
+    boot_time::BootTime,
     forward::{
         placement::{Placement, PromptPart},
         upstreams::PendingResponse,
@@ -20,6 +21,8 @@
     pub upstream: UpstreamId,
     /// Start time of that upstream when the request was sent. Its responses concern no later start.
     pub started_ms: Option<u64>,
+    /// Time at which the request was sent, or the count began if it was not.
+    pub sent_at: BootTime,
     /// Until the response starts.
     pending: Option<PendingResponse>,
     /// Whether the upstream had no other prompt to process when the request was sent, as far as
@@ -48,7 +51,8 @@
         state.upstreams.record_request_start(&placement.upstream, &pending);
         drop(guard);
         let upstream = placement.upstream.clone();
-        Self { node: Rc::clone(node), upstream, started_ms, pending: Some(pending), is_alone }
+        let node = Rc::clone(node);
+        Self { node, upstream, started_ms, sent_at: now, pending: Some(pending), is_alone }
     }
 
     /// Records that the response has started.
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -39,6 +39,12 @@
     pub cause: &'static str,
 }
 
+/// Label of a change of an upstream's limit.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct LimitLabels {
+    pub change: &'static str,
+}
+
 /// Labels of a call to the platform.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct PlatformCallLabels {
@@ -56,6 +62,44 @@
     Histogram::new(exponential_buckets(0.002, 2.0, 16))
 }
 
+/// Metrics of the limits that upstreams named.
+#[derive(Debug, Default)]
+pub struct LimitMetrics {
+    /// Number of upstreams with a limit in force.
+    pub limited: Gauge,
+    /// Number of changes that responses or other nodes told of.
+    pub changes: Family<LimitLabels, Counter>,
+    /// Number of requests that waited until a limit permitted them.
+    pub waits: Counter,
+    /// Number of requests refused because limits permit none in time.
+    pub refusals: Counter,
+}
+
+impl LimitMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "limited_upstreams",
+            "Upstreams with a limit in force",
+            self.limited.clone(),
+        );
+        registry.register(
+            "limit_changes",
+            "Changes of the limits of upstreams",
+            self.changes.clone(),
+        );
+        registry.register(
+            "limit_waits",
+            "Requests that waited for the limit of an upstream",
+            self.waits.clone(),
+        );
+        registry.register(
+            "limit_refusals",
+            "Requests refused for the limits of upstreams",
+            self.refusals.clone(),
+        );
+    }
+}
+
 /// Metrics of a forwarding node.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -86,6 +130,8 @@
     pub upstreams: Family<StateLabels, Gauge>,
     /// Number of state changes that responses caused.
     pub state_changes: Family<StateLabels, Counter>,
+    /// Limits that upstreams named.
+    pub limits: LimitMetrics,
     /// Number of engine crashes at which requests of this node waited for their first event.
     pub engine_crashes: Counter,
     /// Number of requests refused for a prompt part that crashes engines.
@@ -119,6 +165,7 @@
             accepting: Gauge::default(),
             upstreams: Family::default(),
             state_changes: Family::default(),
+            limits: LimitMetrics::default(),
             engine_crashes: Counter::default(),
             part_refusals: Counter::default(),
             part_trials: Counter::default(),
@@ -169,6 +216,7 @@
             "Changes of state that answers told of",
             metrics.state_changes.clone(),
         );
+        metrics.limits.register(&mut registry);
         registry.register(
             "engine_crashes",
             "Requests that waited at an engine when it crashed",
--- a/samphiredeck/src/forward/upstream_changes.rs
+++ b/samphiredeck/src/forward/upstream_changes.rs
@@ -3,17 +3,27 @@
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::{upstream_state::ResponseEvent, upstreams::UpstreamChange},
+    forward::{
+        upstream_limit::{LimitChange, LimitStatement},
+        upstream_state::ResponseEvent,
+        upstreams::UpstreamChange,
+    },
+    ids::UpstreamId,
+    units::RequestRate,
 };
 use samphiredeck_platform::{
     WireError,
-    headers::{ResponseAnnouncements, RetryDelay},
+    headers::{LimitNotice, ResponseAnnouncements, RetryDelay},
 };
 use serde_json::json;
 
 use crate::forward::{
-    clock, in_flight::InFlightRequest, metrics::StateLabels, node::ForwardNode,
-    request::RequestTrace, state::ForwardState,
+    clock,
+    in_flight::InFlightRequest,
+    metrics::{LimitLabels, StateLabels},
+    node::ForwardNode,
+    request::RequestTrace,
+    state::ForwardState,
 };
 
 /// Handles `changes` of the list.
@@ -63,6 +73,9 @@
     if let Some(delay) = announcements.retry_delay.map(RetryDelay::to_duration) {
         handle_response_event(trace, in_flight, ResponseEvent::Pause(delay));
     }
+    if let Some(limit) = announcements.limit {
+        handle_limit(trace, in_flight, limit);
+    }
     for error in &announcements.invalid {
         let WireError::InvalidField { field, reason } = error else { continue };
         let fields = json!({
@@ -100,3 +113,31 @@
     });
     node.log.record("upstream", fields);
 }
+
+/// Handles what a response says about the limit of its upstream.
+fn handle_limit(trace: &RequestTrace, in_flight: &InFlightRequest, limit: LimitNotice) {
+    let node = &trace.node;
+    let statement =
+        LimitStatement { rate: limit.rate(), sent_at: in_flight.sent_at, read_at: clock::now() };
+    let (upstream, started_ms) = (&in_flight.upstream, in_flight.started_ms);
+    let changed = node.state().upstreams.apply_limit(upstream, started_ms, statement);
+    if let Some(change) = changed {
+        log_limit_change(node, upstream, change, Some(&trace.attempt_id), "response");
+    }
+}
+
+/// Logs the change of a limit. `from` names the node that told of it, or `response`.
+pub fn log_limit_change(
+    node: &ForwardNode,
+    upstream: &UpstreamId,
+    change: LimitChange,
+    request: Option<&str>,
+    from: &str,
+) {
+    node.metrics.limits.changes.get_or_create(&LimitLabels { change: change.label() }).inc();
+    let fields = json!({
+        "upstream": upstream.as_str(), "change": change.label(), "from": from, "request": request,
+        "rate": change.rate().map(RequestRate::per_second),
+    });
+    node.log.record("upstream-limit", fields);
+}
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -24,6 +24,7 @@
 pub mod store_readers;
 pub mod stream_origins;
 pub mod suspect_parts;
+pub mod upstream_limit;
 pub mod upstream_list;
 pub mod upstream_state;
 pub mod upstreams;
--- a/samphiredeck_core/src/forward/upstream_state.rs
+++ b/samphiredeck_core/src/forward/upstream_state.rs
@@ -123,12 +123,13 @@
         matches!(self, Self::Leaving { .. } | Self::Gone { .. })
     }
 
-    /// Whether a row in this state must be kept although nothing else refers to it.
+    /// Whether a row in this state must be kept although nothing else refers to it. `named_limit` is
+    /// whether its upstream has named a limit, which still applies if its entry returns.
     #[must_use]
-    pub fn must_be_kept(self, now: BootTime) -> bool {
+    pub fn must_be_kept(self, named_limit: bool, now: BootTime) -> bool {
         match self {
             Self::Gone { since, cause, pause_end } => {
-                cause.is_some() && now.since(since) < LEAVING_MEMORY
+                (cause.is_some() || named_limit) && now.since(since) < LEAVING_MEMORY
                     || pause_end.is_some_and(|end| now < end)
             }
             _ => true,
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -1,6 +1,9 @@
 //! Registry of the upstreams that the platform lists, with this node's observations of them.
 //!
-//! Whether an upstream takes new requests is decided by its [`UpstreamState`] alone.
+//! Whether an upstream takes new requests is decided by its [`UpstreamState`] alone, how many of them
+//! by its [`UpstreamLimit`].
+
+pub mod limits;
 
 use std::time::Duration;
 
@@ -8,6 +11,7 @@
     boot_time::BootTime,
     forward::{
         list_delta::ListDelta,
+        upstream_limit::UpstreamLimit,
         upstream_list::{ListedUpstream, UpstreamDelta, changed_ids, digest_list, find_entry},
         upstream_state::{ResponseEvent, UpstreamState},
         version_history::VersionHistory,
@@ -71,6 +75,8 @@
     pub entry: ListedUpstream,
     /// Whether the upstream takes new requests.
     state: UpstreamState,
+    /// Limit that it has named. `None` if it never named one.
+    limit: Option<UpstreamLimit>,
     /// Time until which the upstream is slow after its start.
     pub warm_up_until: BootTime,
     /// Requests of this node that have not completed.
@@ -97,6 +103,7 @@
         let warm_up_until = now + entry.warm_up;
         Self {
             state: UpstreamState::started(entry.leaving),
+            limit: None,
             warm_up_until,
             in_flight: 0,
             pending_prefill_tokens: 0,
@@ -353,7 +360,8 @@
         for entry in list {
             self.apply_entry(entry, now, &mut changes);
         }
-        self.rows.retain(|row| row.in_flight > 0 || row.state.must_be_kept(now));
+        self.rows
+            .retain(|row| row.in_flight > 0 || row.state.must_be_kept(row.limit.is_some(), now));
         changes
     }
 
--- a/samphiredeck_core/src/units.rs
+++ b/samphiredeck_core/src/units.rs
@@ -110,3 +110,58 @@
         parse_with_unit(text, "token count", "(none), tokens", &[("", 1), ("tokens", 1)]).map(Self)
     }
 }
+
+/// Reason why a number is not a request rate.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{text:?} is not a rate: a decimal number of requests a second, at least 0")]
+pub struct RateError {
+    text: String,
+}
+
+/// Requests per second. Finite and not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Requests per second as a number.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = RateError;
+
+    fn try_from(rate: f64) -> Result<Self, Self::Error> {
+        if rate.is_finite() && rate >= 0.0 {
+            // Turns the negative zero into the positive one.
+            Ok(Self(rate.abs()))
+        } else {
+            Err(RateError { text: rate.to_string() })
+        }
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || RateError { text: text.chars().take(40).collect() };
+        let rate: f64 = text.parse().map_err(|_parse| error())?;
+        Self::try_from(rate).map_err(|_rate| error())
+    }
+}
+
+impl Display for RequestRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
