Keep to the limit that an upstream names, over all nodes together

- A limit is divided into turns, by the store's clock and the order of the list of members, or into shares where it is a request a second and node or more.
The last check before each send takes the permit.
- Placement leaves out upstreams without a permit and prefers others; requests wait for turns in time and are refused at once otherwise, with return times as far apart as the turns.
- Nodes tell each other of changes and compare digests.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to upstreams until one responds or no further attempt is permitted.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, StatusCode, Uri, uri::PathAndQuery};
@@ -23,12 +23,13 @@
     clock,
     http_connection::HttpConnection,
     in_flight::InFlightRequest,
+    limit_queue::{PermitLease, wait_for_turn},
     node::ForwardNode,
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{RequestProgress, deadline_error, unanswered_error},
     stream_versions::record_origin,
     suspect_parts::{REFUSAL_REASON, check_parts, handle_closed, is_barred, record_proof},
-    upstream_choice::{can_go_elsewhere, place, pool_retry_delay},
+    upstream_choice::{PlaceDecision, can_go_elsewhere, place, pool_retry_delay},
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
         UpstreamStream, receive_response,
@@ -44,6 +45,8 @@
 /// Interval at which the node checks whether another upstream can take a request whose upstream has
 /// not responded in time.
 const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Reason for not sending a request to an upstream whose limit leaves none to this node.
+const LIMIT_REASON: &str = "limit of the upstream";
 /// Maximum number of failed connection attempts per request.
 const CONNECT_FAILURES_MAX: usize = 3;
 
@@ -77,7 +80,13 @@
         check_parts(admitted, progress, trace).await?;
         let now = clock::now();
         let time_left = admitted.deadline.since(now);
-        let placement = place(admitted, progress, trace, now, time_left)?;
+        let placement = match place(admitted, progress, trace, now, time_left)? {
+            PlaceDecision::Send(placement) => placement,
+            PlaceDecision::Wait { forecast, ahead } => {
+                wait_for_turn(admitted, progress, trace, forecast, ahead).await?;
+                continue;
+            }
+        };
         if progress.attempts > 0 {
             if !node.state().retry_budget.take(&admitted.pool, now) {
                 return Err(unanswered_error(progress, "no budget for another send", time_left));
@@ -165,27 +174,17 @@
     let Some(ListedUpstream { address, software, .. }) = entry else {
         return Err(SendFailure::new(SendOutcome::Unsent, "no longer in the upstream list"));
     };
+    let Some(mut permit) = PermitLease::take(node, &placement.upstream) else {
+        return Err(SendFailure::new(SendOutcome::Withdrawn, LIMIT_REASON));
+    };
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
     let can_retry = admitted.route.max_attempts > progress.attempts + 1;
     loop {
-        let idle = node.connections.checkout(&placement.upstream, admitted.runs_at_most_once());
-        let is_new = idle.is_none();
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => match node.connections.connect(address).await {
-                Ok(connection) => {
-                    node.metrics.connections.inc();
-                    connection
-                }
-                Err(error) => {
-                    in_flight.record_outcome(true);
-                    return Err(SendFailure::new(SendOutcome::Unsent, error.to_string()));
-                }
-            },
-        };
+        let (mut connection, is_new) = open_connection(admitted, node, &in_flight, address).await?;
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
-        if let Some(reason) = withdrawal_reason(admitted, node, placement, sent_at) {
+        let reason = withdrawal_reason(admitted, node, placement, &permit, sent_at);
+        if let Some(reason) = reason {
             node.keep_connection(&placement.upstream, connection, None);
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
         }
@@ -195,6 +194,7 @@
         // The caller may disconnect at any point after this, leaving it unknown whether the request
         // ran.
         progress.reservation.set_consumed(true);
+        permit.set_consumed(true);
         progress.attempts += 1;
         progress.awaited = Some(placement.upstream.clone());
         if let Some(on_sent) = progress.on_sent.take() {
@@ -209,6 +209,7 @@
         progress.awaited = None;
         if received.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unsent) {
             progress.attempts -= 1;
+            permit.set_consumed(false);
         }
         return match received {
             Err(failure) if failure.outcome == SendOutcome::Unsent && !is_new => continue,
@@ -263,6 +264,30 @@
     }
 }
 
+/// Takes an idle connection to the upstream of `in_flight`, or opens one to its `address`. Returns
+/// whether it is new, too.
+async fn open_connection(
+    admitted: &AdmittedRequest,
+    node: &ForwardNode,
+    in_flight: &InFlightRequest,
+    address: SocketAddr,
+) -> Result<(HttpConnection, bool), SendFailure> {
+    let idle = node.connections.checkout(&in_flight.upstream, admitted.runs_at_most_once());
+    if let Some(connection) = idle {
+        return Ok((connection, false));
+    }
+    match node.connections.connect(address).await {
+        Ok(connection) => {
+            node.metrics.connections.inc();
+            Ok((connection, true))
+        }
+        Err(error) => {
+            in_flight.record_outcome(true);
+            Err(SendFailure::new(SendOutcome::Unsent, error.to_string()))
+        }
+    }
+}
+
 /// Records that an attempt sent at `sent_at` has failed.
 async fn handle_failure(
     admitted: &AdmittedRequest,
@@ -283,14 +308,18 @@
 }
 
 /// Why the request must not be sent to the upstream of `placement` any more, as known after its
-/// connection was opened: the upstream has left or asked for time, or a prompt part has crashed
-/// engines meanwhile.
+/// connection was opened: the upstream has left, asked for time or named a limit, or a prompt part has
+/// crashed engines meanwhile.
 fn withdrawal_reason(
     admitted: &AdmittedRequest,
     node: &ForwardNode,
     placement: &Placement,
+    permit: &PermitLease,
     now: BootTime,
 ) -> Option<&'static str> {
+    if !permit.permits_send() {
+        return Some(LIMIT_REASON);
+    }
     if !node.state().upstreams.accepts(&placement.upstream, now) {
         return Some("takes no requests any more");
     }
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -10,12 +10,13 @@
     boot_time::BootTime,
     ids::{Incarnation, UpstreamId},
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::forward::{
     clock, connection_pool::ConnectionPool, decision_log::DecisionLog,
-    http_connection::HttpConnection, metrics::ForwardMetrics, peer_socket::PeerSocket,
-    settings::ForwardSettings, state::ForwardState, suspect_exchange::SuspectOutbox,
+    http_connection::HttpConnection, limit_exchange::LimitOutbox, metrics::ForwardMetrics,
+    peer_socket::PeerSocket, settings::ForwardSettings, state::ForwardState,
+    suspect_exchange::SuspectOutbox,
 };
 
 /// Phase of a graceful shutdown.
@@ -48,6 +49,10 @@
     pub peer_socket: RefCell<Option<Rc<PeerSocket>>>,
     /// What other nodes are to be told about suspected prompt parts.
     pub suspect_outbox: SuspectOutbox,
+    /// Limits of upstreams that other nodes are to be told of.
+    pub limit_outbox: LimitOutbox,
+    /// Notified when a request has left the queue for upstreams with limits.
+    pub queue_moved: Notify,
     pub phase: watch::Sender<ShutdownPhase>,
     pub started_at: BootTime,
     /// Cloned by each open connection of a caller.
@@ -70,6 +75,8 @@
             metrics: ForwardMetrics::new(),
             connections: ConnectionPool::default(),
             suspect_outbox: SuspectOutbox::default(),
+            limit_outbox: LimitOutbox::default(),
+            queue_moved: Notify::new(),
             phase: watch::Sender::new(ShutdownPhase::Serving),
             started_at: clock::now(),
             caller_connections: Rc::new(()),
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -19,6 +19,7 @@
 
 use crate::forward::{
     clock,
+    limit_exchange::handle_limit_message,
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
     state::ISOLATED_AFTER,
@@ -305,7 +306,8 @@
         | ForwardDatagram::QuerySuspects { .. }
         | ForwardDatagram::AcquireTrial { .. }
         | ForwardDatagram::ReleaseTrial { .. }
-        | ForwardDatagram::TrialDecision { .. } => {}
+        | ForwardDatagram::TrialDecision { .. }
+        | ForwardDatagram::Limits(_) => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -389,6 +391,9 @@
             let reply = ForwardDatagram::TrialDecision { query_id: id, granted };
             send(node, socket, &sender, from, &reply).await;
         }
+        ForwardDatagram::Limits(message) => {
+            handle_limit_message(node, socket, (&sender, from), message).await;
+        }
         ForwardDatagram::ReleaseTrial { part } => node.state().suspects.release_trial(part),
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             node.state().quota_owner.refund(&workspace, units);
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::forward::{
+    limit_queue::QueueTicket,
     quota::QuotaReservation,
     request::{ErrorResponse, retry_delay},
     suspect_parts::TrialLease,
@@ -33,6 +34,10 @@
     /// Software version of the upstream at which the stream began. Only upstreams of this version
     /// can continue it.
     pub software: Option<SoftwareVersion>,
+    /// Place in the queue for upstreams with limits, while the request waits.
+    pub ticket: Option<QueueTicket>,
+    /// Whether the request was added to the demand.
+    pub demanded: bool,
     /// Number of engines that crashed while the request waited there for its first event.
     pub crashes_met: u32,
     /// Trial of a suspected prompt part that this request is.
@@ -57,6 +62,8 @@
             on_sent: None,
             verdict: RunVerdict::NotRun,
             software,
+            ticket: None,
+            demanded: false,
             crashes_met: 0,
             trial: None,
             proven: false,
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -11,6 +11,7 @@
         demand::DemandMeter,
         freshness::CatalogFreshness,
         leader::LeaderLease,
+        limit_queue::LimitQueue,
         member_list::MEMBER_PAGE_ENTRIES,
         members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
@@ -21,6 +22,7 @@
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
         suspect_parts::{CrashReport, SuspectTable},
+        upstream_limit::NodeTurn,
         upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
@@ -67,6 +69,8 @@
     pub has_chosen_reader: bool,
     /// Known upstreams and their load.
     pub upstreams: UpstreamRegistry,
+    /// Requests that wait for upstreams with limits.
+    pub limit_queue: LimitQueue,
     /// Where streams began that may be resumed.
     pub origins: OriginTable,
     /// Prompt parts that may crash engines.
@@ -121,6 +125,7 @@
             has_chosen_reader: false,
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
+            limit_queue: LimitQueue::default(),
             origins: OriginTable::default(),
             suspects: SuspectTable::default(),
             published_suspects: Some(Vec::new()),
@@ -323,6 +328,15 @@
         rank_quota_owners(workspace, &candidates).into_iter().cloned().collect()
     }
 
+    /// Turn of this node, called `own`, at upstreams with a limit. `None` while it is not in its own
+    /// list of members, or does not know the store's clock.
+    pub fn node_turn(&self, own: &NodeName, now: BootTime) -> Option<NodeTurn> {
+        let entries = self.members.list().entries();
+        let position = entries.binary_search_by(|entry| entry.node.cmp(own)).ok()?;
+        let position = u32::try_from(position).ok()?;
+        NodeTurn::new(position, self.members.count(), self.clock.store_ms(now)?)
+    }
+
     /// Maximum number of this node's connections to an upstream that accepts `max_connections` in
     /// total.
     pub fn connection_share(&self, max_connections: u32) -> u32 {
--- a/samphiredeck/src/forward/suspect_exchange.rs
+++ b/samphiredeck/src/forward/suspect_exchange.rs
@@ -17,13 +17,11 @@
 use crate::forward::{
     clock,
     node::ForwardNode,
+    peer_choice::{PEERS_TOLD, choose_peers},
     peer_messages::{send, send_suspects},
     peer_socket::PeerSocket,
 };
 
-/// Number of nodes that a node tells of what is new to it. Five leave out one in 150, which learns by
-/// [`compare_suspects`].
-const PEERS_TOLD: usize = 5;
 /// Minimum time between two such messages. Bounds the traffic after the loss of a failure domain.
 const ANNOUNCE_SPACING: Duration = Duration::from_millis(200);
 /// Maximum number of reports and proofs that wait to be told. Further ones reach others by
@@ -133,21 +131,6 @@
     peers.len()
 }
 
-/// Random nodes other than this one, `count` at most.
-fn choose_peers(node: &ForwardNode, count: usize) -> Vec<(NodeName, SocketAddr)> {
-    let own_name = node.settings().name.clone();
-    let state = node.state();
-    let others: Vec<_> = state
-        .members
-        .list()
-        .entries()
-        .iter()
-        .filter(|entry| entry.node != own_name)
-        .map(|entry| (entry.node.clone(), entry.peer))
-        .collect();
-    others.choose_multiple(&mut rand::rng(), count).cloned().collect()
-}
-
 /// Encodes `reports`, with the proofs of their parts, and `proofs`, in as many updates as needed.
 fn encode_updates(
     node: &ForwardNode,
--- a/samphiredeck/src/forward/upstream_changes.rs
+++ b/samphiredeck/src/forward/upstream_changes.rs
@@ -123,6 +123,7 @@
     let changed = node.state().upstreams.apply_limit(upstream, started_ms, statement);
     if let Some(change) = changed {
         log_limit_change(node, upstream, change, Some(&trace.attempt_id), "response");
+        node.limit_outbox.add(upstream);
     }
 }
 
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -9,7 +9,8 @@
     forward::{
         deadline::{fits_deadline, retry_after_pause},
         demand::DemandRate,
-        placement::{Placement, PlacementRequest, choose_upstream},
+        placement::{LimitForecast, Placement, PlacementRequest, choose_upstream, forecast_limits},
+        upstream_limit::NodeTurn,
     },
     ids::{PoolName, UpstreamId},
     verdict::RunVerdict,
@@ -18,6 +19,7 @@
 
 use crate::forward::{
     clock,
+    limit_queue::QueueTicket,
     node::ForwardNode,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
     request_progress::{RequestProgress, unanswered_error},
@@ -35,6 +37,14 @@
     )
 }
 
+/// Where a request goes.
+pub enum PlaceDecision {
+    /// To this upstream, now.
+    Send(Placement),
+    /// To an upstream with a limit, after `ahead` other requests of this node.
+    Wait { forecast: LimitForecast, ahead: u32 },
+}
+
 /// Chooses the upstream of the next attempt.
 ///
 /// # Errors
@@ -42,16 +52,21 @@
 /// Returns the error response if no upstream can take the request in time.
 pub fn place(
     admitted: &AdmittedRequest,
-    progress: &RequestProgress,
+    progress: &mut RequestProgress,
     trace: &RequestTrace,
     now: BootTime,
     time_left: Duration,
-) -> Result<Placement, ErrorResponse> {
+) -> Result<PlaceDecision, ErrorResponse> {
     let node = &trace.node;
     let mut state = node.state();
     let speed = state.speeds.speed(&admitted.pool);
-    let placement = find_placement(admitted, &progress.tried, progress, node, &state, now);
-    if admitted.engine && progress.tried.is_empty() {
+    let number = progress.ticket.as_ref().map(QueueTicket::number);
+    let ahead = state.limit_queue.count_ahead(&admitted.pool, admitted.priority, number);
+    let turn = state.node_turn(&node.settings().name, now);
+    let usable_turn = turn.filter(|_| ahead == 0);
+    let choice = PlacementContext { progress, tried: &progress.tried, turn: usable_turn };
+    let placement = find_placement(admitted, &choice, node, &state, now);
+    if admitted.engine && !std::mem::replace(&mut progress.demanded, true) {
         // Counts requests that are refused, too: capacity is ordered for them.
         let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
         let tokens = placement.as_ref().map_or(own_tokens, |placement| placement.prefill_tokens);
@@ -65,7 +80,15 @@
         Some(row.entry.software.clone())
     });
     let pause_end = state.upstreams.pool_pause_end(&admitted.pool, now);
+    let forecast = turn.filter(|_| placement.is_none()).and_then(|turn| {
+        let choice = PlacementContext { progress, tried: &progress.tried, turn: Some(turn) };
+        let request = placement_request(admitted, &choice, &state);
+        forecast_limits(&state.upstreams, &request, turn, now)
+    });
     drop(state);
+    if let Some(forecast) = forecast {
+        return Ok(PlaceDecision::Wait { forecast, ahead });
+    }
     let Some(placement) = placement else {
         let fields = json!({
             "request": trace.attempt_id, "pool": admitted.pool.as_str(), "list_age_ms": list_age,
@@ -99,32 +122,50 @@
         return Err(unanswered_error(progress, "too long a wait", time_left));
     }
     node.log.record("place", fields);
-    Ok(placement)
+    progress.ticket = None;
+    Ok(PlaceDecision::Send(placement))
+}
+
+/// What a choice depends on besides the request and the state of the node.
+struct PlacementContext<'a> {
+    progress: &'a RequestProgress,
+    /// Upstreams that must not be chosen.
+    tried: &'a [UpstreamId],
+    /// Turn of this node at upstreams with a limit, if the request may be sent to them.
+    turn: Option<NodeTurn>,
 }
 
-/// Chooses an upstream other than those `tried`.
+/// Chooses an upstream.
 fn find_placement(
     admitted: &AdmittedRequest,
-    tried: &[UpstreamId],
-    progress: &RequestProgress,
+    choice: &PlacementContext<'_>,
     node: &ForwardNode,
     state: &ForwardState,
     now: BootTime,
 ) -> Option<Placement> {
-    let request = PlacementRequest {
+    let request = placement_request(admitted, choice, state);
+    choose_upstream(&state.upstreams, &request, &node.settings().domain, now, random::<f64>)
+}
+
+fn placement_request<'a>(
+    admitted: &'a AdmittedRequest,
+    choice: &PlacementContext<'a>,
+    state: &'a ForwardState,
+) -> PlacementRequest<'a> {
+    PlacementRequest {
         pool: &admitted.pool,
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
-        tried,
-        only: progress.only.as_ref(),
-        software: progress.software.as_ref(),
+        tried: choice.tried,
+        only: choice.progress.only.as_ref(),
+        software: choice.progress.software.as_ref(),
         max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
         speed: state.speeds.speed(&admitted.pool),
         prompt_cache: &state.prompt_cache,
         nodes: state.members.count(),
-    };
-    choose_upstream(&state.upstreams, &request, &node.settings().domain, now, random::<f64>)
+        turn: choice.turn,
+    }
 }
 
 /// Whether the request that `silent` has received could be sent to another upstream now.
@@ -140,7 +181,9 @@
         && state.freshness.allows_admission(now)
         && state.retry_budget.has_room(&admitted.pool, now);
     let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
-    let placement = find_placement(admitted, &tried, progress, node, &state, now);
+    let turn = state.node_turn(&node.settings().name, now);
+    let choice = PlacementContext { progress, tried: &tried, turn };
+    let placement = find_placement(admitted, &choice, node, &state, now);
     let time_left = admitted.deadline.since(now);
     is_permitted
         && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod freshness;
 pub mod leader;
+pub mod limit_queue;
 pub mod list_delta;
 pub mod member_list;
 pub mod members;
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -11,6 +11,9 @@
 //! An engine processes a very long prompt in steps that stall all streams next to it. Such prompts
 //! go to a few dedicated upstreams, the same ones on every node, which other requests avoid.
 //!
+//! An upstream that names a limit takes a request only if this node has a permit, and no part of a
+//! prompt is at home there: most requests for it could not follow.
+//!
 //! Times follow from the measured speed of the pool.
 
 use std::time::Duration;
@@ -22,6 +25,7 @@
     forward::{
         pool_speed::PoolSpeed,
         prompt_cache::{CacheAffinity, PromptCacheTable},
+        upstream_limit::{NodeTurn, UpstreamLimit},
         upstreams::{TrackedUpstream, UpstreamRegistry},
     },
     ids::{DomainName, PoolName, SoftwareVersion, UpstreamId},
@@ -36,6 +40,12 @@
 /// Cost of an upstream that is missing from the list after a read gap, in milliseconds. Exceeds
 /// that of any other upstream that can serve at all.
 const MISSING_COST_MS: f64 = 5_000.0;
+/// Cost of an upstream with a limit while it is known that the limit applies, in milliseconds. Others
+/// take the work unless they are slower by this much.
+const LIMITED_COST_MS: f64 = 300.0;
+/// Time after the last statement about a limit from which it is not known whether it still applies.
+/// Only a response tells.
+const LIMIT_RECHECK_AFTER: Duration = Duration::from_secs(2);
 /// Cost of an upstream in another failure domain, in milliseconds. Decides only between upstreams
 /// that are otherwise alike, since traffic between domains is slower and billed.
 const CROSS_DOMAIN_COST_MS: f64 = 2.0;
@@ -95,6 +105,9 @@
     pub prompt_cache: &'a PromptCacheTable,
     /// Number of nodes that send requests to the pool. At least 1.
     pub nodes: u32,
+    /// Turn of this node at upstreams with a limit. `None` if the request must not be sent to any of
+    /// them.
+    pub turn: Option<NodeTurn>,
 }
 
 impl PlacementRequest<'_> {
@@ -103,6 +116,16 @@
         self.parts.len().checked_sub(2).map(|at| &self.parts[at])
     }
 
+    /// Whether the upstream of `row` takes the request at `now`, apart from its limit.
+    fn is_taken_by(&self, row: &TrackedUpstream, now: BootTime) -> bool {
+        row.entry.pool == *self.pool
+            && self.software.is_none_or(|software| row.entry.software == *software)
+            && row.is_accepting(now)
+            && row.in_flight < self.max_connections
+            && !self.tried.contains(&row.entry.id)
+            && self.only.is_none_or(|only| row.entry.id == *only)
+    }
+
     /// Number of tokens of all parts.
     #[must_use]
     pub fn tokens(&self) -> u64 {
@@ -181,12 +204,7 @@
     mut jitter: impl FnMut() -> f64,
 ) -> Option<Placement> {
     let fits = |row: &&TrackedUpstream| {
-        row.entry.pool == *request.pool
-            && request.software.is_none_or(|software| row.entry.software == *software)
-            && row.is_accepting(now)
-            && row.in_flight < request.max_connections
-            && !request.tried.contains(&row.entry.id)
-            && request.only.is_none_or(|only| row.entry.id == *only)
+        request.is_taken_by(row, now) && row.permits_send(request.turn, now)
     };
     let dedicated = find_long_prompt_upstreams(registry, request, now);
     let affinity_order = find_affinity_upstreams(registry, request, &dedicated, now);
@@ -207,6 +225,9 @@
         if row.is_missing() {
             cost += MISSING_COST_MS;
         }
+        if is_limit_fresh(row, now) {
+            cost += LIMITED_COST_MS;
+        }
         if row.entry.domain != *own_domain {
             cost += CROSS_DOMAIN_COST_MS;
         }
@@ -233,18 +254,72 @@
     best.map(|(_, choice)| choice)
 }
 
+/// What the limits of upstreams permit a node to send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitForecast {
+    /// Time from which the node may send the next request.
+    pub at: BootTime,
+    /// Requests per second that it may send. Above 0.
+    pub rate: f64,
+}
+
+impl LimitForecast {
+    /// Time from which the node may send a request after `ahead` others.
+    #[must_use]
+    pub fn after(self, ahead: u32) -> BootTime {
+        self.at + Duration::from_secs_f64(f64::from(ahead) / self.rate)
+    }
+
+    /// Mean time between two requests.
+    #[must_use]
+    pub fn spacing(self) -> Duration {
+        Duration::from_secs_f64(1.0 / self.rate)
+    }
+}
+
+/// When the limits of upstreams permit a node with `turn` to send `request`. `None` if no upstream
+/// with a limit takes it.
+#[must_use]
+pub fn forecast_limits(
+    registry: &UpstreamRegistry,
+    request: &PlacementRequest<'_>,
+    turn: NodeTurn,
+    now: BootTime,
+) -> Option<LimitForecast> {
+    let rows = registry.rows().iter().filter(|row| request.is_taken_by(row, now));
+    let mut forecast: Option<LimitForecast> = None;
+    for row in rows {
+        let Some(rate) = row.limit().and_then(|limit| limit.node_rate(turn)) else { continue };
+        let Some(at) = row.next_send(Some(turn), now) else { continue };
+        forecast = Some(match forecast {
+            Some(known) => LimitForecast { at: known.at.min(at), rate: known.rate + rate },
+            None => LimitForecast { at, rate },
+        });
+    }
+    forecast
+}
+
+/// Whether a limit of the upstream applied when it was last heard of, which was not long ago.
+fn is_limit_fresh(row: &TrackedUpstream, now: BootTime) -> bool {
+    let statement = row.limit().map(UpstreamLimit::statement);
+    statement.is_some_and(|statement| {
+        statement.rate.is_some() && now.since(statement.read_at) < LIMIT_RECHECK_AFTER
+    })
+}
+
 /// Rendezvous weight of `id` for `key`, the same on every node.
 fn rendezvous(key: &str, id: &UpstreamId) -> u64 {
     xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(id.as_str().as_bytes(), 0))
 }
 
-/// Upstreams of the pool that accept new requests.
+/// Upstreams of the pool that accept any number of new requests.
 fn accepting<'a>(
     registry: &'a UpstreamRegistry,
     request: &PlacementRequest<'_>,
     now: BootTime,
 ) -> impl Iterator<Item = &'a UpstreamId> {
-    let rows = registry.rows().iter().filter(move |row| row.is_accepting(now));
+    let rows = registry.rows().iter();
+    let rows = rows.filter(move |row| row.is_accepting(now) && !row.is_limited());
     rows.filter(|row| row.entry.pool == *request.pool).map(|row| &row.entry.id)
 }
 
--- a/samphiredeck_core/src/forward/upstream_limit.rs
+++ b/samphiredeck_core/src/forward/upstream_limit.rs
@@ -17,6 +17,8 @@
 //! Nodes with the same list send at most `rate * time + 3` requests in any time by turns, and
 //! `rate * (time + 1 s)` by shares.
 
+pub mod exchange;
+
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
--- a/samphiredeck_core/tests/forward_states.rs
+++ b/samphiredeck_core/tests/forward_states.rs
@@ -81,6 +81,7 @@
         speed: PoolSpeed::default(),
         prompt_cache: &PromptCacheTable::default(),
         nodes: 1,
+        turn: None,
     };
     let choice = choose_upstream(registry, &request, &"a".parse().unwrap(), now, || 0.5);
     choice.map(|choice| choice.upstream.to_string())
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -83,6 +83,7 @@
         speed: PoolSpeed::default(),
         prompt_cache: &PromptCacheTable::default(),
         nodes: 8,
+        turn: None,
     };
     let choice =
         choose_upstream(registry, &request, &domain, at(2_000), || jitters.next().unwrap());
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -4,7 +4,7 @@
     forward::{
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
         store_readers::StoreStatus, stream_origins::StreamOrigin,
-        suspect_parts::exchange::SuspectUpdate,
+        suspect_parts::exchange::SuspectUpdate, upstream_limit::exchange::SharedLimit,
     },
     ids::{AttemptKey, PartKey, PoolName, RowVersion, WorkspaceName},
 };
@@ -207,4 +207,21 @@
         /// Suspected part.
         part: PartKey,
     },
+    /// Message about the limits of upstreams.
+    Limits(LimitMessage),
+}
+
+/// Message about the limits that upstreams have named.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LimitMessage {
+    /// Tells about limits.
+    Announce {
+        /// Statements, as far as they fit.
+        limits: Vec<SharedLimit>,
+    },
+    /// Asks for the receiver's limits, unless they have this digest.
+    Compare {
+        /// Digest of the sender's limits.
+        digest: u64,
+    },
 }
