Show operators the limits of upstreams

The tables at the metrics addresses share their code now (node_table.rs). limits::operators_see_the_limits_in_force_at_each_node passes.

--- a/samphirectl/src/cli.rs
+++ b/samphirectl/src/cli.rs
@@ -51,6 +51,7 @@
             Explain(ExplainArgs),
             Plot(PlotArgs),
             Suspects(SuspectsArgs),
+            Limits(LimitsArgs),
         }
 
         impl CtlCommand {
@@ -63,7 +64,8 @@
                     | Self::Script(_)
                     | Self::Explain(_)
                     | Self::Plot(_)
-                    | Self::Suspects(_) => Statement::Nodes(NodesArgs {}),
+                    | Self::Suspects(_)
+                    | Self::Limits(_) => Statement::Nodes(NodesArgs {}),
                 }
             }
         }
@@ -263,6 +265,15 @@
     pub release: Option<String>,
 }
 
+/// Show which limits of upstreams are in force at forwarding nodes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "limits")]
+pub struct LimitsArgs {
+    /// metrics address of a forwarding node; may be repeated
+    #[argh(option)]
+    pub at: Vec<String>,
+}
+
 /// Plot response times, refusals and capacity over time, from the logs of nodes.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "plot")]
--- a/samphirectl/src/main.rs
+++ b/samphirectl/src/main.rs
@@ -4,7 +4,9 @@
 mod client;
 mod diff;
 mod explain;
+mod limits;
 mod log_lines;
+mod node_table;
 mod output;
 mod plot;
 mod query;
@@ -24,6 +26,7 @@
     cli::{CtlArgs, CtlCommand, Statement},
     client::NodeClient,
     explain::explain_request,
+    limits::show_limits,
     plot::plot_logs,
     statement::{ExitKind, run_statement},
     suspects::show_suspects,
@@ -43,6 +46,10 @@
             let shown = show_suspects(suspects, args.json);
             return exit_code(actix_web::rt::System::new().block_on(shown));
         }
+        CtlCommand::Limits(limits) => {
+            let shown = show_limits(limits, args.json);
+            return exit_code(actix_web::rt::System::new().block_on(shown));
+        }
         _ => {}
     }
     exit_code(actix_web::rt::System::new().block_on(run(args)))
--- a/samphiredeck/src/forward/operator.rs
+++ b/samphiredeck/src/forward/operator.rs
@@ -1,8 +1,13 @@
-//! Requests of operators at the metrics address: which prompt parts are suspected, and their release.
+//! Requests of operators at the metrics address: which prompt parts are suspected, their release, and
+//! which limits of upstreams are in force.
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use samphiredeck_core::{forward::suspect_parts::PartEvidence, ids::PartKey};
+use samphiredeck_core::{
+    forward::{suspect_parts::PartEvidence, upstreams::TrackedUpstream},
+    ids::PartKey,
+    units::RequestRate,
+};
 use serde_json::{Value, json};
 
 use crate::forward::{clock, node::ForwardNode, suspect_parts::release_part};
@@ -12,6 +17,9 @@
 /// Path prefix at which a part is released. Its key follows.
 const RELEASE_PREFIX: &str = "/suspects/release/";
 
+/// Path at which the limits of upstreams are listed.
+const LIMITS_PATH: &str = "/limits";
+
 /// Responds to a request of an operator. Returns `None` for other paths.
 pub fn respond_to_operator(
     node: &ForwardNode,
@@ -22,6 +30,8 @@
         release(node, method, key)
     } else if path == SUSPECTS_PATH {
         (StatusCode::OK, list_suspects(node))
+    } else if path == LIMITS_PATH {
+        (StatusCode::OK, list_limits(node))
     } else {
         return None;
     };
@@ -43,6 +53,26 @@
     json!({ "node": node.settings().name.as_str(), "parts": parts })
 }
 
+fn list_limits(node: &ForwardNode) -> Value {
+    let now = clock::now();
+    let own_name = node.settings().name.clone();
+    let state = node.state();
+    let turn = state.node_turn(&own_name, now);
+    let limited = state.upstreams.rows().iter().filter(|row| row.is_limited());
+    let encode = |row: &TrackedUpstream| {
+        let limit = row.limit()?;
+        Some(json!({
+            "upstream": row.entry.id.as_str(), "pool": row.entry.pool.as_str(),
+            "rate": limit.rate().map(RequestRate::per_second),
+            "node_rate": turn.and_then(|turn| limit.node_rate(turn)),
+            "stated_ms": now.since(limit.statement().read_at).as_millis(),
+            "next_ms": limit.next_send(turn, now).map(|at| at.since(now).as_millis()),
+        }))
+    };
+    let limits: Vec<Value> = limited.filter_map(encode).collect();
+    json!({ "node": own_name.as_str(), "limits": limits })
+}
+
 fn release(node: &ForwardNode, method: &Method, key: &str) -> (StatusCode, Value) {
     if method != Method::POST {
         let error = "release: only POST changes anything";
