Order capacity for engines that limits take away

An engine with a limit counted in full among those that serve, so that a pool whose engines named limits was taken to have room. The part that its limit leaves unused, by the usual request of the pool, is added to the need.

--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -8,7 +8,9 @@
     forward::{
         capacity::{CapacityOrder, CapacityPlanner, DomainCapacity},
         catalog::PoolRow,
+        demand::part_lost_to_limit,
         leader::{LEADER_CALL_TIMEOUT, LeaderRecord, LeaderStep},
+        pool_speed::PoolSpeed,
         upstreams::UpstreamRegistry,
         usage::{WindowCounts, WindowIndex},
     },
@@ -390,7 +392,8 @@
             let slots = pool_slots(&state.upstreams, &pool.name);
             let speed = state.speeds.speed(&pool.name);
             let demand = state.members.demand(&pool.name);
-            (capacities, demand.engines_needed(slots, &speed), slots)
+            let lost = parts_lost_to_limits(&state.upstreams, &pool.name, slots, &speed, now);
+            (capacities, demand.engines_needed(slots, &speed) + lost, slots)
         };
         let orders = self.planner(&pool.name).next_orders(rule, &capacities, engines_needed, now);
         if !orders.is_empty() {
@@ -452,6 +455,20 @@
     rows.map(|row| row.entry.slots).min().unwrap_or(u32::MAX)
 }
 
+/// Number of engines of `pool` that are lost to limits, as the sum of the parts that are.
+fn parts_lost_to_limits(
+    upstreams: &UpstreamRegistry,
+    pool: &PoolName,
+    slots: u32,
+    speed: &PoolSpeed,
+    now: BootTime,
+) -> f64 {
+    let serving = upstreams.rows().iter();
+    let serving = serving.filter(|row| row.entry.pool == *pool && row.state().serves(now));
+    let rates = serving.filter_map(|row| row.limit()?.rate());
+    rates.map(|rate| part_lost_to_limit(rate, slots, speed)).sum()
+}
+
 /// Finds the leader record among the rows returned with a conflict.
 fn decode_leader_row(rows: &[StoreRow]) -> (Option<LeaderRecord>, RowVersion) {
     let row = rows.iter().find(|row| row.key == LEADER_ROW_KEY);
--- a/samphiredeck_core/src/forward/demand.rs
+++ b/samphiredeck_core/src/forward/demand.rs
@@ -8,7 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{boot_time::BootTime, forward::pool_speed::PoolSpeed, ids::PoolName};
+use crate::{
+    boot_time::BootTime, forward::pool_speed::PoolSpeed, ids::PoolName, units::RequestRate,
+};
 
 /// Maximum number of tokens that one request adds to the demand. Above the context of common models;
 /// callers state their numbers themselves, and an absurd one must not order capacity.
@@ -50,6 +52,13 @@
         Self { prefill_ms: speed.prefill_ms(prefill_tokens), output_tokens: output }
     }
 
+    /// Demand of one usual request per second, for engines with `speed`.
+    #[must_use]
+    pub fn of_usual(speed: &PoolSpeed) -> Self {
+        let prefill_ms = speed.prefill_ms(speed.prompt_tokens());
+        Self { prefill_ms, output_tokens: speed.output_tokens() }
+    }
+
     fn scaled(self, factor: f64) -> Self {
         Self { prefill_ms: self.prefill_ms * factor, output_tokens: self.output_tokens * factor }
     }
@@ -67,6 +76,14 @@
     }
 }
 
+/// Part of an engine with `slots` slots and `speed` that is lost while it takes `rate` requests per
+/// second at most, from 0 to 1.
+#[must_use]
+pub fn part_lost_to_limit(rate: RequestRate, slots: u32, speed: &PoolSpeed) -> f64 {
+    let worth = rate.per_second() * DemandRate::of_usual(speed).engines_needed(slots, speed);
+    1.0 - worth.clamp(0.0, 1.0)
+}
+
 impl Add for DemandRate {
     type Output = Self;
 
--- a/samphiredeck_core/src/forward/pool_speed.rs
+++ b/samphiredeck_core/src/forward/pool_speed.rs
@@ -23,6 +23,8 @@
 const SERVICE_START_MS: f64 = 40.0;
 /// Start value of the prompt tokens that a request leaves to compute.
 const PROMPT_START: f64 = 2_000.0;
+/// Start value of the output tokens of a response.
+const OUTPUT_START: f64 = 64.0;
 /// Maximum factor between an estimate and its start value, in both directions.
 const RANGE: f64 = 50.0;
 /// Relative step per sample once the estimate has settled.
@@ -81,6 +83,7 @@
     first_token_ms: TrackedQuantile,
     service_ms: TrackedQuantile,
     prompt_tokens: TrackedQuantile,
+    output_tokens: TrackedQuantile,
 }
 
 impl Default for PoolSpeed {
@@ -91,6 +94,7 @@
             first_token_ms: TrackedQuantile::new(FIRST_TOKEN_START_MS, 0.5),
             service_ms: TrackedQuantile::new(SERVICE_START_MS, 0.5),
             prompt_tokens: TrackedQuantile::new(PROMPT_START, 0.5),
+            output_tokens: TrackedQuantile::new(OUTPUT_START, 0.5),
         }
     }
 }
@@ -132,6 +136,12 @@
         self.prompt_tokens.value
     }
 
+    /// Median number of output tokens of a response.
+    #[must_use]
+    pub fn output_tokens(&self) -> f64 {
+        self.output_tokens.value
+    }
+
     /// Records that a request whose prompt left about `tokens` tokens to compute was placed.
     pub fn record_prompt(&mut self, tokens: u64) {
         self.prompt_tokens.record(to_f64(tokens));
@@ -152,6 +162,7 @@
     /// Records a response with about `tokens` output tokens that took `elapsed` from its first
     /// event to its last.
     pub fn record_output(&mut self, tokens: u64, elapsed: Duration) {
+        self.output_tokens.record(to_f64(tokens));
         if tokens >= OUTPUT_TOKENS_MIN {
             self.token_interval_ms.record(elapsed.as_secs_f64() * 1_000.0 / to_f64(tokens));
         }
--- a/samphiredeck_core/tests/forward_upstream_limits.rs
+++ b/samphiredeck_core/tests/forward_upstream_limits.rs
@@ -6,7 +6,9 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        demand::{DemandRate, part_lost_to_limit},
         limit_queue::LimitQueue,
+        pool_speed::PoolSpeed,
         upstream_limit::{LimitChange, LimitStatement, NodeTurn, UpstreamLimit},
     },
     ids::{PoolName, UpstreamId},
@@ -254,3 +256,12 @@
     assert_eq!(planned, [1_000, 1_400, 1_800]);
     assert_eq!(queue.plan_return(&pool, at(2_500), spacing, at(2_000)), at(2_500));
 }
+
+#[test]
+fn engine_with_a_limit_counts_for_what_it_takes() {
+    let speed = PoolSpeed::default();
+    let usual = DemandRate::of_usual(&speed).engines_needed(16, &speed);
+    assert!((part_lost_to_limit(rate(0.0), 16, &speed) - 1.0).abs() < 1e-9);
+    assert!((part_lost_to_limit(rate(0.5 / usual), 16, &speed) - 0.5).abs() < 1e-9);
+    assert!(part_lost_to_limit(rate(1e300), 16, &speed).abs() < 1e-9);
+}
