--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -116,7 +116,7 @@
             "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
             "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
             "closed": failure.closed, "parts": admitted.shared_part_ids(),
-            "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
+            "key": admitted.key.to_string(), "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
             "sent": progress.attempts, "age_ms": trace.age_ms(),
         });
         node.log.record("send-failed", fields);
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -197,7 +197,7 @@
         "request": trace.attempt_id, "upstream": upstream, "reason": stream_break.reason,
         "closed": stream_break.closed, "last_event": last_id, "age_ms": trace.age_ms(),
         "sent": progress.attempts, "version": admitted.config_version,
-        "parts": admitted.shared_part_ids(),
+        "parts": admitted.shared_part_ids(), "key": admitted.key.to_string(),
     });
     trace.node.log.record("stream-broken", fields);
 }
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -156,6 +156,8 @@
     pub max_connections: u32,
     /// Workspace, unless the route is public.
     pub workspace: Option<WorkspaceName>,
+    /// Key of the whole request. Attempts with the same target, workspace and body have the same.
+    pub key: PartKey,
     /// Priority, 0 is the highest.
     pub priority: u8,
     /// Time by which the response must be complete.
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -3,14 +3,16 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header::CONNECTION};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode, header::CONNECTION, uri::PathAndQuery,
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::random;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::catalog::{ForwardCatalog, RouteRow, WorkspaceRow},
-    ids::KeyHash,
+    ids::{KeyHash, PartKey, WorkspaceName},
 };
 use samphiredeck_platform::headers::{
     RequestMetadata, decode_request_headers, encode_refusal_headers,
@@ -110,14 +112,19 @@
     trace.pool = pool_name.to_string();
     let pool = catalog.find_pool(&pool_name);
     let engine = pool.is_some_and(|pool| pool.engine);
+    let workspace_name = workspace.map(|row| row.name.clone());
+    let caller = workspace_name.as_ref().map_or("", WorkspaceName::as_str);
+    let target = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let key = PartKey::of_request(&[parts.method.as_str(), &name, target, caller], &body);
     let admitted = AdmittedRequest {
+        key,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
         engine,
         max_connections: pool.map_or(u32::MAX, |pool| pool.max_connections),
-        workspace: workspace.map(|row| row.name.clone()),
+        workspace: workspace_name,
         priority: workspace.and_then(|row| row.priority).unwrap_or(route.priority),
         deadline,
         config_version: catalog.version().0,
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -345,8 +345,8 @@
 }
 
 hash_type!(
-    /// Hash of the identifier of a prompt part. Identifiers are chosen by callers and may have any
-    /// length.
+    /// Hash of something that may crash upstreams: of the identifier of a prompt part, which callers
+    /// choose, or of a whole request.
     PartKey
 );
 
@@ -356,10 +356,26 @@
 );
 
 impl PartKey {
+    /// Bit that tells keys of whole requests from those of prompt parts.
+    const REQUEST_BIT: u64 = 1;
+
     /// Hashes the part identifier `id`.
     #[must_use]
     pub fn of(id: &str) -> Self {
-        Self(xxh3_64(id.as_bytes()))
+        Self(xxh3_64(id.as_bytes()) & !Self::REQUEST_BIT)
+    }
+
+    /// Hashes a whole request: the texts that tell where it goes and whose it is, and its `body`.
+    #[must_use]
+    pub fn of_request(texts: &[&str], body: &[u8]) -> Self {
+        let seed = texts.iter().fold(0, |seed, text| xxh3_64_with_seed(text.as_bytes(), seed));
+        Self(xxh3_64_with_seed(body, seed) | Self::REQUEST_BIT)
+    }
+
+    /// Whether this is the key of a whole request.
+    #[must_use]
+    pub fn is_request(self) -> bool {
+        self.0 & Self::REQUEST_BIT != 0
     }
 }
 
