Keep a request that crashes upstreams from further ones

Callers of the same service were refused for seconds again and again: one request ended all four upstreams each time they were back (20 ends), by the node's own retries and by its caller's attempts at other nodes.

A request as a whole (method, host, target, workspace, body) is one more suspect in the same table, exchange, rows and view. Tighter than for parts: each crash of a request that was sent after the last crash counts, however close (the four ends came within 280 ms and would have counted as two); from the third crash on every trial that reached an upstream counts, with or without a result; after the sixth it is not tried again for as long as evidence is kept. A request explains a crash of other requests with the same part only from its second one on. Reports of requests that were there once are dropped after ten minutes, and first when the table is full.

Nodes publish all their reports in the store only if no datagram of another node has come for 3 s: reports of single requests stay open longer than those of parts, and kept a row there.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -28,7 +28,7 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{RequestProgress, deadline_error, unanswered_error},
     stream_versions::record_origin,
-    suspect_parts::{REFUSAL_REASON, check_parts, handle_closed, is_barred, record_proof},
+    suspect_parts::{barring_reason, check_parts, handle_closed, record_proof},
     upstream_choice::{PlaceDecision, can_go_elsewhere, place, pool_retry_delay},
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
@@ -195,6 +195,9 @@
         // ran.
         progress.reservation.set_consumed(true);
         permit.set_consumed(true);
+        if let Some(trial) = &mut progress.trial {
+            trial.record_sent();
+        }
         progress.attempts += 1;
         progress.awaited = Some(placement.upstream.clone());
         if let Some(on_sent) = progress.on_sent.take() {
@@ -323,7 +326,7 @@
     if !node.state().upstreams.accepts(&placement.upstream, now) {
         return Some("takes no requests any more");
     }
-    is_barred(admitted, node).then_some(REFUSAL_REASON)
+    barring_reason(admitted, node)
 }
 
 /// Sends `request` on `connection` and receives the response, or the first event of its stream.
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -288,6 +288,7 @@
 /// Updates the liveness of the sender of a datagram, which includes whether it can act as an owner.
 fn update_liveness(node: &ForwardNode, received: &ReceivedDatagram) {
     let now = clock::now();
+    node.state().heard_at = Some(now);
     match received.datagram {
         ForwardDatagram::NotEligible => node.state().liveness.record_unable(&received.sender, now),
         // Nodes that can't act as owners exchange these messages too, so they say nothing about
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -183,12 +183,12 @@
         self.shared_parts().iter().map(|part| part.id.as_str()).collect()
     }
 
-    /// Keys of the shared prompt parts. Empty if no engine computes the prompt.
-    pub fn part_keys(&self) -> Vec<PartKey> {
-        if !self.engine {
-            return Vec::new();
-        }
-        self.shared_parts().iter().map(|part| PartKey::of(&part.id)).collect()
+    /// Keys of what may crash upstreams: of the request, and of its shared prompt parts if an engine
+    /// computes the prompt.
+    pub fn suspect_keys(&self) -> Vec<PartKey> {
+        let parts = if self.engine { self.shared_parts() } else { &[] };
+        let parts = parts.iter().map(|part| PartKey::of(&part.id));
+        std::iter::once(self.key).chain(parts).collect()
     }
 
     /// Estimated number of output tokens.
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -48,6 +48,9 @@
 /// grants nothing beyond its local quota.
 pub const ISOLATED_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Time without any datagram of another node after which this one tells others through the store. Nodes
+/// send comparisons to random others each second.
+const SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Size of a part of the configuration in bytes, so that it fits into a datagram.
 const CONFIG_PART_BYTES: usize = 1_000;
 /// State of this run of the node.
@@ -94,6 +97,8 @@
     pub local_quota: LocalQuota,
     /// Liveness of other nodes.
     pub liveness: PeerLiveness,
+    /// Time of the last datagram of another node.
+    pub heard_at: Option<BootTime>,
     /// Budget for retries.
     pub retry_budget: RetryBudget,
     /// Counts of requests that started to run through this node.
@@ -137,6 +142,7 @@
             quota_owner: QuotaOwner::new(bounds.quota_slack),
             local_quota: LocalQuota::new(bounds.quota_slack, NODES_ASSUMED),
             liveness: PeerLiveness::default(),
+            heard_at: None,
             retry_budget: RetryBudget::new(bounds.retry_limit, NODES_ASSUMED),
             usage_ledger: UsageLedger::default(),
             demand: DemandMeter::default(),
@@ -250,9 +256,8 @@
     /// Reports of crashes that belong into this node's row in the store: those that have to outlast a
     /// loss of all nodes, or all of them while other nodes can't be told otherwise.
     pub fn reports_to_publish(&self, now: BootTime) -> Vec<CrashReport> {
-        let is_isolated =
-            self.members.count() > 1 && !self.liveness.has_recent_contact(ISOLATED_AFTER, now);
-        if is_isolated {
+        let hears_others = self.heard_at.is_some_and(|at| now.since(at) < SILENCE_MAX);
+        if self.members.count() > 1 && !hears_others {
             return self.suspects.reports().to_vec();
         }
         self.suspects.lasting_reports().into_iter().cloned().collect()
--- a/samphiredeck/src/forward/suspect_exchange.rs
+++ b/samphiredeck/src/forward/suspect_exchange.rs
@@ -36,7 +36,7 @@
 /// Maximum size of the reports and proofs in a datagram, in bytes.
 const UPDATE_BYTES_MAX: usize = 1_000;
 /// Size of a report without its parts, and of a part or a proof, in bytes at most.
-const REPORT_BYTES: usize = 24;
+const REPORT_BYTES: usize = 34;
 const PART_BYTES: usize = 10;
 const PROOF_BYTES: usize = 20;
 
--- a/samphiredeck/src/forward/suspect_parts.rs
+++ b/samphiredeck/src/forward/suspect_parts.rs
@@ -1,5 +1,5 @@
-//! Keeps requests with prompt parts that crash engines from further engines: confirms crashes, and
-//! checks requests before each send.
+//! Keeps requests that crash upstreams, or have prompt parts that do, from further upstreams: confirms
+//! crashes, and checks requests before each send.
 
 use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -22,8 +22,10 @@
     request_progress::{RequestProgress, unanswered_error},
 };
 
-/// Reason of a refusal, as told to callers.
-pub const REFUSAL_REASON: &str = "a part of the prompt crashes the engines";
+/// Reason of a refusal for a prompt part, as told to callers.
+const PART_REASON: &str = "a part of the prompt crashes the engines";
+/// Reason of a refusal for the request as a whole, as told to callers.
+const REQUEST_REASON: &str = "the request crashes the upstreams";
 /// Time within which a crashed engine refuses a new connection. Covers a lost packet.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum time for which a request waits for the trial of one of its parts, while hardly anything
@@ -43,7 +45,9 @@
     /// Node that granted it, unless it is this one.
     keeper: Option<(NodeName, SocketAddr)>,
     granted_at: BootTime,
-    /// Whether a crash or a response has ended it.
+    /// Whether it counts once its request has been sent, whatever becomes of it.
+    counts_when_sent: bool,
+    /// Whether a crash or a response has ended it, or its request was sent and counts.
     has_result: bool,
 }
 
@@ -53,6 +57,11 @@
         self.part == part && now.since(self.granted_at) < TRIAL_TIMEOUT
     }
 
+    /// Records that the request is sent.
+    pub fn record_sent(&mut self) {
+        self.has_result |= self.counts_when_sent;
+    }
+
     fn settle(mut self) {
         self.has_result = true;
     }
@@ -70,8 +79,8 @@
     }
 }
 
-/// Handles the end of a connection at which the request waited for its first event: if the engine has
-/// crashed, its parts are reported.
+/// Handles the end of a connection at which the request waited for its response or first event: if the
+/// upstream has crashed, the request and its parts are reported.
 pub async fn handle_closed(
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
@@ -80,7 +89,6 @@
 ) {
     let node = &trace.node;
     let upstream = &in_flight.upstream;
-    let keys = admitted.part_keys();
     // Upstreams that leave end in order.
     let address = node
         .state()
@@ -88,7 +96,7 @@
         .find(upstream)
         .filter(|row| !row.state().has_left())
         .map(|row| row.entry.address);
-    let Some(address) = address.filter(|_| !keys.is_empty()) else { return };
+    let Some(address) = address else { return };
     let at = clock::now();
     if !is_crashed(node, in_flight, address).await {
         return;
@@ -100,11 +108,14 @@
     node.metrics.engine_crashes.inc();
     let fields = json!({
         "request": trace.attempt_id, "upstream": upstream.as_str(),
-        "parts": admitted.shared_part_ids(),
+        "parts": admitted.shared_part_ids(), "key": admitted.key.to_string(),
     });
     node.log.record("engine-crashed", fields);
     let run = RunKey::of(upstream, in_flight.started_ms);
-    let Some(report) = node.state().suspects.report(run, keys, at) else { return };
+    let report = node.state().suspects.report(run, admitted.suspect_keys(), at);
+    let Some(report) = report.map(|report| report.with_wait(at.since(in_flight.sent_at))) else {
+        return;
+    };
     if node.state().suspects.add_report(report.clone()) {
         node.suspect_outbox.add_report(report);
     }
@@ -136,7 +147,7 @@
         trial.settle();
     }
     let at = clock::now();
-    for part in admitted.part_keys() {
+    for part in admitted.suspect_keys() {
         let proof = PartProof { part, at };
         if node.state().suspects.add_proof(proof) {
             let fields =
@@ -169,7 +180,7 @@
     trace: &RequestTrace,
 ) -> Result<(), ErrorResponse> {
     let node = &trace.node;
-    let keys = admitted.part_keys();
+    let keys = admitted.suspect_keys();
     let until = clock::now() + TRIAL_WAIT_MAX;
     loop {
         let now = clock::now();
@@ -196,18 +207,23 @@
     }
 }
 
-/// Whether a request that was admitted by [`check_parts`] must not be sent any more.
-pub fn is_barred(admitted: &AdmittedRequest, node: &ForwardNode) -> bool {
-    let suspicion = node.state().suspects.assess(&admitted.part_keys());
-    suspicion.is_some_and(|suspicion| clock::now() < suspicion.trial_at)
+/// Why a request that was admitted by [`check_parts`] must not be sent any more.
+pub fn barring_reason(admitted: &AdmittedRequest, node: &ForwardNode) -> Option<&'static str> {
+    let suspicion = node.state().suspects.assess(&admitted.suspect_keys())?;
+    (clock::now() < suspicion.trial_at).then_some(refusal_reason(&suspicion))
+}
+
+fn refusal_reason(suspicion: &PartSuspicion) -> &'static str {
+    if suspicion.part.is_request() { REQUEST_REASON } else { PART_REASON }
 }
 
 fn refuse(progress: &RequestProgress, suspicion: &PartSuspicion, now: BootTime) -> ErrorResponse {
+    let reason = refusal_reason(suspicion);
     if progress.verdict == RunVerdict::NotRun {
         let wait = suspicion.trial_at.since(now).max(REFUSED_DELAY_MIN);
-        return ErrorResponse::not_executed(REFUSAL_REASON, wait);
+        return ErrorResponse::not_executed(reason, wait);
     }
-    unanswered_error(progress, REFUSAL_REASON, Duration::ZERO)
+    unanswered_error(progress, reason, Duration::ZERO)
 }
 
 fn log_suspicion(
@@ -235,6 +251,7 @@
         part,
         keeper,
         granted_at: clock::now(),
+        counts_when_sent: suspicion.counts_trials(),
         has_result: false,
     };
     let socket = node.peer_socket.borrow().clone();
--- a/samphiredeck_core/src/forward/suspect_parts.rs
+++ b/samphiredeck_core/src/forward/suspect_parts.rs
@@ -1,21 +1,26 @@
-//! Finds prompt parts that crash engines, and decides whether requests with them may be sent.
+//! Finds prompt parts and requests that crash upstreams, and decides whether they may be sent.
 //!
-//! Answers the load pattern of a prompt part that crashes each engine which begins a response to it,
-//! in requests that arrive at any node and share their other parts with sound ones. Every crash
-//! breaks dozens of streams and empties a cache, so the part has to be found after few of them.
+//! Answers two load patterns: a prompt part that crashes each engine which begins a response to it, in
+//! requests that arrive at any node and share their other parts with sound ones; and a request that
+//! crashes each upstream which runs it, and that its caller repeats at any node. Every crash
+//! breaks dozens of responses and empties a cache, so the cause has to be found after few of them.
 //!
-//! **Evidence.** A crash is reported with the shared parts of each request that was waiting for its
-//! first event there. A response to a request proves all of its parts sound, so parts that sound
+//! **Evidence.** A request as a whole is one more part of itself. A crash is reported with the parts of
+//! each request that was waiting for its response or first event there. A response to a request proves all of its parts sound, so parts that sound
 //! requests share are cleared at once, wherever they are served. Crashes close to each other count
-//! once: a failure domain that is lost takes many engines at the same time.
+//! once: a failure domain that is lost takes many engines at the same time. A request that was sent
+//! after the last crash counts all the same.
 //!
-//! **Blame.** Of the parts of a request, the one with the most crashes is blamed. A part is not blamed
+//! **Blame.** Of the parts of a request, the one with the most crashes is blamed; if a part and the
+//! request as a whole have as many, the request. A part is not blamed
 //! for a crash that another part of the same request explains as well, unless the request in question
-//! has that one, too.
+//! has that one, too. A request as a whole explains nothing until it has met two crashes: each of many
+//! requests with the same part was at its own one.
 //!
 //! **Consequence.** Requests with a suspected part are sent one at a time over all nodes, as a trial.
 //! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. A
-//! trial that brings a response ends the suspicion.
+//! trial that brings a response ends the suspicion. A trial that reached an upstream and has no result
+//! counts like a crash from the third one on.
 
 pub mod exchange;
 
@@ -31,6 +36,8 @@
 
 /// Time within which crashes count once.
 const CRASH_SPACING: Duration = Duration::from_millis(100);
+/// Time by which the order of a crash and a later send may be told wrong, for differences of clocks.
+const ORDER_TOLERANCE: Duration = Duration::from_millis(5);
 /// Time within which reports of the same run and parts are the same report. Covers differences of
 /// clocks and the network delay of their exchange.
 const SAME_REPORT_WINDOW: Duration = Duration::from_millis(300);
@@ -51,10 +58,17 @@
 ];
 /// Maximum time between two trials.
 const TRIAL_DELAY_MAX: Duration = Duration::from_secs(1_800);
+/// Number of crashes from which all trials that reached an upstream count.
+const COUNTED_TRIAL_CRASHES: u32 = 3;
+/// Number of crashes from which a request is not tried again: three trials after the third crash.
+const REQUEST_CRASHES_MAX: u32 = 6;
 /// Time after which a trial without a result no longer holds up the next one. Callers wait less for a
 /// first event.
 pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after which a report is dropped.
+/// Time after which a report is dropped of which no part has met two crashes. Most are of requests that
+/// happened to be there and never come again.
+const SINGLE_REPORT_LIFETIME: Duration = Duration::from_secs(600);
+/// Time after which any report is dropped.
 const REPORT_LIFETIME: Duration = Duration::from_secs(7_200);
 /// Maximum number of reports. The oldest are dropped first.
 const REPORTS_MAX: usize = 256;
@@ -70,21 +84,34 @@
 pub struct CrashReport {
     /// Run of the engine.
     pub run: RunKey,
-    /// Shared parts of the request, sorted, without duplicates. At least one, at most
+    /// Key of the request and its shared parts, sorted, without duplicates. At least one, at most
     /// [`REPORT_PARTS_MAX`].
     parts: Vec<PartKey>,
     /// Time of the crash.
     pub at: BootTime,
+    /// Time for which the request had waited, or more if it is not known.
+    waited: Duration,
 }
 
 impl CrashReport {
-    /// Creates the report of a request with the shared `parts`. `None` if it has none.
+    /// Creates the report of a request with `parts`. `None` if there are none.
     #[must_use]
     pub fn new(run: RunKey, mut parts: Vec<PartKey>, at: BootTime) -> Option<Self> {
         parts.sort_unstable();
         parts.dedup();
         parts.truncate(REPORT_PARTS_MAX);
-        (!parts.is_empty()).then_some(Self { run, parts, at })
+        (!parts.is_empty()).then_some(Self { run, parts, at, waited: Duration::MAX })
+    }
+
+    /// Sets the time for which the request had waited at the engine.
+    #[must_use]
+    pub fn with_wait(self, waited: Duration) -> Self {
+        Self { waited, ..self }
+    }
+
+    /// Time at which the request was sent, or earlier.
+    fn sent_at(&self) -> BootTime {
+        self.at - self.waited
     }
 
     /// Shared parts of the request, sorted.
@@ -97,6 +124,11 @@
         self.parts.binary_search(&part).is_ok()
     }
 
+    /// Whether any part is among `parts`, which are sorted.
+    fn has_any(&self, parts: &[PartKey]) -> bool {
+        self.parts.iter().any(|part| parts.binary_search(part).is_ok())
+    }
+
     fn is_same(&self, other: &Self) -> bool {
         let apart = self.at.since(other.at).max(other.at.since(self.at));
         self.run == other.run && self.parts == other.parts && apart < SAME_REPORT_WINDOW
@@ -133,6 +165,12 @@
 }
 
 impl PartSuspicion {
+    /// Whether each trial that reaches an upstream counts, whatever becomes of it.
+    #[must_use]
+    pub fn counts_trials(&self) -> bool {
+        self.crashes >= COUNTED_TRIAL_CRASHES
+    }
+
     /// Whether hardly anything speaks against the part.
     #[must_use]
     pub fn is_thin(&self) -> bool {
@@ -187,8 +225,8 @@
         Some(self.proofs[at].at)
     }
 
-    /// Report of a request with the shared `parts`. Of more than fit, it has those without a response,
-    /// or with the oldest one. `None` if there are none.
+    /// Report of a request with `parts`. Of more than fit, it has those without a response, or with the
+    /// oldest one, and of these the first. `None` if there are none.
     #[must_use]
     pub fn report(
         &self,
@@ -214,8 +252,10 @@
             return false;
         }
         if self.reports.len() >= REPORTS_MAX {
-            let oldest = self.reports.iter().enumerate().min_by_key(|(_, known)| known.at);
-            if let Some((at, _)) = oldest {
+            let repeated = self.repeated_parts();
+            let rank = |known: &CrashReport| (known.has_any(&repeated), known.at);
+            let least = self.reports.iter().enumerate().min_by_key(|(_, known)| rank(known));
+            if let Some((at, _)) = least {
                 self.reports.remove(at);
             }
         }
@@ -223,6 +263,19 @@
         true
     }
 
+    /// Parts of more than one report, sorted.
+    fn repeated_parts(&self) -> Vec<PartKey> {
+        let open = self.reports.iter().flat_map(|report| {
+            report.parts.iter().filter(|part| !self.is_cleared(**part, report.at))
+        });
+        let mut parts: Vec<PartKey> = open.copied().collect();
+        parts.sort_unstable();
+        let mut repeated: Vec<PartKey> =
+            parts.windows(2).filter(|pair| pair[0] == pair[1]).map(|pair| pair[0]).collect();
+        repeated.dedup();
+        repeated
+    }
+
     /// Adds `proof`. Returns whether it clears a part that was reported.
     pub fn add_proof(&mut self, proof: PartProof) -> bool {
         let PartProof { part, at } = proof;
@@ -244,6 +297,7 @@
 
     /// Drops reports that are too old or whose parts are all cleared at `now`.
     pub fn remove_settled(&mut self, now: BootTime) {
+        let repeated = self.repeated_parts();
         let proofs = &self.proofs;
         let proven_at = |part: &PartKey| {
             let at = proofs.binary_search_by_key(part, |proof| proof.part).ok()?;
@@ -251,39 +305,61 @@
         };
         self.reports.retain(|report| {
             let is_open = |part| proven_at(part).is_none_or(|proven_at| proven_at < report.at);
-            now.since(report.at) < REPORT_LIFETIME && report.parts.iter().any(is_open)
+            let lifetime =
+                if report.has_any(&repeated) { REPORT_LIFETIME } else { SINGLE_REPORT_LIFETIME };
+            now.since(report.at) < lifetime && report.parts.iter().any(is_open)
+        });
+        self.remove_old_trials(now);
+    }
+
+    /// Drops trials that hold up no others any more.
+    fn remove_old_trials(&mut self, now: BootTime) {
+        let mut trials = std::mem::take(&mut self.trials);
+        trials.retain(|trial| {
+            let age = now.since(trial.granted_at);
+            let counts = || self.count_crashes(trial.part) >= COUNTED_TRIAL_CRASHES;
+            age < TRIAL_TIMEOUT || age < REPORT_LIFETIME && counts()
         });
-        self.trials.retain(|trial| now.since(trial.granted_at) < TRIAL_TIMEOUT);
+        self.trials = trials;
+    }
+
+    fn count_crashes(&self, part: PartKey) -> u32 {
+        let crashes = self.crash_times(part, |_| true).len();
+        u32::try_from(crashes).unwrap_or(u32::MAX)
     }
 
     /// Times of the crashes reported with `part` since it was last proven sound, for which `counts`
     /// holds, without those shortly after another.
     fn crash_times(&self, part: PartKey, counts: impl Fn(&CrashReport) -> bool) -> Vec<BootTime> {
-        let mut times: Vec<BootTime> = self
+        let mut reports: Vec<&CrashReport> = self
             .reports
             .iter()
             .filter(|report| report.contains(part) && !self.is_cleared(part, report.at))
             .filter(|report| counts(report))
-            .map(|report| report.at)
             .collect();
-        times.sort_unstable();
+        reports.sort_by_key(|report| report.at);
         let mut counted: Vec<BootTime> = Vec::new();
-        for at in times {
-            if counted.last().is_none_or(|last| at.since(*last) >= CRASH_SPACING) {
-                counted.push(at);
+        for report in reports {
+            let counts_after = |last: &BootTime| {
+                report.at.since(*last) >= CRASH_SPACING
+                    || report.sent_at() + ORDER_TOLERANCE >= *last && report.at > *last
+            };
+            if counted.last().is_none_or(counts_after) {
+                counted.push(report.at);
             }
         }
         counted
     }
 
-    /// What is known against a request with the shared `parts`. `None` if it may be sent like any
-    /// other.
+    /// What is known against a request with `parts`: its key and its shared parts, in this order.
+    /// `None` if it may be sent like any other.
     #[must_use]
     pub fn assess(&self, parts: &[PartKey]) -> Option<PartSuspicion> {
         if self.reports.is_empty() {
             return None;
         }
-        let suspicions = parts.iter().filter_map(|part| self.assess_part(*part, parts));
+        // Of equal ones, the last is taken.
+        let suspicions = parts.iter().rev().filter_map(|part| self.assess_part(*part, parts));
         suspicions.max_by_key(|suspicion| (suspicion.crashes, suspicion.trial_at))
     }
 
@@ -300,7 +376,8 @@
             others.sort_unstable();
             others.dedup();
             others.retain(|other| {
-                !parts.contains(other) && self.crash_times(*other, |_| true).len() >= all
+                let least = if other.is_request() { all.max(2) } else { all };
+                !parts.contains(other) && self.crash_times(*other, |_| true).len() >= least
             });
             others
         };
@@ -314,7 +391,7 @@
         if is_proven && crashes < PROVEN_CRASHES {
             return None;
         }
-        let trial_at = last_crash + trial_delay(crashes);
+        let trial_at = last_crash + trial_delay(part, crashes);
         Some(PartSuspicion { part, crashes, last_crash, trial_at })
     }
 
@@ -341,7 +418,7 @@
                 crashes,
                 runs,
                 last_crash,
-                trial_at: last_crash + trial_delay(crashes),
+                trial_at: last_crash + trial_delay(part, crashes),
                 proven_at: self.proven_at(part),
             })
         };
@@ -351,20 +428,26 @@
     }
 
     /// Decides as the keeper of `part` whether a request with it may be sent as a trial at `now`:
-    /// one at a time, and not before the delay after the last crash.
+    /// one at a time, and not before the delay after the last crash or counted trial.
     pub fn grant_trial(&mut self, part: PartKey, now: BootTime) -> bool {
-        self.trials.retain(|trial| now.since(trial.granted_at) < TRIAL_TIMEOUT);
+        self.remove_old_trials(now);
         let times = self.crash_times(part, |_| true);
-        let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
-        if times.last().is_some_and(|last| now < *last + trial_delay(crashes)) {
-            return false;
-        }
+        let last_crash = times.last().copied();
         let has_result = |trial: &PartTrial| {
-            times.last().is_some_and(|last| trial.granted_at <= *last)
+            last_crash.is_some_and(|last| trial.granted_at <= last)
                 || self.is_cleared(part, trial.granted_at)
         };
-        let is_running = |trial: &PartTrial| trial.part == part && !has_result(trial);
-        if self.trials.iter().any(is_running) || self.trials.len() >= TRIALS_MAX {
+        let open: Vec<BootTime> = self
+            .trials
+            .iter()
+            .filter(|trial| trial.part == part && !has_result(trial))
+            .map(|trial| trial.granted_at)
+            .collect();
+        let is_running = open.iter().any(|granted_at| now.since(*granted_at) < TRIAL_TIMEOUT);
+        let events = u32::try_from(times.len() + open.len()).unwrap_or(u32::MAX);
+        let last_event = open.into_iter().chain(last_crash).max();
+        let is_early = last_event.is_some_and(|last| now < last + trial_delay(part, events));
+        if is_running || is_early || self.trials.len() >= TRIALS_MAX {
             return false;
         }
         self.trials.push(PartTrial { part, granted_at: now });
@@ -372,9 +455,11 @@
     }
 
     /// Ends a trial of `part` that has no result: its request did not reach an engine, or got neither a
-    /// response nor a crash.
+    /// response nor a crash while trials are not counted.
     pub fn release_trial(&mut self, part: PartKey) {
-        self.trials.retain(|trial| trial.part != part);
+        if let Some(at) = self.trials.iter().rposition(|trial| trial.part == part) {
+            self.trials.remove(at);
+        }
     }
 
     /// Reports of parts that more than one crash speaks against. They have to outlast a loss of all
@@ -389,8 +474,11 @@
     }
 }
 
-/// Time between the last of `crashes` crashes and the next trial.
-fn trial_delay(crashes: u32) -> Duration {
+/// Time between the last of `crashes` crashes under `part` and the next trial.
+fn trial_delay(part: PartKey, crashes: u32) -> Duration {
+    if part.is_request() && crashes >= REQUEST_CRASHES_MAX {
+        return REPORT_LIFETIME;
+    }
     let at = usize::try_from(crashes).unwrap_or(usize::MAX).saturating_sub(1);
     if let Some(delay) = TRIAL_DELAYS.get(at) {
         return *delay;
--- a/samphiredeck_core/src/forward/suspect_parts/exchange.rs
+++ b/samphiredeck_core/src/forward/suspect_parts/exchange.rs
@@ -20,10 +20,12 @@
 pub struct SharedReport {
     /// Run of the engine.
     pub run: RunKey,
-    /// Shared parts of the request.
+    /// Key of the request and its shared parts.
     pub parts: Vec<PartKey>,
     /// Milliseconds since the crash.
     pub age_ms: u64,
+    /// Milliseconds for which the request had waited at the engine.
+    pub waited_ms: u64,
 }
 
 /// Proof as sent to other nodes.
@@ -111,6 +113,7 @@
             run: report.run,
             parts: report.parts.clone(),
             age_ms: age_ms(report.at, now),
+            waited_ms: u64::try_from(report.waited.as_millis()).unwrap_or(u64::MAX),
         };
         let proofs = report.parts.iter().filter_map(|part| {
             let at = self.proven_at(*part).filter(|at| report.at <= *at)?;
@@ -132,6 +135,7 @@
         for shared in update.reports {
             let at = time_of(shared.age_ms);
             let Some(report) = CrashReport::new(shared.run, shared.parts, at) else { continue };
+            let report = report.with_wait(Duration::from_millis(shared.waited_ms));
             if now.since(at) >= REPORT_LIFETIME {
                 continue;
             }
