Let limits that bind no node leave placement alone

An upstream with any limit lost the prompts that are at home there and cost 300 ms more, even with one far above its usual load.

--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -11,8 +11,8 @@
 //! An engine processes a very long prompt in steps that stall all streams next to it. Such prompts
 //! go to a few dedicated upstreams, the same ones on every node, which other requests avoid.
 //!
-//! An upstream that names a limit takes a request only if this node has a permit, and no part of a
-//! prompt is at home there: most requests for it could not follow.
+//! An upstream that names a limit takes a request only if this node has a permit. Nothing is at home at
+//! one with a low limit, since most requests could not follow.
 //!
 //! Times follow from the measured speed of the pool.
 
@@ -40,8 +40,8 @@
 /// Cost of an upstream that is missing from the list after a read gap, in milliseconds. Exceeds
 /// that of any other upstream that can serve at all.
 const MISSING_COST_MS: f64 = 5_000.0;
-/// Cost of an upstream with a limit while it is known that the limit applies, in milliseconds. Others
-/// take the work unless they are slower by this much.
+/// Cost of an upstream with a low limit while it is known that the limit applies, in milliseconds.
+/// Others take the work unless they are slower by this much.
 const LIMITED_COST_MS: f64 = 300.0;
 /// Time after the last statement about a limit from which it is not known whether it still applies.
 /// Only a response tells.
@@ -126,6 +126,18 @@
             && self.only.is_none_or(|only| row.entry.id == *only)
     }
 
+    /// Whether the upstream of `row` has a limit so low that few requests of this node fit in.
+    fn is_tight(&self, row: &TrackedUpstream) -> bool {
+        row.limit().is_some_and(|limit| limit.is_tight(self.nodes))
+    }
+
+    /// Whether others should rather take the request, since such a limit applied not long ago.
+    fn avoids(&self, row: &TrackedUpstream, now: BootTime) -> bool {
+        let is_recent =
+            |limit: &UpstreamLimit| now.since(limit.statement().read_at) < LIMIT_RECHECK_AFTER;
+        self.is_tight(row) && row.limit().is_some_and(is_recent)
+    }
+
     /// Number of tokens of all parts.
     #[must_use]
     pub fn tokens(&self) -> u64 {
@@ -225,7 +237,7 @@
         if row.is_missing() {
             cost += MISSING_COST_MS;
         }
-        if is_limit_fresh(row, now) {
+        if request.avoids(row, now) {
             cost += LIMITED_COST_MS;
         }
         if row.entry.domain != *own_domain {
@@ -299,27 +311,19 @@
     forecast
 }
 
-/// Whether a limit of the upstream applied when it was last heard of, which was not long ago.
-fn is_limit_fresh(row: &TrackedUpstream, now: BootTime) -> bool {
-    let statement = row.limit().map(UpstreamLimit::statement);
-    statement.is_some_and(|statement| {
-        statement.rate.is_some() && now.since(statement.read_at) < LIMIT_RECHECK_AFTER
-    })
-}
-
 /// Rendezvous weight of `id` for `key`, the same on every node.
 fn rendezvous(key: &str, id: &UpstreamId) -> u64 {
     xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(id.as_str().as_bytes(), 0))
 }
 
-/// Upstreams of the pool that accept any number of new requests.
+/// Upstreams of the pool that accept new requests, without those that have a low limit.
 fn accepting<'a>(
     registry: &'a UpstreamRegistry,
     request: &PlacementRequest<'_>,
     now: BootTime,
 ) -> impl Iterator<Item = &'a UpstreamId> {
     let rows = registry.rows().iter();
-    let rows = rows.filter(move |row| row.is_accepting(now) && !row.is_limited());
+    let rows = rows.filter(move |row| row.is_accepting(now) && !request.is_tight(row));
     rows.filter(|row| row.entry.pool == *request.pool).map(|row| &row.entry.id)
 }
 
--- a/samphiredeck_core/src/forward/upstream_limit.rs
+++ b/samphiredeck_core/src/forward/upstream_limit.rs
@@ -205,7 +205,7 @@
 
     fn division(&self, nodes: u32) -> Option<LimitDivision> {
         let rate = self.effective_rate()?;
-        let share = rate / f64::from(nodes);
+        let share = rate / f64::from(nodes.max(1));
         let by_shares = share >= SHARE_MIN;
         Some(if by_shares {
             LimitDivision::Shares { rate: share }
@@ -214,6 +214,12 @@
         })
     }
 
+    /// Whether a limit applies that leaves each of `nodes` nodes less than a request per second.
+    #[must_use]
+    pub fn is_tight(&self, nodes: u32) -> bool {
+        matches!(self.division(nodes), Some(LimitDivision::Turns { .. }))
+    }
+
     /// Requests per second that a node with `turn` may send.
     #[must_use]
     pub fn node_rate(&self, turn: NodeTurn) -> Option<f64> {
