Name the suspects after what they are: requests and prompt parts

suspect_parts becomes suspects (core) and suspect_checks (node); PartKey, PartProof, PartEvidence, PartTrial become SuspectKey, SuspectProof, SuspectEvidence, SuspectTrial, PartSuspicion becomes KeySuspicion. Names outside the process (log fields, metrics, paths) are unchanged. No change of behaviour.

--- a/samphirectl/src/suspects.rs
+++ b/samphirectl/src/suspects.rs
@@ -1,7 +1,7 @@
 //! Suspected prompt parts of forwarding nodes, at their metrics addresses.
 
 use eyre::eyre;
-use samphiredeck_core::ids::PartKey;
+use samphiredeck_core::ids::SuspectKey;
 
 use crate::{
     cli::SuspectsArgs,
@@ -33,7 +33,7 @@
     let first = nodes[0];
     let client = new_client();
     if let Some(release) = &args.release {
-        let part: PartKey = release.parse().map_err(|error| eyre!("release: {error}"))?;
+        let part: SuspectKey = release.parse().map_err(|error| eyre!("release: {error}"))?;
         let released = call(client.post(format!("http://{first}/suspects/release/{part}"))).await;
         match released {
             Ok(body) => println!("{body}"),
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -28,7 +28,7 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{RequestProgress, deadline_error, unanswered_error},
     stream_versions::record_origin,
-    suspect_parts::{barring_reason, check_parts, handle_closed, record_proof},
+    suspect_checks::{barring_reason, check_suspects, handle_closed, record_proof},
     upstream_choice::{PlaceDecision, can_go_elsewhere, place, pool_retry_delay},
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
@@ -77,7 +77,7 @@
                 time_left,
             ));
         }
-        check_parts(admitted, progress, trace).await?;
+        check_suspects(admitted, progress, trace).await?;
         let now = clock::now();
         let time_left = admitted.deadline.since(now);
         let placement = match place(admitted, progress, trace, now, time_left)? {
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -47,7 +47,7 @@
     pub connections: ConnectionPool,
     /// Socket for datagrams to other nodes. `None` until the peer secret is known.
     pub peer_socket: RefCell<Option<Rc<PeerSocket>>>,
-    /// What other nodes are to be told about suspected prompt parts.
+    /// What other nodes are to be told about suspects.
     pub suspect_outbox: SuspectOutbox,
     /// Limits of upstreams that other nodes are to be told of.
     pub limit_outbox: LimitOutbox,
--- a/samphiredeck/src/forward/operator.rs
+++ b/samphiredeck/src/forward/operator.rs
@@ -4,13 +4,13 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use samphiredeck_core::{
-    forward::{suspect_parts::PartEvidence, upstreams::TrackedUpstream},
-    ids::PartKey,
+    forward::{suspects::SuspectEvidence, upstreams::TrackedUpstream},
+    ids::SuspectKey,
     units::RequestRate,
 };
 use serde_json::{Value, json};
 
-use crate::forward::{clock, node::ForwardNode, suspect_parts::release_part};
+use crate::forward::{clock, node::ForwardNode, suspect_checks::release_suspect};
 
 /// Path at which the suspected parts are listed.
 const SUSPECTS_PATH: &str = "/suspects";
@@ -40,10 +40,10 @@
 
 fn list_suspects(node: &ForwardNode) -> Value {
     let now = clock::now();
-    let encode = |evidence: &PartEvidence| {
+    let encode = |evidence: &SuspectEvidence| {
         let runs: Vec<String> = evidence.runs.iter().map(ToString::to_string).collect();
         json!({
-            "part": evidence.part.to_string(), "crashes": evidence.crashes, "engine_runs": runs,
+            "part": evidence.key.to_string(), "crashes": evidence.crashes, "engine_runs": runs,
             "last_crash_ms": now.since(evidence.last_crash).as_millis(),
             "trial_in_ms": evidence.trial_at.since(now).as_millis(),
             "response_ms": evidence.proven_at.map(|at| now.since(at).as_millis()),
@@ -78,9 +78,9 @@
         let error = "release: only POST changes anything";
         return (StatusCode::METHOD_NOT_ALLOWED, json!({ "error": error }));
     }
-    match key.parse::<PartKey>() {
+    match key.parse::<SuspectKey>() {
         Ok(part) => {
-            let released = release_part(node, part);
+            let released = release_suspect(node, part);
             (StatusCode::OK, json!({ "part": part.to_string(), "released": released }))
         }
         Err(error) => (StatusCode::BAD_REQUEST, json!({ "error": format!("part: {error}") })),
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -9,9 +9,9 @@
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
         stream_origins::{OriginSource, StreamOrigin},
-        suspect_parts::exchange::SuspectUpdate,
+        suspects::exchange::SuspectUpdate,
     },
-    ids::{AttemptKey, NodeName, PartKey, PoolName, RowVersion, WorkspaceName},
+    ids::{AttemptKey, NodeName, PoolName, RowVersion, SuspectKey, WorkspaceName},
 };
 use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
@@ -35,7 +35,7 @@
 const PEERS_PROBED: usize = 3;
 /// Response timeout of a query for the origin of a stream, for which a caller waits.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(80);
-/// Response timeout of a query for the trial of a prompt part, for which a caller waits.
+/// Response timeout of a query for the trial of a suspect, for which a caller waits.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(80);
 /// Response timeout of a status query. Covers slow nodes, since no request waits for it.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -244,7 +244,7 @@
     }
 }
 
-/// Tells the node at `address` about suspected prompt parts.
+/// Tells the node at `address` about suspects.
 pub async fn send_suspects(
     node: &ForwardNode,
     socket: &PeerSocket,
@@ -254,15 +254,15 @@
     send(node, socket, peer, address, &ForwardDatagram::AnnounceSuspects { update }).await;
 }
 
-/// Asks the keeper at `address` for a trial of `part`. Returns `None` if it does not respond.
+/// Asks the keeper at `address` for a trial of `key`. Returns `None` if it does not respond.
 pub async fn query_trial(
     node: &ForwardNode,
     socket: &PeerSocket,
     (keeper, address): (&NodeName, SocketAddr),
-    part: PartKey,
+    key: SuspectKey,
 ) -> Option<bool> {
     let id = socket.next_id();
-    let datagram = ForwardDatagram::AcquireTrial { query_id: id, part };
+    let datagram = ForwardDatagram::AcquireTrial { query_id: id, key };
     match query(node, socket, (keeper, address), (id, &datagram), TRIAL_TIMEOUT).await {
         Some(ForwardDatagram::TrialDecision { granted, .. }) => Some(granted),
         _ => None,
@@ -387,15 +387,15 @@
         ForwardDatagram::QuerySuspects { digest } => {
             answer_comparison(node, socket, (&sender, from), digest).await;
         }
-        ForwardDatagram::AcquireTrial { query_id: id, part } => {
-            let granted = node.state().suspects.grant_trial(part, clock::now());
+        ForwardDatagram::AcquireTrial { query_id: id, key } => {
+            let granted = node.state().suspects.grant_trial(key, clock::now());
             let reply = ForwardDatagram::TrialDecision { query_id: id, granted };
             send(node, socket, &sender, from, &reply).await;
         }
         ForwardDatagram::Limits(message) => {
             handle_limit_message(node, socket, (&sender, from), message).await;
         }
-        ForwardDatagram::ReleaseTrial { part } => node.state().suspects.release_trial(part),
+        ForwardDatagram::ReleaseTrial { key } => node.state().suspects.release_trial(key),
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             node.state().quota_owner.refund(&workspace, units);
         }
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -22,7 +22,7 @@
     request::{AdmittedRequest, RequestTrace},
     request_progress::RequestProgress,
     response_body::StreamSender,
-    suspect_parts::{handle_closed, record_proof},
+    suspect_checks::{handle_closed, record_proof},
     upstream_response::{StreamingResponse, UpstreamResponse, UpstreamStream},
 };
 
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -12,7 +12,7 @@
         deadline::retry_after,
         placement::PromptPart,
     },
-    ids::{PartKey, PoolName, WorkspaceName},
+    ids::{PoolName, SuspectKey, WorkspaceName},
 };
 use samphiredeck_platform::headers::RequestMetadata;
 use serde_json::json;
@@ -157,7 +157,7 @@
     /// Workspace, unless the route is public.
     pub workspace: Option<WorkspaceName>,
     /// Key of the whole request. Attempts with the same target, workspace and body have the same.
-    pub key: PartKey,
+    pub key: SuspectKey,
     /// Priority, 0 is the highest.
     pub priority: u8,
     /// Time by which the response must be complete.
@@ -185,9 +185,9 @@
 
     /// Keys of what may crash upstreams: of the request, and of its shared prompt parts if an engine
     /// computes the prompt.
-    pub fn suspect_keys(&self) -> Vec<PartKey> {
+    pub fn suspect_keys(&self) -> Vec<SuspectKey> {
         let parts = if self.engine { self.shared_parts() } else { &[] };
-        let parts = parts.iter().map(|part| PartKey::of(&part.id));
+        let parts = parts.iter().map(|part| SuspectKey::of_part(&part.id));
         std::iter::once(self.key).chain(parts).collect()
     }
 
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -13,7 +13,7 @@
     limit_queue::QueueTicket,
     quota::QuotaReservation,
     request::{ErrorResponse, retry_delay},
-    suspect_parts::TrialLease,
+    suspect_checks::TrialLease,
 };
 
 /// State of a request over all its attempts.
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -12,7 +12,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::catalog::{ForwardCatalog, RouteRow, WorkspaceRow},
-    ids::{KeyHash, PartKey, WorkspaceName},
+    ids::{KeyHash, SuspectKey, WorkspaceName},
 };
 use samphiredeck_platform::headers::{
     RequestMetadata, decode_request_headers, encode_refusal_headers,
@@ -115,7 +115,7 @@
     let workspace_name = workspace.map(|row| row.name.clone());
     let caller = workspace_name.as_ref().map_or("", WorkspaceName::as_str);
     let target = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    let key = PartKey::of_request(&[parts.method.as_str(), &name, target, caller], &body);
+    let key = SuspectKey::of_request(&[parts.method.as_str(), &name, target, caller], &body);
     let admitted = AdmittedRequest {
         key,
         method: parts.method,
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -21,7 +21,7 @@
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
-        suspect_parts::{CrashReport, SuspectTable},
+        suspects::{CrashReport, SuspectTable},
         upstream_limit::NodeTurn,
         upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstreams::UpstreamRegistry,
@@ -76,7 +76,7 @@
     pub limit_queue: LimitQueue,
     /// Where streams began that may be resumed.
     pub origins: OriginTable,
-    /// Prompt parts that may crash engines.
+    /// Requests and prompt parts that may crash upstreams.
     pub suspects: SuspectTable,
     /// Reports of crashes in this node's row in the store. `None` if it is not known what the row
     /// holds.
@@ -263,7 +263,7 @@
         self.suspects.lasting_reports().into_iter().cloned().collect()
     }
 
-    /// Whether the suspected prompt parts in this node's row in the store are out of date.
+    /// Whether the suspects in this node's row in the store are out of date.
     pub fn has_unpublished_suspects(&self, now: BootTime) -> bool {
         self.published_suspects.as_ref() != Some(&self.reports_to_publish(now))
     }
--- a/samphiredeck/src/forward/suspect_parts.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -5,8 +5,8 @@
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::suspect_parts::{PartProof, PartSuspicion, TRIAL_TIMEOUT, find_keeper},
-    ids::{NodeName, PartKey, RunKey},
+    forward::suspects::{KeySuspicion, SuspectProof, TRIAL_TIMEOUT, find_keeper},
+    ids::{NodeName, RunKey, SuspectKey},
     verdict::RunVerdict,
 };
 use serde_json::json;
@@ -28,20 +28,20 @@
 const REQUEST_REASON: &str = "the request crashes the upstreams";
 /// Time within which a crashed engine refuses a new connection. Covers a lost packet.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum time for which a request waits for the trial of one of its parts, while hardly anything
-/// speaks against the part.
+/// Maximum time for which a request waits for the trial of one of its keys, while hardly anything
+/// speaks against it.
 const TRIAL_WAIT_MAX: Duration = Duration::from_millis(400);
 /// Interval at which it asks.
 const TRIAL_POLL_PERIOD: Duration = Duration::from_millis(50);
-/// Minimum retry delay of a caller whose request has a suspected part. A trial takes about as long.
+/// Minimum retry delay of a caller whose request is suspected. A trial takes about as long.
 const REFUSED_DELAY_MIN: Duration = Duration::from_secs(1);
 
-/// Trial of a suspected part, granted to one request. If dropped without a result, the next one may
+/// Trial of a suspect, granted to one request. If dropped without a result, the next one may
 /// begin.
 #[derive(Debug)]
 pub struct TrialLease {
     node: Rc<ForwardNode>,
-    part: PartKey,
+    key: SuspectKey,
     /// Node that granted it, unless it is this one.
     keeper: Option<(NodeName, SocketAddr)>,
     granted_at: BootTime,
@@ -53,8 +53,8 @@
 
 impl TrialLease {
     /// Whether it still covers a send of its request.
-    fn covers(&self, part: PartKey, now: BootTime) -> bool {
-        self.part == part && now.since(self.granted_at) < TRIAL_TIMEOUT
+    fn covers(&self, key: SuspectKey, now: BootTime) -> bool {
+        self.key == key && now.since(self.granted_at) < TRIAL_TIMEOUT
     }
 
     /// Records that the request is sent.
@@ -72,9 +72,9 @@
         match &self.keeper {
             _ if self.has_result => {}
             Some((keeper, address)) => {
-                self.node.suspect_outbox.add_release(keeper.clone(), *address, self.part);
+                self.node.suspect_outbox.add_release(keeper.clone(), *address, self.key);
             }
-            None => self.node.state().suspects.release_trial(self.part),
+            None => self.node.state().suspects.release_trial(self.key),
         }
     }
 }
@@ -134,7 +134,7 @@
     }
 }
 
-/// Records that a response to the request has proven its parts sound.
+/// Records that a response to the request has proven it and its parts sound.
 pub fn record_proof(
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
@@ -147,34 +147,34 @@
         trial.settle();
     }
     let at = clock::now();
-    for part in admitted.suspect_keys() {
-        let proof = PartProof { part, at };
+    for key in admitted.suspect_keys() {
+        let proof = SuspectProof { key, at };
         if node.state().suspects.add_proof(proof) {
             let fields =
-                json!({ "part": part.to_string(), "request": admitted.metadata.attempt_id });
+                json!({ "part": key.to_string(), "request": admitted.metadata.attempt_id });
             node.log.record("part-cleared", fields);
             node.suspect_outbox.add_proof(proof);
         }
     }
 }
 
-/// Releases `part` on behalf of an operator, on all nodes. Returns whether it was suspected here.
-pub fn release_part(node: &ForwardNode, part: PartKey) -> bool {
-    let proof = PartProof { part, at: clock::now() };
+/// Releases `key` on behalf of an operator, on all nodes. Returns whether it was suspected here.
+pub fn release_suspect(node: &ForwardNode, key: SuspectKey) -> bool {
+    let proof = SuspectProof { key, at: clock::now() };
     let released = node.state().suspects.add_proof(proof);
-    node.log.record("part-released", json!({ "part": part.to_string(), "suspected": released }));
+    node.log.record("part-released", json!({ "part": key.to_string(), "suspected": released }));
     // Other nodes may suspect it even if this one does not.
     node.suspect_outbox.add_proof(proof);
     released
 }
 
-/// Checks before a send whether the prompt parts of the request permit it. Waits for a trial that
-/// another request has begun, as long as little speaks against the part.
+/// Checks before a send whether what is known of the request and its parts permits it. Waits for a trial that
+/// another request has begun, as long as little speaks against it.
 ///
 /// # Errors
 ///
 /// Returns the error response if the request must not be sent.
-pub async fn check_parts(
+pub async fn check_suspects(
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
     trace: &RequestTrace,
@@ -188,7 +188,7 @@
         let may_try = suspicion.permits_trial_of(progress.crashes_met);
         if may_try && suspicion.trial_at <= now {
             let held = progress.trial.as_ref();
-            if held.is_some_and(|trial| trial.covers(suspicion.part, now)) {
+            if held.is_some_and(|trial| trial.covers(suspicion.key, now)) {
                 return Ok(());
             }
             if let Some(trial) = acquire_trial(node, &suspicion).await {
@@ -207,17 +207,17 @@
     }
 }
 
-/// Why a request that was admitted by [`check_parts`] must not be sent any more.
+/// Why a request that was admitted by [`check_suspects`] must not be sent any more.
 pub fn barring_reason(admitted: &AdmittedRequest, node: &ForwardNode) -> Option<&'static str> {
     let suspicion = node.state().suspects.assess(&admitted.suspect_keys())?;
     (clock::now() < suspicion.trial_at).then_some(refusal_reason(&suspicion))
 }
 
-fn refusal_reason(suspicion: &PartSuspicion) -> &'static str {
-    if suspicion.part.is_request() { REQUEST_REASON } else { PART_REASON }
+fn refusal_reason(suspicion: &KeySuspicion) -> &'static str {
+    if suspicion.key.is_request() { REQUEST_REASON } else { PART_REASON }
 }
 
-fn refuse(progress: &RequestProgress, suspicion: &PartSuspicion, now: BootTime) -> ErrorResponse {
+fn refuse(progress: &RequestProgress, suspicion: &KeySuspicion, now: BootTime) -> ErrorResponse {
     let reason = refusal_reason(suspicion);
     if progress.verdict == RunVerdict::NotRun {
         let wait = suspicion.trial_at.since(now).max(REFUSED_DELAY_MIN);
@@ -230,25 +230,25 @@
     admitted: &AdmittedRequest,
     trace: &RequestTrace,
     kind: &'static str,
-    suspicion: &PartSuspicion,
+    suspicion: &KeySuspicion,
 ) {
     let now = clock::now();
-    let blamed = |part: &&str| PartKey::of(part) == suspicion.part;
+    let blamed = |key: &&str| SuspectKey::of_part(key) == suspicion.key;
     let fields = json!({
         "request": trace.attempt_id, "part": admitted.shared_part_ids().iter().find(|part| blamed(part)),
-        "key": suspicion.part.to_string(), "crashes": suspicion.crashes,
+        "key": suspicion.key.to_string(), "crashes": suspicion.crashes,
         "last_crash_ms": now.since(suspicion.last_crash).as_millis(),
         "trial_in_ms": suspicion.trial_at.since(now).as_millis(),
     });
     trace.node.log.record(kind, fields);
 }
 
-/// Asks the keeper of the suspected part for a trial.
-async fn acquire_trial(node: &Rc<ForwardNode>, suspicion: &PartSuspicion) -> Option<TrialLease> {
-    let part = suspicion.part;
+/// Asks the keeper of the suspect for a trial.
+async fn acquire_trial(node: &Rc<ForwardNode>, suspicion: &KeySuspicion) -> Option<TrialLease> {
+    let key = suspicion.key;
     let grant = |keeper| TrialLease {
         node: Rc::clone(node),
-        part,
+        key,
         keeper,
         granted_at: clock::now(),
         counts_when_sent: suspicion.counts_trials(),
@@ -257,21 +257,21 @@
     let socket = node.peer_socket.borrow().clone();
     let keeper = {
         let state = node.state();
-        let found = find_keeper(part, state.members.list().entries());
+        let found = find_keeper(key, state.members.list().entries());
         found.map(|entry| (entry.node.clone(), entry.peer))
     };
     let own_name = node.settings().name.clone();
     let remote = keeper.filter(|(name, _)| *name != own_name);
     if let (Some(socket), Some((keeper, address))) = (socket, remote) {
-        let decision = query_trial(node, &socket, (&keeper, address), part).await;
+        let decision = query_trial(node, &socket, (&keeper, address), key).await;
         if let Some(granted) = decision {
             return granted.then(|| grant(Some((keeper, address))));
         }
-        // Without its keeper, a part is tried while little speaks against it.
+        // Without its keeper, a suspect is tried while little speaks against it.
         if !suspicion.is_thin() {
             return None;
         }
     }
-    let granted = node.state().suspects.grant_trial(part, clock::now());
+    let granted = node.state().suspects.grant_trial(key, clock::now());
     granted.then(|| grant(None))
 }
--- a/samphiredeck/src/forward/suspect_exchange.rs
+++ b/samphiredeck/src/forward/suspect_exchange.rs
@@ -1,14 +1,14 @@
-//! Tells other nodes which prompt parts are suspected, and applies what they tell.
+//! Tells other nodes which requests and prompt parts are suspected, and applies what they tell.
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::seq::IndexedRandom;
 use samphiredeck_core::{
-    forward::suspect_parts::{
-        CrashReport, PartProof,
+    forward::suspects::{
+        CrashReport, SuspectProof,
         exchange::{AppliedUpdate, SuspectUpdate},
     },
-    ids::{NodeName, PartKey},
+    ids::{NodeName, SuspectKey},
 };
 use samphiredeck_wire::forward::ForwardDatagram;
 use serde_json::json;
@@ -35,18 +35,18 @@
 const START_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum size of the reports and proofs in a datagram, in bytes.
 const UPDATE_BYTES_MAX: usize = 1_000;
-/// Size of a report without its parts, and of a part or a proof, in bytes at most.
+/// Size of a report without its keys, and of a key or a proof, in bytes at most.
 const REPORT_BYTES: usize = 34;
-const PART_BYTES: usize = 10;
+const KEY_BYTES: usize = 10;
 const PROOF_BYTES: usize = 20;
 
 /// Reports and proofs that other nodes are to be told.
 #[derive(Debug, Default)]
 pub struct SuspectOutbox {
     reports: RefCell<Vec<CrashReport>>,
-    proofs: RefCell<Vec<PartProof>>,
+    proofs: RefCell<Vec<SuspectProof>>,
     /// Trials without a result, with their keepers.
-    releases: RefCell<Vec<(NodeName, SocketAddr, PartKey)>>,
+    releases: RefCell<Vec<(NodeName, SocketAddr, SuspectKey)>>,
     changed: Notify,
 }
 
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Adds a proof that clears a part.
-    pub fn add_proof(&self, proof: PartProof) {
+    /// Adds a proof that clears a request or part.
+    pub fn add_proof(&self, proof: SuspectProof) {
         let mut proofs = self.proofs.borrow_mut();
         if proofs.len() < OUTBOX_MAX {
             proofs.push(proof);
@@ -76,8 +76,8 @@
     }
 
     /// Adds the release of a trial that `keeper` granted.
-    pub fn add_release(&self, keeper: NodeName, address: SocketAddr, part: PartKey) {
-        self.releases.borrow_mut().push((keeper, address, part));
+    pub fn add_release(&self, keeper: NodeName, address: SocketAddr, key: SuspectKey) {
+        self.releases.borrow_mut().push((keeper, address, key));
         self.changed.notify_one();
     }
 }
@@ -91,8 +91,8 @@
         let releases = node.suspect_outbox.releases.take();
         let socket = node.peer_socket.borrow().clone();
         if let Some(socket) = socket {
-            for (keeper, address, part) in releases {
-                let datagram = ForwardDatagram::ReleaseTrial { part };
+            for (keeper, address, key) in releases {
+                let datagram = ForwardDatagram::ReleaseTrial { key };
                 send(&node, &socket, &keeper, address, &datagram).await;
             }
             let peers = choose_peers(&node, PEERS_TOLD);
@@ -131,11 +131,11 @@
     peers.len()
 }
 
-/// Encodes `reports`, with the proofs of their parts, and `proofs`, in as many updates as needed.
+/// Encodes `reports`, with the proofs of their keys, and `proofs`, in as many updates as needed.
 fn encode_updates(
     node: &ForwardNode,
     reports: &[CrashReport],
-    proofs: &[PartProof],
+    proofs: &[SuspectProof],
 ) -> Vec<SuspectUpdate> {
     let now = clock::now();
     let state = node.state();
@@ -151,7 +151,7 @@
     };
     for report in reports {
         let (shared, proven) = state.suspects.share(report, now);
-        let bytes = REPORT_BYTES + PART_BYTES * shared.parts.len() + PROOF_BYTES * proven.len();
+        let bytes = REPORT_BYTES + KEY_BYTES * shared.keys.len() + PROOF_BYTES * proven.len();
         let at = reserve(&mut updates, bytes);
         updates[at].reports.push(shared);
         updates[at].proofs.extend(proven);
--- a/samphiredeck/src/forward/suspect_rows.rs
+++ b/samphiredeck/src/forward/suspect_rows.rs
@@ -1,8 +1,8 @@
-//! Rows of suspected prompt parts in the platform's store.
+//! Rows of suspects in the platform's store.
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::suspect_parts::exchange::{PublishedSuspects, SuspectUpdate},
+    forward::suspects::exchange::{PublishedSuspects, SuspectUpdate},
 };
 use samphiredeck_platform::store::StoreKey;
 use samphiredeck_wire::record::{encode_record, suspects_key};
@@ -10,7 +10,7 @@
 
 use crate::forward::{clock, node::ForwardNode, shared_rows::shared_key, state::ForwardState};
 
-/// Adds the suspected prompt parts that another node, or an earlier run, has published.
+/// Adds the suspects that another node, or an earlier run, has published.
 pub fn merge_suspects(
     node: &ForwardNode,
     state: &mut ForwardState,
@@ -30,7 +30,7 @@
     node.suspect_outbox.add(applied);
 }
 
-/// Row with the suspected prompt parts, or its removal, if it has to change.
+/// Row with the suspects, or its removal, if it has to change.
 pub fn encode_suspects(node: &ForwardNode) -> Option<(StoreKey, Option<Vec<u8>>)> {
     let mut state = node.state();
     let now = clock::now();
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -24,7 +24,7 @@
 pub mod retry_budget;
 pub mod store_readers;
 pub mod stream_origins;
-pub mod suspect_parts;
+pub mod suspects;
 pub mod upstream_limit;
 pub mod upstream_list;
 pub mod upstream_state;
--- a/samphiredeck_core/src/forward/suspect_parts/exchange.rs
+++ b/samphiredeck_core/src/forward/suspects/exchange.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other of suspected prompt parts, directly and through the platform's store.
+//! What nodes tell each other of suspects, directly and through the platform's store.
 //!
 //! Reports and proofs are only ever added, so nodes that exchange them come to the same view in
 //! whatever order they arrive. Times are sent as ages, since the clocks of nodes have different
@@ -9,10 +9,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{CrashReport, PartProof, REPORT_LIFETIME, SuspectTable};
+use super::{CrashReport, REPORT_LIFETIME, SuspectProof, SuspectTable};
 use crate::{
     boot_time::BootTime,
-    ids::{PartKey, RunKey},
+    ids::{RunKey, SuspectKey},
 };
 
 /// Report as sent to other nodes, whose clocks have other origins.
@@ -20,8 +20,8 @@
 pub struct SharedReport {
     /// Run of the engine.
     pub run: RunKey,
-    /// Key of the request and its shared parts.
-    pub parts: Vec<PartKey>,
+    /// Keys of the request and its shared parts.
+    pub keys: Vec<SuspectKey>,
     /// Milliseconds since the crash.
     pub age_ms: u64,
     /// Milliseconds for which the request had waited at the engine.
@@ -32,17 +32,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedProof {
     /// Part that is sound.
-    pub part: PartKey,
+    pub key: SuspectKey,
     /// Milliseconds since the response.
     pub age_ms: u64,
 }
 
-/// What one node tells another about suspected parts.
+/// What one node tells another about suspects.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectUpdate {
     /// Reports of crashes.
     pub reports: Vec<SharedReport>,
-    /// Proofs of parts that were reported.
+    /// Proofs of suspects that were reported.
     pub proofs: Vec<SharedProof>,
 }
 
@@ -54,7 +54,7 @@
     }
 }
 
-/// Suspected parts as kept in the platform's store, for nodes that start after a loss of all nodes.
+/// Suspects as kept in the platform's store, for nodes that start after a loss of all nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedSuspects {
     /// Time on the store's clock, in milliseconds, to which the ages in `update` refer.
@@ -78,11 +78,11 @@
     }
 }
 
-impl PartProof {
+impl SuspectProof {
     /// The proof as sent to other nodes at `now`.
     #[must_use]
     pub fn share(&self, now: BootTime) -> SharedProof {
-        SharedProof { part: self.part, age_ms: age_ms(self.at, now) }
+        SharedProof { key: self.key, age_ms: age_ms(self.at, now) }
     }
 }
 
@@ -94,10 +94,10 @@
         for report in &self.reports {
             let mut hash = xxh3_64_with_seed(&report.run.to_bytes(), 0);
             let mut is_open = false;
-            for part in &report.parts {
-                let cleared = self.is_cleared(*part, report.at);
+            for key in &report.keys {
+                let cleared = self.is_cleared(*key, report.at);
                 is_open |= !cleared;
-                hash = xxh3_64_with_seed(&part.to_bytes(), hash ^ u64::from(cleared));
+                hash = xxh3_64_with_seed(&key.to_bytes(), hash ^ u64::from(cleared));
             }
             if is_open {
                 digest = digest.wrapping_add(hash);
@@ -106,18 +106,18 @@
         digest
     }
 
-    /// Report and the proofs of its parts, as sent to other nodes at `now`.
+    /// Report and the proofs of its keys, as sent to other nodes at `now`.
     #[must_use]
     pub fn share(&self, report: &CrashReport, now: BootTime) -> (SharedReport, Vec<SharedProof>) {
         let shared = SharedReport {
             run: report.run,
-            parts: report.parts.clone(),
+            keys: report.keys.clone(),
             age_ms: age_ms(report.at, now),
             waited_ms: u64::try_from(report.waited.as_millis()).unwrap_or(u64::MAX),
         };
-        let proofs = report.parts.iter().filter_map(|part| {
-            let at = self.proven_at(*part).filter(|at| report.at <= *at)?;
-            Some(PartProof { part: *part, at }.share(now))
+        let proofs = report.keys.iter().filter_map(|key| {
+            let at = self.proven_at(*key).filter(|at| report.at <= *at)?;
+            Some(SuspectProof { key: *key, at }.share(now))
         });
         (shared, proofs.collect())
     }
@@ -127,24 +127,24 @@
     pub fn apply_update(&mut self, update: SuspectUpdate, now: BootTime) -> AppliedUpdate {
         let mut applied = AppliedUpdate::default();
         let time_of = |age_ms| now - Duration::from_millis(age_ms);
-        let told: Vec<PartProof> = update
+        let told: Vec<SuspectProof> = update
             .proofs
             .iter()
-            .map(|proof| PartProof { part: proof.part, at: time_of(proof.age_ms) })
+            .map(|proof| SuspectProof { key: proof.key, at: time_of(proof.age_ms) })
             .collect();
         for shared in update.reports {
             let at = time_of(shared.age_ms);
-            let Some(report) = CrashReport::new(shared.run, shared.parts, at) else { continue };
+            let Some(report) = CrashReport::new(shared.run, shared.keys, at) else { continue };
             let report = report.with_wait(Duration::from_millis(shared.waited_ms));
             if now.since(at) >= REPORT_LIFETIME {
                 continue;
             }
-            for part in &report.parts {
-                if let Some(proven_at) = self.proven_at(*part).filter(|proven| at <= *proven)
-                    && !told.iter().any(|proof| proof.part == *part && at <= proof.at)
-                    && applied.missing.iter().all(|proof| proof.part != *part)
+            for key in &report.keys {
+                if let Some(proven_at) = self.proven_at(*key).filter(|proven| at <= *proven)
+                    && !told.iter().any(|proof| proof.key == *key && at <= proof.at)
+                    && applied.missing.iter().all(|proof| proof.key != *key)
                 {
-                    applied.missing.push(PartProof { part: *part, at: proven_at });
+                    applied.missing.push(SuspectProof { key: *key, at: proven_at });
                 }
             }
             if self.add_report(report.clone()) {
@@ -165,10 +165,10 @@
 pub struct AppliedUpdate {
     /// Reports that were not known.
     pub reports: Vec<CrashReport>,
-    /// Proofs that cleared a part.
-    pub proofs: Vec<PartProof>,
+    /// Proofs that cleared a suspect.
+    pub proofs: Vec<SuspectProof>,
     /// Proofs that the other node lacks.
-    pub missing: Vec<PartProof>,
+    pub missing: Vec<SuspectProof>,
 }
 
 fn age_ms(at: BootTime, now: BootTime) -> u64 {
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -347,7 +347,7 @@
 hash_type!(
     /// Hash of something that may crash upstreams: of the identifier of a prompt part, which callers
     /// choose, or of a whole request.
-    PartKey
+    SuspectKey
 );
 
 hash_type!(
@@ -355,13 +355,13 @@
     RunKey
 );
 
-impl PartKey {
+impl SuspectKey {
     /// Bit that tells keys of whole requests from those of prompt parts.
     const REQUEST_BIT: u64 = 1;
 
     /// Hashes the part identifier `id`.
     #[must_use]
-    pub fn of(id: &str) -> Self {
+    pub fn of_part(id: &str) -> Self {
         Self(xxh3_64(id.as_bytes()) & !Self::REQUEST_BIT)
     }
 
--- a/samphiredeck_core/tests/forward_suspects.rs
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -8,11 +8,9 @@
     boot_time::BootTime,
     forward::{
         member_list::MemberIdentity,
-        suspect_parts::{
-            CrashReport, PartProof, SuspectTable, exchange::SuspectUpdate, find_keeper,
-        },
+        suspects::{CrashReport, SuspectProof, SuspectTable, exchange::SuspectUpdate, find_keeper},
     },
-    ids::{Incarnation, PartKey, RunKey},
+    ids::{Incarnation, RunKey, SuspectKey},
 };
 
 /// Later than any age of a report.
@@ -22,11 +20,11 @@
     BootTime::new(START) + Duration::from_millis(millis)
 }
 
-fn part(name: &str) -> PartKey {
-    PartKey::of(name)
+fn part(name: &str) -> SuspectKey {
+    SuspectKey::of_part(name)
 }
 
-fn parts(names: &[&str]) -> Vec<PartKey> {
+fn parts(names: &[&str]) -> Vec<SuspectKey> {
     names.iter().map(|name| part(name)).collect()
 }
 
@@ -35,8 +33,8 @@
     CrashReport::new(run, parts(names), at(millis)).unwrap()
 }
 
-fn proof(name: &str, millis: u64) -> PartProof {
-    PartProof { part: part(name), at: at(millis) }
+fn proof(name: &str, millis: u64) -> SuspectProof {
+    SuspectProof { key: part(name), at: at(millis) }
 }
 
 /// Table with the reports of `crashes` crashes a second apart, of requests with the parts `names`.
@@ -87,15 +85,15 @@
     assert!(!table.add_proof(proof("first", 3_600)), "it is cleared already");
     assert_eq!(table.assess(&parts(&["first"])), None);
     let blamed = table.assess(&parts(&["first", "second", "dead"])).unwrap();
-    assert_ne!(blamed.part, part("first"));
+    assert_ne!(blamed.key, part("first"));
     assert!(table.add_proof(proof("second", 3_700)));
     let blamed = table.assess(&parts(&["first", "second", "dead"])).unwrap();
-    assert_eq!((blamed.part, blamed.crashes), (part("dead"), 4));
+    assert_eq!((blamed.key, blamed.crashes), (part("dead"), 4));
     // A response from before a crash says nothing about it.
     table.add_report(report(9, &["first"], 9_000));
     let mut other = table.clone();
     other.add_proof(proof("first", 8_900));
-    assert!(!other.reports().last().unwrap().parts().is_empty());
+    assert!(!other.reports().last().unwrap().keys().is_empty());
     assert_eq!(table.assess(&parts(&["first"])), None, "one crash soon after a response");
 }
 
@@ -109,7 +107,7 @@
     table.add_report(report(8, &["dead"], 8_000));
     assert_eq!(table.assess(&parts(&["dead"])).unwrap().crashes, 5);
     assert_eq!(table.assess(&parts(&["companion"])), None);
-    assert_eq!(table.assess(&parts(&["companion", "dead"])).unwrap().part, part("dead"));
+    assert_eq!(table.assess(&parts(&["companion", "dead"])).unwrap().key, part("dead"));
 }
 
 #[test]
@@ -121,7 +119,7 @@
     }
     assert_eq!(table.assess(&parts(&["hot"])), None, "it was sound shortly before");
     let rare = table.assess(&parts(&["hot", "rare"])).unwrap();
-    assert_eq!((rare.part, rare.crashes), (part("rare"), 1));
+    assert_eq!((rare.key, rare.crashes), (part("rare"), 1));
     assert_eq!(rare.trial_at, rare.last_crash, "it may be tried at once");
 }
 
@@ -166,11 +164,11 @@
         table.add_proof(proof(name, 100));
     }
     for number in 0..40 {
-        let mut all: Vec<PartKey> = names.iter().map(|name| part(name)).collect();
+        let mut all: Vec<SuspectKey> = names.iter().map(|name| part(name)).collect();
         let deadly = part(&format!("dead{number}"));
         all.push(deadly);
         let run = report(1, &["x"], 0).run;
-        assert!(table.report(run, all, at(200)).unwrap().parts().contains(&deadly));
+        assert!(table.report(run, all, at(200)).unwrap().keys().contains(&deadly));
     }
 }
 
@@ -185,7 +183,7 @@
         table.grant_trial(part(&format!("t{number}")), at(number * 10));
     }
     assert!(table.reports().len() <= 256);
-    assert!(table.reports().iter().all(|report| report.parts().len() <= 16));
+    assert!(table.reports().iter().all(|report| report.keys().len() <= 16));
     table.remove_settled(at(20 * 3_600_000));
     assert_eq!(table.reports().len(), 0, "reports expire");
 }
@@ -221,7 +219,7 @@
     members: Vec<MemberIdentity>,
     random: StdRng,
     /// Reports and proofs under way to all nodes, with the time of their arrival.
-    underway: Vec<(u64, Result<CrashReport, PartProof>)>,
+    underway: Vec<(u64, Result<CrashReport, SuspectProof>)>,
     crashes: Vec<u64>,
     deadly_arrivals: Vec<u64>,
     sound_refused: u64,
@@ -245,9 +243,9 @@
     /// Whether a node permits a request with `names` at `now`, as the node does.
     fn permits(&mut self, node: usize, names: &[&str], now: u64) -> bool {
         let Some(suspicion) = self.tables[node].assess(&parts(names)) else { return true };
-        let keeper = find_keeper(suspicion.part, &self.members).unwrap();
+        let keeper = find_keeper(suspicion.key, &self.members).unwrap();
         let keeper = self.members.iter().position(|other| other == keeper).unwrap();
-        suspicion.trial_at <= at(now) && self.tables[keeper].grant_trial(suspicion.part, at(now))
+        suspicion.trial_at <= at(now) && self.tables[keeper].grant_trial(suspicion.key, at(now))
     }
 
     fn step(&mut self, now: u64, deadly_share: f64) {
@@ -415,14 +413,14 @@
     }
 }
 
-fn request(name: &str) -> PartKey {
-    PartKey::of_request(&["POST", name], b"body")
+fn request(name: &str) -> SuspectKey {
+    SuspectKey::of_request(&["POST", name], b"body")
 }
 
 /// Report of `request` with the shared parts `names`, which waited for `waited_ms`.
 fn request_report(
     engine: u64,
-    request: PartKey,
+    request: SuspectKey,
     names: &[&str],
     (millis, waited_ms): (u64, u64),
 ) -> CrashReport {
@@ -454,14 +452,14 @@
         table.add_report(request_report(number, request("a"), &["first"], (number * 1_000, 40)));
     }
     let blamed = table.assess(&[request("a"), part("first")]).unwrap();
-    assert_eq!((blamed.part, blamed.crashes), (request("a"), 3));
+    assert_eq!((blamed.key, blamed.crashes), (request("a"), 3));
     assert_eq!(table.assess(&[request("b"), part("first")]), None, "the request explains it");
     let mut table = SuspectTable::default();
     for (number, name) in (0..3).zip(["a", "b", "c"]) {
         table.add_report(request_report(number, request(name), &["dead"], (number * 1_000, 40)));
     }
     let blamed = table.assess(&[request("d"), part("dead")]).unwrap();
-    assert_eq!((blamed.part, blamed.crashes), (part("dead"), 3));
+    assert_eq!((blamed.key, blamed.crashes), (part("dead"), 3));
     assert_eq!(table.assess(&[request("d")]), None);
 }
 
@@ -505,6 +503,6 @@
     assert_eq!(table.assess(&[request("a")]).unwrap().crashes, 3);
     let victim = request("v1999");
     assert!(table.assess(&[victim]).is_some());
-    assert!(table.add_proof(PartProof { part: victim, at: at(500_000) }), "a response clears it");
+    assert!(table.add_proof(SuspectProof { key: victim, at: at(500_000) }), "a response clears it");
     assert_eq!(table.assess(&[victim]), None);
 }
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -4,9 +4,9 @@
     forward::{
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
         store_readers::StoreStatus, stream_origins::StreamOrigin,
-        suspect_parts::exchange::SuspectUpdate, upstream_limit::exchange::SharedLimit,
+        suspects::exchange::SuspectUpdate, upstream_limit::exchange::SharedLimit,
     },
-    ids::{AttemptKey, PartKey, PoolName, RowVersion, WorkspaceName},
+    ids::{AttemptKey, PoolName, RowVersion, SuspectKey, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -178,7 +178,7 @@
     /// is the newest.
     #[serde(rename = "Unable")]
     NotEligible,
-    /// Tells about prompt parts that may crash engines.
+    /// Tells about requests and prompt parts that may crash upstreams.
     AnnounceSuspects {
         /// Reports and proofs, as far as they fit.
         update: SuspectUpdate,
@@ -188,12 +188,12 @@
         /// Digest of the sender's reports.
         digest: u64,
     },
-    /// Asks the keeper of `part` whether a request with it may be sent as a trial.
+    /// Asks the keeper of `key` whether a request with it may be sent as a trial.
     AcquireTrial {
         /// Identifies the query in its reply. Unique while the querying node runs.
         query_id: u64,
-        /// Suspected part.
-        part: PartKey,
+        /// Suspected request or part.
+        key: SuspectKey,
     },
     /// Replies to [`AcquireTrial`](Self::AcquireTrial).
     TrialDecision {
@@ -202,10 +202,10 @@
         /// Whether the request may be sent.
         granted: bool,
     },
-    /// Ends a trial of `part` without a result.
+    /// Ends a trial of `key` without a result.
     ReleaseTrial {
-        /// Suspected part.
-        part: PartKey,
+        /// Suspected request or part.
+        key: SuspectKey,
     },
     /// Message about the limits of upstreams.
     Limits(LimitMessage),
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -4,7 +4,7 @@
     forward::{
         leader::LeaderRecord,
         members::MemberHeartbeat,
-        suspect_parts::exchange::PublishedSuspects,
+        suspects::exchange::PublishedSuspects,
         usage::{WindowCounts, WindowIndex},
         version_history::PublishedHistory,
     },
