--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -24,6 +24,7 @@
 mod request;
 mod request_progress;
 mod response_body;
+mod send_permit;
 mod serve;
 pub mod settings;
 mod shared_rows;
--- a/samphiredeck/src/forward/limit_queue.rs
+++ b/samphiredeck/src/forward/limit_queue.rs
@@ -1,5 +1,4 @@
-//! Requests that wait until the limits of upstreams permit them, and the permits of those that are
-//! sent.
+//! Requests that wait until the limits of upstreams permit them.
 
 use std::{rc::Rc, time::Duration};
 
@@ -9,10 +8,7 @@
         deadline::{fits_deadline, retry_after_pause},
         limit_queue::TicketNumber,
         placement::LimitForecast,
-        upstream_limit::SendPermit,
-        upstreams::{TrackedUpstream, limits::PermitDecision},
     },
-    ids::UpstreamId,
     verdict::RunVerdict,
 };
 use serde_json::json;
@@ -103,55 +99,3 @@
     }
     Ok(())
 }
-
-/// Permission to send one request to an upstream. Dropping it gives it back, unless the request was
-/// sent.
-#[derive(Debug)]
-pub struct PermitLease {
-    node: Rc<ForwardNode>,
-    upstream: UpstreamId,
-    /// `None` if no limit applied.
-    permit: Option<SendPermit>,
-    /// Whether the request may have been sent.
-    consumed: bool,
-}
-
-impl PermitLease {
-    /// Takes a permit for a request to `upstream`. `None` if its limit leaves none to this node now.
-    pub fn take(node: &Rc<ForwardNode>, upstream: &UpstreamId) -> Option<Self> {
-        let now = clock::now();
-        let own_name = node.settings().name.clone();
-        let mut state = node.state();
-        let turn = state.node_turn(&own_name, now);
-        let permit = match state.upstreams.take_permit(upstream, turn, now) {
-            PermitDecision::Unlimited => None,
-            PermitDecision::Granted(permit) => Some(permit),
-            PermitDecision::Denied => return None,
-        };
-        drop(state);
-        let (node, upstream) = (Rc::clone(node), upstream.clone());
-        Some(Self { node, upstream, permit, consumed: false })
-    }
-
-    /// Whether the request may be sent now. A limit may have been named since the lease was taken.
-    pub fn permits_send(&self) -> bool {
-        if let Some(permit) = self.permit {
-            return permit.is_valid(clock::now());
-        }
-        let state = self.node.state();
-        !state.upstreams.find(&self.upstream).is_some_and(TrackedUpstream::is_limited)
-    }
-
-    /// Sets whether the request may have been sent.
-    pub fn set_consumed(&mut self, consumed: bool) {
-        self.consumed = consumed;
-    }
-}
-
-impl Drop for PermitLease {
-    fn drop(&mut self) {
-        if let Some(permit) = self.permit.filter(|_| !self.consumed) {
-            self.node.state().upstreams.give_back(&self.upstream, permit);
-        }
-    }
-}
