Don't send a request whose key was revoked while it waited

Requests for limited upstreams may wait for seconds between their admission and their send. One that waited while a configuration without its key came into force ran all the same (limits::request_that_waits_is_not_sent_with_a_key_revoked_meanwhile: 200 before, 401 now). The key is checked again before a send under a newer configuration, as long as the request has not run, and the last check before a send asks whether the configuration may have changed: a node that was suspended between its first check and the send had no other.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -13,6 +13,7 @@
         placement::Placement,
         upstream_list::ListedUpstream,
     },
+    ids::KeyHash,
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
@@ -78,6 +79,9 @@
                 time_left,
             ));
         }
+        if resume.is_none() && progress.verdict == RunVerdict::NotRun {
+            check_key(admitted, node)?;
+        }
         check_suspects(admitted, progress, trace).await?;
         let now = clock::now();
         let time_left = admitted.deadline.since(now);
@@ -140,6 +144,19 @@
     }
 }
 
+/// Checks that the key of a request that has waited since its admission was not revoked meanwhile.
+fn check_key(admitted: &AdmittedRequest, node: &ForwardNode) -> Result<(), ErrorResponse> {
+    let catalog = node.state().catalog.clone();
+    let changed = catalog.filter(|catalog| catalog.version().0 != admitted.config_version);
+    let (Some(catalog), Some(workspace)) = (changed, &admitted.workspace) else { return Ok(()) };
+    let key = admitted.metadata.api_key.as_deref().map(KeyHash::of);
+    let holder = key.and_then(|key| catalog.find_workspace_by_key(key));
+    if !catalog.needs_keys() || holder.is_some_and(|row| row.name == *workspace) {
+        return Ok(());
+    }
+    Err(ErrorResponse::not_retryable(StatusCode::UNAUTHORIZED, "unknown key"))
+}
+
 /// Builds the request for the upstream of `placement`.
 fn build_request(
     admitted: &AdmittedRequest,
@@ -312,8 +329,8 @@
 }
 
 /// Why the request must not be sent to the upstream of `placement` any more, as known after its
-/// connection was opened: the upstream has left, asked for time or named a limit, or a prompt part has
-/// crashed engines meanwhile.
+/// connection was opened: the upstream has left, asked for time or named a limit, the request or a part
+/// of it has crashed upstreams, or the configuration may have changed meanwhile.
 fn withdrawal_reason(
     admitted: &AdmittedRequest,
     node: &ForwardNode,
@@ -324,6 +341,9 @@
     if !permit.permits_send() {
         return Some(LIMIT_REASON);
     }
+    if !node.state().freshness.allows_admission(now) {
+        return Some("configuration not known to be the newest");
+    }
     if !node.state().upstreams.accepts(&placement.upstream, now) {
         return Some("takes no requests any more");
     }
