Blame the later of two parts with the same evidence

To prefer the request, the keys had been taken in reverse, which also preferred the part that most requests share. The request is preferred by its kind now, and of parts the last, as before. The core test has the case; it fails without the change (first is blamed).

--- a/samphiredeck_core/src/forward/suspects.rs
+++ b/samphiredeck_core/src/forward/suspects.rs
@@ -359,9 +359,11 @@
         if self.reports.is_empty() {
             return None;
         }
-        // Of equal ones, the last is taken.
-        let suspicions = keys.iter().rev().filter_map(|key| self.assess_key(*key, keys));
-        suspicions.max_by_key(|suspicion| (suspicion.crashes, suspicion.trial_at))
+        let suspicions = keys.iter().filter_map(|key| self.assess_key(*key, keys));
+        // Of equal ones, the last is taken: of the parts, that which the fewest requests share.
+        suspicions.max_by_key(|suspicion| {
+            (suspicion.crashes, suspicion.key.is_request(), suspicion.trial_at)
+        })
     }
 
     /// What is known against `key` of a request with `keys`.
--- a/samphiredeck_core/tests/forward_suspects.rs
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -460,6 +460,17 @@
     }
     let blamed = table.assess(&[request("d"), part("dead")]).unwrap();
     assert_eq!((blamed.key, blamed.crashes), (part("dead"), 3));
+    let mut table = SuspectTable::default();
+    for (number, name) in (0..2).zip(["a", "b"]) {
+        table.add_report(request_report(
+            number,
+            request(name),
+            &["first", "dead"],
+            (number * 1_000, 40),
+        ));
+    }
+    let blamed = table.assess(&[request("c"), part("first"), part("dead")]).unwrap();
+    assert_eq!(blamed.key, part("dead"), "fewer requests share it");
     assert_eq!(table.assess(&[request("d")]), None);
 }
 
