--- a/samphiredeck/src/forward/limit_exchange.rs
+++ b/samphiredeck/src/forward/limit_exchange.rs
@@ -13,7 +13,7 @@
 use crate::forward::{
     clock,
     node::ForwardNode,
-    peer_choice::{PEERS_TOLD, choose_peers},
+    peer_choice::{PEERS_AT_START, PEERS_TOLD, choose_peers},
     peer_messages::send,
     peer_socket::PeerSocket,
     upstream_changes::log_limit_change,
@@ -23,6 +23,8 @@
 const ANNOUNCE_SPACING: Duration = Duration::from_millis(200);
 /// Interval at which a node compares its limits with those of another one.
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
+/// Interval at which a starting node looks for others.
+const START_POLL_PERIOD: Duration = Duration::from_millis(20);
 /// Maximum number of limits in a datagram, so that it fits.
 const DATAGRAM_LIMITS: usize = 8;
 /// Maximum number of datagrams in response to a comparison.
@@ -79,18 +81,33 @@
     }
 }
 
-/// Compares the limits known to this node with those of a random other one, again and again, so that
+/// Compares the limits known to this node with those of random other ones, again and again, so that
 /// nodes that start or return from a cut learn what the others know.
 pub async fn compare_limits(node: Rc<ForwardNode>) {
+    while !knows_upstreams(&node) || compare_with(&node, PEERS_AT_START).await == 0 {
+        sleep(START_POLL_PERIOD).await;
+    }
     loop {
         sleep(COMPARE_PERIOD).await;
-        let Some(socket) = node.peer_socket.borrow().clone() else { continue };
-        let digest = node.state().upstreams.digest_limits();
-        let datagram = ForwardDatagram::Limits(LimitMessage::Compare { digest });
-        for (peer, address) in choose_peers(&node, 1) {
-            send(&node, &socket, &peer, address, &datagram).await;
-        }
+        compare_with(&node, 1).await;
+    }
+}
+
+/// Whether this node has read the list of upstreams. Before, it can't apply what it is told.
+fn knows_upstreams(node: &ForwardNode) -> bool {
+    node.state().upstreams.read_at().is_some()
+}
+
+/// Sends the digest of the limits to `count` other nodes at most. Returns to how many.
+async fn compare_with(node: &ForwardNode, count: usize) -> usize {
+    let Some(socket) = node.peer_socket.borrow().clone() else { return 0 };
+    let digest = node.state().upstreams.digest_limits();
+    let datagram = ForwardDatagram::Limits(LimitMessage::Compare { digest });
+    let peers = choose_peers(node, count);
+    for (peer, address) in &peers {
+        send(node, &socket, peer, *address, &datagram).await;
     }
+    peers.len()
 }
 
 /// Handles a message of another node.
--- a/samphiredeck/src/forward/peer_choice.rs
+++ b/samphiredeck/src/forward/peer_choice.rs
@@ -11,6 +11,9 @@
 /// comparison.
 pub const PEERS_TOLD: usize = 5;
 
+/// Number of nodes that a starting node compares with first.
+pub const PEERS_AT_START: usize = 3;
+
 /// Chooses random nodes other than this one, `count` at most.
 pub fn choose_peers(node: &ForwardNode, count: usize) -> Vec<(NodeName, SocketAddr)> {
     let own_name = node.settings().name.clone();
--- a/samphiredeck/src/forward/suspect_exchange.rs
+++ b/samphiredeck/src/forward/suspect_exchange.rs
@@ -17,7 +17,7 @@
 use crate::forward::{
     clock,
     node::ForwardNode,
-    peer_choice::{PEERS_TOLD, choose_peers},
+    peer_choice::{PEERS_AT_START, PEERS_TOLD, choose_peers},
     peer_messages::{send, send_suspects},
     peer_socket::PeerSocket,
 };
@@ -29,8 +29,6 @@
 const OUTBOX_MAX: usize = 128;
 /// Interval at which a node compares its reports with those of another one.
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
-/// Number of nodes that a starting node compares with first.
-const PEERS_AT_START: usize = 3;
 /// Interval at which it looks for them.
 const START_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum size of the reports and proofs in a datagram, in bytes.
