Let a node that restarts at once talk to the others

The incarnation of a run is the newest version in the store, so two runs of a node share one if nothing was written between their starts. The counters of the second began at zero again, and other nodes refused its datagrams as replayed until it had sent as many as the first (log: datagram-refused, message was replayed): quotas, limits and suspects reached it late. Counters start at the boot time now, which a later run never repeats.

--- a/samphiredeck/src/forward/peer_socket.rs
+++ b/samphiredeck/src/forward/peer_socket.rs
@@ -16,6 +16,13 @@
 use thiserror::Error;
 use tokio::{net::UdpSocket, sync::oneshot, time::timeout};
 
+use crate::forward::clock;
+
+/// Bits of the counter below the boot time at which it starts, in milliseconds: more than a node can count
+/// in a millisecond. Two runs have the same incarnation if nothing was written to the store between
+/// their starts, and the later one must not repeat counters.
+const COUNTER_BITS: u32 = 8;
+
 /// Failure of a query.
 #[derive(Debug, Error)]
 pub enum QueryError {
@@ -77,7 +84,7 @@
             key: PeerKey::derive(secret),
             own_name,
             incarnation,
-            counter: Cell::new(0),
+            counter: Cell::new(clock::now().as_millis() << COUNTER_BITS),
             replay_guard: RefCell::default(),
             pending: RefCell::default(),
         })
