Part suspects and upstreams by job

suspects.rs held reports, blame and trials: blame.rs and trials.rs have the latter two. upstreams.rs held the list and what this node has seen of each upstream: tracked.rs has the latter. Moved unchanged, but for an unused function that is dropped (named_limits).

--- a/samphiredeck/src/forward/operator.rs
+++ b/samphiredeck/src/forward/operator.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use samphiredeck_core::{
-    forward::{suspects::SuspectEvidence, upstreams::TrackedUpstream},
+    forward::{suspects::blame::SuspectEvidence, upstreams::tracked::TrackedUpstream},
     ids::SuspectKey,
     units::RequestRate,
 };
--- a/samphiredeck/src/forward/send_permit.rs
+++ b/samphiredeck/src/forward/send_permit.rs
@@ -5,7 +5,7 @@
 use samphiredeck_core::{
     forward::{
         upstream_limit::SendPermit,
-        upstreams::{TrackedUpstream, limits::PermitDecision},
+        upstreams::{limits::PermitDecision, tracked::TrackedUpstream},
     },
     ids::UpstreamId,
 };
--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -5,7 +5,11 @@
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::suspects::{KeySuspicion, SuspectProof, TRIAL_TIMEOUT, find_keeper},
+    forward::suspects::{
+        SuspectProof,
+        blame::KeySuspicion,
+        trials::{TRIAL_TIMEOUT, find_keeper},
+    },
     ids::{NodeName, RunKey, SuspectKey},
     verdict::RunVerdict,
 };
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -26,7 +26,7 @@
         pool_speed::PoolSpeed,
         prompt_cache::{CacheAffinity, PromptCacheTable},
         upstream_limit::{NodeTurn, UpstreamLimit},
-        upstreams::{TrackedUpstream, UpstreamRegistry},
+        upstreams::{UpstreamRegistry, tracked::TrackedUpstream},
     },
     ids::{DomainName, PoolName, SoftwareVersion, UpstreamId},
 };
--- a/samphiredeck_core/src/forward/suspects.rs
+++ b/samphiredeck_core/src/forward/suspects.rs
@@ -22,16 +22,16 @@
 //! trial that brings a response ends the suspicion. A trial that reached an upstream and has no result
 //! counts like a crash from the third one on.
 
+pub mod blame;
 pub mod exchange;
+pub mod trials;
 
-use std::{cmp::Reverse, time::Duration};
-
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use std::time::Duration;
 
+use self::trials::SuspectTrial;
 use crate::{
     boot_time::BootTime,
-    forward::member_list::MemberIdentity,
-    ids::{NodeName, RunKey, SuspectKey},
+    ids::{RunKey, SuspectKey},
 };
 
 /// Time within which crashes count once.
@@ -41,30 +41,8 @@
 /// Time within which reports of the same run and keys are the same report. Covers differences of
 /// clocks and the network delay of their exchange.
 const SAME_REPORT_WINDOW: Duration = Duration::from_millis(300);
-/// Time for which a response to a request speaks for its keys in a later crash.
-const PROOF_VALIDITY: Duration = Duration::from_secs(60);
-/// Number of crashes from which a suspect that has had responses of late is suspected.
-const PROVEN_CRASHES: u32 = 3;
 /// Number of crashes from which a request is not repeated as a trial. Callers may still bring one.
 const REPEAT_CRASHES: u32 = 2;
-/// Time between the last crash and the next trial, by the number of crashes. The last one doubles
-/// with each further crash.
-const TRIAL_DELAYS: [Duration; 5] = [
-    Duration::ZERO,
-    Duration::from_secs(1),
-    Duration::from_secs(10),
-    Duration::from_secs(60),
-    Duration::from_secs(300),
-];
-/// Maximum time between two trials.
-const TRIAL_DELAY_MAX: Duration = Duration::from_secs(1_800);
-/// Number of crashes from which all trials that reached an upstream count.
-const COUNTED_TRIAL_CRASHES: u32 = 3;
-/// Number of crashes from which a request is not tried again: three trials after the third crash.
-const REQUEST_CRASHES_MAX: u32 = 6;
-/// Time after which a trial without a result no longer holds up the next one. Callers wait less for a
-/// first event.
-pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which a report is dropped of which no key has met two crashes. Most are of requests that
 /// happened to be there and never come again.
 const SINGLE_REPORT_LIFETIME: Duration = Duration::from_secs(600);
@@ -76,8 +54,6 @@
 pub const REPORT_KEYS_MAX: usize = 16;
 /// Maximum number of suspects that are known to be sound. The oldest are dropped first.
 const PROOFS_MAX: usize = 8_192;
-/// Maximum number of trials that a keeper remembers.
-const TRIALS_MAX: usize = 256;
 
 /// Report that a request was waiting for its first event at an engine that crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -144,63 +120,6 @@
     pub at: BootTime,
 }
 
-/// Trial that a keeper granted.
-#[derive(Clone, Copy, Debug)]
-struct SuspectTrial {
-    key: SuspectKey,
-    granted_at: BootTime,
-}
-
-/// What is known against a request, or a part of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct KeySuspicion {
-    /// What is blamed.
-    pub key: SuspectKey,
-    /// Number of crashes that it is blamed for. At least 1.
-    pub crashes: u32,
-    /// Time of the last one.
-    pub last_crash: BootTime,
-    /// Time from which a trial may be sent.
-    pub trial_at: BootTime,
-}
-
-impl KeySuspicion {
-    /// Whether each trial that reaches an upstream counts, whatever becomes of it.
-    #[must_use]
-    pub fn counts_trials(&self) -> bool {
-        self.crashes >= COUNTED_TRIAL_CRASHES
-    }
-
-    /// Whether hardly anything speaks against it.
-    #[must_use]
-    pub fn is_thin(&self) -> bool {
-        self.crashes < REPEAT_CRASHES
-    }
-
-    /// Whether a request that waited at `crashes_met` engines as they crashed may be sent as a trial.
-    #[must_use]
-    pub fn permits_trial_of(&self, crashes_met: u32) -> bool {
-        crashes_met == 0 || crashes_met == 1 && self.is_thin()
-    }
-}
-
-/// Evidence against a suspect, for operators.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectEvidence {
-    /// The request or part.
-    pub key: SuspectKey,
-    /// Number of crashes since a response proved it sound, without those shortly after another.
-    pub crashes: u32,
-    /// Runs of the engines that crashed, sorted, without duplicates.
-    pub runs: Vec<RunKey>,
-    /// Time of the last crash.
-    pub last_crash: BootTime,
-    /// Time from which a trial may be sent.
-    pub trial_at: BootTime,
-    /// Time of the last response that proved it sound.
-    pub proven_at: Option<BootTime>,
-}
-
 /// Reports, proofs and trials known to a node.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
@@ -209,7 +128,7 @@
     reports: Vec<CrashReport>,
     /// Latest proof of each suspect. Sorted by key, without duplicates. At most [`PROOFS_MAX`].
     proofs: Vec<SuspectProof>,
-    /// Trials granted by this node as a keeper. At most [`TRIALS_MAX`].
+    /// Trials granted by this node as a keeper. At most [`trials::TRIALS_MAX`].
     trials: Vec<SuspectTrial>,
 }
 
@@ -313,17 +232,6 @@
         self.remove_old_trials(now);
     }
 
-    /// Drops trials that hold up no others any more.
-    fn remove_old_trials(&mut self, now: BootTime) {
-        let mut trials = std::mem::take(&mut self.trials);
-        trials.retain(|trial| {
-            let age = now.since(trial.granted_at);
-            let counts = || self.count_crashes(trial.key) >= COUNTED_TRIAL_CRASHES;
-            age < TRIAL_TIMEOUT || age < REPORT_LIFETIME && counts()
-        });
-        self.trials = trials;
-    }
-
     fn count_crashes(&self, key: SuspectKey) -> u32 {
         let crashes = self.crash_times(key, |_| true).len();
         u32::try_from(crashes).unwrap_or(u32::MAX)
@@ -352,120 +260,6 @@
         counted
     }
 
-    /// What is known against a request with `keys`: its own and those of its shared parts, in this order.
-    /// `None` if it may be sent like any other.
-    #[must_use]
-    pub fn assess(&self, keys: &[SuspectKey]) -> Option<KeySuspicion> {
-        if self.reports.is_empty() {
-            return None;
-        }
-        let suspicions = keys.iter().filter_map(|key| self.assess_key(*key, keys));
-        // Of equal ones, the last is taken: of the parts, that which the fewest requests share.
-        suspicions.max_by_key(|suspicion| {
-            (suspicion.crashes, suspicion.key.is_request(), suspicion.trial_at)
-        })
-    }
-
-    /// What is known against `key` of a request with `keys`.
-    fn assess_key(&self, key: SuspectKey, keys: &[SuspectKey]) -> Option<KeySuspicion> {
-        let all = self.crash_times(key, |_| true).len();
-        if all == 0 {
-            return None;
-        }
-        // A crash is not held against this one if another that the request lacks explains it as well.
-        let suspects: Vec<SuspectKey> = {
-            let cases = self.reports.iter().filter(|report| report.contains(key));
-            let mut others: Vec<SuspectKey> =
-                cases.flat_map(|report| report.keys.clone()).collect();
-            others.sort_unstable();
-            others.dedup();
-            others.retain(|other| {
-                let least = if other.is_request() { all.max(2) } else { all };
-                !keys.contains(other) && self.crash_times(*other, |_| true).len() >= least
-            });
-            others
-        };
-        let times = self.crash_times(key, |report| {
-            report.keys.iter().all(|other| suspects.binary_search(other).is_err())
-        });
-        let (first, last_crash) = (*times.first()?, *times.last()?);
-        let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
-        let is_proven =
-            self.proven_at(key).is_some_and(|proven_at| first.since(proven_at) < PROOF_VALIDITY);
-        if is_proven && crashes < PROVEN_CRASHES {
-            return None;
-        }
-        let trial_at = last_crash + trial_delay(key, crashes);
-        Some(KeySuspicion { key, crashes, last_crash, trial_at })
-    }
-
-    /// Evidence against all reported suspects, the strongest first.
-    #[must_use]
-    pub fn evidence(&self) -> Vec<SuspectEvidence> {
-        let mut keys: Vec<SuspectKey> =
-            self.reports.iter().flat_map(|report| report.keys.clone()).collect();
-        keys.sort_unstable();
-        keys.dedup();
-        let evidence_of = |key: SuspectKey| {
-            let times = self.crash_times(key, |_| true);
-            let last_crash = *times.last()?;
-            let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
-            let reports = self
-                .reports
-                .iter()
-                .filter(|report| report.contains(key) && !self.is_cleared(key, report.at));
-            let mut runs: Vec<RunKey> = reports.map(|report| report.run).collect();
-            runs.sort_unstable();
-            runs.dedup();
-            Some(SuspectEvidence {
-                key,
-                crashes,
-                runs,
-                last_crash,
-                trial_at: last_crash + trial_delay(key, crashes),
-                proven_at: self.proven_at(key),
-            })
-        };
-        let mut evidence: Vec<SuspectEvidence> = keys.into_iter().filter_map(evidence_of).collect();
-        evidence.sort_by_key(|evidence| Reverse((evidence.crashes, evidence.last_crash)));
-        evidence
-    }
-
-    /// Decides as the keeper of `key` whether a request with it may be sent as a trial at `now`:
-    /// one at a time, and not before the delay after the last crash or counted trial.
-    pub fn grant_trial(&mut self, key: SuspectKey, now: BootTime) -> bool {
-        self.remove_old_trials(now);
-        let times = self.crash_times(key, |_| true);
-        let last_crash = times.last().copied();
-        let has_result = |trial: &SuspectTrial| {
-            last_crash.is_some_and(|last| trial.granted_at <= last)
-                || self.is_cleared(key, trial.granted_at)
-        };
-        let open: Vec<BootTime> = self
-            .trials
-            .iter()
-            .filter(|trial| trial.key == key && !has_result(trial))
-            .map(|trial| trial.granted_at)
-            .collect();
-        let is_running = open.iter().any(|granted_at| now.since(*granted_at) < TRIAL_TIMEOUT);
-        let events = u32::try_from(times.len() + open.len()).unwrap_or(u32::MAX);
-        let last_event = open.into_iter().chain(last_crash).max();
-        let is_early = last_event.is_some_and(|last| now < last + trial_delay(key, events));
-        if is_running || is_early || self.trials.len() >= TRIALS_MAX {
-            return false;
-        }
-        self.trials.push(SuspectTrial { key, granted_at: now });
-        true
-    }
-
-    /// Ends a trial of `key` that has no result: its request did not reach an engine, or got neither a
-    /// response nor a crash while trials are not counted.
-    pub fn release_trial(&mut self, key: SuspectKey) {
-        if let Some(at) = self.trials.iter().rposition(|trial| trial.key == key) {
-            self.trials.remove(at);
-        }
-    }
-
     /// Reports of suspects that more than one crash speaks against. They have to outlast a loss of all
     /// nodes.
     #[must_use]
@@ -477,26 +271,3 @@
         self.reports.iter().filter(|report| report.keys.iter().any(is_lasting)).collect()
     }
 }
-
-/// Time between the last of `crashes` crashes under `key` and the next trial.
-fn trial_delay(key: SuspectKey, crashes: u32) -> Duration {
-    if key.is_request() && crashes >= REQUEST_CRASHES_MAX {
-        return REPORT_LIFETIME;
-    }
-    let at = usize::try_from(crashes).unwrap_or(usize::MAX).saturating_sub(1);
-    if let Some(delay) = TRIAL_DELAYS.get(at) {
-        return *delay;
-    }
-    let doublings = u32::try_from(at - TRIAL_DELAYS.len() + 1).unwrap_or(u32::MAX).min(16);
-    (TRIAL_DELAYS[TRIAL_DELAYS.len() - 1] * 2_u32.pow(doublings)).min(TRIAL_DELAY_MAX)
-}
-
-/// Node that grants the trials of `key`. All nodes with the same list of `members` find the same.
-/// `None` if there are no members.
-#[must_use]
-pub fn find_keeper(key: SuspectKey, members: &[MemberIdentity]) -> Option<&MemberIdentity> {
-    let weight = |node: &NodeName| {
-        xxh3_64_with_seed(&key.to_bytes(), xxh3_64_with_seed(node.as_str().as_bytes(), 0))
-    };
-    members.iter().min_by_key(|entry| Reverse(weight(&entry.node)))
-}
--- a/samphiredeck_core/src/forward/upstream_limit/exchange.rs
+++ b/samphiredeck_core/src/forward/upstream_limit/exchange.rs
@@ -10,7 +10,7 @@
 use super::LimitStatement;
 use crate::{
     boot_time::BootTime,
-    forward::upstreams::{TrackedUpstream, UpstreamRegistry},
+    forward::upstreams::{UpstreamRegistry, tracked::TrackedUpstream},
     ids::UpstreamId,
     units::RequestRate,
 };
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -1,17 +1,18 @@
 //! Registry of the upstreams that the platform lists, with this node's observations of them.
 //!
 //! Whether an upstream takes new requests is decided by its [`UpstreamState`] alone, how many of them
-//! by its [`UpstreamLimit`].
+//! by its limit ([`limits`]).
 
 pub mod limits;
+pub mod tracked;
 
 use std::time::Duration;
 
+use self::tracked::{LoadReport, TrackedUpstream};
 use crate::{
     boot_time::BootTime,
     forward::{
         list_delta::ListDelta,
-        upstream_limit::UpstreamLimit,
         upstream_list::{ListedUpstream, UpstreamDelta, changed_ids, digest_list, find_entry},
         upstream_state::{ResponseEvent, UpstreamState},
         version_history::VersionHistory,
@@ -24,14 +25,8 @@
 const READ_GAP_MIN: Duration = Duration::from_millis(2_500);
 /// Number of recent list changes kept for nodes that hold an older list: those of two seconds.
 const RECENT_CHANGES_MAX: usize = 5;
-/// Half-life of recorded failures and successes.
-const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
-/// Half-life of the lateness of an upstream without responses, so that it is tried again.
-const LATENESS_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Weight of the newest response in the lateness of its upstream.
 const LATENESS_WEIGHT: f64 = 0.3;
-/// Time over which a load report loses its weight, since other nodes send requests in the meantime.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// Another node's status of the list.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,147 +50,6 @@
     pub due_at: BootTime,
 }
 
-/// Load that an upstream reported with a response.
-#[derive(Clone, Copy, Debug)]
-pub struct LoadReport {
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of queued requests.
-    pub waiting: u32,
-    /// This node's requests in flight at the time of the report.
-    pub own_in_flight: u32,
-    /// Time of the report.
-    pub at: BootTime,
-}
-
-/// One row of an [`UpstreamRegistry`].
-#[derive(Clone, Debug)]
-pub struct TrackedUpstream {
-    /// Entry as last read. Its id and start time identify the row.
-    pub entry: ListedUpstream,
-    /// Whether the upstream takes new requests.
-    state: UpstreamState,
-    /// Limit that it has named. `None` if it never named one.
-    limit: Option<UpstreamLimit>,
-    /// Time until which the upstream is slow after its start.
-    pub warm_up_until: BootTime,
-    /// Requests of this node that have not completed.
-    pub in_flight: u32,
-    /// Prompt tokens to compute for this node's requests that have shown no sign of a response yet.
-    pub pending_prefill_tokens: u64,
-    /// Last reported load.
-    report: Option<LoadReport>,
-    /// Times at which this node's requests without a sign of a response were expected to have one.
-    /// In the order in which the requests were sent.
-    due_times: Vec<BootTime>,
-    /// Moving average of the time by which responses were later than expected, in milliseconds.
-    /// Decays with [`LATENESS_HALF_LIFE`] from `late_at` on.
-    lateness_ms: f64,
-    late_at: BootTime,
-    /// Failures and successes, both decaying with [`FAILURE_HALF_LIFE`].
-    failures: f64,
-    successes: f64,
-    decayed_at: BootTime,
-}
-
-impl TrackedUpstream {
-    fn new(entry: ListedUpstream, now: BootTime) -> Self {
-        let warm_up_until = now + entry.warm_up;
-        Self {
-            state: UpstreamState::started(entry.leaving),
-            limit: None,
-            warm_up_until,
-            in_flight: 0,
-            pending_prefill_tokens: 0,
-            report: None,
-            due_times: Vec::new(),
-            lateness_ms: 0.0,
-            late_at: now,
-            failures: 0.0,
-            successes: 0.0,
-            decayed_at: now,
-            entry,
-        }
-    }
-
-    /// State of the upstream, as known to this node.
-    #[must_use]
-    pub fn state(&self) -> UpstreamState {
-        self.state
-    }
-
-    /// Whether new requests may be sent at `now`.
-    #[must_use]
-    pub fn is_accepting(&self, now: BootTime) -> bool {
-        self.state.accepts(now)
-    }
-
-    /// Whether the row is kept although it is missing from the list.
-    #[must_use]
-    pub fn is_missing(&self) -> bool {
-        matches!(self.state, UpstreamState::Missing { .. })
-    }
-
-    /// Whether `entry` belongs to a later start than this row. Entries without a start time belong
-    /// to the same one, unless the address or the software differs.
-    fn is_restarted(&self, entry: &ListedUpstream) -> bool {
-        let (known, listed) = (self.entry.started_ms, entry.started_ms);
-        let is_same_run =
-            entry.address == self.entry.address && entry.software == self.entry.software;
-        listed > known || (listed == known && !is_same_run)
-    }
-
-    /// Estimated number of requests of other nodes on this upstream at `now`.
-    #[must_use]
-    pub fn other_nodes_load(&self, now: BootTime) -> f64 {
-        let Some(report) = self.report else { return 0.0 };
-        let foreign = (report.running + report.waiting).saturating_sub(report.own_in_flight);
-        let age = now.since(report.at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
-        f64::from(foreign) * (1.0 - age).clamp(0.0, 1.0)
-    }
-
-    /// Number of queued requests in the last report, if it is recent enough at `now`.
-    #[must_use]
-    pub fn reported_waiting(&self, now: BootTime) -> u32 {
-        let report = self.report.filter(|report| now.since(report.at) < REPORT_LIFETIME);
-        report.map_or(0, |report| report.waiting)
-    }
-
-    /// Time by which this upstream's responses are later than expected, in milliseconds: recent ones,
-    /// or the longest overdue one. Work of other nodes and a slow upstream show in it.
-    #[must_use]
-    pub fn lateness_ms(&self, now: BootTime) -> f64 {
-        let first_due = self.due_times.iter().min();
-        let overdue_ms = first_due.map_or(0.0, |due| now.since(*due).as_secs_f64() * 1_000.0);
-        self.decayed_lateness_ms(now).max(overdue_ms)
-    }
-
-    fn decayed_lateness_ms(&self, now: BootTime) -> f64 {
-        let passed = now.since(self.late_at).as_secs_f64();
-        self.lateness_ms * 0.5_f64.powf(passed / LATENESS_HALF_LIFE.as_secs_f64())
-    }
-
-    /// Recent failure rate, biased towards 0 when there are few samples.
-    #[must_use]
-    pub fn failure_rate(&self, now: BootTime) -> f64 {
-        let factor = self.decay_factor(now);
-        let failures = self.failures * factor;
-        failures / (failures + self.successes * factor + 1.0)
-    }
-
-    fn decay_factor(&self, now: BootTime) -> f64 {
-        let half_lives = now.since(self.decayed_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
-        0.5_f64.powf(half_lives)
-    }
-
-    fn decay(&mut self, now: BootTime) {
-        let factor = self.decay_factor(now);
-        self.failures *= factor;
-        self.successes *= factor;
-        self.decayed_at = now;
-    }
-}
-
 /// Change of the registry, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum UpstreamChange {
--- a/samphiredeck_core/src/forward/upstreams/limits.rs
+++ b/samphiredeck_core/src/forward/upstreams/limits.rs
@@ -1,6 +1,6 @@
 //! Limits of the registered upstreams.
 
-use super::{TrackedUpstream, UpstreamRegistry};
+use super::{UpstreamRegistry, tracked::TrackedUpstream};
 use crate::{
     boot_time::BootTime,
     forward::upstream_limit::{LimitChange, LimitStatement, NodeTurn, SendPermit, UpstreamLimit},
@@ -83,9 +83,4 @@
             limit.give_back(permit);
         }
     }
-
-    /// Upstreams that have named a limit since their start, sorted by id.
-    pub fn named_limits(&self) -> impl Iterator<Item = (&TrackedUpstream, &UpstreamLimit)> {
-        self.rows.iter().filter_map(|row| Some((row, row.limit.as_ref()?)))
-    }
 }
