Count a crash once, however late its requests were sent

Found by reading: a request that was sent within 5 ms before a crash was noticed counted as sent after it, also at the same engine. Each request of the loss of one engine, or of a failure domain, that had just been sent counted as a crash of the parts it shares with others. The report has to be of another run and of a request that was sent after the last crash. Clocks that are apart may make nodes miss one; the node that saw both counts it.

forward_crashing_requests::one_crash_counts_once_however_late_its_requests_were_sent: 5 crashes for 1 before.

--- a/samphiredeck_core/src/forward/suspects.rs
+++ b/samphiredeck_core/src/forward/suspects.rs
@@ -5,17 +5,18 @@
 //! crashes each upstream which runs it, and that its caller repeats at any node. Every crash
 //! breaks dozens of responses and empties a cache, so the cause has to be found after few of them.
 //!
-//! **Evidence.** A request as a whole is one more part of itself. A crash is reported with the parts of
-//! each request that was waiting for its response or first event there. A response to a request proves all of its parts sound, so parts that sound
-//! requests share are cleared at once, wherever they are served. Crashes close to each other count
-//! once: a failure domain that is lost takes many engines at the same time. A request that was sent
-//! after the last crash counts all the same.
+//! **Evidence.** A request as a whole is one more part of itself. A crash is reported with the parts
+//! of each request that was waiting for its response or first event there. A response to a request
+//! proves all of its parts sound, so parts that sound requests share are cleared at once, wherever
+//! they are served. Crashes close to each other count once: a failure domain that is lost takes many
+//! engines at the same time. One under a request that was sent after the last crash, to another
+//! engine, counts all the same.
 //!
 //! **Blame.** Of the parts of a request, the one with the most crashes is blamed; if a part and the
-//! request as a whole have as many, the request. A part is not blamed
-//! for a crash that another part of the same request explains as well, unless the request in question
-//! has that one, too. A request as a whole explains nothing until it has met two crashes: each of many
-//! requests with the same part was at its own one.
+//! request as a whole have as many, the request. A part is not blamed for a crash that another part of
+//! the same request explains as well, unless the request in question has that one, too. A request as
+//! a whole explains nothing until it has met two crashes: each of many requests with the same part
+//! was at its own one.
 //!
 //! **Consequence.** Requests with a suspected part are sent one at a time over all nodes, as a trial.
 //! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. A
@@ -36,8 +37,6 @@
 
 /// Time within which crashes count once.
 const CRASH_SPACING: Duration = Duration::from_millis(100);
-/// Time by which the order of a crash and a later send may be told wrong, for differences of clocks.
-const ORDER_TOLERANCE: Duration = Duration::from_millis(5);
 /// Time within which reports of the same run and keys are the same report. Covers differences of
 /// clocks and the network delay of their exchange.
 const SAME_REPORT_WINDOW: Duration = Duration::from_millis(300);
@@ -247,17 +246,17 @@
             .filter(|report| counts(report))
             .collect();
         reports.sort_by_key(|report| report.at);
-        let mut counted: Vec<BootTime> = Vec::new();
+        let mut counted: Vec<&CrashReport> = Vec::new();
         for report in reports {
-            let counts_after = |last: &BootTime| {
-                report.at.since(*last) >= CRASH_SPACING
-                    || report.sent_at() + ORDER_TOLERANCE >= *last && report.at > *last
+            let counts_after = |last: &&CrashReport| {
+                report.at.since(last.at) >= CRASH_SPACING
+                    || report.run != last.run && report.sent_at() >= last.at
             };
             if counted.last().is_none_or(counts_after) {
-                counted.push(report.at);
+                counted.push(report);
             }
         }
-        counted
+        counted.into_iter().map(|report| report.at).collect()
     }
 
     /// Reports of suspects that more than one crash speaks against. They have to outlast a loss of all
--- a/samphiredeck_core/tests/forward_crashing_requests.rs
+++ b/samphiredeck_core/tests/forward_crashing_requests.rs
@@ -51,6 +51,24 @@
     assert_eq!(table.assess(&[request("a")]).unwrap().crashes, 1);
 }
 
+#[test]
+fn one_crash_counts_once_however_late_its_requests_were_sent() {
+    let mut table = SuspectTable::default();
+    for (number, waited_ms) in (0..5).zip([400, 4, 3, 2, 1]) {
+        let victim = request(&format!("v{number}"));
+        table.add_report(request_report(1, victim, &["hot"], (1_000 + number * 3, waited_ms)));
+    }
+    assert_eq!(table.assess(&[part("hot")]).unwrap().crashes, 1);
+    // Engines of a failure domain that end together, with requests sent until then.
+    let mut table = SuspectTable::default();
+    for engine in 0..8 {
+        let victim = request(&format!("v{engine}"));
+        let times = (1_000 + engine * 2, 1 + engine * 2 + engine % 3);
+        table.add_report(request_report(engine, victim, &["hot"], times));
+    }
+    assert_eq!(table.assess(&[part("hot")]).unwrap().crashes, 1);
+}
+
 #[test]
 fn request_is_blamed_before_its_parts_and_parts_before_single_requests() {
     let mut table = SuspectTable::default();
