Let a counted trial cover a single send

From the third crash on each trial that reaches an upstream counts, but its request was sent again under the same trial when the upstream turned it away (421): six sends in three trials. The request has to ask for another one now, which is refused until it is due. crashing_requests::trial_of_a_request_reaches_one_upstream: 2 arrivals before, 1 now.

crashing_parts, crashing_requests: 13 passed.

--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -56,9 +56,9 @@
 }
 
 impl TrialLease {
-    /// Whether it still covers a send of its request.
+    /// Whether it still covers a send of its request. One that counts covers a single send.
     fn covers(&self, key: SuspectKey, now: BootTime) -> bool {
-        self.key == key && now.since(self.granted_at) < TRIAL_TIMEOUT
+        self.key == key && !self.has_result && now.since(self.granted_at) < TRIAL_TIMEOUT
     }
 
     /// Records that the request is sent.
