--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -16,8 +16,8 @@
     },
 };
 use samphiredeck_platform::headers::{
-    NotExecutedReason, ResponseMetadata, decode_announcements, decode_response_headers,
-    encode_response_headers,
+    LimitNotice, NotExecutedReason, ResponseMetadata, decode_announcements,
+    decode_response_headers, encode_response_headers,
 };
 
 use crate::forward::{
@@ -139,7 +139,11 @@
         ));
     }
     apply_metadata(trace, in_flight, &metadata);
-    let announcements = decode_announcements(head.status, &head.headers);
+    let mut announcements = decode_announcements(head.status, &head.headers);
+    // What does not name its request may not be from the upstream, so the absence of a limit says nothing.
+    if metadata.attempt_id.is_none() && announcements.limit == Some(LimitNotice::Absent) {
+        announcements.limit = None;
+    }
     handle_announcements(trace, in_flight, &announcements);
     if metadata.not_executed.is_some() {
         let reason = format!("rejected with {}", head.status.as_u16());
