End a run of the completions interface that crashes engine after engine

A run went on to the next engine after each crash: up to 40 times without a token, and without end if it was patient, also after a takeover by another node.

An attempt that may have run, and whose engine refuses connections afterwards, counts as a crash; a token starts the count anew. After the third the run ends with its own reason, may-have-run and no time to return at; the record of patient work is closed as failed, so that no node takes it over. The time to return at is optional in RunFailure now.

--- a/samphiredeck/src/caller/error.rs
+++ b/samphiredeck/src/caller/error.rs
@@ -145,7 +145,7 @@
         let failure = RunFailure {
             reason: refusal.reason.as_str().to_owned(),
             verdict: RunVerdict::NotRun,
-            retry_after_s: round_up_seconds(refusal.retry_after),
+            retry_after_s: Some(round_up_seconds(refusal.retry_after)),
         };
         failure.into()
     }
@@ -164,7 +164,7 @@
         let message = format!("request: given up, {}", failure.reason);
         let mut error = Self::new(status, &failure.reason, message);
         error.verdict = failure.verdict;
-        error.retry_after_s = Some(failure.retry_after_s);
+        error.retry_after_s = failure.retry_after_s;
         error
     }
 }
--- a/samphiredeck/src/caller/request_lookup.rs
+++ b/samphiredeck/src/caller/request_lookup.rs
@@ -158,7 +158,8 @@
         WorkState::Cancelled | WorkState::Failed => {
             let cancelled = row.state == WorkState::Cancelled;
             let reason = if cancelled { "cancelled" } else { "failed" }.to_owned();
-            let failure = RunFailure { reason, verdict: row.verdict, retry_after_s: 1 };
+            let retry_after_s = cancelled.then_some(1);
+            let failure = RunFailure { reason, verdict: row.verdict, retry_after_s };
             Err(CallerError::from(failure).with_request(id))
         }
         WorkState::Done => {
--- a/samphiredeck/src/caller/service.rs
+++ b/samphiredeck/src/caller/service.rs
@@ -200,7 +200,7 @@
         RunVerdict::NotRun => CallerError::from(crate::run::RunFailure {
             reason: "no-upstream".to_owned(),
             verdict,
-            retry_after_s: 1,
+            retry_after_s: Some(1),
         }),
         RunVerdict::MayHaveRun | RunVerdict::Ran => {
             CallerError::may_have_run("upstream-lost", format!("request: {}", error.reason))
--- a/samphiredeck/src/engine_client.rs
+++ b/samphiredeck/src/engine_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for model engines, used for all requests of the `run` subcommand to engines.
 
-use std::{pin::Pin, time::Duration};
+use std::{io::ErrorKind, pin::Pin, time::Duration};
 
 use awc::{Client, Connector, error::SendRequestError, http::StatusCode};
 use eventsource_stream::Eventsource;
@@ -15,7 +15,7 @@
     verdict::RunVerdict,
 };
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::{net::TcpStream, time::timeout};
 
 use crate::transport::is_connect_failure;
 
@@ -87,6 +87,12 @@
         Self { pooled: build_client(KEEP_ALIVE), unpooled: build_client(Duration::ZERO) }
     }
 
+    /// Whether the engine at `address` has ended: it refuses new connections.
+    pub async fn has_ended(&self, address: &str) -> bool {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Starts or resumes generation and returns its event stream.
     pub async fn generate(&self, call: GenerateCall<'_>) -> Result<EventStream, EngineError> {
         let client = if call.fresh_connection { &self.unpooled } else { &self.pooled };
--- a/samphiredeck/src/record.rs
+++ b/samphiredeck/src/record.rs
@@ -262,6 +262,18 @@
         self.close(WorkState::Cancelled, text, tokens, control).await;
     }
 
+    /// Records that the work was abandoned. `verdict` tells whether it may have run.
+    pub async fn close_failed(
+        &mut self,
+        text: String,
+        tokens: u64,
+        verdict: RunVerdict,
+        control: &ControlHandle,
+    ) {
+        self.row.verdict = verdict;
+        self.close(WorkState::Failed, text, tokens, control).await;
+    }
+
     async fn close(
         &mut self,
         state: WorkState,
--- a/samphiredeck/src/run.rs
+++ b/samphiredeck/src/run.rs
@@ -92,8 +92,8 @@
     pub reason: String,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
-    /// Seconds after which the caller is advised to retry.
-    pub retry_after_s: u64,
+    /// Seconds after which the caller is advised to retry, if a retry can succeed.
+    pub retry_after_s: Option<u64>,
 }
 
 /// State of a [`RunBuffer`], guarded by its mutex.
--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -42,6 +42,9 @@
 const RESUME_PLACE_WITHIN: Duration = Duration::from_secs(86_400);
 /// Consecutive failures without progress after which a run that is not patient fails.
 const CONSECUTIVE_FAILURES_MAX: u32 = 40;
+/// Number of engines that may crash under a run without progress. It fails then, whatever its class, since
+/// it would crash the others, too.
+const CRASHES_MAX: u32 = 3;
 
 /// State shared by all runs of a thread.
 #[derive(Clone)]
@@ -75,6 +78,8 @@
     attempts: u32,
     /// Consecutive failures without progress.
     failures: u32,
+    /// Engines that crashed under the run since its last token.
+    crashes: u32,
     first_token_at: Option<Instant>,
     last_token_at: Option<Instant>,
 }
@@ -103,6 +108,7 @@
             prompt_counted: resumed,
             attempts: u32::from(resumed),
             failures: 0,
+            crashes: 0,
             first_token_at: None,
             last_token_at: None,
         }
@@ -161,6 +167,15 @@
                     Ok(placement) => placement,
                     Err(refusal) => return self.give_up(refusal, None),
                 },
+                AttemptOutcome::Failed(error) if self.has_crashed(&placement, &error).await => {
+                    if self.crashes >= CRASHES_MAX {
+                        return self.fail_crashing().await;
+                    }
+                    match self.place_again(RerouteCause::Failed).await {
+                        Ok(placement) => placement,
+                        Err(refusal) => return self.give_up(refusal, None),
+                    }
+                }
                 AttemptOutcome::Failed(error) => match self.recover(placement, error).await {
                     Ok(placement) => placement,
                     Err(refusal) => return self.give_up(refusal, None),
@@ -198,6 +213,22 @@
         reply.unwrap_or_else(|| Err(ControlHandle::busy()))
     }
 
+    /// Whether the engine has crashed as it ran the failed attempt. Counts it.
+    async fn has_crashed(&mut self, placement: &RunPlacement, error: &EngineError) -> bool {
+        if error.verdict == RunVerdict::NotRun
+            || !self.context.engines.has_ended(&placement.address).await
+        {
+            return false;
+        }
+        self.crashes += 1;
+        warn!(
+            target: RUN,
+            "Engine {} crashed under request {}, the {}. without a token: {error}.",
+            placement.upstream, self.spec.request, self.crashes
+        );
+        true
+    }
+
     /// Recovers from a failed attempt. If it is the first one since the last token and the request
     /// may have run, retries on a new connection to the same upstream, which resumes there at no
     /// cost. Otherwise asks for another placement.
@@ -317,7 +348,7 @@
         }
         let verdict = self.verdict;
         let reason = "cancelled".to_owned();
-        let failure = RunFailure { reason, verdict, retry_after_s: 1 };
+        let failure = RunFailure { reason, verdict, retry_after_s: Some(1) };
         self.buffer.finish(RunState::Failed(failure));
         self.report_end(None, false);
     }
@@ -330,7 +361,7 @@
         let failure = RunFailure {
             reason: refusal.reason.as_str().to_owned(),
             verdict: self.verdict,
-            retry_after_s: round_up_seconds(refusal.retry_after),
+            retry_after_s: Some(round_up_seconds(refusal.retry_after)),
         };
         debug!(target: RUN, "Request {} failed: {}.", self.spec.request, failure.reason);
         let was_accepted = self.buffer.is_accepted();
@@ -343,6 +374,26 @@
         self.report_end(timing, placement.is_none());
     }
 
+    /// Ends a run under which engines crash. Its work record is closed, so that no node takes it over.
+    async fn fail_crashing(mut self) {
+        if let Some(record) = &mut self.record {
+            let (text, tokens) = self.buffer.snapshot();
+            record.close_failed(text, tokens, self.verdict, &self.context.control).await;
+        }
+        let failure = RunFailure {
+            reason: RefusalReason::CrashesEngines.as_str().to_owned(),
+            verdict: self.verdict,
+            retry_after_s: None,
+        };
+        self.buffer.finish(RunState::Failed(failure));
+        let timing = ResponseTiming {
+            first_token: Duration::MAX,
+            between_tokens: Duration::MAX,
+            complete: false,
+        };
+        self.report_end(Some(timing), true);
+    }
+
     async fn complete(mut self) {
         self.buffer.finish(RunState::Complete);
         let first = self.first_token_at.unwrap_or(self.spec.arrived_at);
--- a/samphiredeck_core/src/admission.rs
+++ b/samphiredeck_core/src/admission.rs
@@ -47,6 +47,8 @@
     ConfigStale,
     /// The retry budget of the workspace is exhausted.
     RetryBudget,
+    /// Engines have crashed, one after the other, as they began to run the request.
+    CrashesEngines,
 }
 
 impl RefusalReason {
@@ -63,6 +65,7 @@
             Self::Stopping => "stopping",
             Self::ConfigStale => "configuration-stale",
             Self::RetryBudget => "retry-budget",
+            Self::CrashesEngines => "crashes-engines",
         }
     }
 }
--- a/samphiredeck_standins/src/engine.rs
+++ b/samphiredeck_standins/src/engine.rs
@@ -62,6 +62,8 @@
     pub announce: bool,
     /// Milliseconds until the process exits.
     pub die_after_ms: Option<u64>,
+    /// Text of prompts on which the process exits when it begins to run them. Ignored if empty.
+    pub deadly_text: String,
 }
 
 /// Engine state shared by the handlers.
@@ -98,6 +100,9 @@
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
     }
+    if lock(&state).is_deadly(&body) {
+        std::process::exit(0);
+    }
     let (sender, receiver) = mpsc::unbounded_channel();
     let stream_request =
         StreamRequest { request: id.clone(), class, offset, body: body.into_inner(), sender };
--- a/samphiredeck_standins/src/engine/model.rs
+++ b/samphiredeck_standins/src/engine/model.rs
@@ -115,6 +115,12 @@
         &self.stats
     }
 
+    /// Whether the engine crashes when it begins to run `body`.
+    pub(super) fn is_deadly(&self, body: &GenerateRequest) -> bool {
+        let text = &self.faults.deadly_text;
+        !text.is_empty() && body.prompt.contains(text)
+    }
+
     /// Admits a request, or reattaches to its stream if it is still here.
     pub(super) fn accept(
         &mut self,
