Relay streams whose event ids increase in steps

A gap may also be a lost event, which must not reach a caller.

The first two ids show the step. If it is not one, the second event is held until the third confirms it; one that doesn't, or the end of the stream, counts as a gap as before, and nothing behind the gap has been passed on. Later deviations are gaps at once. The tests of lost, repeated and reordered events have nine cases for three, whole and event by event, and require that nothing behind a gap is released.

--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -2,10 +2,13 @@
 
 use std::future::pending;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use samphiredeck_core::{
-    forward::{catalog::RetryPolicy, events::EventBatch},
+    forward::{
+        catalog::RetryPolicy,
+        event_order::{EventGate, OrderError},
+        events::EventBatch,
+    },
     verdict::RunVerdict,
 };
 use serde_json::json;
@@ -75,7 +78,7 @@
     sender: StreamSender,
 ) {
     let StreamingResponse { first_batch, ended, mut source, .. } = *stream;
-    let mut last_id = admitted.metadata.last_event_id;
+    let mut gate = EventGate::after(admitted.metadata.last_event_id);
     let mut pending = first_batch;
     let mut ended = ended;
     let mut next_step = None;
@@ -91,7 +94,7 @@
             }
         };
         let stream_break = match step {
-            StreamStep::Events(batch) => match send_batch(&sender, batch, &mut last_id).await {
+            StreamStep::Events(batch) => match send_batch(&sender, batch, &mut gate).await {
                 Ok(true) => {
                     batches += 1;
                     if batches >= BATCHES_PROVING {
@@ -103,8 +106,11 @@
                     trace.finish("caller-left", 0, "");
                     return;
                 }
-                Err(reason) => StreamBreak::new(reason),
+                Err(error) => StreamBreak::new(error.to_string()),
             },
+            StreamStep::Ended if gate.is_holding() => {
+                StreamBreak::new("the last event may follow a lost one")
+            }
             StreamStep::Ended => {
                 record_proof(&admitted, &mut progress, &trace.node);
                 complete_stream(&admitted, trace, source, sender).await;
@@ -112,6 +118,7 @@
             }
             StreamStep::Broken(stream_break) => stream_break,
             StreamStep::Silent => {
+                let last_id = gate.last_id();
                 match end_silence(&admitted, &mut progress, &trace, source, &sender, last_id).await
                 {
                     SilenceEnd::GoesOn(kept, step) => {
@@ -120,6 +127,7 @@
                     }
                     SilenceEnd::Resumed(resumed) => {
                         StreamingResponse { first_batch: pending, ended, source, .. } = *resumed;
+                        gate.rewind();
                         batches = 0;
                     }
                     SilenceEnd::Lost => {
@@ -142,6 +150,8 @@
                 return;
             }
         };
+        gate.rewind();
+        let last_id = gate.last_id();
         source.in_flight.record_outcome(true);
         if stream_break.closed && batches < BATCHES_PROVING {
             handle_closed(&admitted, &mut progress, &trace, &source.in_flight).await;
@@ -303,22 +313,14 @@
     }
 }
 
-/// Sends complete events to the caller. Returns whether the caller is still connected.
+/// Sends those of the complete events that are surely in order to the caller. Returns whether the caller is still connected.
 async fn send_batch(
     sender: &StreamSender,
     batch: EventBatch,
-    last_id: &mut Option<u64>,
-) -> Result<bool, String> {
-    let is_consecutive = match (*last_id, batch.first_id) {
-        (Some(last_id), Some(first_id)) => last_id.checked_add(1) == Some(first_id),
-        _ => true,
-    };
-    if !is_consecutive || !batch.in_order {
-        return Err(format!("event {:?} follows event {last_id:?}", batch.first_id));
-    }
-    *last_id = batch.last_id.or(*last_id);
-    let bytes: Bytes = batch.bytes;
-    Ok(sender.send(bytes).await)
+    gate: &mut EventGate,
+) -> Result<bool, OrderError> {
+    let released = gate.push(batch)?;
+    Ok(released.is_empty() || sender.send(released).await)
 }
 
 async fn read_step(
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod deadline;
 pub mod demand;
+pub mod event_order;
 pub mod events;
 pub mod freshness;
 pub mod leader;
--- a/samphiredeck_core/src/forward/events.rs
+++ b/samphiredeck_core/src/forward/events.rs
@@ -11,12 +11,8 @@
 pub struct EventBatch {
     /// Raw bytes of the events.
     pub bytes: Bytes,
-    /// Id of the last event that has a numeric id.
-    pub last_id: Option<u64>,
-    /// Id of the first event that has a numeric id.
-    pub first_id: Option<u64>,
-    /// Whether the numeric ids are consecutive.
-    pub in_order: bool,
+    /// Ids of the events that have a numeric one, in the order of the events.
+    pub ids: Vec<u64>,
 }
 
 /// Buffers a stream and releases it up to the end of the last complete event.
@@ -67,16 +63,8 @@
 }
 
 fn parse_batch(bytes: &Bytes) -> EventBatch {
-    let mut batch =
-        EventBatch { bytes: bytes.clone(), last_id: None, first_id: None, in_order: true };
-    for line in bytes.split(|byte| *byte == b'\n') {
-        let Some(number) = line.strip_prefix(b"id:") else { continue };
-        let number = std::str::from_utf8(number).ok().and_then(|text| text.trim().parse().ok());
-        let Some(number) = number else { continue };
-        batch.in_order &=
-            batch.last_id.is_none_or(|last_id| last_id.checked_add(1) == Some(number));
-        batch.first_id = batch.first_id.or(Some(number));
-        batch.last_id = Some(number);
-    }
-    batch
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let texts = lines.filter_map(|line| std::str::from_utf8(line.strip_prefix(b"id:")?).ok());
+    let ids = texts.filter_map(|text| text.trim().parse().ok()).collect();
+    EventBatch { bytes: bytes.clone(), ids }
 }
