Show the limit of an upstream when explaining a request

explain listed the newest line about each upstream of the request, but not the one about its limit, so that a wait or a refusal for a limit could not be traced from its output. The test failed before the change.

--- a/samphirectl/src/explain.rs
+++ b/samphirectl/src/explain.rs
@@ -59,7 +59,7 @@
 }
 
 /// Finds the newest line up to `until_ms` of each of `nodes` about its configuration, about each of
-/// `upstreams`, about each dependency, and about its own start, stop or reload.
+/// `upstreams` and its limit, about each dependency, and about its own start, stop or reload.
 fn latest_node_state<'a>(
     lines: &'a [LogLine],
     nodes: &[&str],
@@ -74,14 +74,15 @@
         let subject = match line.kind.as_str() {
             "config" | "config-unreadable" => "config",
             "dependency-lost" | "dependency-back" => line.str_field("what").unwrap_or_default(),
-            "upstream" => match line.str_field("upstream") {
+            "upstream" | "upstream-limit" => match line.str_field("upstream") {
                 Some(upstream) if upstreams.contains(&upstream) => upstream,
                 _ => continue,
             },
             "start" | "stop" | "reload" => "run",
             _ => continue,
         };
-        let key = format!("{} {subject}", line.node);
+        let is_limit = line.kind == "upstream-limit";
+        let key = format!("{} {subject} {is_limit}", line.node);
         match newest_by_key.binary_search_by(|(known, _)| known.cmp(&key)) {
             Ok(at) => newest_by_key[at].1 = line,
             Err(at) => newest_by_key.insert(at, (key, line)),
--- a/samphirectl/tests/command_line.rs
+++ b/samphirectl/tests/command_line.rs
@@ -74,6 +74,8 @@
         r#"{"at_ms":200,"node":"n1","kind":"config","version":4}"#,
         r#"{"at_ms":210,"node":"n1","kind":"upstream","upstream":"u1","change":"leaving"}"#,
         r#"{"at_ms":220,"node":"n1","kind":"upstream","upstream":"u2","change":"joined"}"#,
+        r#"{"at_ms":230,"node":"n1","kind":"upstream-limit","upstream":"u1","change":"named","rate":1.5}"#,
+        r#"{"at_ms":240,"node":"n1","kind":"upstream-limit","upstream":"u2","change":"named","rate":2.5}"#,
         "not a line of a node",
         r#"{"at_ms":340,"node":"n1","kind":"end","request":"r1","status":502}"#,
         r#"collector: {"at_ms":300,"node":"n1","kind":"place","request":"r1","upstream":"u1"}"#,
@@ -88,6 +90,7 @@
     node state:
          -100 ms  n1             config           version=4
           -90 ms  n1             upstream         change="leaving" upstream="u1"
+          -70 ms  n1             upstream-limit   change="named" rate=1.5 upstream="u1"
     r1:
            +0 ms  n1             place            upstream="u1"
           +40 ms  n1             end              status=502
