Let the keeper of a suspect judge the request that asks for a trial

In the logs of the nodes t2, a part that sound prompts share with deadly ones, has two crashes that it is blamed for, and trials of it are due from 3.3 s on (trial_in_ms 0); none was granted up to 12 s. A third crash under t2 was put down to the deadly part of that request, which sound ones lack. The asking node counted two crashes and the keeper three, whose trials wait for 10 s instead of one, and all requests with t2 were refused meanwhile.

The query names the keys of the request, and the keeper counts the crashes that the part is blamed for in such a request, as the asking node does, with what it knows itself. Trials in progress and counted ones hold up the next as before.

forward_suspects::sound_requests_are_tried_as_soon_as_their_crashes_permit failed before. forward_suspects, forward_crashing_requests: 19 passed; crashing_parts, crashing_requests over nodes: 13 passed.

--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -254,15 +254,16 @@
     send(node, socket, peer, address, &ForwardDatagram::AnnounceSuspects { update }).await;
 }
 
-/// Asks the keeper at `address` for a trial of `key`. Returns `None` if it does not respond.
+/// Asks the keeper at `address` for a trial of `key` by a request with `keys`. Returns `None` if it does
+/// not respond.
 pub async fn query_trial(
     node: &ForwardNode,
     socket: &PeerSocket,
     (keeper, address): (&NodeName, SocketAddr),
-    key: SuspectKey,
+    (key, keys): (SuspectKey, &[SuspectKey]),
 ) -> Option<bool> {
     let id = socket.next_id();
-    let datagram = ForwardDatagram::AcquireTrial { query_id: id, key };
+    let datagram = ForwardDatagram::AcquireTrial { query_id: id, key, keys: keys.to_vec() };
     match query(node, socket, (keeper, address), (id, &datagram), TRIAL_TIMEOUT).await {
         Some(ForwardDatagram::TrialDecision { granted, .. }) => Some(granted),
         _ => None,
@@ -387,8 +388,8 @@
         ForwardDatagram::QuerySuspects { digest } => {
             answer_comparison(node, socket, (&sender, from), digest).await;
         }
-        ForwardDatagram::AcquireTrial { query_id: id, key } => {
-            let granted = node.state().suspects.grant_trial(key, clock::now());
+        ForwardDatagram::AcquireTrial { query_id: id, key, keys } => {
+            let granted = node.state().suspects.grant_trial(key, &keys, clock::now());
             let reply = ForwardDatagram::TrialDecision { query_id: id, granted };
             send(node, socket, &sender, from, &reply).await;
         }
--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -195,7 +195,7 @@
             if held.is_some_and(|trial| trial.covers(suspicion.key, now)) {
                 return Ok(());
             }
-            if let Some(trial) = acquire_trial(node, &suspicion).await {
+            if let Some(trial) = acquire_trial(node, &suspicion, &keys).await {
                 progress.trial = Some(trial);
                 node.metrics.part_trials.inc();
                 log_suspicion(admitted, trace, "part-trial", &suspicion);
@@ -247,8 +247,12 @@
     trace.node.log.record(kind, fields);
 }
 
-/// Asks the keeper of the suspect for a trial.
-async fn acquire_trial(node: &Rc<ForwardNode>, suspicion: &KeySuspicion) -> Option<TrialLease> {
+/// Asks the keeper of the suspect for a trial by a request with `keys`.
+async fn acquire_trial(
+    node: &Rc<ForwardNode>,
+    suspicion: &KeySuspicion,
+    keys: &[SuspectKey],
+) -> Option<TrialLease> {
     let key = suspicion.key;
     let grant = |keeper| TrialLease {
         node: Rc::clone(node),
@@ -267,7 +271,7 @@
     let own_name = node.settings().name.clone();
     let remote = keeper.filter(|(name, _)| *name != own_name);
     if let (Some(socket), Some((keeper, address))) = (socket, remote) {
-        let decision = query_trial(node, &socket, (&keeper, address), key).await;
+        let decision = query_trial(node, &socket, (&keeper, address), (key, keys)).await;
         if let Some(granted) = decision {
             return granted.then(|| grant(Some((keeper, address))));
         }
@@ -276,6 +280,6 @@
             return None;
         }
     }
-    let granted = node.state().suspects.grant_trial(key, clock::now());
+    let granted = node.state().suspects.grant_trial(key, keys, clock::now());
     granted.then(|| grant(None))
 }
--- a/samphiredeck_core/src/forward/suspects/blame.rs
+++ b/samphiredeck_core/src/forward/suspects/blame.rs
@@ -81,11 +81,11 @@
         })
     }
 
-    /// What is known against `key` of a request with `keys`.
-    fn assess_key(&self, key: SuspectKey, keys: &[SuspectKey]) -> Option<KeySuspicion> {
+    /// Times of the crashes that `key` of a request with `keys` is blamed for, sorted.
+    pub(super) fn blamed_crashes(&self, key: SuspectKey, keys: &[SuspectKey]) -> Vec<BootTime> {
         let all = self.crash_times(key, |_| true).len();
         if all == 0 {
-            return None;
+            return Vec::new();
         }
         // A crash is not held against this one if another that the request lacks explains it as well.
         let suspects: Vec<SuspectKey> = {
@@ -100,9 +100,14 @@
             });
             others
         };
-        let times = self.crash_times(key, |report| {
+        self.crash_times(key, |report| {
             report.keys.iter().all(|other| suspects.binary_search(other).is_err())
-        });
+        })
+    }
+
+    /// What is known against `key` of a request with `keys`.
+    fn assess_key(&self, key: SuspectKey, keys: &[SuspectKey]) -> Option<KeySuspicion> {
+        let times = self.blamed_crashes(key, keys);
         let (first, last_crash) = (*times.first()?, *times.last()?);
         let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
         let is_proven =
--- a/samphiredeck_core/src/forward/suspects/trials.rs
+++ b/samphiredeck_core/src/forward/suspects/trials.rs
@@ -51,12 +51,12 @@
         self.trials = trials;
     }
 
-    /// Decides as the keeper of `key` whether a request with it may be sent as a trial at `now`:
-    /// one at a time, and not before the delay after the last crash or counted trial.
-    pub fn grant_trial(&mut self, key: SuspectKey, now: BootTime) -> bool {
+    /// Decides as the keeper of `key` whether a request with `keys`, which it is one of, may be sent as a
+    /// trial at `now`: one at a time, and not before the delay after the last crash that it is blamed for
+    /// or counted trial.
+    pub fn grant_trial(&mut self, key: SuspectKey, keys: &[SuspectKey], now: BootTime) -> bool {
         self.remove_old_trials(now);
-        let times = self.crash_times(key, |_| true);
-        let last_crash = times.last().copied();
+        let last_crash = self.crash_times(key, |_| true).last().copied();
         let has_result = |trial: &SuspectTrial| {
             last_crash.is_some_and(|last| trial.granted_at <= last)
                 || self.is_cleared(key, trial.granted_at)
@@ -68,8 +68,9 @@
             .map(|trial| trial.granted_at)
             .collect();
         let is_running = open.iter().any(|granted_at| now.since(*granted_at) < TRIAL_TIMEOUT);
-        let events = u32::try_from(times.len() + open.len()).unwrap_or(u32::MAX);
-        let last_event = open.into_iter().chain(last_crash).max();
+        let blamed = self.blamed_crashes(key, keys);
+        let events = u32::try_from(blamed.len() + open.len()).unwrap_or(u32::MAX);
+        let last_event = open.into_iter().chain(blamed.last().copied()).max();
         let is_early = last_event.is_some_and(|last| now < last + trial_delay(key, events));
         if is_running || is_early || self.trials.len() >= TRIALS_MAX {
             return false;
--- a/samphiredeck_core/tests/forward_crashing_requests.rs
+++ b/samphiredeck_core/tests/forward_crashing_requests.rs
@@ -112,7 +112,7 @@
             table.remove_settled(now);
             let is_due =
                 table.assess(&[request("a")]).is_none_or(|suspicion| suspicion.trial_at <= now);
-            if !is_due || !table.grant_trial(request("a"), now) {
+            if !is_due || !table.grant_trial(request("a"), &[request("a")], now) {
                 continue;
             }
             granted += 1;
--- a/samphiredeck_core/tests/forward_suspects.rs
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -139,23 +139,23 @@
 #[test]
 fn trials_run_one_at_a_time() {
     let mut table = table_after(1, &["dead"]);
-    assert!(table.grant_trial(part("dead"), at(100)));
-    assert!(!table.grant_trial(part("dead"), at(200)), "one runs");
-    assert!(table.grant_trial(part("other"), at(200)), "of another part");
+    assert!(table.grant_trial(part("dead"), &parts(&["dead"]), at(100)));
+    assert!(!table.grant_trial(part("dead"), &parts(&["dead"]), at(200)), "one runs");
+    assert!(table.grant_trial(part("other"), &parts(&["other"]), at(200)), "of another part");
     // A crash ends it, and the next one waits.
     table.add_report(report(7, &["dead"], 900));
-    assert!(!table.grant_trial(part("dead"), at(1_000)));
-    assert!(table.grant_trial(part("dead"), at(1_950)));
+    assert!(!table.grant_trial(part("dead"), &parts(&["dead"]), at(1_000)));
+    assert!(table.grant_trial(part("dead"), &parts(&["dead"]), at(1_950)));
     // So does its loss.
-    assert!(!table.grant_trial(part("dead"), at(6_900)));
-    assert!(table.grant_trial(part("dead"), at(7_000)));
+    assert!(!table.grant_trial(part("dead"), &parts(&["dead"]), at(6_900)));
+    assert!(table.grant_trial(part("dead"), &parts(&["dead"]), at(7_000)));
     // So does its release.
     table.release_trial(part("dead"));
-    assert!(table.grant_trial(part("dead"), at(7_100)));
+    assert!(table.grant_trial(part("dead"), &parts(&["dead"]), at(7_100)));
     // A response ends the suspicion.
     table.add_proof(proof("dead", 7_200));
     assert_eq!(table.assess(&parts(&["dead"])), None);
-    assert!(table.grant_trial(part("dead"), at(7_300)));
+    assert!(table.grant_trial(part("dead"), &parts(&["dead"]), at(7_300)));
 }
 
 #[test]
@@ -174,6 +174,34 @@
     }
 }
 
+/// The keeper of a part judges the request that asks: a crash that another part explains, which the request
+/// lacks, delays no trial.
+#[test]
+fn sound_requests_are_tried_as_soon_as_their_crashes_permit() {
+    let mut table = SuspectTable::default();
+    let crashes: [(u64, &[&str], u64); 7] = [
+        (0, &["shared", "dead"], 0),
+        (0, &["shared"], 0),
+        (3, &["apart", "dead"], 110),
+        (4, &["shared", "dead"], 220),
+        (1, &["shared", "other"], 330),
+        (1, &["third", "dead"], 330),
+        (2, &["third", "dead"], 440),
+    ];
+    for (engine, names, millis) in crashes {
+        table.add_report(report(engine, names, millis));
+    }
+    let sound = parts(&["shared"]);
+    let suspicion = table.assess(&sound).unwrap();
+    assert_eq!((suspicion.key, suspicion.crashes), (part("shared"), 2));
+    assert!(suspicion.trial_at <= at(1_400), "{suspicion:?}");
+    assert!(table.grant_trial(part("shared"), &sound, at(1_400)));
+    // One with the deadly part waits for the crashes of that one.
+    let deadly = parts(&["shared", "dead"]);
+    assert_eq!(table.assess(&deadly).unwrap().key, part("dead"));
+    assert!(!table.grant_trial(part("dead"), &deadly, at(1_500)));
+}
+
 #[test]
 fn tables_are_bounded() {
     let mut table = SuspectTable::default();
@@ -182,7 +210,8 @@
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         table.add_report(report(number, &names, number * 10));
         table.add_proof(proof(&format!("s{number}"), number * 10));
-        table.grant_trial(part(&format!("t{number}")), at(number * 10));
+        let tried = part(&format!("t{number}"));
+        table.grant_trial(tried, &[tried], at(number * 10));
     }
     assert!(table.reports().len() <= 256);
     assert!(table.reports().iter().all(|report| report.keys().len() <= 16));
@@ -247,7 +276,8 @@
         let Some(suspicion) = self.tables[node].assess(&parts(names)) else { return true };
         let keeper = find_keeper(suspicion.key, &self.members).unwrap();
         let keeper = self.members.iter().position(|other| other == keeper).unwrap();
-        suspicion.trial_at <= at(now) && self.tables[keeper].grant_trial(suspicion.key, at(now))
+        suspicion.trial_at <= at(now)
+            && self.tables[keeper].grant_trial(suspicion.key, &parts(names), at(now))
     }
 
     fn step(&mut self, now: u64, deadly_share: f64) {
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -194,6 +194,8 @@
         query_id: u64,
         /// Suspected request or part.
         key: SuspectKey,
+        /// Keys of the request, `key` among them.
+        keys: Vec<SuspectKey>,
     },
     /// Replies to [`AcquireTrial`](Self::AcquireTrial).
     TrialDecision {
