Count engines that are still ending as crashed

In the log of the node two attempts broke and the connection right after them was still accepted: a process that ends closes its connections one by one, and the port not first. 0.1 ms later engine-8 refused. Such an attempt was taken for a broken one, and its engine was never looked at again.

Engines at which an attempt broke without a token are looked at again after the next broken attempt, and before a fourth engine may be reached the run waits until a process that ends has closed its port.

--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -45,6 +45,8 @@
 /// Number of engines that may crash under a run without progress. It fails then, whatever its class, since
 /// it would crash the others, too.
 const CRASHES_MAX: u32 = 3;
+/// Time for which a process that ends may still accept connections after it has closed others.
+const EXIT_TIME: Duration = Duration::from_millis(100);
 
 /// State shared by all runs of a thread.
 #[derive(Clone)]
@@ -80,6 +82,8 @@
     failures: u32,
     /// Engines that crashed under the run since its last token.
     crashes: u32,
+    /// Addresses of other engines at which an attempt broke since then. Without duplicates.
+    broken_at: Vec<String>,
     first_token_at: Option<Instant>,
     last_token_at: Option<Instant>,
 }
@@ -109,6 +113,7 @@
             attempts: u32::from(resumed),
             failures: 0,
             crashes: 0,
+            broken_at: Vec::new(),
             first_token_at: None,
             last_token_at: None,
         }
@@ -167,19 +172,21 @@
                     Ok(placement) => placement,
                     Err(refusal) => return self.give_up(refusal, None),
                 },
-                AttemptOutcome::Failed(error) if self.has_crashed(&placement, &error).await => {
+                AttemptOutcome::Failed(error) => {
+                    let has_crashed = self.count_crashes(&placement, &error).await;
                     if self.crashes >= CRASHES_MAX {
                         return self.fail_crashing().await;
                     }
-                    match self.place_again(RerouteCause::Failed).await {
+                    let next = if has_crashed {
+                        self.place_again(RerouteCause::Failed).await
+                    } else {
+                        self.recover(placement, error).await
+                    };
+                    match next {
                         Ok(placement) => placement,
                         Err(refusal) => return self.give_up(refusal, None),
                     }
                 }
-                AttemptOutcome::Failed(error) => match self.recover(placement, error).await {
-                    Ok(placement) => placement,
-                    Err(refusal) => return self.give_up(refusal, None),
-                },
             };
         }
     }
@@ -213,20 +220,34 @@
         reply.unwrap_or_else(|| Err(ControlHandle::busy()))
     }
 
-    /// Whether the engine has crashed as it ran the failed attempt. Counts it.
-    async fn has_crashed(&mut self, placement: &RunPlacement, error: &EngineError) -> bool {
-        if error.verdict == RunVerdict::NotRun
-            || !self.context.engines.has_ended(&placement.address).await
-        {
+    /// Counts the engines that have crashed: the one of the failed attempt, and earlier ones that still
+    /// accepted connections then. Returns whether the one of this attempt has.
+    async fn count_crashes(&mut self, placement: &RunPlacement, error: &EngineError) -> bool {
+        if error.verdict == RunVerdict::NotRun {
             return false;
         }
-        self.crashes += 1;
-        warn!(
-            target: RUN,
-            "Engine {} crashed under request {}, the {}. without a token: {error}.",
-            placement.upstream, self.spec.request, self.crashes
-        );
-        true
+        if !self.broken_at.contains(&placement.address) {
+            self.broken_at.push(placement.address.clone());
+        }
+        if self.broken_at.len() + to_usize(self.crashes) >= to_usize(CRASHES_MAX) {
+            tokio::time::sleep(EXIT_TIME).await;
+        }
+        for address in std::mem::take(&mut self.broken_at) {
+            if self.context.engines.has_ended(&address).await {
+                self.crashes += 1;
+            } else {
+                self.broken_at.push(address);
+            }
+        }
+        let has_crashed = !self.broken_at.contains(&placement.address);
+        if has_crashed {
+            warn!(
+                target: RUN,
+                "Engine {} crashed under request {}; {} without a token: {error}.",
+                placement.upstream, self.spec.request, self.crashes
+            );
+        }
+        has_crashed
     }
 
     /// Recovers from a failed attempt. If it is the first one since the last token and the request
@@ -412,6 +433,10 @@
     }
 }
 
+fn to_usize(count: u32) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
+
 /// Rebuilds the run specification from a work record.
 fn spec_from_row(row: &WorkRow) -> Result<RunSpec, String> {
     let completion =
