Date reports of crashes by the store's clock

A node that was suspended read the datagrams of the time before it went on as new: reports of two crashes, whose times are sent as ages, became four, eight and more as nodes told each other of them. t3, a part that sound prompts share, had two crashes and was held to have eight, which puts off the next trial for half an hour.

Updates carry the time on the store's clock to which their ages refer, as the rows in the store did already, and the reader adds what has passed since. Nodes of earlier builds don't understand them.

crashing_parts::report_that_is_read_late_is_no_further_crash: two crashes for one before, at both nodes, after a suspension of 1.5 s. crashing_parts, crashing_requests: 14 passed.

--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -9,7 +9,7 @@
         quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
         store_readers::StoreStatus,
         stream_origins::{OriginSource, StreamOrigin},
-        suspects::exchange::SuspectUpdate,
+        suspects::exchange::PublishedSuspects,
     },
     ids::{AttemptKey, NodeName, PoolName, RowVersion, SuspectKey, WorkspaceName},
 };
@@ -249,9 +249,9 @@
     node: &ForwardNode,
     socket: &PeerSocket,
     (peer, address): (&NodeName, SocketAddr),
-    update: SuspectUpdate,
+    published: PublishedSuspects,
 ) {
-    send(node, socket, peer, address, &ForwardDatagram::AnnounceSuspects { update }).await;
+    send(node, socket, peer, address, &ForwardDatagram::AnnounceSuspects { published }).await;
 }
 
 /// Asks the keeper at `address` for a trial of `key` by a request with `keys`. Returns `None` if it does
@@ -382,8 +382,8 @@
             let reply = ForwardDatagram::OriginStatus { query_id: id, origin };
             send(node, socket, &sender, from, &reply).await;
         }
-        ForwardDatagram::AnnounceSuspects { update } => {
-            handle_update(node, socket, (&sender, from), update).await;
+        ForwardDatagram::AnnounceSuspects { published } => {
+            handle_update(node, socket, (&sender, from), published).await;
         }
         ForwardDatagram::QuerySuspects { digest } => {
             answer_comparison(node, socket, (&sender, from), digest).await;
--- a/samphiredeck/src/forward/suspect_exchange.rs
+++ b/samphiredeck/src/forward/suspect_exchange.rs
@@ -6,7 +6,7 @@
 use samphiredeck_core::{
     forward::suspects::{
         CrashReport, SuspectProof,
-        exchange::{AppliedUpdate, SuspectUpdate},
+        exchange::{AppliedUpdate, PublishedSuspects, SuspectUpdate},
     },
     ids::{NodeName, SuspectKey},
 };
@@ -134,9 +134,10 @@
     node: &ForwardNode,
     reports: &[CrashReport],
     proofs: &[SuspectProof],
-) -> Vec<SuspectUpdate> {
+) -> Vec<PublishedSuspects> {
     let now = clock::now();
     let state = node.state();
+    let Some(written_ms) = state.clock.store_ms(now) else { return Vec::new() };
     let mut updates = vec![SuspectUpdate::default()];
     let mut left = UPDATE_BYTES_MAX;
     let mut reserve = |updates: &mut Vec<SuspectUpdate>, bytes: usize| {
@@ -159,7 +160,7 @@
         updates[at].proofs.push(proof.share(now));
     }
     updates.retain(|update| !update.is_empty());
-    updates
+    updates.into_iter().map(|update| PublishedSuspects { written_ms, update }).collect()
 }
 
 /// Sends `peer` the reports of this node, if their digest differs. Of more than fit into a datagram, it
@@ -188,9 +189,15 @@
     node: &ForwardNode,
     socket: &PeerSocket,
     (peer, address): (&NodeName, SocketAddr),
-    update: SuspectUpdate,
+    published: PublishedSuspects,
 ) {
-    let applied = node.state().suspects.apply_update(update, clock::now());
+    let applied = {
+        let mut state = node.state();
+        let now = clock::now();
+        // Without the store's clock, the node is told again by a later comparison.
+        let Some(store_ms) = state.clock.store_ms(now) else { return };
+        state.suspects.apply_update(published.into_update(store_ms), now)
+    };
     for update in encode_updates(node, &[], &applied.missing) {
         send_suspects(node, socket, (peer, address), update).await;
     }
--- a/samphiredeck_core/src/forward/suspects/exchange.rs
+++ b/samphiredeck_core/src/forward/suspects/exchange.rs
@@ -54,7 +54,8 @@
     }
 }
 
-/// Suspects as kept in the platform's store, for nodes that start after a loss of all nodes.
+/// Suspects with the time to which their ages refer, as sent to other nodes and kept in the platform's
+/// store. A node that was suspended reads a datagram long after it was sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedSuspects {
     /// Time on the store's clock, in milliseconds, to which the ages in `update` refer.
@@ -64,7 +65,7 @@
 }
 
 impl PublishedSuspects {
-    /// What the row says at `store_ms` on the store's clock.
+    /// What it says at `store_ms` on the store's clock.
     #[must_use]
     pub fn into_update(mut self, store_ms: i64) -> SuspectUpdate {
         let passed = u64::try_from(store_ms.saturating_sub(self.written_ms)).unwrap_or(0);
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -4,7 +4,7 @@
     forward::{
         clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
         store_readers::StoreStatus, stream_origins::StreamOrigin,
-        suspects::exchange::SuspectUpdate, upstream_limit::exchange::SharedLimit,
+        suspects::exchange::PublishedSuspects, upstream_limit::exchange::SharedLimit,
     },
     ids::{AttemptKey, PoolName, RowVersion, SuspectKey, WorkspaceName},
 };
@@ -181,7 +181,7 @@
     /// Tells about requests and prompt parts that may crash upstreams.
     AnnounceSuspects {
         /// Reports and proofs, as far as they fit.
-        update: SuspectUpdate,
+        published: PublishedSuspects,
     },
     /// Asks for the receiver's reports, unless they have this digest.
     QuerySuspects {
