--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -117,8 +117,11 @@
             admitted.route.retry_policy,
             attempts_left,
         );
+        let heard_at = node.state().upstream_heard_at;
         let fields = json!({
             "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
+            "reused": progress.reused, "pool": admitted.pool.as_str(),
+            "heard_ms": heard_at.map(|at| clock::now().since(at).as_millis()),
             "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
             "closed": failure.closed, "parts": admitted.shared_part_ids(),
             "key": admitted.key.to_string(), "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
@@ -198,7 +201,9 @@
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
     let can_retry = admitted.route.max_attempts > progress.attempts + 1;
     loop {
+        progress.reused = false;
         let (mut connection, is_new) = open_connection(admitted, node, &in_flight, address).await?;
+        progress.reused = !is_new;
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
         let reason = withdrawal_reason(admitted, node, placement, &permit, sent_at);
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -27,6 +27,8 @@
     pub awaited: Option<UpstreamId>,
     /// The only upstream that may still receive the request, since it counts among `attempts`.
     pub only: Option<UpstreamId>,
+    /// Whether the last attempt used a connection that had been idle.
+    pub reused: bool,
     /// Notified once when the request has been sent.
     pub on_sent: Option<oneshot::Sender<()>>,
     /// Whether the request may have run.
@@ -59,6 +61,7 @@
             attempts: 0,
             awaited: None,
             only: None,
+            reused: false,
             on_sent: None,
             verdict: RunVerdict::NotRun,
             software,
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -72,6 +72,8 @@
     pub has_chosen_reader: bool,
     /// Known upstreams and their load.
     pub upstreams: UpstreamRegistry,
+    /// Time of the last response of any upstream to this node.
+    pub upstream_heard_at: Option<BootTime>,
     /// Requests that wait for upstreams with limits.
     pub limit_queue: LimitQueue,
     /// Where streams began that may be resumed.
@@ -130,6 +132,7 @@
             has_chosen_reader: false,
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
+            upstream_heard_at: None,
             limit_queue: LimitQueue::default(),
             origins: OriginTable::default(),
             suspects: SuspectTable::default(),
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -131,6 +131,7 @@
     let (head, body) = response.into_parts();
     let metadata = decode_response_headers(head.status, &head.headers);
     in_flight.record_response_start();
+    trace.node.state().upstream_heard_at = Some(clock::now());
     // A late response to an earlier request, whatever it says, does not tell what became of this one.
     if metadata.attempt_id.as_deref().is_some_and(|id| id != admitted.metadata.attempt_id) {
         return Err(SendFailure::new(
