Reach upstreams through other nodes while paths are lost

A node had no way but its own.

A node that can't connect now asks another one, and sends the request itself over the connection that this one opens: a tunnel. All decisions stay where they were.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -24,6 +24,7 @@
 mod request;
 mod request_progress;
 mod response_body;
+mod response_scan;
 mod send_permit;
 mod serve;
 pub mod settings;
@@ -35,8 +36,13 @@
 mod suspect_checks;
 mod suspect_exchange;
 mod suspect_rows;
+mod tunnel_client;
+mod tunnel_messages;
+mod tunnel_server;
+mod tunnel_stream;
 mod upstream_changes;
 mod upstream_choice;
+mod upstream_paths;
 mod upstream_response;
 
 use std::{
@@ -161,6 +167,8 @@
     spawn(suspect_exchange::compare_suspects(Rc::clone(node)));
     spawn(limit_exchange::announce_limits(Rc::clone(node)));
     spawn(limit_exchange::compare_limits(Rc::clone(node)));
+    spawn(upstream_paths::probe_paths(Rc::clone(node)));
+    spawn(tunnel_server::accept_tunnels(Rc::clone(node)));
     spawn(maintain(Rc::clone(node)));
     spawn(ingress::accept_callers(Rc::clone(node), listeners.caller));
     spawn(ingress::serve_readiness(Rc::clone(node), listeners.ready));
@@ -192,6 +200,7 @@
     metrics.suspect_reports.set(i64::try_from(state.suspects.reports().len()).unwrap_or(i64::MAX));
     let limited = state.upstreams.rows().iter().filter(|row| row.is_limited()).count();
     metrics.limits.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
+    metrics.paths.lost.set(i64::try_from(state.paths.count_lost()).unwrap_or(i64::MAX));
     metrics.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(node.log.dropped_lines()).unwrap_or(i64::MAX));
 }
@@ -227,7 +236,7 @@
     let time_left = grace.saturating_sub(clock::now().since(started_at));
     let drained = async {
         // A connection stays open until its caller has received the last response.
-        while running() > 0 || node.open_connections() > 0 {
+        while running() > 0 || node.open_connections() > 0 || node.open_tunnels() > 0 {
             sleep(DRAIN_POLL_PERIOD).await;
         }
     };
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -1,8 +1,9 @@
 //! Sends a request to upstreams until one responds or no further attempt is permitted.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{future::pending, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::{FutureExt, future::FusedFuture};
 use http::{Request, StatusCode, Uri, uri::PathAndQuery};
 use http_body_util::Full;
 use samphiredeck_core::{
@@ -13,12 +14,12 @@
         placement::Placement,
         upstream_list::ListedUpstream,
     },
-    ids::KeyHash,
+    ids::{KeyHash, UpstreamId},
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::{select, time::sleep};
 
 use crate::forward::{
     clock,
@@ -27,11 +28,12 @@
     limit_queue::wait_for_turn,
     node::ForwardNode,
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
-    request_progress::{RequestProgress, deadline_error, unanswered_error},
+    request_progress::{ConnectionKind, RequestProgress, deadline_error, unanswered_error},
     send_permit::PermitLease,
     stream_versions::record_origin,
     suspect_checks::{barring_reason, check_suspects, handle_closed, record_proof},
     upstream_choice::{PlaceDecision, can_go_elsewhere, place, pool_retry_delay},
+    upstream_paths::connect_upstream,
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
         UpstreamStream, receive_response,
@@ -120,7 +122,7 @@
         let heard_at = node.state().upstream_heard_at;
         let fields = json!({
             "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
-            "reused": progress.reused, "pool": admitted.pool.as_str(),
+            "connected": progress.connected.map(|kind| format!("{kind:?}")), "pool": admitted.pool.as_str(),
             "heard_ms": heard_at.map(|at| clock::now().since(at).as_millis()),
             "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
             "closed": failure.closed, "parts": admitted.shared_part_ids(),
@@ -134,7 +136,11 @@
             (NextStep::Deliver, Some(response)) => return Ok(UpstreamResponse::Complete(response)),
             (NextStep::RefuseUnrun, _) => {
                 let wait = pool_retry_delay(node, &admitted.pool, time_left);
-                return Err(ErrorResponse::not_executed("upstream did not take the request", wait));
+                let reason = match failure.outcome {
+                    SendOutcome::NoPath => "no path to the upstreams",
+                    _ => "upstream did not take the request",
+                };
+                return Err(ErrorResponse::not_executed(reason, wait));
             }
             (NextStep::Deliver | NextStep::GiveUp, _) if time_left < SEND_TIME_MIN => {
                 return Err(deadline_error(progress, time_left));
@@ -201,9 +207,9 @@
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
     let can_retry = admitted.route.max_attempts > progress.attempts + 1;
     loop {
-        progress.reused = false;
-        let (mut connection, is_new) = open_connection(admitted, node, &in_flight, address).await?;
-        progress.reused = !is_new;
+        progress.connected = None;
+        let (mut connection, kind) = open_connection(admitted, node, &in_flight, address).await?;
+        progress.connected = Some(kind);
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
         let reason = withdrawal_reason(admitted, node, placement, &permit, sent_at);
@@ -214,23 +220,12 @@
         let time_left = admitted.deadline.since(sent_at);
         let time_limit = attempt_time_limit(admitted, time_left, can_retry);
         let request = build_request(admitted, placement, time_left, resume);
-        // The caller may disconnect at any point after this, leaving it unknown whether the request
-        // ran.
-        progress.reservation.set_consumed(true);
-        permit.set_consumed(true);
-        if let Some(trial) = &mut progress.trial {
-            trial.record_sent();
-        }
-        progress.attempts += 1;
-        progress.awaited = Some(placement.upstream.clone());
-        if let Some(on_sent) = progress.on_sent.take() {
-            // The receiver is gone if the silence of the upstream before has ended.
-            _ = on_sent.send(());
-        }
+        record_sent(progress, &mut permit, &placement.upstream);
         let received = {
             let exchange = exchange(admitted, trace, &mut connection, request, &mut in_flight);
             let is_lost = || can_go_elsewhere(admitted, progress, node, &placement.upstream);
-            wait_for_response(exchange, time_limit, admitted.deadline, is_lost).await
+            let silence = wait_for_silence(admitted, node, &placement.upstream, kind);
+            wait_for_response(exchange, silence, time_limit, admitted.deadline, is_lost).await
         };
         progress.awaited = None;
         if received.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unsent) {
@@ -238,7 +233,11 @@
             permit.set_consumed(false);
         }
         return match received {
-            Err(failure) if failure.outcome == SendOutcome::Unsent && !is_new => continue,
+            Err(failure)
+                if failure.outcome == SendOutcome::Unsent && kind == ConnectionKind::Reused =>
+            {
+                continue;
+            }
             Err(failure) => {
                 handle_failure(admitted, progress, trace, &in_flight, &failure, sent_at).await;
                 Err(failure)
@@ -290,26 +289,44 @@
     }
 }
 
-/// Takes an idle connection to the upstream of `in_flight`, or opens one to its `address`. Returns
-/// whether it is new, too.
+/// Records that the request is being sent to `upstream`. The caller may disconnect at any point after
+/// this, leaving it unknown whether the request ran.
+fn record_sent(progress: &mut RequestProgress, permit: &mut PermitLease, upstream: &UpstreamId) {
+    progress.reservation.set_consumed(true);
+    permit.set_consumed(true);
+    if let Some(trial) = &mut progress.trial {
+        trial.record_sent();
+    }
+    progress.attempts += 1;
+    progress.awaited = Some(upstream.clone());
+    if let Some(on_sent) = progress.on_sent.take() {
+        // The receiver is gone if the silence of the upstream before has ended.
+        _ = on_sent.send(());
+    }
+}
+
+/// Takes an idle connection to the upstream of `in_flight`, or opens one to its `address`.
 async fn open_connection(
     admitted: &AdmittedRequest,
-    node: &ForwardNode,
+    node: &Rc<ForwardNode>,
     in_flight: &InFlightRequest,
     address: SocketAddr,
-) -> Result<(HttpConnection, bool), SendFailure> {
+) -> Result<(HttpConnection, ConnectionKind), SendFailure> {
     let idle = node.connections.checkout(&in_flight.upstream, admitted.runs_at_most_once());
     if let Some(connection) = idle {
-        return Ok((connection, false));
+        return Ok((connection, ConnectionKind::Reused));
     }
-    match node.connections.connect(address).await {
-        Ok(connection) => {
-            node.metrics.connections.inc();
-            Ok((connection, true))
-        }
+    let (upstream, started_ms) = (&in_flight.upstream, in_flight.started_ms);
+    match connect_upstream(node, upstream, started_ms, address).await {
+        Ok(connection) if connection.via().is_some() => Ok((connection, ConnectionKind::Tunnel)),
+        Ok(connection) => Ok((connection, ConnectionKind::New)),
         Err(error) => {
-            in_flight.record_outcome(true);
-            Err(SendFailure::new(SendOutcome::Unsent, error.to_string()))
+            if error.blames_upstream {
+                in_flight.record_outcome(true);
+            }
+            let is_cut_off = error.is_cut_off;
+            let outcome = if is_cut_off { SendOutcome::NoPath } else { SendOutcome::Unsent };
+            Err(SendFailure::new(outcome, error.reason))
         }
     }
 }
@@ -370,11 +387,31 @@
     receive_response(admitted, trace, response, in_flight).await
 }
 
-/// Waits for the response of an upstream. After `time_limit` the upstream is considered lost as soon
+/// Waits until open connections to `upstream` are probably silent, if the request may go elsewhere then.
+async fn wait_for_silence(
+    admitted: &AdmittedRequest,
+    node: &ForwardNode,
+    upstream: &UpstreamId,
+    kind: ConnectionKind,
+) {
+    if kind == ConnectionKind::Tunnel || admitted.runs_at_most_once() {
+        return pending().await;
+    }
+    loop {
+        let changed = node.path_lost.notified();
+        if node.state().paths.is_silent(upstream) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Waits for the response of an upstream. After `time_limit`, or `silence`, the upstream is considered lost as soon
 /// as `is_lost`: a silent one may still respond, so it is only left for another that can take the
 /// request.
 async fn wait_for_response(
     exchange: impl Future<Output = Result<ReceivedResponse, SendFailure>>,
+    silence: impl Future<Output = ()>,
     time_limit: Duration,
     deadline: BootTime,
     is_lost: impl Fn() -> bool,
@@ -382,9 +419,12 @@
     tokio::pin!(exchange);
     let started_at = clock::now();
     let mut wait = time_limit;
+    let mut silence = pin!(silence.fuse());
     loop {
-        if let Ok(received) = timeout(wait, exchange.as_mut()).await {
-            return received;
+        select! {
+            received = exchange.as_mut() => return received,
+            () = sleep(wait) => {}
+            () = silence.as_mut(), if !silence.is_terminated() => {}
         }
         let now = clock::now();
         let time_left = deadline.since(now);
--- a/samphiredeck/src/forward/connection_pool.rs
+++ b/samphiredeck/src/forward/connection_pool.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.rows.borrow_mut().clear();
+    }
+
     /// Closes connections that expired or that the upstream has closed.
     pub fn remove_expired(&self) {
         let now = clock::now();
--- a/samphiredeck/src/forward/http_connection.rs
+++ b/samphiredeck/src/forward/http_connection.rs
@@ -19,13 +19,21 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use samphiredeck_core::ids::NodeName;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    task::JoinHandle,
+    time::timeout,
+};
+
+use crate::forward::tunnel_stream::TunnelStream;
 
 /// Time after which the kernel closes a connection with unacknowledged data. Prevents a request
 /// that has timed out here from arriving much later.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum size of a response head in bytes.
 const HEAD_BYTES_MAX: usize = 65_536;
 
@@ -60,6 +68,8 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Node through which the upstream is reached, if not directly.
+    via: Option<NodeName>,
 }
 
 impl HttpConnection {
@@ -72,6 +82,18 @@
         // On systems without this option, the request timeouts take its place.
         let unsupported = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         drop(unsupported);
+        Ok(Self::start(stream, None).await?)
+    }
+
+    /// Uses a tunnel through the node `via`, for one request.
+    pub async fn through(tunnel: TunnelStream, via: NodeName) -> Result<Self, ConnectError> {
+        Ok(Self::start(tunnel, Some(via)).await?)
+    }
+
+    async fn start(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        via: Option<NodeName>,
+    ) -> Result<Self, hyper::Error> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_BYTES_MAX);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
@@ -79,7 +101,12 @@
             // Errors that affect a request are returned by `sender`.
             drop(connection.await);
         });
-        Ok(Self { sender, driver })
+        Ok(Self { sender, driver, via })
+    }
+
+    /// Node through which the upstream is reached, if not directly.
+    pub fn via(&self) -> Option<&NodeName> {
+        self.via.as_ref()
     }
 
     /// Whether a request can be sent now: the peer has neither closed the connection nor sent
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -11,7 +11,7 @@
     ids::UpstreamId,
 };
 
-use crate::forward::{clock, node::ForwardNode};
+use crate::forward::{clock, node::ForwardNode, upstream_changes::ResponseSource};
 
 /// Counts a request as in flight at its upstream until dropped.
 #[derive(Debug)]
@@ -55,6 +55,12 @@
         Self { node, upstream, started_ms, sent_at: now, pending: Some(pending), is_alone }
     }
 
+    /// Source of a response to the request with the attempt identifier `request`.
+    pub fn source<'a>(&'a self, request: &'a str) -> ResponseSource<'a> {
+        let (started_ms, sent_at) = (self.started_ms, self.sent_at);
+        ResponseSource { request, upstream: &self.upstream, started_ms, sent_at }
+    }
+
     /// Records that the response has started.
     pub fn record_response_start(&mut self) {
         if let Some(pending) = self.pending.take() {
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -100,6 +100,33 @@
     }
 }
 
+/// Metrics of the paths to upstreams.
+#[derive(Debug, Default)]
+pub struct PathMetrics {
+    /// Number of upstreams that only other nodes reach.
+    pub lost: Gauge,
+    /// Number of connections to upstreams through other nodes.
+    pub tunnels_opened: Counter,
+    /// Number of connections to upstreams for other nodes.
+    pub tunnels_served: Counter,
+}
+
+impl PathMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("lost_paths", "Upstreams that only other nodes reach", self.lost.clone());
+        registry.register(
+            "tunnels_opened",
+            "Connections to upstreams through other nodes",
+            self.tunnels_opened.clone(),
+        );
+        registry.register(
+            "tunnels_served",
+            "Connections to upstreams for other nodes",
+            self.tunnels_served.clone(),
+        );
+    }
+}
+
 /// Metrics of a forwarding node.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -114,6 +141,8 @@
     pub retries: Counter,
     /// Number of connections opened to upstreams.
     pub connections: Counter,
+    /// Paths to upstreams.
+    pub paths: PathMetrics,
     /// Number of calls to the platform.
     pub platform_calls: PlatformCallCounters,
     /// Requests in progress.
@@ -157,6 +186,7 @@
             total_time: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
             connections: Counter::default(),
+            paths: PathMetrics::default(),
             platform_calls: Family::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
@@ -192,6 +222,7 @@
             metrics.retries.clone(),
         );
         registry.register("connections", "Connections to upstreams", metrics.connections.clone());
+        metrics.paths.register(&mut registry);
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -53,6 +53,10 @@
     pub limit_outbox: LimitOutbox,
     /// Notified when a request has left the queue for upstreams with limits.
     pub queue_moved: Notify,
+    /// Notified when a path to an upstream was lost.
+    pub path_lost: Notify,
+    /// Cloned by each open tunnel of another node.
+    pub tunnels: Rc<()>,
     pub phase: watch::Sender<ShutdownPhase>,
     pub started_at: BootTime,
     /// Cloned by each open connection of a caller.
@@ -77,6 +81,8 @@
             suspect_outbox: SuspectOutbox::default(),
             limit_outbox: LimitOutbox::default(),
             queue_moved: Notify::new(),
+            path_lost: Notify::new(),
+            tunnels: Rc::new(()),
             phase: watch::Sender::new(ShutdownPhase::Serving),
             started_at: clock::now(),
             caller_connections: Rc::new(()),
@@ -94,7 +100,8 @@
         self.state.borrow_mut()
     }
 
-    /// Keeps `connection` for further requests, unless its upstream leaves.
+    /// Keeps `connection` for further requests, unless its upstream leaves or it is a tunnel. The node at
+    /// its other end checks once whether the upstream takes requests.
     pub fn keep_connection(
         &self,
         upstream: &UpstreamId,
@@ -103,7 +110,7 @@
     ) {
         let has_left =
             self.state().upstreams.find(upstream).is_none_or(|row| row.state().has_left());
-        if !has_left {
+        if !has_left && connection.via().is_none() {
             self.connections.put_back(upstream, connection, keep_alive);
         }
     }
@@ -118,6 +125,11 @@
         Rc::strong_count(&self.caller_connections) - 1
     }
 
+    /// Number of open tunnels of other nodes.
+    pub fn open_tunnels(&self) -> usize {
+        Rc::strong_count(&self.tunnels) - 1
+    }
+
     /// Whether the load balancer should route new connections to this node.
     pub fn is_ready(&self) -> bool {
         let state = self.state();
--- a/samphiredeck/src/forward/peer_socket.rs
+++ b/samphiredeck/src/forward/peer_socket.rs
@@ -13,6 +13,7 @@
     forward::ForwardDatagram,
     message::DATAGRAM_MAX,
 };
+use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 use tokio::{net::UdpSocket, sync::oneshot, time::timeout};
 
@@ -60,6 +61,8 @@
     pub own_name: NodeName,
     incarnation: Incarnation,
     counter: Cell<u64>,
+    /// Like `counter`, for the connections of tunnels.
+    tunnel_counter: Cell<u64>,
     replay_guard: RefCell<ReplayGuard>,
     /// Sorted by id, since ids increase.
     pending: RefCell<Vec<PendingQuery>>,
@@ -85,6 +88,7 @@
             own_name,
             incarnation,
             counter: Cell::new(clock::now().as_millis() << COUNTER_BITS),
+            tunnel_counter: Cell::new(clock::now().as_millis() << COUNTER_BITS),
             replay_guard: RefCell::default(),
             pending: RefCell::default(),
         })
@@ -96,6 +100,44 @@
         self.counter.get()
     }
 
+    /// Allocates the counter of a tunnel's request.
+    pub fn next_tunnel_id(&self) -> u64 {
+        self.tunnel_counter.set(self.tunnel_counter.get() + 1);
+        self.tunnel_counter.get()
+    }
+
+    /// Signs `message` to `receiver`, which is sent over a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message can't be encoded.
+    pub fn sign<T: Serialize>(
+        &self,
+        receiver: &NodeName,
+        counter: u64,
+        message: &T,
+    ) -> Result<Vec<u8>, AuthError> {
+        let header = MessageHeader {
+            node: self.own_name.clone(),
+            incarnation: self.incarnation,
+            counter,
+            receiver: receiver.clone(),
+        };
+        sign_message(&self.key, &header, message)
+    }
+
+    /// Checks and decodes a message that came over a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the message is refused.
+    pub fn verify<T: DeserializeOwned>(
+        &self,
+        bytes: &[u8],
+    ) -> Result<(MessageHeader, T), AuthError> {
+        verify_message(&self.key, &self.own_name, bytes)
+    }
+
     /// Sends `datagram`, which may be lost.
     ///
     /// # Errors
@@ -107,13 +149,7 @@
         address: SocketAddr,
         datagram: &ForwardDatagram,
     ) -> Result<(), AuthError> {
-        let header = MessageHeader {
-            node: self.own_name.clone(),
-            incarnation: self.incarnation,
-            counter: self.next_id(),
-            receiver: receiver.clone(),
-        };
-        let bytes = sign_message(&self.key, &header, datagram)?;
+        let bytes = self.sign(receiver, self.next_id(), datagram)?;
         // A failed send is noticed as a missing reply.
         drop(self.socket.send_to(&bytes, address).await);
         Ok(())
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -16,6 +16,17 @@
     suspect_checks::TrialLease,
 };
 
+/// How an upstream was connected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionKind {
+    /// Over an idle connection.
+    Reused,
+    /// Over a new connection.
+    New,
+    /// Through another node.
+    Tunnel,
+}
+
 /// State of a request over all its attempts.
 #[derive(Debug)]
 pub struct RequestProgress {
@@ -27,8 +38,8 @@
     pub awaited: Option<UpstreamId>,
     /// The only upstream that may still receive the request, since it counts among `attempts`.
     pub only: Option<UpstreamId>,
-    /// Whether the last attempt used a connection that had been idle.
-    pub reused: bool,
+    /// How the upstream of the last attempt was connected.
+    pub connected: Option<ConnectionKind>,
     /// Notified once when the request has been sent.
     pub on_sent: Option<oneshot::Sender<()>>,
     /// Whether the request may have run.
@@ -61,7 +72,7 @@
             attempts: 0,
             awaited: None,
             only: None,
-            reused: false,
+            connected: None,
             on_sent: None,
             verdict: RunVerdict::NotRun,
             software,
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -22,8 +22,10 @@
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
         suspects::{CrashReport, SuspectTable},
+        tunnel_nodes::TunnelNodes,
         upstream_limit::NodeTurn,
         upstream_list::UPSTREAM_PAGE_ENTRIES,
+        upstream_paths::PathTable,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
     },
@@ -74,6 +76,10 @@
     pub upstreams: UpstreamRegistry,
     /// Time of the last response of any upstream to this node.
     pub upstream_heard_at: Option<BootTime>,
+    /// Paths to upstreams that failed.
+    pub paths: PathTable,
+    /// Other nodes that reach upstreams, or don't.
+    pub tunnel_nodes: TunnelNodes,
     /// Requests that wait for upstreams with limits.
     pub limit_queue: LimitQueue,
     /// Where streams began that may be resumed.
@@ -133,6 +139,8 @@
             freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
             upstreams: UpstreamRegistry::default(),
             upstream_heard_at: None,
+            paths: PathTable::default(),
+            tunnel_nodes: TunnelNodes::default(),
             limit_queue: LimitQueue::default(),
             origins: OriginTable::default(),
             suspects: SuspectTable::default(),
--- a/samphiredeck/src/forward/upstream_changes.rs
+++ b/samphiredeck/src/forward/upstream_changes.rs
@@ -19,10 +19,8 @@
 
 use crate::forward::{
     clock,
-    in_flight::InFlightRequest,
     metrics::{LimitLabels, StateLabels},
     node::ForwardNode,
-    request::RequestTrace,
     state::ForwardState,
 };
 
@@ -61,42 +59,53 @@
     }
 }
 
-/// Handles what the upstream of `in_flight` announced about itself in a response.
+/// Response that tells something about its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseSource<'a> {
+    /// Attempt identifier of its request. Empty if it is not known.
+    pub request: &'a str,
+    pub upstream: &'a UpstreamId,
+    /// Start time of the upstream that the request was sent to.
+    pub started_ms: Option<u64>,
+    /// Time at which the request was sent.
+    pub sent_at: BootTime,
+}
+
+/// Handles what an upstream announced about itself in a response.
 pub fn handle_announcements(
-    trace: &RequestTrace,
-    in_flight: &InFlightRequest,
+    node: &ForwardNode,
+    source: &ResponseSource<'_>,
     announcements: &ResponseAnnouncements,
 ) {
     if announcements.leaving.is_some() {
-        handle_response_event(trace, in_flight, ResponseEvent::Leaving);
+        handle_response_event(node, source, ResponseEvent::Leaving);
     }
     if let Some(delay) = announcements.retry_delay.map(RetryDelay::to_duration) {
-        handle_response_event(trace, in_flight, ResponseEvent::Pause(delay));
+        handle_response_event(node, source, ResponseEvent::Pause(delay));
     }
     if let Some(limit) = announcements.limit {
-        handle_limit(trace, in_flight, limit);
+        handle_limit(node, source, limit);
     }
     for error in &announcements.invalid {
         let WireError::InvalidField { field, reason } = error else { continue };
         let fields = json!({
-            "upstream": in_flight.upstream.as_str(), "request": trace.attempt_id, "field": field,
+            "upstream": source.upstream.as_str(), "request": source.request, "field": field,
             "reason": reason,
         });
-        trace.node.log.record_once_a_minute("announcement-unreadable", field, fields);
+        node.log.record_once_a_minute("announcement-unreadable", field, fields);
     }
 }
 
-/// Handles an event that a response revealed about the upstream of `in_flight`.
+/// Handles an event that a response revealed about its upstream.
 pub fn handle_response_event(
-    trace: &RequestTrace,
-    in_flight: &InFlightRequest,
+    node: &ForwardNode,
+    source: &ResponseSource<'_>,
     event: ResponseEvent,
 ) {
-    let node = &trace.node;
-    let upstream = &in_flight.upstream;
+    let upstream = source.upstream;
     let now = clock::now();
     let mut state = node.state();
-    let changed = state.upstreams.record_response_event(upstream, in_flight.started_ms, event, now);
+    let changed = state.upstreams.record_response_event(upstream, source.started_ms, event, now);
     drop(state);
     let Some(changed) = changed else { return };
     if changed.has_left() {
@@ -109,20 +118,19 @@
     let fields = json!({
         "upstream": upstream.as_str(), "change": what, "cause": cause,
         "until_ms": until_ms.map(|pause| clock::wall_ms() + pause), "pause_ms": pause,
-        "request": trace.attempt_id,
+        "request": source.request,
     });
     node.log.record("upstream", fields);
 }
 
 /// Handles what a response says about the limit of its upstream.
-fn handle_limit(trace: &RequestTrace, in_flight: &InFlightRequest, limit: LimitNotice) {
-    let node = &trace.node;
+fn handle_limit(node: &ForwardNode, source: &ResponseSource<'_>, limit: LimitNotice) {
     let statement =
-        LimitStatement { rate: limit.rate(), sent_at: in_flight.sent_at, read_at: clock::now() };
-    let (upstream, started_ms) = (&in_flight.upstream, in_flight.started_ms);
+        LimitStatement { rate: limit.rate(), sent_at: source.sent_at, read_at: clock::now() };
+    let (upstream, started_ms) = (source.upstream, source.started_ms);
     let changed = node.state().upstreams.apply_limit(upstream, started_ms, statement);
     if let Some(change) = changed {
-        log_limit_change(node, upstream, change, Some(&trace.attempt_id), "response");
+        log_limit_change(node, upstream, change, Some(source.request), "response");
         node.limit_outbox.add(upstream);
     }
 }
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -145,7 +145,8 @@
     if metadata.attempt_id.is_none() && announcements.limit == Some(LimitNotice::Absent) {
         announcements.limit = None;
     }
-    handle_announcements(trace, in_flight, &announcements);
+    let source = in_flight.source(&trace.attempt_id);
+    handle_announcements(&trace.node, &source, &announcements);
     if metadata.not_executed.is_some() {
         let reason = format!("rejected with {}", head.status.as_u16());
         return Err(SendFailure::new(SendOutcome::Rejected, reason));
@@ -250,6 +251,7 @@
         state.upstreams.record_load(&in_flight.upstream, running, waiting, clock::now());
     }
     if metadata.not_executed == Some(NotExecutedReason::Misdirected) {
-        handle_response_event(trace, in_flight, ResponseEvent::AddressReused);
+        let source = in_flight.source(&trace.attempt_id);
+        handle_response_event(&trace.node, &source, ResponseEvent::AddressReused);
     }
 }
--- a/samphiredeck_core/src/forward/outcome.rs
+++ b/samphiredeck_core/src/forward/outcome.rs
@@ -11,6 +11,8 @@
 pub enum SendOutcome {
     /// No byte of the request left this node.
     Unsent,
+    /// Neither this node nor any other that was asked reaches an upstream.
+    NoPath,
     /// The upstream ceased to take requests before this one was sent.
     Withdrawn,
     /// The upstream stated that it has not run the request and will not run it.
@@ -25,14 +27,14 @@
     /// Whether any byte of the request may have left this node.
     #[must_use]
     pub fn is_sent(self) -> bool {
-        !matches!(self, Self::Unsent | Self::Withdrawn)
+        !matches!(self, Self::Unsent | Self::NoPath | Self::Withdrawn)
     }
 
     /// Whether the request may have run after this attempt.
     #[must_use]
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::Unsent | Self::Withdrawn | Self::Rejected => RunVerdict::NotRun,
+            Self::Unsent | Self::NoPath | Self::Withdrawn | Self::Rejected => RunVerdict::NotRun,
             Self::Broken => RunVerdict::MayHaveRun,
             Self::Failed => RunVerdict::Ran,
         }
@@ -62,16 +64,21 @@
     attempts: u32,
 ) -> NextStep {
     let repeatable = policy.permits_retry();
-    let retry = attempts > 0 && (repeatable || combined.permits_resend(repeatable));
+    let may_help = outcome != SendOutcome::NoPath;
+    let retry = may_help && attempts > 0 && (repeatable || combined.permits_resend(repeatable));
     match outcome {
         _ if retry => NextStep::SendAgain,
         SendOutcome::Failed => NextStep::Deliver,
-        SendOutcome::Unsent | SendOutcome::Withdrawn | SendOutcome::Rejected
+        SendOutcome::Unsent
+        | SendOutcome::NoPath
+        | SendOutcome::Withdrawn
+        | SendOutcome::Rejected
             if combined == RunVerdict::NotRun =>
         {
             NextStep::RefuseUnrun
         }
         SendOutcome::Unsent
+        | SendOutcome::NoPath
         | SendOutcome::Withdrawn
         | SendOutcome::Rejected
         | SendOutcome::Broken => NextStep::GiveUp,
--- a/samphiredeck_wire/src/lib.rs
+++ b/samphiredeck_wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod forward;
 pub mod message;
 pub mod record;
+pub mod tunnel;
