Confirm crashes of upstreams through other nodes

At a node whose paths were cut, connections ended and new ones were refused, which was taken for crashes: sound requests were refused, here and at the nodes that were told, as if a part of their prompts crashed engines.

A refusal of new connections now counts only if other nodes are refused, too, and reach other upstreams; nothing is reported before that. Without others that can tell, a node has to reach another upstream itself.

lost_paths::paths_that_are_lost_are_not_taken_for_crashes: 10 engine-crashed lines at the cut node before, none now; a part that does crash engines is still found by a node that is cut off.

--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -5,14 +5,18 @@
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::suspects::{
-        SuspectProof,
-        blame::KeySuspicion,
-        trials::{TRIAL_TIMEOUT, find_keeper},
+    forward::{
+        suspects::{
+            SuspectProof,
+            blame::KeySuspicion,
+            trials::{TRIAL_TIMEOUT, find_keeper},
+        },
+        upstream_paths::PathRoute,
     },
     ids::{NodeName, RunKey, SuspectKey},
     verdict::RunVerdict,
 };
+use samphiredeck_wire::tunnel::TunnelPurpose;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
@@ -24,6 +28,9 @@
     peer_messages::query_trial,
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{RequestProgress, unanswered_error},
+    tunnel_client::{TunnelOutcome, open_tunnel},
+    tunnel_server::reaches_others,
+    upstream_paths::{connect_directly, record_reached},
 };
 
 /// Reason of a refusal for a prompt part, as told to callers.
@@ -125,16 +132,34 @@
     }
 }
 
-/// Whether the process at `address` has ended: it refuses connections.
-async fn is_crashed(node: &ForwardNode, in_flight: &InFlightRequest, address: SocketAddr) -> bool {
-    match timeout(CONFIRM_TIMEOUT, node.connections.connect(address)).await {
-        Ok(Ok(connection)) => {
-            node.metrics.connections.inc();
-            node.keep_connection(&in_flight.upstream, connection, None);
+/// Whether the process of the upstream at `address` has ended: it refuses connections of this node and of
+/// others. A lost path refuses them, too, but only those of some nodes.
+async fn is_crashed(
+    node: &Rc<ForwardNode>,
+    in_flight: &InFlightRequest,
+    address: SocketAddr,
+) -> bool {
+    let upstream = &in_flight.upstream;
+    let is_direct = node.state().paths.route(upstream) == PathRoute::Direct;
+    if is_direct {
+        match timeout(CONFIRM_TIMEOUT, connect_directly(node, upstream, address)).await {
+            Ok(Ok(connection)) => {
+                node.keep_connection(upstream, connection, None);
+                return false;
+            }
+            Ok(Err(ConnectError::Io(error))) if error.kind() == ErrorKind::ConnectionRefused => {}
+            Ok(Err(_)) | Err(_) => return false,
+        }
+    }
+    match open_tunnel(node, upstream, in_flight.started_ms, TunnelPurpose::Check).await {
+        TunnelOutcome::Down { refused } => refused,
+        TunnelOutcome::Connected(..) => {
+            record_reached(node, upstream);
             false
         }
-        Ok(Err(ConnectError::Io(error))) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Err(_)) | Err(_) => false,
+        TunnelOutcome::Closed(_) => false,
+        // Without others that can tell, a node that reaches other upstreams has not lost its paths.
+        TunnelOutcome::NoPath => is_direct && reaches_others(node, upstream).await,
     }
 }
 
--- a/samphiredeck/src/forward/tunnel_server.rs
+++ b/samphiredeck/src/forward/tunnel_server.rs
@@ -175,13 +175,15 @@
 
 /// Whether this node reaches any upstream other than `failed`. If there is none, that is assumed.
 pub async fn reaches_others(node: &Rc<ForwardNode>, failed: &UpstreamId) -> bool {
-    let others: Vec<(UpstreamId, SocketAddr)> = {
+    let now = clock::now();
+    let (failing, sound): (Vec<_>, Vec<_>) = {
         let state = node.state();
-        let now = clock::now();
         let rows = state.upstreams.rows().iter();
         let others = rows.filter(|row| row.entry.id != *failed && row.is_accepting(now));
-        others.map(|row| (row.entry.id.clone(), row.entry.address)).collect()
+        let others = others.map(|row| (row.entry.id.clone(), row.entry.address));
+        others.partition(|(id, _)| state.paths.has_failed(id, now))
     };
+    let others = if sound.is_empty() { failing } else { sound };
     if others.is_empty() {
         return true;
     }
--- a/samphiredeck_core/src/forward/upstream_paths.rs
+++ b/samphiredeck_core/src/forward/upstream_paths.rs
@@ -119,6 +119,13 @@
         self.find(upstream).is_some_and(|row| row.is_lost)
     }
 
+    /// Whether a connection to `upstream` has failed lately.
+    #[must_use]
+    pub fn has_failed(&self, upstream: &UpstreamId, now: BootTime) -> bool {
+        let row = self.find(upstream).filter(|row| row.is_lost || row.is_recent(now));
+        row.is_some_and(|row| row.failed.is_some())
+    }
+
     /// Whether open connections to `upstream` are probably silent.
     #[must_use]
     pub fn is_silent(&self, upstream: &UpstreamId) -> bool {
