Keep the origins of streams in the store while several versions serve

Readers now publish the origins that they and their followers announce, each 100 ms, and a node reads them at its start.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod node;
 mod operator;
+mod origin_rows;
 mod peer_choice;
 mod peer_messages;
 mod peer_socket;
@@ -163,6 +164,7 @@
     spawn(shared_rows::sync_shared_rows(Rc::clone(node)));
     spawn(leader::run_leader(Rc::clone(node)));
     spawn(stream_versions::announce_origins(Rc::clone(node)));
+    spawn(origin_rows::sync_origins(Rc::clone(node)));
     spawn(suspect_exchange::announce_suspects(Rc::clone(node)));
     spawn(suspect_exchange::compare_suspects(Rc::clone(node)));
     spawn(limit_exchange::announce_limits(Rc::clone(node)));
--- a/samphiredeck/src/forward/stream_versions.rs
+++ b/samphiredeck/src/forward/stream_versions.rs
@@ -86,7 +86,16 @@
         let keepers: Vec<_> = {
             let state = node.state();
             let ranked = rank_keepers(attempt, state.members.list().entries(), &own_name);
-            ranked.into_iter().take(KEEPERS).map(|entry| (entry.node.clone(), entry.peer)).collect()
+            let keepers = ranked.into_iter().take(KEEPERS);
+            let mut told: Vec<_> = keepers.map(|entry| (entry.node.clone(), entry.peer)).collect();
+            // The reader publishes it in the store, too.
+            let reader = state.reader.clone().filter(|name| told.iter().all(|row| row.0 != *name));
+            let reader = reader.and_then(|name| {
+                let address = state.members.peer_address(&name)?;
+                Some((name, address))
+            });
+            told.extend(reader);
+            told
         };
         for (keeper, address) in &keepers {
             let origin = (attempt, origin.clone());
--- a/samphiredeck_core/src/forward/stream_origins.rs
+++ b/samphiredeck_core/src/forward/stream_origins.rs
@@ -45,6 +45,8 @@
     OwnAnnounced,
     /// Another node has announced it to this one.
     Announced,
+    /// It was read from the store.
+    Published,
 }
 
 #[derive(Clone, Debug)]
@@ -52,9 +54,62 @@
     attempt: AttemptKey,
     origin: StreamOrigin,
     source: OriginSource,
+    /// Whether it is in the store.
+    is_published: bool,
     expires_at: BootTime,
 }
 
+/// Origins that a node has published in the store, for nodes that start after a loss of all others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PublishedOrigins {
+    /// Time on the store's clock at which they were published, in milliseconds.
+    pub written_ms: i64,
+    /// Origins without duplicates.
+    origins: Vec<StreamOrigin>,
+    /// Streams, each with the index of its origin and the time in milliseconds after `written_ms` until
+    /// which it may be resumed.
+    streams: Vec<(AttemptKey, u16, u32)>,
+}
+
+impl PublishedOrigins {
+    /// Collects `rows` for publishing, with the time for which each stream may be resumed.
+    #[must_use]
+    pub fn collect(written_ms: i64, rows: &[(AttemptKey, StreamOrigin, Duration)]) -> Self {
+        let mut published = Self { written_ms, origins: Vec::new(), streams: Vec::new() };
+        for (attempt, origin, lifetime) in rows {
+            let known = published.origins.iter().position(|other| other == origin);
+            let index = known.unwrap_or(published.origins.len());
+            if known.is_none() {
+                published.origins.push(origin.clone());
+            }
+            let Ok(index) = u16::try_from(index) else { continue };
+            let lifetime_ms = u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX);
+            published.streams.push((*attempt, index, lifetime_ms));
+        }
+        published
+    }
+
+    /// Streams that may still be resumed when the store's clock shows `store_ms`, with the time left.
+    pub fn rows(
+        &self,
+        store_ms: i64,
+    ) -> impl Iterator<Item = (AttemptKey, &StreamOrigin, Duration)> {
+        self.streams.iter().filter_map(move |(attempt, index, lifetime_ms)| {
+            let origin = self.origins.get(usize::from(*index))?;
+            let left_ms = self.written_ms + i64::from(*lifetime_ms) - store_ms;
+            let left = u64::try_from(left_ms).ok().filter(|left| *left > 0)?;
+            Some((*attempt, origin, Duration::from_millis(left)))
+        })
+    }
+
+    /// Time on the store's clock, in milliseconds, from which none of the streams may be resumed.
+    #[must_use]
+    pub fn expires_ms(&self) -> i64 {
+        let longest = self.streams.iter().map(|(_, _, lifetime_ms)| *lifetime_ms).max();
+        self.written_ms + i64::from(longest.unwrap_or(0))
+    }
+}
+
 /// Origins of streams that may still be resumed.
 #[derive(Clone, Debug, Default)]
 pub struct OriginTable {
@@ -73,7 +128,8 @@
         now: BootTime,
     ) {
         let expires_at = now + lifetime.min(LIFETIME_MAX);
-        let row = OriginRow { attempt, origin, source, expires_at };
+        let is_published = source == OriginSource::Published;
+        let row = OriginRow { attempt, origin, source, is_published, expires_at };
         match self.rows.binary_search_by_key(&attempt, |row| row.attempt) {
             // The first origin holds: later attempts of the caller only resume the stream.
             Ok(at) => self.rows[at].expires_at = self.rows[at].expires_at.max(expires_at),
@@ -115,6 +171,30 @@
         due.take(count).map(take).collect()
     }
 
+    /// Up to `count` origins that were announced and are not in the store, with their remaining lifetime.
+    #[must_use]
+    pub fn unpublished(
+        &self,
+        count: usize,
+        now: BootTime,
+    ) -> Vec<(AttemptKey, StreamOrigin, Duration)> {
+        let due = self.rows.iter().filter(|row| {
+            !row.is_published && row.source != OriginSource::Own && now < row.expires_at
+        });
+        due.take(count)
+            .map(|row| (row.attempt, row.origin.clone(), row.expires_at.since(now)))
+            .collect()
+    }
+
+    /// Records that the origins of `attempts` are in the store.
+    pub fn mark_published(&mut self, attempts: impl Iterator<Item = AttemptKey>) {
+        for attempt in attempts {
+            if let Ok(at) = self.rows.binary_search_by_key(&attempt, |row| row.attempt) {
+                self.rows[at].is_published = true;
+            }
+        }
+    }
+
     /// Removes origins that have expired at `now`.
     pub fn remove_expired(&mut self, now: BootTime) {
         self.rows.retain(|row| now < row.expires_at);
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -4,6 +4,7 @@
     forward::{
         leader::LeaderRecord,
         members::MemberHeartbeat,
+        stream_origins::PublishedOrigins,
         suspects::exchange::PublishedSuspects,
         usage::{WindowCounts, WindowIndex},
         version_history::PublishedHistory,
@@ -15,6 +16,8 @@
 
 /// Table of the store that holds the rows.
 pub const SHARED_TABLE: &str = "samphiredeck";
+/// Table of the store that holds the origins of streams.
+pub const ORIGINS_TABLE: &str = "samphiredeck-origins";
 /// Key of the row that names the leader: the one node that acts on behalf of the whole system.
 pub const LEADER_ROW_KEY: &str = "duty";
 /// Key of the row that holds the secret from which the key of the nodes' datagrams is derived.
@@ -86,6 +89,21 @@
     format!("{USAGE_PREFIX}{:020}", window.0)
 }
 
+/// Key of the row number `number` in which `node` publishes origins of streams.
+#[must_use]
+pub fn origins_key(node: &NodeName, number: u64) -> String {
+    format!("{node}.{number:020}")
+}
+
+/// Decodes a row of [`ORIGINS_TABLE`].
+///
+/// # Errors
+///
+/// Returns why the content can't be decoded.
+pub fn decode_origins(value: &[u8]) -> Result<PublishedOrigins, RecordError> {
+    decode_content(value)
+}
+
 /// Encodes the content of a row.
 ///
 /// # Errors
