--- a/samphiredeck/src/forward/origin_rows.rs
+++ b/samphiredeck/src/forward/origin_rows.rs
@@ -13,7 +13,7 @@
 
 use crate::forward::{
     clock,
-    dependency::STORE_TIMEOUT,
+    dependency::{STORE_TIMEOUT, sleep_with_jitter},
     node::ForwardNode,
     platform_client::{PlatformCallError, PlatformClient},
 };
@@ -24,6 +24,8 @@
 /// Number of nodes for each of which the interval grows by [`PUBLISH_PERIOD`], so that all readers
 /// together stay below the number of writes that the store takes.
 const PERIOD_NODES: u32 = 512;
+/// Delay after a failed read at the start.
+const LOAD_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of streams in a row, so that it fits into the store's rows.
 const ROW_STREAMS_MAX: usize = 1_500;
 /// Interval at which expired rows are removed while there is nothing to publish.
@@ -44,7 +46,7 @@
             Ok(rows) => break rows,
             Err(error) => log_failure(&node, "read", &error),
         }
-        sleep(PUBLISH_PERIOD).await;
+        sleep_with_jitter(LOAD_RETRY_DELAY).await;
     };
     let mut removed_at = clock::now();
     loop {
--- a/samphiredeck/src/forward/tunnel_server.rs
+++ b/samphiredeck/src/forward/tunnel_server.rs
@@ -68,7 +68,10 @@
     let replay_guard = Rc::new(RefCell::new(ReplayGuard::default()));
     loop {
         match listener.accept().await {
+            // Closing the connection tells the other node to ask another one.
+            Ok((stream, _)) if node.open_tunnels() >= TUNNELS_MAX => drop(stream),
             Ok((stream, from)) => {
+                let open_tunnel = Rc::clone(&node.tunnels);
                 let (node, socket) = (Rc::clone(&node), Rc::clone(&socket));
                 let replay_guard = Rc::clone(&replay_guard);
                 actix_web::rt::spawn(async move {
@@ -77,6 +80,7 @@
                             json!({ "from": from.to_string(), "reason": error.to_string() });
                         node.log.record("tunnel-refused", fields);
                     }
+                    drop(open_tunnel);
                 });
             }
             Err(error) => {
@@ -101,7 +105,6 @@
     let Ok(opening) = timeout(REQUEST_TIMEOUT, opening).await else { return Ok(()) };
     let (header, request) = opening?;
     replay_guard.borrow_mut().accept(&header)?;
-    let open_tunnel = Rc::clone(&node.tunnels);
     let (reply, upstream) = connect_for(node, &request).await;
     let receiver = (&header.node, header.counter);
     write_message(&mut stream, socket, receiver, &reply).await?;
@@ -110,7 +113,6 @@
         let ended = splice(node, &request, TunnelStream::new(stream), upstream).await;
         log_end(node, &header.node, &request, &ended);
     }
-    drop(open_tunnel);
     Ok(())
 }
 
@@ -151,7 +153,7 @@
 /// Address of the upstream of `request`, or why this node does not connect to it.
 fn check_request(node: &ForwardNode, request: &TunnelRequest) -> Result<SocketAddr, TunnelReply> {
     let now = clock::now();
-    if node.phase() >= ShutdownPhase::Draining || node.open_tunnels() > TUNNELS_MAX {
+    if node.phase() >= ShutdownPhase::Draining {
         return Err(TunnelReply::Busy);
     }
     let state = node.state();
--- a/samphiredeck_wire/src/tunnel.rs
+++ b/samphiredeck_wire/src/tunnel.rs
@@ -53,6 +53,6 @@
     },
     /// The sender does not know the upstream, or knows another start of it.
     Unknown,
-    /// The sender is stopping, or has too many tunnels.
+    /// The sender is stopping.
     Busy,
 }
