--- a/samphiredeck/src/forward/tunnel_client.rs
+++ b/samphiredeck/src/forward/tunnel_client.rs
@@ -67,6 +67,7 @@
         state.tunnel_nodes.rank(members, own, ASKED_MAX, clock::now(), random)
     };
     let down_min = DOWN_REPLIES.min(candidates.len());
+    let asked = candidates.len();
     let mut refusals = Vec::new();
     for (name, address) in candidates {
         let asked_at = clock::now();
@@ -112,11 +113,22 @@
         }
     }
     if refusals.is_empty() {
+        log_no_path(node, upstream, asked);
         return TunnelOutcome::NoPath;
     }
     TunnelOutcome::Down { refused: refusals.iter().all(|refused| *refused) }
 }
 
+/// Logs that none of the nodes that were to be asked has connected to `upstream`, and what is known of all.
+fn log_no_path(node: &ForwardNode, upstream: &UpstreamId, asked: usize) {
+    let (reached, failed) = node.state().tunnel_nodes.count(clock::now());
+    let fields = json!({
+        "upstream": upstream.as_str(), "asked": asked, "reached": reached, "failed": failed,
+        "members": node.state().members.count(),
+    });
+    node.log.record("no-tunnel", fields);
+}
+
 /// Sends `request` to the node at `address`. Returns its reply with the connection.
 async fn ask_node(
     socket: &PeerSocket,
--- a/samphiredeck_core/src/forward/tunnel_nodes.rs
+++ b/samphiredeck_core/src/forward/tunnel_nodes.rs
@@ -27,6 +27,16 @@
     at: BootTime,
 }
 
+impl AskedNode {
+    fn is_reached(&self, now: BootTime) -> bool {
+        self.reached && now.since(self.at) < REACHED_LIFETIME
+    }
+
+    fn is_failed(&self, now: BootTime) -> bool {
+        !self.reached && now.since(self.at) < FAILED_LIFETIME
+    }
+}
+
 /// What is known of other nodes' paths.
 #[derive(Clone, Debug, Default)]
 pub struct TunnelNodes {
@@ -56,11 +66,7 @@
         now: BootTime,
         mut random: impl FnMut() -> u64,
     ) -> Vec<(NodeName, SocketAddr)> {
-        let failed = |row: &&AskedNode| !row.reached && now.since(row.at) < FAILED_LIFETIME;
-        let reached = |row: &&AskedNode| row.reached && now.since(row.at) < REACHED_LIFETIME;
-        if self.rows.iter().filter(failed).count() >= FAILED_MAX
-            && !self.rows.iter().any(|row| reached(&row))
-        {
+        if let (0, FAILED_MAX..) = self.count(now) {
             return Vec::new();
         }
         let mut ranked: Vec<_> = members
@@ -68,10 +74,10 @@
             .filter(|member| member.node != *own)
             .filter_map(|member| {
                 let row = self.find(&member.node);
-                if row.as_ref().is_some_and(failed) {
+                if row.is_some_and(|row| row.is_failed(now)) {
                     return None;
                 }
-                let is_unproven = row.as_ref().is_none_or(|row| !reached(row));
+                let is_unproven = row.is_none_or(|row| !row.is_reached(now));
                 Some((is_unproven, member.domain != *domain, random(), member))
             })
             .collect();
@@ -80,6 +86,13 @@
         chosen.map(|(_, _, _, member)| (member.node.clone(), member.peer)).collect()
     }
 
+    /// Numbers of nodes that reached upstreams lately, and of those that did not.
+    #[must_use]
+    pub fn count(&self, now: BootTime) -> (usize, usize) {
+        let reached = self.rows.iter().filter(|row| row.is_reached(now)).count();
+        (reached, self.rows.iter().filter(|row| row.is_failed(now)).count())
+    }
+
     fn find(&self, node: &NodeName) -> Option<&AskedNode> {
         let at = self.rows.binary_search_by(|row| row.node.cmp(node)).ok()?;
         Some(&self.rows[at])
