Find nodes with paths in all domains, and spread tunnels over them

Callers of a domain whose nodes had all lost their paths were refused though other domains reached the upstreams. Cause: nodes of which nothing is known were asked in the own domain first, one after the other, 450 ms each, and after eight without a path none for two seconds. Class: what holds for the neighbours is taken for all. Nodes that were stopping, unknown upstreams and missing replies counted as lost paths as well.

Now the first node is in the own domain only until one there has no path, the next ones come from all domains in turn, and another one is asked after 80 ms without a reply. Where few are known to have paths, unknown ones are asked first more often, so that requests do not meet at those that succeeded first.

--- a/samphiredeck/src/forward/tunnel_client.rs
+++ b/samphiredeck/src/forward/tunnel_client.rs
@@ -2,9 +2,13 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use rand::random;
 use samphiredeck_core::{
-    forward::upstream_state::ResponseEvent,
+    forward::{
+        tunnel_nodes::{TunnelCandidate, TunnelResult},
+        upstream_state::ResponseEvent,
+    },
     ids::{NodeName, UpstreamId},
 };
 use samphiredeck_wire::tunnel::{TunnelPurpose, TunnelReply, TunnelRequest};
@@ -12,7 +16,8 @@
 use socket2::SockRef;
 use tokio::{
     net::TcpStream,
-    time::{Instant, timeout, timeout_at},
+    select,
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::forward::{
@@ -30,6 +35,11 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum number of nodes that are asked.
 const ASKED_MAX: usize = 4;
+/// Time without a reply after which another node is asked as well. A node that has lost its paths without
+/// knowing replies after several hundred milliseconds.
+const HEDGE_DELAY: Duration = Duration::from_millis(80);
+/// That time for a node that has reached upstreams lately, which may be busy.
+const HEDGE_DELAY_PROVEN: Duration = Duration::from_millis(200);
 /// Number of nodes that can't reach an upstream, though they reach others, after which it is down. A
 /// single one may have lost just this path.
 const DOWN_REPLIES: usize = 2;
@@ -50,7 +60,8 @@
     NoPath,
 }
 
-/// Asks other nodes, one after the other, to connect to the start `started_ms` of `upstream`.
+/// Asks other nodes to connect to the start `started_ms` of `upstream`: one after the other, and the next one as
+/// well while there is no reply.
 pub async fn open_tunnel(
     node: &Rc<ForwardNode>,
     upstream: &UpstreamId,
@@ -59,7 +70,6 @@
 ) -> TunnelOutcome {
     let Some(socket) = node.peer_socket.borrow().clone() else { return TunnelOutcome::NoPath };
     let request = TunnelRequest { upstream: upstream.clone(), started_ms, purpose };
-    let until = Instant::now() + OPEN_TIMEOUT;
     let candidates = {
         let (state, settings) = (node.state(), node.settings());
         let members = state.members.list().entries();
@@ -68,35 +78,46 @@
     };
     let down_min = DOWN_REPLIES.min(candidates.len());
     let asked = candidates.len();
+    let mut candidates = candidates.into_iter();
+    let mut exchanges = FuturesUnordered::new();
+    let mut waiting: Vec<NodeName> = Vec::new();
     let mut refusals = Vec::new();
-    for (name, address) in candidates {
-        let asked_at = clock::now();
-        let exchange = timeout(REPLY_TIMEOUT, ask_node(&socket, (&name, address), &request));
-        let Ok(replied) = timeout_at(until, exchange).await else { break };
-        let (reply, stream) = match replied {
-            Ok(Ok(replied)) => replied,
-            failed => {
-                let reason = match failed {
-                    Ok(Err(error)) => error.to_string(),
-                    _ => "no reply in time".to_owned(),
-                };
-                let fields = json!({ "via": name.as_str(), "reason": reason });
-                node.log.record("tunnel-failed", fields);
-                node.state().tunnel_nodes.record(&name, false, clock::now());
+    let until = Instant::now() + OPEN_TIMEOUT;
+    let mut ask_at = Instant::now();
+    loop {
+        if ask_at <= Instant::now() || exchanges.is_empty() {
+            if let Some(candidate) = candidates.next() {
+                let is_proven = candidate.is_proven;
+                let delay = if is_proven { HEDGE_DELAY_PROVEN } else { HEDGE_DELAY };
+                ask_at = Instant::now() + delay;
+                waiting.push(candidate.node.clone());
+                exchanges.push(ask_candidate(node, &socket, candidate, &request));
+            } else if exchanges.is_empty() {
+                break;
+            } else {
+                ask_at = until;
+            }
+        }
+        let replied = select! {
+            Some(replied) = exchanges.next() => replied,
+            () = sleep_until(ask_at.min(until)) => {
+                if until <= Instant::now() {
+                    break;
+                }
                 continue;
             }
         };
-        let fields = json!({
-            "upstream": upstream.as_str(), "via": name.as_str(), "purpose": format!("{purpose:?}"),
-            "reply": format!("{reply:?}"), "took_ms": clock::now().since(asked_at).as_millis(),
-        });
-        node.log.record("tunnel", fields);
-        let reached = matches!(reply, TunnelReply::Connected | TunnelReply::Down { .. });
-        node.state().tunnel_nodes.record(&name, reached, clock::now());
+        let (candidate, replied) = replied;
+        waiting.retain(|name| *name != candidate.node);
+        let Some((reply, stream)) = replied else {
+            ask_at = Instant::now();
+            continue;
+        };
         match reply {
             TunnelReply::Connected => {
                 node.metrics.paths.tunnels_opened.inc();
-                return TunnelOutcome::Connected(TunnelStream::new(stream), name);
+                record_unavailable(node, &waiting);
+                return TunnelOutcome::Connected(TunnelStream::new(stream), candidate.node);
             }
             TunnelReply::Down { refused } => {
                 refusals.push(refused);
@@ -111,7 +132,9 @@
             }
             TunnelReply::NoPath | TunnelReply::Unknown | TunnelReply::Busy => {}
         }
+        ask_at = Instant::now();
     }
+    record_unavailable(node, &waiting);
     if refusals.is_empty() {
         log_no_path(node, upstream, asked);
         return TunnelOutcome::NoPath;
@@ -119,11 +142,66 @@
     TunnelOutcome::Down { refused: refusals.iter().all(|refused| *refused) }
 }
 
+/// Records that the nodes `waiting` have not replied in time.
+fn record_unavailable(node: &ForwardNode, waiting: &[NodeName]) {
+    for name in waiting {
+        node.state().tunnel_nodes.record(name, TunnelResult::Unavailable, clock::now());
+    }
+}
+
+/// Asks `candidate`, and records what it shows. Returns its reply with the connection, if there is one.
+async fn ask_candidate(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    candidate: TunnelCandidate,
+    request: &TunnelRequest,
+) -> (TunnelCandidate, Option<(TunnelReply, TcpStream)>) {
+    let asked_at = clock::now();
+    let name = &candidate.node;
+    let exchange = timeout(REPLY_TIMEOUT, ask_node(socket, (name, candidate.address), request));
+    let replied = match exchange.await {
+        Ok(Ok(replied)) => Ok(replied),
+        Ok(Err(error)) => Err(error.to_string()),
+        Err(_elapsed) => Err("no reply in time".to_owned()),
+    };
+    let (result, replied) = match replied {
+        Ok((reply, stream)) => {
+            let fields = json!({
+                "upstream": request.upstream.as_str(), "via": name.as_str(),
+                "purpose": format!("{:?}", request.purpose), "reply": format!("{reply:?}"),
+                "took_ms": clock::now().since(asked_at).as_millis(),
+            });
+            node.log.record("tunnel", fields);
+            (result_of(&reply), Some((reply, stream)))
+        }
+        Err(reason) => {
+            let fields = json!({ "via": name.as_str(), "reason": reason });
+            node.log.record("tunnel-failed", fields);
+            (Some(TunnelResult::Unavailable), None)
+        }
+    };
+    if let Some(result) = result {
+        node.state().tunnel_nodes.record(name, result, clock::now());
+    }
+    (candidate, replied)
+}
+
+/// What `reply` tells of the paths of the node that sent it.
+fn result_of(reply: &TunnelReply) -> Option<TunnelResult> {
+    match reply {
+        TunnelReply::Connected | TunnelReply::Down { .. } => Some(TunnelResult::Reached),
+        TunnelReply::NoPath => Some(TunnelResult::NoPath),
+        TunnelReply::Busy => Some(TunnelResult::Unavailable),
+        TunnelReply::Leaving | TunnelReply::Paused { .. } | TunnelReply::Unknown => None,
+    }
+}
+
 /// Logs that none of the nodes that were to be asked has connected to `upstream`, and what is known of all.
 fn log_no_path(node: &ForwardNode, upstream: &UpstreamId, asked: usize) {
-    let (reached, failed) = node.state().tunnel_nodes.count(clock::now());
+    let counts = node.state().tunnel_nodes.count(clock::now());
     let fields = json!({
-        "upstream": upstream.as_str(), "asked": asked, "reached": reached, "failed": failed,
+        "upstream": upstream.as_str(), "asked": asked, "reached": counts.reached,
+        "failed": counts.no_path, "unavailable": counts.unavailable,
         "members": node.state().members.count(),
     });
     node.log.record("no-tunnel", fields);
