Believe that an upstream is down only from two domains that reach its pool

Cause: a node counts as a witness if it reaches any other upstream, and two of one domain are enough. A domain that has lost its paths to one pool reaches the others.

Now witnesses are of two domains where there are two, and reach another upstream of the same pool. Engines that are known to have crashed don't count, since a request may take all of a small pool.

--- a/samphiredeck/src/forward/tunnel_client.rs
+++ b/samphiredeck/src/forward/tunnel_client.rs
@@ -9,7 +9,7 @@
         tunnel_nodes::{TunnelCandidate, TunnelResult},
         upstream_state::ResponseEvent,
     },
-    ids::{NodeName, UpstreamId},
+    ids::{DomainName, NodeName, UpstreamId},
 };
 use samphiredeck_wire::tunnel::{TunnelPurpose, TunnelReply, TunnelRequest};
 use serde_json::json;
@@ -40,8 +40,8 @@
 const HEDGE_DELAY: Duration = Duration::from_millis(80);
 /// That time for a node that has reached upstreams lately, which may be busy.
 const HEDGE_DELAY_PROVEN: Duration = Duration::from_millis(200);
-/// Number of nodes that can't reach an upstream, though they reach others, after which it is down. A
-/// single one may have lost just this path.
+/// Number of failure domains, or of nodes in a single one, with nodes that can't reach an upstream, though they
+/// reach others, from which it is down. One that has lost just this path has often lost it as a whole.
 const DOWN_REPLIES: usize = 2;
 
 /// Result of opening a tunnel.
@@ -76,12 +76,11 @@
         let own = (&settings.name, &settings.domain);
         state.tunnel_nodes.rank(members, own, ASKED_MAX, clock::now(), random)
     };
-    let down_min = DOWN_REPLIES.min(candidates.len());
     let asked = candidates.len();
+    let mut witnesses = DownWitnesses::new(&candidates);
     let mut candidates = candidates.into_iter();
     let mut exchanges = FuturesUnordered::new();
     let mut waiting: Vec<NodeName> = Vec::new();
-    let mut refusals = Vec::new();
     let until = Instant::now() + OPEN_TIMEOUT;
     let mut ask_at = Instant::now();
     loop {
@@ -120,8 +119,8 @@
                 return TunnelOutcome::Connected(TunnelStream::new(stream), candidate.node);
             }
             TunnelReply::Down { refused } => {
-                refusals.push(refused);
-                if refusals.len() >= down_min {
+                witnesses.add(candidate.domain, refused);
+                if witnesses.are_enough() {
                     break;
                 }
             }
@@ -135,11 +134,50 @@
         ask_at = Instant::now();
     }
     record_unavailable(node, &waiting);
-    if refusals.is_empty() {
+    if !witnesses.are_enough() {
         log_no_path(node, upstream, asked);
         return TunnelOutcome::NoPath;
     }
-    TunnelOutcome::Down { refused: refusals.iter().all(|refused| *refused) }
+    TunnelOutcome::Down { refused: witnesses.were_all_refused }
+}
+
+/// Nodes that can't connect to an upstream, though they reach others.
+#[derive(Debug)]
+struct DownWitnesses {
+    /// Their domains.
+    domains: Vec<DomainName>,
+    /// Whether nodes of several domains are asked. Then two of one domain count once.
+    spans_domains: bool,
+    /// Number from which the upstream is down. At least 1.
+    min: usize,
+    were_all_refused: bool,
+}
+
+impl DownWitnesses {
+    /// Witnesses among `candidates`.
+    fn new(candidates: &[TunnelCandidate]) -> Self {
+        let first = candidates.first();
+        let spans_domains = candidates
+            .iter()
+            .any(|candidate| first.is_some_and(|first| first.domain != candidate.domain));
+        Self {
+            domains: Vec::new(),
+            spans_domains,
+            min: DOWN_REPLIES.min(candidates.len()).max(1),
+            were_all_refused: true,
+        }
+    }
+
+    fn add(&mut self, domain: DomainName, refused: bool) {
+        self.were_all_refused &= refused;
+        if !self.spans_domains || !self.domains.contains(&domain) {
+            self.domains.push(domain);
+        }
+    }
+
+    fn are_enough(&self) -> bool {
+        self.domains.len() >= self.min
+    }
 }
 
 /// Records that the nodes `waiting` have not replied in time.
--- a/samphiredeck/src/forward/tunnel_server.rs
+++ b/samphiredeck/src/forward/tunnel_server.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use samphiredeck_core::{
     forward::upstream_paths::{PathFailure, PathRoute},
-    ids::{NodeName, UpstreamId},
+    ids::{NodeName, RunKey, UpstreamId},
 };
 use samphiredeck_platform::headers::decode_announcements;
 use samphiredeck_wire::{
@@ -175,14 +175,24 @@
     Ok(row.entry.address)
 }
 
-/// Whether this node reaches any upstream other than `failed`. If there is none, that is assumed.
+/// Whether this node reaches another upstream of the pool of `failed`. Paths to one pool may be lost while those
+/// to others are not. If all others in the pool have crashed, those of other pools count; without any at all, that is
+/// assumed.
 pub async fn reaches_others(node: &Rc<ForwardNode>, failed: &UpstreamId) -> bool {
     let now = clock::now();
     let (failing, sound): (Vec<_>, Vec<_>) = {
         let state = node.state();
-        let rows = state.upstreams.rows().iter();
-        let others = rows.filter(|row| row.entry.id != *failed && row.is_accepting(now));
-        let others = others.map(|row| (row.entry.id.clone(), row.entry.address));
+        let pool = state.upstreams.find(failed).map(|row| row.entry.pool.clone());
+        let others = state.upstreams.rows().iter().filter(|row| {
+            let run = RunKey::of(&row.entry.id, row.entry.started_ms);
+            row.entry.id != *failed
+                && row.is_accepting(now)
+                && !state.suspects.has_crashed(run, now)
+        });
+        let (same_pool, other_pools): (Vec<_>, Vec<_>) =
+            others.partition(|row| Some(&row.entry.pool) == pool.as_ref());
+        let others = if same_pool.is_empty() { other_pools } else { same_pool };
+        let others = others.into_iter().map(|row| (row.entry.id.clone(), row.entry.address));
         others.partition(|(id, _)| state.paths.has_failed(id, now))
     };
     let others = if sound.is_empty() { failing } else { sound };
--- a/samphiredeck_core/src/forward/suspects.rs
+++ b/samphiredeck_core/src/forward/suspects.rs
@@ -40,6 +40,8 @@
 /// Time within which reports of the same run and keys are the same report. Covers differences of
 /// clocks and the network delay of their exchange.
 const SAME_REPORT_WINDOW: Duration = Duration::from_millis(300);
+/// Time after a crash for which the engine is certainly expected to be down.
+const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Number of crashes from which a request is not repeated as a trial. Callers may still bring one.
 const REPEAT_CRASHES: u32 = 2;
 /// Time after which a report is dropped of which no key has met two crashes. Most are of requests that
@@ -138,6 +140,12 @@
         &self.reports
     }
 
+    /// Whether `run` is known to have crashed shortly before `now`.
+    #[must_use]
+    pub fn has_crashed(&self, run: RunKey, now: BootTime) -> bool {
+        self.reports.iter().any(|report| report.run == run && now.since(report.at) < DOWN_TIME)
+    }
+
     fn proven_at(&self, key: SuspectKey) -> Option<BootTime> {
         let at = self.proofs.binary_search_by_key(&key, |proof| proof.key).ok()?;
         Some(self.proofs[at].at)
--- a/samphiredeck_core/src/forward/tunnel_nodes.rs
+++ b/samphiredeck_core/src/forward/tunnel_nodes.rs
@@ -140,7 +140,7 @@
     /// Nodes that reached upstreams lately come first, but the fewer of them are known, the more often one
     /// other node does. The first one is in `domain` until a node there has no path: a cut often strikes a whole domain, and
     /// few nodes that it left would carry the work of all others. The next ones come from all domains in
-    /// turn.
+    /// turn, and at least one of another domain than the first one, if there is any.
     #[must_use]
     pub fn rank(
         &self,
@@ -189,6 +189,13 @@
         });
         let few = all.is_cut_off(UNREACHED_MANY);
         let count = if few { count.min(ASKED_FEW) } else { count };
+        let is_elsewhere = |ranked: &&RankedNode<'_>| ranked.member.domain != first.member.domain;
+        let elsewhere = ranked.iter().position(|ranked| is_elsewhere(&ranked));
+        if let Some(at) = elsewhere.filter(|at| at + 1 >= count && count > 1) {
+            // In place of the last one.
+            let ranked_elsewhere = ranked.remove(at);
+            ranked.insert(count - 2, ranked_elsewhere);
+        }
         let candidates = std::iter::once(first).chain(ranked).take(count);
         candidates.map(RankedNode::into_candidate).collect()
     }
--- a/samphiredeck_core/tests/forward_tunnels.rs
+++ b/samphiredeck_core/tests/forward_tunnels.rs
@@ -159,6 +159,21 @@
     }
 }
 
+#[test]
+fn nodes_of_two_domains_are_among_those_that_are_asked() {
+    let members = members(80, 4);
+    let mut cut = CutNode::new(0, 7);
+    // Many of one domain are known to reach upstreams.
+    for number in (4..80).step_by(4) {
+        cut.nodes.record(&node(number), TunnelResult::Reached, at(0));
+    }
+    for _ in 0..100 {
+        let ranked = cut.rank(&members, 10);
+        assert_eq!(ranked.len(), ASKED);
+        assert!(ranked.iter().any(|candidate| candidate.domain != ranked[0].domain));
+    }
+}
+
 #[test]
 fn nodes_without_a_path_are_left_out_for_a_while() {
     let members = members(12, 2);
