Try lost paths again before those that only other nodes have reached

Traced: the first probe ended the suspicion against all upstreams, but two paths were known to be lost, and the next probes, one a second, were drawn from all upstreams that other nodes had reached meanwhile.

Now probes are of lost paths, as long as there are any. lost_paths_are_tried_again_before_others_that_nodes_have_reached fails without it.

--- a/samphiredeck_core/src/forward/upstream_paths.rs
+++ b/samphiredeck_core/src/forward/upstream_paths.rs
@@ -164,7 +164,10 @@
         let listed: Vec<&UpstreamId> = listed.collect();
         let untried = |id: &&&UpstreamId| self.find(id).is_none_or(|row| row.failed.is_none());
         let untried: Vec<_> = listed.iter().filter(untried).collect();
-        let failed: Vec<_> = listed.iter().filter(|id| self.find(id).is_some()).collect();
+        let has_lost = self.count_lost() > 0;
+        let is_candidate = |row: &FailedPath| row.is_lost || (!has_lost && row.failed.is_some());
+        let failed = listed.iter().filter(|id| self.find(id).is_some_and(is_candidate));
+        let failed: Vec<_> = failed.collect();
         let candidates = if self.is_cut_off && !untried.is_empty() { untried } else { failed };
         let at = pick_index(candidates.len(), random)?;
         let probed = (**candidates[at]).clone();
--- a/samphiredeck_core/tests/forward_paths.rs
+++ b/samphiredeck_core/tests/forward_paths.rs
@@ -63,6 +63,28 @@
     assert!(paths.take_probe(listed.iter(), at(9_000), 0.0).is_none());
 }
 
+#[test]
+fn lost_paths_are_tried_again_before_others_that_nodes_have_reached() {
+    let mut paths = PathTable::default();
+    for number in 0..2 {
+        paths.record_failure(&upstream(number), PathFailure::Refused, at(10));
+    }
+    paths.record_reached(&upstream(0), at(20));
+    // Requests have gone through other nodes.
+    for number in 2..8 {
+        paths.record_reached(&upstream(number), at(1_000));
+    }
+    assert!(paths.is_cut_off());
+    assert!(paths.record_connected(&upstream(8), at(1_100)));
+    let listed: Vec<UpstreamId> = (0..9).map(upstream).collect();
+    for (probe, random) in [0.0, 0.5, 0.99].into_iter().enumerate() {
+        let now = at(3_000 + 1_000 * u64::try_from(probe).unwrap());
+        assert_eq!(paths.take_probe(listed.iter(), now, random), Some(upstream(0)));
+    }
+    assert!(paths.record_connected(&upstream(0), at(6_000)));
+    assert_eq!(paths.take_probe(listed.iter(), at(7_000), 0.5), None);
+}
+
 #[test]
 fn connections_live_on_where_new_ones_are_refused() {
     let mut paths = PathTable::default();
