Tell a lost pool from lost paths, and look again before a crash is reported

The reply has a kind of its own now, which earlier builds refuse as they do any unknown one, and ask another node.

Crashes are still found: paths_that_are_lost_are_not_taken_for_crashes passes, plain requests included.

--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -29,7 +29,7 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{RequestProgress, unanswered_error},
     tunnel_client::{TunnelOutcome, open_tunnel},
-    tunnel_server::reaches_others,
+    tunnel_server::{ReachedOthers, find_reached},
     upstream_paths::{connect_directly, record_reached},
 };
 
@@ -152,14 +152,19 @@
         }
     }
     match open_tunnel(node, upstream, in_flight.started_ms, TunnelPurpose::Check).await {
-        TunnelOutcome::Down { refused } => refused,
+        // A cut may have struck others of the pool since they were asked.
+        TunnelOutcome::Down { refused } => {
+            refused && (!is_direct || find_reached(node, upstream).await == ReachedOthers::SamePool)
+        }
         TunnelOutcome::Connected(..) => {
             record_reached(node, upstream);
             false
         }
         TunnelOutcome::Closed(_) => false,
         // Without others that can tell, a node that reaches other upstreams has not lost its paths.
-        TunnelOutcome::NoPath => is_direct && reaches_others(node, upstream).await,
+        TunnelOutcome::NoPath => {
+            is_direct && find_reached(node, upstream).await == ReachedOthers::SamePool
+        }
     }
 }
 
--- a/samphiredeck/src/forward/tunnel_client.rs
+++ b/samphiredeck/src/forward/tunnel_client.rs
@@ -129,7 +129,10 @@
                 let pause = Duration::from_millis(wait_ms);
                 return TunnelOutcome::Closed(ResponseEvent::Pause(pause));
             }
-            TunnelReply::NoPath | TunnelReply::Unknown | TunnelReply::Busy => {}
+            TunnelReply::NoPath
+            | TunnelReply::NoPathToPool
+            | TunnelReply::Unknown
+            | TunnelReply::Busy => {}
         }
         ask_at = Instant::now();
     }
@@ -230,7 +233,10 @@
         TunnelReply::Connected | TunnelReply::Down { .. } => Some(TunnelResult::Reached),
         TunnelReply::NoPath => Some(TunnelResult::NoPath),
         TunnelReply::Busy => Some(TunnelResult::Unavailable),
-        TunnelReply::Leaving | TunnelReply::Paused { .. } | TunnelReply::Unknown => None,
+        TunnelReply::Leaving
+        | TunnelReply::Paused { .. }
+        | TunnelReply::NoPathToPool
+        | TunnelReply::Unknown => None,
     }
 }
 
--- a/samphiredeck/src/forward/tunnel_server.rs
+++ b/samphiredeck/src/forward/tunnel_server.rs
@@ -7,7 +7,10 @@
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 use samphiredeck_core::{
-    forward::upstream_paths::{PathFailure, PathRoute},
+    forward::{
+        upstream_paths::{PathFailure, PathRoute},
+        upstreams::tracked::TrackedUpstream,
+    },
     ids::{NodeName, RunKey, UpstreamId},
 };
 use samphiredeck_platform::headers::decode_announcements;
@@ -142,10 +145,10 @@
         Err(failure) => failure,
     };
     record_failure(node, upstream, failure);
-    let reply = if reaches_others(node, upstream).await {
-        TunnelReply::Down { refused: failure == PathFailure::Refused }
-    } else {
-        TunnelReply::NoPath
+    let reply = match find_reached(node, upstream).await {
+        ReachedOthers::SamePool => TunnelReply::Down { refused: failure == PathFailure::Refused },
+        ReachedOthers::OtherPools => TunnelReply::NoPathToPool,
+        ReachedOthers::None => TunnelReply::NoPath,
     };
     (reply, None)
 }
@@ -175,12 +178,22 @@
     Ok(row.entry.address)
 }
 
-/// Whether this node reaches another upstream of the pool of `failed`. Paths to one pool may be lost while those
-/// to others are not. If all others in the pool have crashed, those of other pools count; without any at all, that is
-/// assumed.
-pub async fn reaches_others(node: &Rc<ForwardNode>, failed: &UpstreamId) -> bool {
+/// Which upstreams a node reaches besides one that it can't connect to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachedOthers {
+    /// Another one of the same pool, or of any if all others of the pool have crashed.
+    SamePool,
+    /// Only those of other pools: the paths to one pool may be lost alone.
+    OtherPools,
+    /// None.
+    None,
+}
+
+/// Finds out which upstreams this node reaches besides `failed`. If there are no others, it is assumed to reach
+/// its pool.
+pub async fn find_reached(node: &Rc<ForwardNode>, failed: &UpstreamId) -> ReachedOthers {
     let now = clock::now();
-    let (failing, sound): (Vec<_>, Vec<_>) = {
+    let (same_pool, other_pools): (Vec<_>, Vec<_>) = {
         let state = node.state();
         let pool = state.upstreams.find(failed).map(|row| row.entry.pool.clone());
         let others = state.upstreams.rows().iter().filter(|row| {
@@ -189,23 +202,36 @@
                 && row.is_accepting(now)
                 && !state.suspects.has_crashed(run, now)
         });
-        let (same_pool, other_pools): (Vec<_>, Vec<_>) =
-            others.partition(|row| Some(&row.entry.pool) == pool.as_ref());
-        let others = if same_pool.is_empty() { other_pools } else { same_pool };
-        let others = others.into_iter().map(|row| (row.entry.id.clone(), row.entry.address));
-        others.partition(|(id, _)| state.paths.has_failed(id, now))
+        let is_same_pool = |row: &&TrackedUpstream| Some(&row.entry.pool) == pool.as_ref();
+        let (same, others): (Vec<_>, Vec<_>) = others.partition(is_same_pool);
+        let choose = |rows: Vec<&TrackedUpstream>| {
+            let rows = rows.into_iter().map(|row| (row.entry.id.clone(), row.entry.address));
+            let (failing, sound): (Vec<_>, Vec<_>) =
+                rows.partition(|(id, _)| state.paths.has_failed(id, now));
+            let rows = if sound.is_empty() { failing } else { sound };
+            rows.choose_multiple(&mut rand::rng(), OTHERS_TRIED).cloned().collect()
+        };
+        (choose(same), choose(others))
     };
-    let others = if sound.is_empty() { failing } else { sound };
-    if others.is_empty() {
-        return true;
+    if same_pool.is_empty() && other_pools.is_empty() {
+        return ReachedOthers::SamePool;
     }
-    let chosen = others.choose_multiple(&mut rand::rng(), OTHERS_TRIED);
-    let tries: Vec<bool> = join_all(chosen.map(|other| try_connect(node, other))).await;
-    let reached = tries.contains(&true);
-    if !reached {
-        note_unreached(node, failed);
+    let is_only_pool = same_pool.is_empty();
+    let (same, others) = tokio::join!(try_all(node, same_pool), try_all(node, other_pools));
+    match (same, others) {
+        (true, _) => ReachedOthers::SamePool,
+        (false, true) if is_only_pool => ReachedOthers::SamePool,
+        (false, true) => ReachedOthers::OtherPools,
+        (false, false) => {
+            note_unreached(node, failed);
+            ReachedOthers::None
+        }
     }
-    reached
+}
+
+/// Whether this node can connect to any of `others`.
+async fn try_all(node: &ForwardNode, others: Vec<(UpstreamId, SocketAddr)>) -> bool {
+    join_all(others.iter().map(|other| try_connect(node, other))).await.contains(&true)
 }
 
 /// Whether this node can connect to `upstream` at `address`.
--- a/samphiredeck_wire/src/tunnel.rs
+++ b/samphiredeck_wire/src/tunnel.rs
@@ -55,4 +55,7 @@
     Unknown,
     /// The sender is stopping.
     Busy,
+    /// The sender can't connect to this upstream, nor to others of its pool, though it reaches other pools. Earlier
+    /// builds refuse this reply, and ask another node.
+    NoPathToPool,
 }
