Count the slots of brittle upstreams over all nodes

Upstreams that say Server-Brittle crashed under the requests that they turned away: 24 crashes in 6 s where 2 are permitted, nothing served. Cause: nobody read the header, and a refusal was free of cost; all nodes send to the same emptiest upstream. Class: an effect of all nodes together that each considers alone.

Now one node counts the slots of such an upstream that each node holds, and is asked for one before a request is sent. Requests wait at the nodes, by priority, or are refused at once if no slot comes in time. The number granted begins at half of the slots, falls below what was held when a request is turned away, and rises slowly. A request keeps its place in the queue until it has a slot; it lost it at each attempt before, with limits, too.

The datagram is new; earlier builds refuse and log it.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -30,6 +30,7 @@
 mod serve;
 pub mod settings;
 mod shared_rows;
+mod slot_exchange;
 mod state;
 mod store_status;
 mod store_watch;
@@ -169,6 +170,8 @@
     spawn(suspect_exchange::compare_suspects(Rc::clone(node)));
     spawn(limit_exchange::announce_limits(Rc::clone(node)));
     spawn(limit_exchange::compare_limits(Rc::clone(node)));
+    spawn(slot_exchange::announce_brittle(Rc::clone(node)));
+    spawn(slot_exchange::return_slots(Rc::clone(node)));
     spawn(upstream_paths::probe_paths(Rc::clone(node)));
     spawn(tunnel_server::accept_tunnels(Rc::clone(node)));
     spawn(maintain(Rc::clone(node)));
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -49,8 +49,8 @@
 /// Interval at which the node checks whether another upstream can take a request whose upstream has
 /// not responded in time.
 const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Reason for not sending a request to an upstream whose limit leaves none to this node.
-const LIMIT_REASON: &str = "limit of the upstream";
+/// Reason for not sending a request to an upstream whose limit or slots leave none to this node.
+const LIMIT_REASON: &str = "limit or slots of the upstream";
 /// Maximum number of failed connection attempts per request.
 const CONNECT_FAILURES_MAX: usize = 3;
 
@@ -201,9 +201,11 @@
     let Some(ListedUpstream { address, software, .. }) = entry else {
         return Err(SendFailure::new(SendOutcome::Unsent, "no longer in the upstream list"));
     };
-    let Some(mut permit) = PermitLease::take(node, &placement.upstream) else {
+    let Some(mut permit) = PermitLease::take(node, &placement.upstream).await else {
         return Err(SendFailure::new(SendOutcome::Withdrawn, LIMIT_REASON));
     };
+    // Until here the request keeps its place before others that wait.
+    progress.ticket = None;
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
     let can_retry = admitted.route.max_attempts > progress.attempts + 1;
     loop {
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -78,10 +78,19 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        let mut state = self.node.state();
-        if let Some(pending) = &self.pending {
-            state.upstreams.record_no_longer_pending(&self.upstream, pending);
+        let mut guard = self.node.state();
+        let state = &mut *guard;
+        match &self.pending {
+            Some(pending) => state.upstreams.record_no_longer_pending(&self.upstream, pending),
+            None => {
+                if let Some(row) = state.upstreams.find(&self.upstream) {
+                    let held = clock::now().since(self.sent_at);
+                    state.speeds.speed_mut(&row.entry.pool).record_held(held);
+                }
+            }
         }
         state.upstreams.record_request_end(&self.upstream);
+        drop(guard);
+        self.node.request_ended.notify_waiters();
     }
 }
--- a/samphiredeck/src/forward/limit_queue.rs
+++ b/samphiredeck/src/forward/limit_queue.rs
@@ -1,4 +1,4 @@
-//! Requests that wait until the limits of upstreams permit them.
+//! Requests that wait until limits, or slots of brittle upstreams, permit them.
 
 use std::{rc::Rc, time::Duration};
 
@@ -69,9 +69,10 @@
     let wait = turn_at.since(now);
     let fields = json!({
         "request": trace.attempt_id, "pool": admitted.pool.as_str(), "ahead": ahead,
-        "wait_ms": wait.as_millis(), "rate": forecast.rate, "left_ms": time_left.as_millis(),
+        "wait_ms": wait.as_millis(), "held_ms": forecast.held.as_millis(),
+        "rate": forecast.rate, "left_ms": time_left.as_millis(),
     });
-    if !fits_deadline(wait, time_left) {
+    if !fits_deadline(wait + forecast.held, time_left) {
         node.metrics.limits.refusals.inc();
         node.log.record("limit-refused", fields);
         if progress.verdict != RunVerdict::NotRun {
@@ -90,7 +91,10 @@
     }
     let pause = wait.clamp(LOOK_PERIOD_MIN, LOOK_PERIOD_MAX);
     if ahead == 0 {
-        sleep(pause).await;
+        select! {
+            () = node.request_ended.notified() => {}
+            () = sleep(pause) => {}
+        }
     } else {
         select! {
             () = node.queue_moved.notified() => {}
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -62,6 +62,30 @@
     Histogram::new(exponential_buckets(0.002, 2.0, 16))
 }
 
+/// Metrics of the slots of brittle upstreams.
+#[derive(Debug, Default)]
+pub struct SlotMetrics {
+    /// Number of slots that keepers granted.
+    pub granted: Counter,
+    /// Number of slots that they did not.
+    pub denied: Counter,
+    /// Number of queries that no keeper answered.
+    pub unanswered: Counter,
+}
+
+impl SlotMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let metrics = [
+            ("slots_granted", "Slots of brittle upstreams that were granted", &self.granted),
+            ("slots_denied", "Slots of brittle upstreams that were not granted", &self.denied),
+            ("slots_unanswered", "Queries for slots without an answer", &self.unanswered),
+        ];
+        for (name, help, counter) in metrics {
+            registry.register(name, help, counter.clone());
+        }
+    }
+}
+
 /// Metrics of the limits that upstreams named.
 #[derive(Debug, Default)]
 pub struct LimitMetrics {
@@ -161,6 +185,7 @@
     pub state_changes: Family<StateLabels, Counter>,
     /// Limits that upstreams named.
     pub limits: LimitMetrics,
+    pub slots: SlotMetrics,
     /// Number of engine crashes at which requests of this node waited for their first event.
     pub engine_crashes: Counter,
     /// Number of requests refused for a prompt part that crashes engines.
@@ -196,6 +221,7 @@
             upstreams: Family::default(),
             state_changes: Family::default(),
             limits: LimitMetrics::default(),
+            slots: SlotMetrics::default(),
             engine_crashes: Counter::default(),
             part_refusals: Counter::default(),
             part_trials: Counter::default(),
@@ -248,6 +274,7 @@
             metrics.state_changes.clone(),
         );
         metrics.limits.register(&mut registry);
+        metrics.slots.register(&mut registry);
         registry.register(
             "engine_crashes",
             "Requests that waited at an engine when it crashed",
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -51,7 +51,11 @@
     pub suspect_outbox: SuspectOutbox,
     /// Limits of upstreams that other nodes are to be told of.
     pub limit_outbox: LimitOutbox,
-    /// Notified when a request has left the queue for upstreams with limits.
+    /// Notified when other nodes are to be told of brittle pools.
+    pub brittle_changed: Notify,
+    /// Notified when a request at an upstream has ended, which may free a slot.
+    pub request_ended: Notify,
+    /// Notified when a request has left the queue for upstreams with limits or slots.
     pub queue_moved: Notify,
     /// Notified when a path to an upstream was lost.
     pub path_lost: Notify,
@@ -80,6 +84,8 @@
             connections: ConnectionPool::default(),
             suspect_outbox: SuspectOutbox::default(),
             limit_outbox: LimitOutbox::default(),
+            brittle_changed: Notify::new(),
+            request_ended: Notify::new(),
             queue_moved: Notify::new(),
             path_lost: Notify::new(),
             tunnels: Rc::new(()),
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -11,7 +11,7 @@
         stream_origins::{OriginSource, StreamOrigin},
         suspects::exchange::PublishedSuspects,
     },
-    ids::{AttemptKey, NodeName, PoolName, RowVersion, SuspectKey, WorkspaceName},
+    ids::{AttemptKey, NodeName, PoolName, RowVersion, WorkspaceName},
 };
 use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
@@ -22,6 +22,7 @@
     limit_exchange::handle_limit_message,
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
+    slot_exchange::handle_slot_message,
     state::ISOLATED_AFTER,
     suspect_exchange::{answer_comparison, handle_update},
 };
@@ -35,8 +36,6 @@
 const PEERS_PROBED: usize = 3;
 /// Response timeout of a query for the origin of a stream, for which a caller waits.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(80);
-/// Response timeout of a query for the trial of a suspect, for which a caller waits.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(80);
 /// Response timeout of a status query. Covers slow nodes, since no request waits for it.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -70,7 +69,7 @@
 }
 
 /// Sends the query `datagram`. Returns the reply, if one arrives within `time_limit`.
-async fn query(
+pub async fn query(
     node: &ForwardNode,
     socket: &PeerSocket,
     (receiver, address): (&NodeName, SocketAddr),
@@ -254,22 +253,6 @@
     send(node, socket, peer, address, &ForwardDatagram::AnnounceSuspects { published }).await;
 }
 
-/// Asks the keeper at `address` for a trial of `key` by a request with `keys`. Returns `None` if it does
-/// not respond.
-pub async fn query_trial(
-    node: &ForwardNode,
-    socket: &PeerSocket,
-    (keeper, address): (&NodeName, SocketAddr),
-    (key, keys): (SuspectKey, &[SuspectKey]),
-) -> Option<bool> {
-    let id = socket.next_id();
-    let datagram = ForwardDatagram::AcquireTrial { query_id: id, key, keys: keys.to_vec() };
-    match query(node, socket, (keeper, address), (id, &datagram), TRIAL_TIMEOUT).await {
-        Some(ForwardDatagram::TrialDecision { granted, .. }) => Some(granted),
-        _ => None,
-    }
-}
-
 /// Receives datagrams until the process exits.
 async fn receive_datagrams(node: Rc<ForwardNode>, socket: Rc<PeerSocket>) {
     loop {
@@ -309,7 +292,8 @@
         | ForwardDatagram::AcquireTrial { .. }
         | ForwardDatagram::ReleaseTrial { .. }
         | ForwardDatagram::TrialDecision { .. }
-        | ForwardDatagram::Limits(_) => {}
+        | ForwardDatagram::Limits(_)
+        | ForwardDatagram::Slots(_) => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -396,6 +380,9 @@
         ForwardDatagram::Limits(message) => {
             handle_limit_message(node, socket, (&sender, from), message).await;
         }
+        ForwardDatagram::Slots(message) => {
+            handle_slot_message(node, socket, (&sender, from), message).await;
+        }
         ForwardDatagram::ReleaseTrial { key } => node.state().suspects.release_trial(key),
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             node.state().quota_owner.refund(&workspace, units);
--- a/samphiredeck/src/forward/send_permit.rs
+++ b/samphiredeck/src/forward/send_permit.rs
@@ -10,7 +10,7 @@
     ids::UpstreamId,
 };
 
-use crate::forward::{clock, node::ForwardNode};
+use crate::forward::{clock, node::ForwardNode, slot_exchange::acquire_slot};
 
 /// Permission to send one request to an upstream. Dropping it gives it back, unless the request was
 /// sent.
@@ -25,8 +25,12 @@
 }
 
 impl PermitLease {
-    /// Takes a permit for a request to `upstream`. `None` if its limit leaves none to this node now.
-    pub fn take(node: &Rc<ForwardNode>, upstream: &UpstreamId) -> Option<Self> {
+    /// Takes a permit for a request to `upstream`, and a slot if that is brittle. `None` if its limit leaves none to this
+    /// node now, or all slots are taken. The caller has to count the request as in flight before it waits for anything.
+    pub async fn take(node: &Rc<ForwardNode>, upstream: &UpstreamId) -> Option<Self> {
+        if !acquire_slot(node, upstream).await {
+            return None;
+        }
         let now = clock::now();
         let own_name = node.settings().name.clone();
         let mut state = node.state();
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -26,6 +26,7 @@
         upstream_limit::NodeTurn,
         upstream_list::UPSTREAM_PAGE_ENTRIES,
         upstream_paths::PathTable,
+        upstream_slots::SlotKeeper,
         upstreams::UpstreamRegistry,
         usage::{UsageLedger, WindowIndex},
     },
@@ -82,6 +83,8 @@
     pub tunnel_nodes: TunnelNodes,
     /// Requests that wait for upstreams with limits.
     pub limit_queue: LimitQueue,
+    /// Slots of brittle upstreams that this node counts for all.
+    pub slot_keeper: SlotKeeper,
     /// Where streams began that may be resumed.
     pub origins: OriginTable,
     /// Requests and prompt parts that may crash upstreams.
@@ -142,6 +145,7 @@
             paths: PathTable::default(),
             tunnel_nodes: TunnelNodes::default(),
             limit_queue: LimitQueue::default(),
+            slot_keeper: SlotKeeper::default(),
             origins: OriginTable::default(),
             suspects: SuspectTable::default(),
             published_suspects: Some(Vec::new()),
--- a/samphiredeck/src/forward/suspect_exchange.rs
+++ b/samphiredeck/src/forward/suspect_exchange.rs
@@ -18,10 +18,12 @@
     clock,
     node::ForwardNode,
     peer_choice::{PEERS_AT_START, PEERS_TOLD, choose_peers},
-    peer_messages::{send, send_suspects},
+    peer_messages::{query, send, send_suspects},
     peer_socket::PeerSocket,
 };
 
+/// Response timeout of a query for the trial of a suspect, for which a caller waits.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(80);
 /// Minimum time between two such messages. Bounds the traffic after the loss of a failure domain.
 const ANNOUNCE_SPACING: Duration = Duration::from_millis(200);
 /// Maximum number of reports and proofs that wait to be told. Further ones reach others by
@@ -211,3 +213,19 @@
     node.log.record("suspects", fields);
     node.suspect_outbox.add(applied);
 }
+
+/// Asks the keeper at `address` for a trial of `key` by a request with `keys`. Returns `None` if it does
+/// not respond.
+pub async fn query_trial(
+    node: &ForwardNode,
+    socket: &PeerSocket,
+    (keeper, address): (&NodeName, SocketAddr),
+    (key, keys): (SuspectKey, &[SuspectKey]),
+) -> Option<bool> {
+    let id = socket.next_id();
+    let datagram = ForwardDatagram::AcquireTrial { query_id: id, key, keys: keys.to_vec() };
+    match query(node, socket, (keeper, address), (id, &datagram), TRIAL_TIMEOUT).await {
+        Some(ForwardDatagram::TrialDecision { granted, .. }) => Some(granted),
+        _ => None,
+    }
+}
--- a/samphiredeck/src/forward/tunnel_server.rs
+++ b/samphiredeck/src/forward/tunnel_server.rs
@@ -298,8 +298,8 @@
         }
         if let Some((status, headers)) = scan.push(&buffer[..length]) {
             let mut announcements = decode_announcements(status, &headers);
-            // The other node tells all of the limit.
-            announcements.limit = None;
+            // The other node tells all of these.
+            (announcements.limit, announcements.brittle) = (None, None);
             let source = ResponseSource {
                 request: "",
                 upstream: &request.upstream,
--- a/samphiredeck/src/forward/upstream_changes.rs
+++ b/samphiredeck/src/forward/upstream_changes.rs
@@ -4,16 +4,17 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        brittle_pools::{BrittleStatement, RefusalLimit},
         upstream_limit::{LimitChange, LimitStatement},
         upstream_state::ResponseEvent,
         upstreams::UpstreamChange,
     },
-    ids::UpstreamId,
+    ids::{PoolName, UpstreamId},
     units::RequestRate,
 };
 use samphiredeck_platform::{
     WireError,
-    headers::{LimitNotice, ResponseAnnouncements, RetryDelay},
+    headers::{BrittleNotice, LimitNotice, ResponseAnnouncements, RetryDelay},
 };
 use serde_json::json;
 
@@ -86,6 +87,9 @@
     if let Some(limit) = announcements.limit {
         handle_limit(node, source, limit);
     }
+    if let Some(brittle) = announcements.brittle {
+        handle_brittle(node, source, brittle);
+    }
     for error in &announcements.invalid {
         let WireError::InvalidField { field, reason } = error else { continue };
         let fields = json!({
@@ -135,6 +139,39 @@
     }
 }
 
+/// Handles what a response says about the upstreams of its pool.
+fn handle_brittle(node: &ForwardNode, source: &ResponseSource<'_>, brittle: BrittleNotice) {
+    let statement = BrittleStatement {
+        refusals: brittle.refusals(),
+        sent_at: source.sent_at,
+        read_at: clock::now(),
+    };
+    let pool = {
+        let state = node.state();
+        state.upstreams.find(source.upstream).map(|row| row.entry.pool.clone())
+    };
+    let Some(pool) = pool else { return };
+    let changed = node.state().upstreams.apply_brittle(&pool, statement);
+    if changed {
+        log_brittle_change(node, &pool, statement.refusals, "response");
+        node.brittle_changed.notify_one();
+    }
+}
+
+/// Logs that the upstreams of `pool` are brittle, or not any more. `from` names the node that told of it, or
+/// `response`.
+pub fn log_brittle_change(
+    node: &ForwardNode,
+    pool: &PoolName,
+    refusals: Option<RefusalLimit>,
+    from: &str,
+) {
+    let fields = json!({
+        "pool": pool.as_str(), "from": from, "refusals": refusals.map(|refusals| refusals.0),
+    });
+    node.log.record("pool-brittle", fields);
+}
+
 /// Logs the change of a limit. `from` names the node that told of it, or `response`.
 pub fn log_limit_change(
     node: &ForwardNode,
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -122,7 +122,6 @@
         return Err(unanswered_error(progress, "too long a wait", time_left));
     }
     node.log.record("place", fields);
-    progress.ticket = None;
     Ok(PlaceDecision::Send(placement))
 }
 
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -16,7 +16,7 @@
     },
 };
 use samphiredeck_platform::headers::{
-    LimitNotice, NotExecutedReason, ResponseMetadata, decode_announcements,
+    BrittleNotice, LimitNotice, NotExecutedReason, ResponseMetadata, decode_announcements,
     decode_response_headers, encode_response_headers,
 };
 
@@ -25,6 +25,7 @@
     http_connection::{HttpConnection, is_closed_by_peer},
     in_flight::InFlightRequest,
     request::{AdmittedRequest, RequestTrace},
+    slot_exchange::record_refusal,
     upstream_changes::{handle_announcements, handle_response_event},
 };
 
@@ -145,8 +146,14 @@
     if metadata.attempt_id.is_none() && announcements.limit == Some(LimitNotice::Absent) {
         announcements.limit = None;
     }
+    if metadata.attempt_id.is_none() && announcements.brittle == Some(BrittleNotice::Absent) {
+        announcements.brittle = None;
+    }
     let source = in_flight.source(&trace.attempt_id);
     handle_announcements(&trace.node, &source, &announcements);
+    if metadata.not_executed == Some(NotExecutedReason::Refused) {
+        record_refusal(&trace.node, &in_flight.upstream);
+    }
     if metadata.not_executed.is_some() {
         let reason = format!("rejected with {}", head.status.as_u16());
         return Err(SendFailure::new(SendOutcome::Rejected, reason));
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -3,6 +3,7 @@
 //! Each module covers one decision. Functions take the current time and the known state as
 //! arguments, perform no I/O, and return the action to take.
 
+pub mod brittle_pools;
 pub mod capacity;
 pub mod catalog;
 pub mod clock;
@@ -30,6 +31,7 @@
 pub mod upstream_limit;
 pub mod upstream_list;
 pub mod upstream_paths;
+pub mod upstream_slots;
 pub mod upstream_state;
 pub mod upstreams;
 pub mod usage;
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -11,7 +11,8 @@
 //! An engine processes a very long prompt in steps that stall all streams next to it. Such prompts
 //! go to a few dedicated upstreams, the same ones on every node, which other requests avoid.
 //!
-//! An upstream that names a limit takes a request only if this node has a permit. Nothing is at home at
+//! An upstream that names a limit takes a request only if this node has a permit, and a brittle one only if it may
+//! have a slot. Nothing is at home at
 //! one with a low limit, since most requests could not follow.
 //!
 //! Times follow from the measured speed of the pool.
@@ -273,6 +274,8 @@
     pub at: BootTime,
     /// Requests per second that it may send. Above 0.
     pub rate: f64,
+    /// Time that the request then takes. Zero unless it waits for a slot.
+    pub held: Duration,
 }
 
 impl LimitForecast {
@@ -289,8 +292,8 @@
     }
 }
 
-/// When the limits of upstreams permit a node with `turn` to send `request`. `None` if no upstream
-/// with a limit takes it.
+/// When limits of upstreams, and slots of brittle ones, permit a node with `turn` to send `request`. `None` if no
+/// upstream with a limit, or a brittle one, takes it.
 #[must_use]
 pub fn forecast_limits(
     registry: &UpstreamRegistry,
@@ -300,15 +303,30 @@
 ) -> Option<LimitForecast> {
     let rows = registry.rows().iter().filter(|row| request.is_taken_by(row, now));
     let mut forecast: Option<LimitForecast> = None;
+    let mut slots = 0_u32;
     for row in rows {
-        let Some(rate) = row.limit().and_then(|limit| limit.node_rate(turn)) else { continue };
+        let Some(rate) = row.limit().and_then(|limit| limit.node_rate(turn)) else {
+            if row.slots.is_brittle() {
+                slots = slots.saturating_add(row.entry.slots);
+            }
+            continue;
+        };
         let Some(at) = row.next_send(Some(turn), now) else { continue };
         forecast = Some(match forecast {
-            Some(known) => LimitForecast { at: known.at.min(at), rate: known.rate + rate },
-            None => LimitForecast { at, rate },
+            Some(known) => LimitForecast { at: known.at.min(at), rate: known.rate + rate, ..known },
+            None => LimitForecast { at, rate, held: Duration::ZERO },
         });
     }
-    forecast
+    let held = request.speed.held();
+    let rate = f64::from(slots) / f64::from(request.nodes.max(1)) / held.as_secs_f64();
+    if slots == 0 {
+        return forecast;
+    }
+    let at = now + Duration::from_secs_f64(1.0 / rate);
+    Some(match forecast {
+        Some(known) => LimitForecast { at: known.at.min(at), rate: known.rate + rate, held },
+        None => LimitForecast { at, rate, held },
+    })
 }
 
 /// Rendezvous weight of `id` for `key`, the same on every node.
--- a/samphiredeck_core/src/forward/pool_speed.rs
+++ b/samphiredeck_core/src/forward/pool_speed.rs
@@ -21,6 +21,10 @@
 const FIRST_TOKEN_START_MS: f64 = 20.0;
 /// Start value of the service time of a plain request, in milliseconds.
 const SERVICE_START_MS: f64 = 40.0;
+/// Start value of the time for which a request occupies its upstream, in milliseconds.
+const HELD_START_MS: f64 = 200.0;
+/// Quantile of it that is tracked: near the mean, as a few responses are much longer than most.
+const HELD_QUANTILE: f64 = 0.6;
 /// Start value of the prompt tokens that a request leaves to compute.
 const PROMPT_START: f64 = 2_000.0;
 /// Start value of the output tokens of a response.
@@ -82,6 +86,7 @@
     token_interval_ms: TrackedQuantile,
     first_token_ms: TrackedQuantile,
     service_ms: TrackedQuantile,
+    held_ms: TrackedQuantile,
     prompt_tokens: TrackedQuantile,
     output_tokens: TrackedQuantile,
 }
@@ -93,6 +98,7 @@
             token_interval_ms: TrackedQuantile::new(TOKEN_INTERVAL_START_MS, 0.5),
             first_token_ms: TrackedQuantile::new(FIRST_TOKEN_START_MS, 0.5),
             service_ms: TrackedQuantile::new(SERVICE_START_MS, 0.5),
+            held_ms: TrackedQuantile::new(HELD_START_MS, HELD_QUANTILE),
             prompt_tokens: TrackedQuantile::new(PROMPT_START, 0.5),
             output_tokens: TrackedQuantile::new(OUTPUT_START, 0.5),
         }
@@ -130,6 +136,12 @@
         self.service_ms.value
     }
 
+    /// Time for which a request occupies its upstream, to the end of the response.
+    #[must_use]
+    pub fn held(&self) -> Duration {
+        Duration::from_secs_f64(self.held_ms.value / 1_000.0)
+    }
+
     /// Median number of prompt tokens that a request leaves an engine to compute.
     #[must_use]
     pub fn prompt_tokens(&self) -> f64 {
@@ -168,6 +180,11 @@
         }
     }
 
+    /// Records that a request occupied its upstream for `elapsed`.
+    pub fn record_held(&mut self, elapsed: Duration) {
+        self.held_ms.record(elapsed.as_secs_f64() * 1_000.0);
+    }
+
     /// Records a complete response of an upstream that is no engine, `elapsed` after its request
     /// was sent.
     pub fn record_service(&mut self, elapsed: Duration) {
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -12,6 +12,7 @@
 use crate::{
     boot_time::BootTime,
     forward::{
+        brittle_pools::BrittlePools,
         list_delta::ListDelta,
         upstream_list::{ListedUpstream, UpstreamDelta, changed_ids, digest_list, find_entry},
         upstream_state::{ResponseEvent, UpstreamState},
@@ -69,6 +70,8 @@
     /// Sorted by id, without duplicates. Unlisted rows are kept while this node has requests in
     /// flight there.
     rows: Vec<TrackedUpstream>,
+    /// Pools whose upstreams are brittle.
+    pub brittle: BrittlePools,
     /// Software versions that were listed.
     pub versions: VersionHistory,
     /// Send time of the last applied read.
@@ -173,11 +176,15 @@
         self.find(id).is_some_and(|row| row.is_accepting(now))
     }
 
-    fn find_mut(&mut self, id: &UpstreamId) -> Option<&mut TrackedUpstream> {
+    pub(super) fn find_mut(&mut self, id: &UpstreamId) -> Option<&mut TrackedUpstream> {
         let at = self.rows.binary_search_by(|row| row.entry.id.cmp(id)).ok()?;
         Some(&mut self.rows[at])
     }
 
+    pub(super) fn rows_mut(&mut self) -> impl Iterator<Item = &mut TrackedUpstream> {
+        self.rows.iter_mut()
+    }
+
     /// Applies the list of `version`, read by a query sent at `sent_at` and answered at `now`.
     /// Ignores lists that are older than the current one.
     pub fn apply_list(
@@ -241,15 +248,17 @@
             Ok(at) => at,
             Err(at) => {
                 changes.push(UpstreamChange::Joined(entry.id.clone()));
-                self.rows.insert(at, TrackedUpstream::new(entry, now));
+                let slots = self.initial_slots(&entry.pool);
+                self.rows.insert(at, TrackedUpstream::new(entry, slots, now));
                 return;
             }
         };
+        let slots = self.initial_slots(&entry.pool);
         let row = &mut self.rows[at];
         if row.is_restarted(&entry) {
             changes.push(UpstreamChange::Joined(entry.id.clone()));
             let in_flight = row.in_flight;
-            *row = TrackedUpstream { in_flight, ..TrackedUpstream::new(entry, now) };
+            *row = TrackedUpstream { in_flight, ..TrackedUpstream::new(entry, slots, now) };
             return;
         }
         let before = row.state;
@@ -293,6 +302,7 @@
     pub fn record_request_start(&mut self, id: &UpstreamId, pending: &PendingResponse) {
         if let Some(row) = self.find_mut(id) {
             row.in_flight += 1;
+            row.slots.record_sent();
             row.pending_prefill_tokens =
                 row.pending_prefill_tokens.saturating_add(pending.prefill_tokens);
             row.due_times.push(pending.due_at);
--- a/samphiredeck_core/src/forward/upstreams/limits.rs
+++ b/samphiredeck_core/src/forward/upstreams/limits.rs
@@ -3,7 +3,10 @@
 use super::{UpstreamRegistry, tracked::TrackedUpstream};
 use crate::{
     boot_time::BootTime,
-    forward::upstream_limit::{LimitChange, LimitStatement, NodeTurn, SendPermit, UpstreamLimit},
+    forward::{
+        upstream_limit::{LimitChange, LimitStatement, NodeTurn, SendPermit, UpstreamLimit},
+        upstream_slots::SlotDecision,
+    },
     ids::UpstreamId,
 };
 
@@ -37,10 +40,12 @@
         self.limit.as_ref().map_or(Some(now), |limit| limit.next_send(turn, now))
     }
 
-    /// Whether its limit lets a node with `turn` send a request at `now`.
+    /// Whether its limit, and its slots if it is brittle, may let a node with `turn` send a request at `now`.
     #[must_use]
     pub fn permits_send(&self, turn: Option<NodeTurn>, now: BootTime) -> bool {
-        self.next_send(turn, now).is_some_and(|at| at <= now)
+        let has_slot = !self.slots.is_brittle()
+            || (turn.is_some() && self.decide_slot(now) != SlotDecision::Full);
+        has_slot && self.next_send(turn, now).is_some_and(|at| at <= now)
     }
 }
 
--- a/samphiredeck_core/src/forward/upstreams/tracked.rs
+++ b/samphiredeck_core/src/forward/upstreams/tracked.rs
@@ -5,7 +5,10 @@
 use crate::{
     boot_time::BootTime,
     forward::{
-        upstream_limit::UpstreamLimit, upstream_list::ListedUpstream, upstream_state::UpstreamState,
+        upstream_limit::UpstreamLimit,
+        upstream_list::ListedUpstream,
+        upstream_slots::{NodeSlots, SlotDecision},
+        upstream_state::UpstreamState,
     },
 };
 
@@ -38,6 +41,8 @@
     pub(super) state: UpstreamState,
     /// Limit that it has named. `None` if it never named one.
     pub(super) limit: Option<UpstreamLimit>,
+    /// Slots of this node while the upstream is brittle.
+    pub slots: NodeSlots,
     /// Time until which the upstream is slow after its start.
     pub warm_up_until: BootTime,
     /// Requests of this node that have not completed.
@@ -60,11 +65,12 @@
 }
 
 impl TrackedUpstream {
-    pub(super) fn new(entry: ListedUpstream, now: BootTime) -> Self {
+    pub(super) fn new(entry: ListedUpstream, slots: NodeSlots, now: BootTime) -> Self {
         let warm_up_until = now + entry.warm_up;
         Self {
             state: UpstreamState::started(entry.leaving),
             limit: None,
+            slots,
             warm_up_until,
             in_flight: 0,
             pending_prefill_tokens: 0,
@@ -106,6 +112,13 @@
         listed > known || (listed == known && !is_same_run)
     }
 
+    /// Whether a request of this node may be sent at `now` if the upstream is brittle.
+    #[must_use]
+    pub fn decide_slot(&self, now: BootTime) -> SlotDecision {
+        let queued = self.report.map(|report| (report.waiting, now.since(report.at)));
+        self.slots.decide(self.in_flight, queued, now)
+    }
+
     /// Estimated number of requests of other nodes on this upstream at `now`.
     #[must_use]
     pub fn other_nodes_load(&self, now: BootTime) -> f64 {
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -2,11 +2,11 @@
 
 use samphiredeck_core::{
     forward::{
-        clock::ClockOffset, member_list::MemberDelta, members::NodeHeartbeat,
-        store_readers::StoreStatus, stream_origins::StreamOrigin,
+        brittle_pools::SharedBrittle, clock::ClockOffset, member_list::MemberDelta,
+        members::NodeHeartbeat, store_readers::StoreStatus, stream_origins::StreamOrigin,
         suspects::exchange::PublishedSuspects, upstream_limit::exchange::SharedLimit,
     },
-    ids::{AttemptKey, PoolName, RowVersion, SuspectKey, WorkspaceName},
+    ids::{AttemptKey, PoolName, RowVersion, SuspectKey, UpstreamId, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -211,6 +211,8 @@
     },
     /// Message about the limits of upstreams.
     Limits(LimitMessage),
+    /// Message about brittle upstreams. Unknown to earlier builds, which refuse it.
+    Slots(SlotMessage),
 }
 
 /// Message about the limits that upstreams have named.
@@ -227,3 +229,45 @@
         digest: u64,
     },
 }
+
+/// Message about brittle upstreams and their slots, which one node counts for all.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum SlotMessage {
+    /// Tells about pools whose upstreams are brittle, or were.
+    Announce {
+        /// Statements about all of them.
+        pools: Vec<SharedBrittle>,
+    },
+    /// Asks the receiver, which counts the slots of `upstream`, for one more.
+    Acquire {
+        /// Identifies the query in its reply. Unique while the querying node runs.
+        query_id: u64,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Slots that the sender holds.
+        held: u32,
+    },
+    /// Replies to [`Acquire`](Self::Acquire).
+    Decision {
+        /// Identifies the query.
+        query_id: u64,
+        /// Whether the sender may use one more slot.
+        granted: bool,
+    },
+    /// Tells the receiver, which counts them, how many slots the sender holds.
+    Report {
+        /// Slots, as far as they fit.
+        slots: Vec<HeldSlots>,
+    },
+}
+
+/// Slots of one upstream that a node holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldSlots {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Slots that the node holds.
+    pub held: u32,
+    /// Whether the upstream has just turned a request of the node away.
+    pub refused: bool,
+}
