Take a refusal for this request only if it names it

An upstream that wrote an earlier refusal again, without an id, made a node say that a request had not run, or send it to a second upstream. refusal_that_names_no_request_does_not_tell_that_this_one_has_not_run: 2 runs of a request that may run once before, at most one now, and the caller is told 502.

--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -151,6 +151,11 @@
     }
     let source = in_flight.source(&trace.attempt_id);
     handle_announcements(&trace.node, &source, &announcements);
+    // Upstreams name the request that they refuse. What does not may be a repeated refusal of an earlier one.
+    if metadata.attempt_id.is_none() && metadata.not_executed.is_some() {
+        let reason = format!("refusal of an unknown request with {}", head.status.as_u16());
+        return Err(SendFailure::new(SendOutcome::Broken, reason));
+    }
     if metadata.not_executed == Some(NotExecutedReason::Refused) {
         record_refusal(&trace.node, &in_flight.upstream);
     }
