--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -172,6 +172,7 @@
 pub async fn watch_upstreams(node: Rc<ForwardNode>) {
     let mut client = PlatformClient::store(&node, "upstreams");
     let mut monitor = DependencyMonitor::new(&node, "upstreams");
+    let mut invalid_rows = InvalidRows::default();
     wait_started(|| node.peer_socket.borrow().is_some()).await;
     loop {
         if query_readers(&node).await {
@@ -182,7 +183,7 @@
         match client.read_table(UPSTREAM_TABLE, STORE_TIMEOUT).await {
             Ok(response) => {
                 monitor.record_success();
-                apply_upstreams(&node, &response, sent_at);
+                apply_upstreams(&node, &mut invalid_rows, &response, sent_at);
                 sleep_with_jitter(LIST_PERIOD).await;
             }
             Err(error) => {
@@ -193,29 +194,47 @@
     }
 }
 
-/// Decodes the rows of the upstream list. Logs those that are invalid.
-fn decode_entries(node: &ForwardNode, rows: &[StoreRow]) -> Vec<ListedUpstream> {
-    let mut list = Vec::with_capacity(rows.len());
-    for row in rows {
-        match row.value.as_deref().map(|value| decode_upstream(&row.key, value)) {
-            Some(Ok(entry)) => list.push(entry),
-            Some(Err(error)) => {
-                let fields = json!({
-                    "entry": row.key, "row": row.version.0, "reason": error.to_string()
-                });
-                node.log.record("entry-unreadable", fields);
-            }
-            None => {
-                let fields = json!({ "entry": row.key, "row": row.version.0 });
+/// Invalid rows of the upstream list that were logged, as long as they stay in the list.
+#[derive(Debug, Default)]
+struct InvalidRows {
+    /// Key and version, sorted.
+    logged: Vec<(String, RowVersion)>,
+}
+
+impl InvalidRows {
+    /// Decodes `rows`. Logs each version of an invalid one once.
+    fn decode(&mut self, node: &ForwardNode, rows: &[StoreRow]) -> Vec<ListedUpstream> {
+        let mut list = Vec::with_capacity(rows.len());
+        let mut invalid = Vec::new();
+        for row in rows {
+            let reason = match row.value.as_deref().map(|value| decode_upstream(&row.key, value)) {
+                Some(Ok(entry)) => {
+                    list.push(entry);
+                    continue;
+                }
+                Some(Err(error)) => Some(error.to_string()),
+                None => None,
+            };
+            let id = (row.key.clone(), row.version);
+            if self.logged.binary_search(&id).is_err() {
+                let fields = json!({ "entry": row.key, "row": row.version.0, "reason": reason });
                 node.log.record("entry-unreadable", fields);
             }
+            invalid.push(id);
         }
+        invalid.sort_unstable();
+        self.logged = invalid;
+        list
     }
-    list
 }
 
-fn apply_upstreams(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) {
-    let list = decode_entries(node, &response.rows);
+fn apply_upstreams(
+    node: &ForwardNode,
+    invalid_rows: &mut InvalidRows,
+    response: &StoreRows,
+    sent_at: BootTime,
+) {
+    let list = invalid_rows.decode(node, &response.rows);
     let now = clock::now();
     let mut state = node.state();
     state.clock.add_sample(sent_at, now, response.clock_ms);
