Tell an upstream that too few confirm to be down from lost paths

Since witnesses of two domains are needed, a reply of one alone ended as if no node reached any upstream, and a node could consider itself cut off while others only disagreed about one upstream. Now the request goes to another upstream. A node that was asked a moment before another one replied is no longer left out for two seconds.

--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -162,7 +162,7 @@
         }
         TunnelOutcome::Closed(_) => false,
         // Without others that can tell, a node that reaches other upstreams has not lost its paths.
-        TunnelOutcome::NoPath => {
+        TunnelOutcome::Unconfirmed | TunnelOutcome::NoPath => {
             is_direct && find_reached(node, upstream).await == ReachedOthers::SamePool
         }
     }
--- a/samphiredeck/src/forward/tunnel_client.rs
+++ b/samphiredeck/src/forward/tunnel_client.rs
@@ -56,6 +56,8 @@
     },
     /// The upstream has told another node that it takes no requests.
     Closed(ResponseEvent),
+    /// Some nodes reach others, but too few say that this one is down.
+    Unconfirmed,
     /// No node that was asked reaches any upstream.
     NoPath,
 }
@@ -80,7 +82,8 @@
     let mut witnesses = DownWitnesses::new(&candidates);
     let mut candidates = candidates.into_iter();
     let mut exchanges = FuturesUnordered::new();
-    let mut waiting: Vec<NodeName> = Vec::new();
+    let mut waiting: Vec<(NodeName, Instant)> = Vec::new();
+    let mut others_reached = false;
     let until = Instant::now() + OPEN_TIMEOUT;
     let mut ask_at = Instant::now();
     loop {
@@ -89,7 +92,7 @@
                 let is_proven = candidate.is_proven;
                 let delay = if is_proven { HEDGE_DELAY_PROVEN } else { HEDGE_DELAY };
                 ask_at = Instant::now() + delay;
-                waiting.push(candidate.node.clone());
+                waiting.push((candidate.node.clone(), Instant::now()));
                 exchanges.push(ask_candidate(node, &socket, candidate, &request));
             } else if exchanges.is_empty() {
                 break;
@@ -107,7 +110,7 @@
             }
         };
         let (candidate, replied) = replied;
-        waiting.retain(|name| *name != candidate.node);
+        waiting.retain(|(name, _)| *name != candidate.node);
         let Some((reply, stream)) = replied else {
             ask_at = Instant::now();
             continue;
@@ -119,6 +122,7 @@
                 return TunnelOutcome::Connected(TunnelStream::new(stream), candidate.node);
             }
             TunnelReply::Down { refused } => {
+                others_reached = true;
                 witnesses.add(candidate.domain, refused);
                 if witnesses.are_enough() {
                     break;
@@ -129,19 +133,17 @@
                 let pause = Duration::from_millis(wait_ms);
                 return TunnelOutcome::Closed(ResponseEvent::Pause(pause));
             }
-            TunnelReply::NoPath
-            | TunnelReply::NoPathToPool
-            | TunnelReply::Unknown
-            | TunnelReply::Busy => {}
+            TunnelReply::NoPathToPool => others_reached = true,
+            TunnelReply::NoPath | TunnelReply::Unknown | TunnelReply::Busy => {}
         }
         ask_at = Instant::now();
     }
     record_unavailable(node, &waiting);
-    if !witnesses.are_enough() {
-        log_no_path(node, upstream, asked);
-        return TunnelOutcome::NoPath;
+    if witnesses.are_enough() {
+        return TunnelOutcome::Down { refused: witnesses.were_all_refused };
     }
-    TunnelOutcome::Down { refused: witnesses.were_all_refused }
+    log_no_path(node, upstream, asked);
+    if others_reached { TunnelOutcome::Unconfirmed } else { TunnelOutcome::NoPath }
 }
 
 /// Nodes that can't connect to an upstream, though they reach others.
@@ -183,9 +185,9 @@
     }
 }
 
-/// Records that the nodes `waiting` have not replied in time.
-fn record_unavailable(node: &ForwardNode, waiting: &[NodeName]) {
-    for name in waiting {
+/// Records which of the nodes `waiting`, with the times at which they were asked, have not replied in time.
+fn record_unavailable(node: &ForwardNode, waiting: &[(NodeName, Instant)]) {
+    for (name, _) in waiting.iter().filter(|(_, asked_at)| asked_at.elapsed() >= HEDGE_DELAY) {
         node.state().tunnel_nodes.record(name, TunnelResult::Unavailable, clock::now());
     }
 }
--- a/samphiredeck/src/forward/upstream_paths.rs
+++ b/samphiredeck/src/forward/upstream_paths.rs
@@ -129,6 +129,10 @@
             let reason = format!("{reason}; {elsewhere} at other nodes");
             PathError { reason, blames_upstream: true, is_cut_off: false }
         }
+        TunnelOutcome::Unconfirmed => {
+            let blames_upstream = node.state().paths.route(upstream) == PathRoute::Direct;
+            PathError { reason, blames_upstream, is_cut_off: false }
+        }
         TunnelOutcome::NoPath | TunnelOutcome::Connected(..) => {
             note_unreached(node, upstream);
             let is_cut_off = node.state().paths.is_cut_off();
