--- a/samphiredeck_core/src/forward/brittle_pools.rs
+++ b/samphiredeck_core/src/forward/brittle_pools.rs
@@ -158,7 +158,9 @@
         let changed = self.brittle.apply(pool, statement);
         if changed {
             let is_brittle = self.brittle.refusals(pool).is_some();
-            for row in self.rows_mut().filter(|row| row.entry.pool == *pool) {
+            let rows = self.rows_mut().filter(|row| row.entry.pool == *pool);
+            // Another number of refusals changes nothing about the slots that are held.
+            for row in rows.filter(|row| row.slots.is_brittle() != is_brittle) {
                 row.slots = NodeSlots::new(is_brittle, row.in_flight);
             }
         }
--- a/samphiredeck_core/src/forward/upstream_slots.rs
+++ b/samphiredeck_core/src/forward/upstream_slots.rs
@@ -61,6 +61,8 @@
 }
 
 /// Slots of this node at one upstream.
+///
+/// Source: the number of slots in the entry of the upstream, and what its keeper grants.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NodeSlots {
     /// Whether requests need slots.
