Do not take failed probes of lost paths for the loss of all

Cause: a node with two lost paths probes them once a second. Its requests to the other upstreams use kept connections, which are no news of a path, so after two probes all failures were newer than the last connection, and the node considered itself cut off until a probe of another upstream succeeded; then it began again. Class: evidence is used outside of where it holds.

Now a path speaks for the others by its first failure since it last worked only.

failed_probes_of_lost_paths_do_not_speak_for_the_others (core): cut off after 2 probes before; passes for 19 probes, and a later loss of all is found.

--- a/samphiredeck_core/src/forward/upstream_paths.rs
+++ b/samphiredeck_core/src/forward/upstream_paths.rs
@@ -42,6 +42,8 @@
     upstream: UpstreamId,
     /// Newest failure. `None` if only another node's success is known.
     failed: Option<(PathFailure, BootTime)>,
+    /// First failure since the path last worked. Present with `failed`.
+    failing_since: Option<BootTime>,
     /// Newest success of another node.
     reached_at: Option<BootTime>,
     /// Whether another node has reached the upstream while this one could not. Stays until a success.
@@ -84,7 +86,9 @@
         now: BootTime,
     ) -> bool {
         self.rows.retain(|row| row.is_lost || row.is_recent(now));
-        self.row(upstream).failed = Some((failure, now));
+        let row = self.row(upstream);
+        row.failed = Some((failure, now));
+        row.failing_since.get_or_insert(now);
         self.update(upstream)
     }
 
@@ -193,11 +197,11 @@
         is_lost && !before
     }
 
-    /// Whether several upstreams have failed, and none was reached since the first of them.
+    /// Whether several upstreams have begun to fail since one was last reached. Further failures of those
+    /// that failed before it tell nothing of the others.
     fn has_only_failures(&self) -> bool {
-        let failures = self.rows.iter().filter_map(|row| row.failed);
-        let times: Vec<BootTime> = failures.map(|(_, at)| at).collect();
-        times.len() >= FAILED_MIN && times.iter().min().copied() > self.connected_at
+        let begun = self.rows.iter().filter(|row| row.failing_since > self.connected_at);
+        begun.count() >= FAILED_MIN
     }
 
     fn find(&self, upstream: &UpstreamId) -> Option<&FailedPath> {
@@ -210,7 +214,13 @@
             Ok(at) => at,
             Err(at) => {
                 let upstream = upstream.clone();
-                let row = FailedPath { upstream, failed: None, reached_at: None, is_lost: false };
+                let row = FailedPath {
+                    upstream,
+                    failed: None,
+                    failing_since: None,
+                    reached_at: None,
+                    is_lost: false,
+                };
                 self.rows.insert(at, row);
                 at
             }
--- a/samphiredeck_core/tests/forward_paths.rs
+++ b/samphiredeck_core/tests/forward_paths.rs
@@ -85,6 +85,35 @@
     assert_eq!(paths.take_probe(listed.iter(), at(7_000), 0.5), None);
 }
 
+#[test]
+fn failed_probes_of_lost_paths_do_not_speak_for_the_others() {
+    let mut paths = PathTable::default();
+    let listed = [0, 1, 2, 3].map(upstream);
+    for number in 0..2 {
+        paths.record_failure(&upstream(number), PathFailure::Silent, at(10));
+        paths.record_reached(&upstream(number), at(20));
+    }
+    let probed = paths.take_probe(listed.iter(), at(30), 0.5).unwrap();
+    paths.record_connected(&probed, at(31));
+    // Requests to the others use kept connections, so only lost paths are tried from here on.
+    for second in 1..20 {
+        let now = at(second * 1_100);
+        let probed =
+            paths.take_probe(listed.iter(), now, [0.0, 0.99][second as usize % 2]).unwrap();
+        assert!(paths.is_lost(&probed), "{probed} is probed");
+        paths.record_failure(&probed, PathFailure::Silent, now);
+        paths.record_reached(&probed, now);
+        assert!(!paths.is_cut_off(), "after {second} probes");
+        assert_eq!(paths.route(&upstream(2)), PathRoute::Direct);
+    }
+    // The others are lost later.
+    for number in 2..4 {
+        paths.record_failure(&upstream(number), PathFailure::Silent, at(30_000));
+        paths.record_reached(&upstream(number), at(30_010));
+    }
+    assert!(paths.is_cut_off());
+}
+
 #[test]
 fn connections_live_on_where_new_ones_are_refused() {
     let mut paths = PathTable::default();
