--- a/samphiredeck_core/tests/forward_paths.rs
+++ b/samphiredeck_core/tests/forward_paths.rs
@@ -98,8 +98,8 @@
     // Requests to the others use kept connections, so only lost paths are tried from here on.
     for second in 1..20 {
         let now = at(second * 1_100);
-        let probed =
-            paths.take_probe(listed.iter(), now, [0.0, 0.99][second as usize % 2]).unwrap();
+        let random = if second % 2 == 0 { 0.0 } else { 0.99 };
+        let probed = paths.take_probe(listed.iter(), now, random).unwrap();
         assert!(paths.is_lost(&probed), "{probed} is probed");
         paths.record_failure(&probed, PathFailure::Silent, now);
         paths.record_reached(&probed, now);
