Leader lease: begin anew in each era of the store

Now the lease compares era and version. In a new era nobody holds it, all wait as long as a successor does, and tokens begin above those of earlier eras; in era 0 they are what they were, and nodes of earlier builds count on from a higher one. A transaction that expects a version of an earlier era is not sent.

--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -172,7 +172,8 @@
                 let holder = record.as_ref().map(|record| record.holder.to_string());
                 let fields = json!({ "holder": holder, "row": version.0 });
                 self.node.log.record("duty-conflict", fields);
-                state.leader_lease.observe(record, version, clock::now());
+                let era = self.node.store_eras.borrow().current();
+                state.leader_lease.observe(record, (era, version), clock::now());
             }
             Err(error) => {
                 if error.is_outcome_unknown() {
--- a/samphiredeck/src/forward/platform_client.rs
+++ b/samphiredeck/src/forward/platform_client.rs
@@ -190,12 +190,19 @@
         Ok(self.eras.borrow_mut().observe(stated, newest, clock::now()))
     }
 
-    /// Commits `transaction`.
+    /// Commits `transaction`. One that expects a version of an earlier era is not sent: the store may have given
+    /// its number to another write.
     pub async fn transact(
         &mut self,
         transaction: &StoreTransaction,
         time_limit: Duration,
     ) -> Result<TransactionOutcome, PlatformCallError> {
+        let era = self.eras.borrow().current();
+        let is_outdated = |version: RowVersion| version != RowVersion(0) && version.era() < era;
+        if transaction.expected.iter().any(|(_, version)| is_outdated(*version)) {
+            let reason = format!("expects a version before era {}", era.0);
+            return Err(PlatformCallError::NotSent(reason));
+        }
         let (status, body) = self.call(encode_transaction(transaction)?, time_limit).await?;
         let outcome = decode_transaction(status, &body)?;
         let era = match &outcome {
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -393,7 +393,8 @@
     state.members_relayed_at = Some(now);
     apply_member_count(node, &mut state, count_before);
     if !(leader_row.0.is_none() && leader_row.1 != RowVersion(0)) {
-        state.leader_lease.observe(leader_row.0, leader_row.1, now);
+        let era = response.newest.era();
+        state.leader_lease.observe(leader_row.0, (era, leader_row.1), now);
     }
     let mut offsets = state.members.offsets();
     if offsets.is_empty() {
--- a/samphiredeck_core/src/forward/leader.rs
+++ b/samphiredeck_core/src/forward/leader.rs
@@ -6,6 +6,9 @@
 //! timeout before the lease ends. A successor waits for the lease, the call timeout, and a safety
 //! margin after the last change that it observed. Each leader has a higher fencing token than all
 //! before it.
+//!
+//! A store that returns from an older copy may have lost the row, or name a leader of before. In a new era nobody
+//! holds the lease, each node waits as a successor does, and fencing tokens are above those of earlier eras.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -13,6 +16,7 @@
 
 use crate::{
     boot_time::BootTime,
+    forward::store_eras::StoreEra,
     ids::{FencingToken, Incarnation, NodeName, RowVersion},
 };
 
@@ -52,8 +56,10 @@
 #[derive(Clone, Debug)]
 struct ObservedRecord {
     record: Option<LeaderRecord>,
+    /// Era of the store that returned the row.
+    era: StoreEra,
     version: RowVersion,
-    /// Time of the first read that showed `version`.
+    /// Time of the first read that showed `version` in `era`.
     since: BootTime,
     /// Whether a write of this node may have changed the row since. Nothing is decided until the
     /// row has been read again.
@@ -87,30 +93,41 @@
         self.incarnation = Some(incarnation);
     }
 
-    /// Updates the view with the row as read at `now`. Reads that are older than the view are
-    /// ignored.
-    pub fn observe(&mut self, record: Option<LeaderRecord>, version: RowVersion, now: BootTime) {
-        if self.observed.as_ref().is_some_and(|observed| version < observed.version) {
+    /// Updates the view with the row as read from the store in `era` at `now`. Reads that are older than the view
+    /// are ignored.
+    pub fn observe(
+        &mut self,
+        record: Option<LeaderRecord>,
+        (era, version): (StoreEra, RowVersion),
+        now: BootTime,
+    ) {
+        let known = self.observed.as_ref();
+        if known.is_some_and(|known| (era, version) < (known.era, known.version)) {
             return;
         }
-        let own = record.as_ref().is_some_and(|record| self.is_own(record));
+        let own = record.as_ref().is_some_and(|record| self.is_own(record, era));
         if !own {
             self.held = None;
         }
-        let known = self.observed.as_ref().filter(|observed| observed.version == version);
+        let known = known.filter(|known| (known.era, known.version) == (era, version));
         let since = known.map_or(now, |observed| observed.since);
-        self.observed = Some(ObservedRecord { record, version, since, uncertain: false });
+        self.observed = Some(ObservedRecord { record, era, version, since, uncertain: false });
     }
 
-    fn is_own(&self, record: &LeaderRecord) -> bool {
-        record.holder == self.node && Some(record.incarnation) == self.incarnation
+    /// Whether this node holds the lease by `record` in `era`. One of an earlier era names nobody.
+    fn is_own(&self, record: &LeaderRecord, era: StoreEra) -> bool {
+        record.holder == self.node
+            && Some(record.incarnation) == self.incarnation
+            && record.fence.era() == era
     }
 
-    /// Records that `record`, sent at `sent_at`, was written as version `version`.
+    /// Records that `record`, sent at `sent_at`, was written as version `version`. If the store began a new era
+    /// meanwhile, the lease is not held.
     pub fn record_written(&mut self, record: LeaderRecord, version: RowVersion, sent_at: BootTime) {
-        self.held = Some((record.fence, sent_at));
+        let era = version.era();
+        self.held = self.is_own(&record, era).then_some((record.fence, sent_at));
         let (record, since) = (Some(record), sent_at);
-        self.observed = Some(ObservedRecord { record, version, since, uncertain: false });
+        self.observed = Some(ObservedRecord { record, era, version, since, uncertain: false });
     }
 
     /// Marks the view as uncertain after a write whose outcome is unknown. A held lease runs to its
@@ -144,8 +161,9 @@
                 LeaderRecord { holder, incarnation, address: self.address, fence, renewals: 0 };
             LeaderStep::Write(record, observed.version)
         };
-        let Some(record) = &observed.record else { return claim(FencingToken(1)) };
-        if self.is_own(record) {
+        let era = observed.era;
+        let record = observed.record.as_ref();
+        if let Some(record) = record.filter(|record| self.is_own(record, era)) {
             let renewed_at = self.held.map_or(observed.since, |(_, at)| at);
             if now.since(renewed_at) < LEASE_RENEW_INTERVAL {
                 return LeaderStep::Wait;
@@ -155,16 +173,22 @@
         }
         // For an earlier incarnation of this node, only calls that were in flight when it ended can
         // still arrive.
-        let same_address = record.holder == self.node && record.address == self.address;
-        let wait = if same_address {
-            LEADER_CALL_TIMEOUT
-        } else {
-            self.lease_time + LEADER_CALL_TIMEOUT + CLOCK_RATE_MARGIN
+        let is_same_address = |record: &LeaderRecord| {
+            record.holder == self.node
+                && record.address == self.address
+                && record.fence.era() == era
+        };
+        let wait = match record {
+            None if era == StoreEra::default() => Duration::ZERO,
+            Some(record) if is_same_address(record) => LEADER_CALL_TIMEOUT,
+            // The row of an earlier era does not tell who held the lease last.
+            None | Some(_) => self.lease_time + LEADER_CALL_TIMEOUT + CLOCK_RATE_MARGIN,
         };
         if now.since(observed.since) < wait {
             return LeaderStep::Wait;
         }
-        claim(record.fence.next())
+        let next = record.map_or(FencingToken::first_in(era), |record| record.fence.next());
+        claim(next.max(FencingToken::first_in(era)))
     }
 
     /// Fencing token under which this node may act at `now`, if it is the leader.
--- a/samphiredeck_core/src/forward/store_eras.rs
+++ b/samphiredeck_core/src/forward/store_eras.rs
@@ -8,13 +8,19 @@
 
 use std::time::Duration;
 
-use crate::{boot_time::BootTime, ids::RowVersion};
+use crate::{
+    boot_time::BootTime,
+    ids::{FencingToken, RowVersion},
+};
 
 /// Time for which answers may be older than others before, as those of a replica that lags.
 const BEHIND_MAX: Duration = Duration::from_secs(8);
 /// Bits of a version below its era. More than a store can count in centuries.
 const NUMBER_BITS: u32 = 48;
 
+/// Bits of a fencing token below its era. Together with an era, it fits into a JSON number.
+const TERM_BITS: u32 = 32;
+
 /// Number of times that the store has returned from an older copy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StoreEra(pub u16);
@@ -40,6 +46,20 @@
     }
 }
 
+impl FencingToken {
+    /// The lowest token of `era`. Higher than all of earlier eras, since no era has that many leaders.
+    #[must_use]
+    pub fn first_in(era: StoreEra) -> Self {
+        Self((u64::from(era.0) << TERM_BITS) + 1)
+    }
+
+    /// Era of the token.
+    #[must_use]
+    pub fn era(self) -> StoreEra {
+        StoreEra(u16::try_from(self.0 >> TERM_BITS).unwrap_or(u16::MAX))
+    }
+}
+
 /// Eras of the store, as known to this node.
 #[derive(Clone, Debug, Default)]
 pub struct StoreEras {
