Look at a crash twice before it is reported

Class: what holds at one moment is taken for a state.

Now the connection, the other nodes and the pool are looked at once more 40 ms later. A real crash is reported, and its request repeated, that much later; engines that crash take seconds to return.

--- a/samphiredeck/src/forward/suspect_checks.rs
+++ b/samphiredeck/src/forward/suspect_checks.rs
@@ -39,6 +39,8 @@
 const REQUEST_REASON: &str = "the request crashes the upstreams";
 /// Time within which a crashed engine refuses a new connection. Covers a lost packet.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time over which a cut reaches the paths to all upstreams of a pool. Crashes are looked at again after it.
+const CUT_SPREAD_MAX: Duration = Duration::from_millis(40);
 /// Maximum time for which a request waits for the trial of one of its keys, while hardly anything
 /// speaks against it.
 const TRIAL_WAIT_MAX: Duration = Duration::from_millis(400);
@@ -132,12 +134,26 @@
     }
 }
 
-/// Whether the process of the upstream at `address` has ended: it refuses connections of this node and of
-/// others. A lost path refuses them, too, but only those of some nodes.
+/// Whether the process of the upstream at `address` has ended. While a cut of all paths to its pool begins, others of the
+/// pool can still be reached, so it is looked at twice.
 async fn is_crashed(
     node: &Rc<ForwardNode>,
     in_flight: &InFlightRequest,
     address: SocketAddr,
+) -> bool {
+    if !looks_crashed(node, in_flight, address).await {
+        return false;
+    }
+    sleep(CUT_SPREAD_MAX).await;
+    looks_crashed(node, in_flight, address).await
+}
+
+/// Whether the upstream at `address` refuses connections of this node and of others. A lost path refuses them,
+/// too, but only those of some nodes.
+async fn looks_crashed(
+    node: &Rc<ForwardNode>,
+    in_flight: &InFlightRequest,
+    address: SocketAddr,
 ) -> bool {
     let upstream = &in_flight.upstream;
     let is_direct = node.state().paths.route(upstream) == PathRoute::Direct;
