Try parts that all requests share soon after a burst of crashes

After four crashes in 150 ms all prompts were refused at two nodes, 37 of 206 and 98 of 282: "first", a part of all prompts, had more crashes than the deadly part, and its next trial was 60 s away. Two causes: a report of a request that was under way at the crash before does not count, but one of a request beside it that was sent later does, so that the true cause may have fewer crashes than a part that comes with all; and crashes in a burst, between which no trial could tell, delayed the next one as if each had been a trial.

Now whether a crash counts is the same for all keys that waited there, so the true cause never has fewer. And if another part which the request lacks was at as many of the crashes, those of one burst count as two at most, so that a sound request is tried after a second. A part without such an alternative waits as long as before.

part_of_all_requests_is_tried_soon_after_a_burst_of_crashes (core): the part was blamed for 2 crashes in a deadly request before; passes now.

--- a/samphiredeck_core/src/forward/suspects.rs
+++ b/samphiredeck_core/src/forward/suspects.rs
@@ -19,8 +19,8 @@
 //! was at its own one.
 //!
 //! **Consequence.** Requests with a suspected part are sent one at a time over all nodes, as a trial.
-//! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. A
-//! trial that brings a response ends the suspicion. A trial that reached an upstream and has no result
+//! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. Crashes in a
+//! burst delay the trial of a part little if another one that was there may have caused them all. A trial that brings a response ends the suspicion. A trial that reached an upstream and has no result
 //! counts like a crash from the third one on.
 
 pub mod blame;
@@ -107,8 +107,12 @@
     }
 
     fn is_same(&self, other: &Self) -> bool {
+        self.is_same_crash(other) && self.keys == other.keys
+    }
+
+    fn is_same_crash(&self, other: &Self) -> bool {
         let apart = self.at.since(other.at).max(other.at.since(self.at));
-        self.run == other.run && self.keys == other.keys && apart < SAME_REPORT_WINDOW
+        self.run == other.run && apart < SAME_REPORT_WINDOW
     }
 }
 
@@ -246,6 +250,9 @@
 
     /// Times of the crashes reported with `key` since it was last proven sound, for which `counts`
     /// holds, without those shortly after another.
+    ///
+    /// Whether one counts is the same for all keys that waited there, so that a part which comes with each
+    /// of them never has fewer than one that comes with some.
     fn crash_times(&self, key: SuspectKey, counts: impl Fn(&CrashReport) -> bool) -> Vec<BootTime> {
         let mut reports: Vec<&CrashReport> = self
             .reports
@@ -258,7 +265,7 @@
         for report in reports {
             let counts_after = |last: &&CrashReport| {
                 report.at.since(last.at) >= CRASH_SPACING
-                    || report.run != last.run && report.sent_at() >= last.at
+                    || report.run != last.run && self.last_sent_at(report) >= last.at
             };
             if counted.last().is_none_or(counts_after) {
                 counted.push(report);
@@ -267,6 +274,12 @@
         counted.into_iter().map(|report| report.at).collect()
     }
 
+    /// Time at which the last of the requests was sent that waited at the crash of `report`.
+    fn last_sent_at(&self, report: &CrashReport) -> BootTime {
+        let beside = self.reports.iter().filter(|other| other.is_same_crash(report));
+        beside.map(CrashReport::sent_at).fold(report.sent_at(), BootTime::max)
+    }
+
     /// Reports of suspects that more than one crash speaks against. They have to outlast a loss of all
     /// nodes.
     #[must_use]
--- a/samphiredeck_core/src/forward/suspects/blame.rs
+++ b/samphiredeck_core/src/forward/suspects/blame.rs
@@ -115,7 +115,7 @@
         if is_proven && crashes < PROVEN_CRASHES {
             return None;
         }
-        let trial_at = last_crash + trial_delay(key, crashes);
+        let trial_at = last_crash + self.trial_delay(key, keys, &times);
         Some(KeySuspicion { key, crashes, last_crash, trial_at })
     }
 
@@ -142,7 +142,7 @@
                 crashes,
                 runs,
                 last_crash,
-                trial_at: last_crash + trial_delay(key, crashes),
+                trial_at: last_crash + trial_delay(key, times.len()),
                 proven_at: self.proven_at(key),
             })
         };
--- a/samphiredeck_core/tests/forward_suspects.rs
+++ b/samphiredeck_core/tests/forward_suspects.rs
@@ -125,6 +125,40 @@
     assert_eq!(rare.trial_at, rare.last_crash, "it may be tried at once");
 }
 
+/// Requests with the deadly part were under way to the later engines before the first crash, and sound ones beside them were
+/// sent after it.
+#[test]
+fn part_of_all_requests_is_tried_soon_after_a_burst_of_crashes() {
+    let mut table = SuspectTable::default();
+    for engine in 0..4 {
+        let millis = 10_000 + engine * 40;
+        let waited = |waited_ms| Duration::from_millis(waited_ms);
+        let deadly = report(engine, &["first", "deadly"], millis).with_wait(waited(200));
+        let own = format!("sound{engine}");
+        let sound = report(engine, &["first", &own], millis + 1).with_wait(waited(20));
+        assert!(table.add_report(deadly) && table.add_report(sound));
+    }
+    let of = |table: &SuspectTable, names: &[&str]| table.assess(&parts(names));
+    let deadly = of(&table, &["first", "deadly"]).unwrap();
+    assert_eq!((deadly.key, deadly.crashes), (part("deadly"), 4));
+    // Sound requests are tried soon, and not held back once one of them has had a response.
+    let last_crash = at(10_121);
+    let first = of(&table, &["first", "other"]).unwrap();
+    assert!(first.trial_at <= last_crash + Duration::from_secs(1), "{first:?}");
+    assert!(table.grant_trial(first.key, &parts(&["first", "other"]), at(11_200)));
+    table.add_proof(proof("first", 11_300));
+    assert_eq!(of(&table, &["first", "other"]), None);
+    let sound = of(&table, &["first", "sound2"]);
+    assert!(sound.is_none_or(|found| found.is_thin()), "{sound:?}");
+    // Trials of the deadly part grow rarer with each of its crashes.
+    for (number, delay) in [300, 600, 1_200].into_iter().enumerate() {
+        let crash = 12_000 + 100_000 * u64::try_from(number).unwrap();
+        assert!(table.add_report(report(9, &["first", "deadly"], crash)));
+        let deadly = of(&table, &["deadly"]).unwrap();
+        assert_eq!(deadly.trial_at, at(crash) + Duration::from_secs(delay));
+    }
+}
+
 #[test]
 fn part_that_was_sound_and_turns_deadly_is_found() {
     let mut table = SuspectTable::default();
