--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -263,7 +263,8 @@
             }
             Err((from, error)) => {
                 let fields = json!({ "from": from.to_string(), "reason": error.to_string() });
-                node.log.record("datagram-refused", fields);
+                // Nodes of a later build may send kinds that this one does not know, several times a second.
+                node.log.record_once_a_minute("datagram-refused", error.name(), fields);
             }
         }
     }
--- a/samphiredeck_wire/src/auth.rs
+++ b/samphiredeck_wire/src/auth.rs
@@ -38,6 +38,20 @@
     WrongReceiver,
 }
 
+impl AuthError {
+    /// Name of the reason, as a subject of log lines.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Truncated => "truncated",
+            Self::TagMismatch => "tag",
+            Self::Malformed => "malformed",
+            Self::Replayed => "replayed",
+            Self::WrongReceiver => "receiver",
+        }
+    }
+}
+
 /// Header of a message. Over TCP, a reply repeats incarnation and counter of its request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MessageHeader {
