Completions interface: take a refusal for this request only if it names it

Callers were told "not run" of a request that an engine had run, if the engine wrote a refusal without an id, as one of an earlier request on a kept connection. Cause: the refusal was read before the id was compared. It is compared first now; the stand-in names the request in refusals, as services do.

--- a/samphiredeck/src/engine_client.rs
+++ b/samphiredeck/src/engine_client.rs
@@ -108,14 +108,15 @@
             .await
             .map_err(|_elapsed| EngineError::may_have_run("no response head in time"))?
             .map_err(classify_send_error)?;
-        if response.status() != StatusCode::OK {
-            return Err(refusal_error(&response));
-        }
+        // A refusal that does not name its request may be a repeated one of an earlier request.
         let echoed_id =
             response.headers().get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
         if echoed_id != Some(call.request.to_string().as_str()) {
             return Err(EngineError::may_have_run("response belongs to another request"));
         }
+        if response.status() != StatusCode::OK {
+            return Err(refusal_error(&response));
+        }
         let events = response.eventsource().map(|event| match event {
             Ok(event) => serde_json::from_str(&event.data).map_err(EngineError::may_have_run),
             Err(error) => Err(EngineError::may_have_run(error)),
--- a/samphiredeck_standins/src/engine.rs
+++ b/samphiredeck_standins/src/engine.rs
@@ -56,6 +56,9 @@
     pub duplicated: u32,
     /// Number of streams that stop sending events after a few tokens, without closing.
     pub silent: u32,
+    /// Number of streams that are run and answered with a refusal which names no request, as one of an earlier
+    /// request that is written again.
+    pub unnamed_refusals: u32,
     /// Whether the test has reclaimed the engine. Starts the clock of `last_new_after_leaving_ms`.
     pub leaving: bool,
     /// Whether a leaving engine reports in its load that it is leaving.
@@ -73,10 +76,12 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn refuse(verdict: RunVerdict, reason: &str) -> HttpResponse {
-    HttpResponse::ServiceUnavailable()
-        .insert_header((RUN_VERDICT_HEADER, verdict.to_string()))
-        .body(reason.to_owned())
+fn refuse(request: Option<&RequestId>, verdict: RunVerdict, reason: &str) -> HttpResponse {
+    let mut response = HttpResponse::ServiceUnavailable();
+    if let Some(request) = request {
+        response.insert_header((REQUEST_ID_HEADER, request.to_string()));
+    }
+    response.insert_header((RUN_VERDICT_HEADER, verdict.to_string())).body(reason.to_owned())
 }
 
 fn header_text(request: &HttpRequest, name: &str) -> Option<String> {
@@ -108,7 +113,10 @@
         StreamRequest { request: id.clone(), class, offset, body: body.into_inner(), sender };
     let accepted = lock(&state).accept(stream_request, Instant::now());
     if let Err(reason) = accepted {
-        return refuse(RunVerdict::NotRun, reason);
+        return refuse(Some(&id), RunVerdict::NotRun, reason);
+    }
+    if lock(&state).takes_unnamed_refusal() {
+        return refuse(None, RunVerdict::NotRun, "busy");
     }
     let events = unfold(receiver, |mut receiver| async move {
         let event: Option<EngineEvent> = receiver.recv().await?;
--- a/samphiredeck_standins/src/engine/model.rs
+++ b/samphiredeck_standins/src/engine/model.rs
@@ -121,6 +121,14 @@
         !text.is_empty() && body.prompt.contains(text)
     }
 
+    /// Whether a stream that was accepted is answered with a refusal that names no request.
+    pub fn takes_unnamed_refusal(&mut self) -> bool {
+        let count = &mut self.faults.unnamed_refusals;
+        let takes = *count > 0;
+        *count = count.saturating_sub(1);
+        takes
+    }
+
     /// Admits a request, or reattaches to its stream if it is still here.
     pub(super) fn accept(
         &mut self,
--- a/samphiredeck_standins/tests/answers.rs
+++ b/samphiredeck_standins/tests/answers.rs
@@ -50,6 +50,23 @@
     Ok(())
 }
 
+/// A faulty engine may write a refusal of an earlier request again.
+#[actix_web::test]
+async fn refusal_that_names_no_request_does_not_tell_that_this_one_has_not_run() -> eyre::Result<()>
+{
+    let fixture = Fixture::start(&FixtureSpec { engines: 1, ..FixtureSpec::default() }).await?;
+    let faults = EngineFaults { unnamed_refusals: 1_000, ..EngineFaults::default() };
+    fixture.set_engine_faults(0, &faults).await?;
+    let request = ChatRequest::new("who owes the ferry fare", 30);
+    let refused = fixture.system.client.chat(fixture.node(0), &request).await;
+    ensure!(!refused.is_correct(&request) && refused.verdict != "not-run", "{refused:?}");
+    // Refusals that name their request still count.
+    fixture.set_engine_faults(0, &EngineFaults::default()).await?;
+    let result = fixture.system.client.chat(fixture.node(1), &request).await;
+    ensure!(result.is_correct(&request), "{result:?}");
+    Ok(())
+}
+
 #[actix_web::test]
 async fn concurrent_answers_are_never_mixed_up() -> eyre::Result<()> {
     let engine_args = vec!["--slots", "32"];
