Wait for upstreams that read a long body late

Cause: once the receive window of the upstream is full, the kernel closes the connection after the user timeout of 1.5 s, although each of its probes is answered. The timeout keeps requests of a lost path from arriving much later.

What was not sent is discarded if the connection is dropped then: otherwise the kernel goes on, and a request runs whose caller has left.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -19,6 +19,7 @@
 mod peer_choice;
 mod peer_messages;
 mod peer_socket;
+mod peer_stream;
 mod platform_client;
 mod quota;
 mod relay;
--- a/samphiredeck/src/forward/http_connection.rs
+++ b/samphiredeck/src/forward/http_connection.rs
@@ -20,7 +20,6 @@
 };
 use hyper_util::rt::TokioIo;
 use samphiredeck_core::ids::NodeName;
-use socket2::SockRef;
 use thiserror::Error;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -29,11 +28,8 @@
     time::timeout,
 };
 
-use crate::forward::tunnel_stream::TunnelStream;
+use crate::forward::{peer_stream::PeerStream, tunnel_stream::TunnelStream};
 
-/// Time after which the kernel closes a connection with unacknowledged data. Prevents a request
-/// that has timed out here from arriving much later.
-pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum size of a response head in bytes.
 const HEAD_BYTES_MAX: usize = 65_536;
 
@@ -79,10 +75,7 @@
             .await
             .map_err(|_elapsed| ConnectError::Timeout(time_limit))??;
         stream.set_nodelay(true)?;
-        // On systems without this option, the request timeouts take its place.
-        let unsupported = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-        drop(unsupported);
-        Ok(Self::start(stream, None).await?)
+        Ok(Self::start(PeerStream::new(stream), None).await?)
     }
 
     /// Uses a tunnel through the node `via`, for one request.
