--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -151,6 +151,30 @@
     }
 }
 
+/// Metrics of the versions that the store returns.
+#[derive(Clone, Debug, Default)]
+pub struct StoreMetrics {
+    /// Number of times that the store has returned from an older copy.
+    pub era: Gauge,
+    /// Number of reads in which it returned an older version than the known one.
+    pub reads_behind: Counter,
+}
+
+impl StoreMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "store_era",
+            "Times that the store has returned from an older copy",
+            self.era.clone(),
+        );
+        registry.register(
+            "reads_behind",
+            "Reads in which the store returned an older version than the known one",
+            self.reads_behind.clone(),
+        );
+    }
+}
+
 /// Metrics of a forwarding node.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -173,6 +197,8 @@
     pub in_flight: Gauge,
     /// Version of the active configuration.
     pub config_version: Gauge,
+    /// Versions of the store.
+    pub store: StoreMetrics,
     /// Time since the configuration was confirmed to be the newest, in seconds.
     pub config_age: Gauge<f64, AtomicU64>,
     /// Age of the upstream list in seconds.
@@ -215,6 +241,7 @@
             platform_calls: Family::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
+            store: StoreMetrics::default(),
             config_age: Gauge::default(),
             list_age: Gauge::default(),
             accepting: Gauge::default(),
@@ -260,12 +287,9 @@
             "Configuration in force",
             metrics.config_version.clone(),
         );
+        metrics.store.register(&mut registry);
         registry.register("config_age_seconds", "Age of its proof", metrics.config_age.clone());
-        registry.register(
-            "list_age_seconds",
-            "Age of the upstreams' list",
-            metrics.list_age.clone(),
-        );
+        registry.register("list_age_seconds", "Age of the list", metrics.list_age.clone());
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
         registry.register("upstreams", "Upstreams by state", metrics.upstreams.clone());
         registry.register(
--- a/samphiredeck/src/forward/peer_stream.rs
+++ b/samphiredeck/src/forward/peer_stream.rs
@@ -78,12 +78,12 @@
 impl AsyncRead for PeerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.has_read |= buffer.filled().len() > before;
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.has_read |= buf.filled().len() > before;
         polled
     }
 }
@@ -91,10 +91,10 @@
 impl AsyncWrite for PeerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = polled {
             self.record_written(count);
         }
@@ -103,10 +103,10 @@
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         if let Poll::Ready(Ok(count)) = polled {
             self.record_written(count);
         }
@@ -117,12 +117,12 @@
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.is_shut = true;
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -165,6 +165,7 @@
     if read < known {
         let fields = json!({ "content": content, "read": read.0, "known": known.0 });
         node.log.record_once_a_minute("read-behind", content, fields);
+        node.metrics.store.reads_behind.inc();
     }
 }
 
