--- a/samphiredeck_core/src/forward/suspects.rs
+++ b/samphiredeck_core/src/forward/suspects.rs
@@ -20,7 +20,8 @@
 //!
 //! **Consequence.** Requests with a suspected part are sent one at a time over all nodes, as a trial.
 //! After further crashes, trials wait longer and longer, and other requests are refused meanwhile. Crashes in a
-//! burst delay the trial of a part little if another one that was there may have caused them all. A trial that brings a response ends the suspicion. A trial that reached an upstream and has no result
+//! burst delay the trial of a part little if another one that was there may have caused them all. A
+//! trial that brings a response ends the suspicion. A trial that reached an upstream and has no result
 //! counts like a crash from the third one on.
 
 pub mod blame;
