--- a/samphiredeck/src/forward/http_connection.rs
+++ b/samphiredeck/src/forward/http_connection.rs
@@ -28,8 +28,11 @@
     time::timeout,
 };
 
-use crate::forward::{peer_stream::PeerStream, tunnel_stream::TunnelStream};
+use crate::forward::{patient_stream::PatientStream, tunnel_stream::TunnelStream};
 
+/// Time after which the kernel closes a connection with unacknowledged data. Prevents a request
+/// that has timed out here from arriving much later.
+pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum size of a response head in bytes.
 const HEAD_BYTES_MAX: usize = 65_536;
 
@@ -75,7 +78,7 @@
             .await
             .map_err(|_elapsed| ConnectError::Timeout(time_limit))??;
         stream.set_nodelay(true)?;
-        Ok(Self::start(PeerStream::new(stream), None).await?)
+        Ok(Self::start(PatientStream::new(stream), None).await?)
     }
 
     /// Uses a tunnel through the node `via`, for one request.
--- a/samphiredeck/src/forward/peer_stream.rs
+++ b/samphiredeck/src/forward/patient_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream to an upstream, or to a node through which it is reached.
+//! TCP stream for requests whose time is limited, so that it may wait for its peer.
 //!
 //! Answers upstreams that read a long body late. Once the receive window is full, the kernel closes the connection
 //! after the user timeout, as it does if the path is lost, although each of its probes is answered.
@@ -16,16 +16,15 @@
     net::TcpStream,
 };
 
-/// Time after which the kernel closes a connection with unacknowledged data. Prevents a request
-/// that has timed out here from arriving much later.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+use crate::forward::http_connection::TCP_USER_TIMEOUT;
+
 /// Number of bytes that fit into the receive window of a process which reads nothing.
 const WINDOW_BYTES: usize = 60_000;
 
 /// TCP stream without a user timeout while it sends more than a receive window holds. If it is dropped then without a
 /// shutdown, what was not sent is discarded.
 #[derive(Debug)]
-pub struct PeerStream {
+pub struct PatientStream {
     stream: TcpStream,
     /// Bytes written since the last ones were read.
     written: usize,
@@ -37,7 +36,7 @@
     is_shut: bool,
 }
 
-impl PeerStream {
+impl PatientStream {
     /// Sets the user timeout of `stream`.
     pub fn new(stream: TcpStream) -> Self {
         let stream =
@@ -66,7 +65,7 @@
     }
 }
 
-impl Drop for PeerStream {
+impl Drop for PatientStream {
     fn drop(&mut self) {
         if self.is_patient && !self.has_read && !self.is_shut {
             let unsupported = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
@@ -75,7 +74,7 @@
     }
 }
 
-impl AsyncRead for PeerStream {
+impl AsyncRead for PatientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -88,7 +87,7 @@
     }
 }
 
-impl AsyncWrite for PeerStream {
+impl AsyncWrite for PatientStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/samphiredeck/src/forward/tunnel_client.rs
+++ b/samphiredeck/src/forward/tunnel_client.rs
@@ -13,6 +13,7 @@
 };
 use samphiredeck_wire::tunnel::{TunnelPurpose, TunnelReply, TunnelRequest};
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     select,
@@ -21,6 +22,7 @@
 
 use crate::forward::{
     clock,
+    http_connection::TCP_USER_TIMEOUT,
     node::ForwardNode,
     peer_socket::PeerSocket,
     tunnel_messages::{TunnelError, read_message, write_message},
@@ -259,6 +261,9 @@
 ) -> Result<(TunnelReply, TcpStream), TunnelError> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    // On systems without this option, the request timeouts take its place.
+    let unsupported = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    drop(unsupported);
     let counter = socket.next_tunnel_id();
     write_message(&mut stream, socket, (name, counter), request).await?;
     let (header, reply) = read_message::<TunnelReply>(&mut stream, socket).await?;
--- a/samphiredeck/src/forward/tunnel_server.rs
+++ b/samphiredeck/src/forward/tunnel_server.rs
@@ -19,18 +19,19 @@
     tunnel::{TunnelPurpose, TunnelReply, TunnelRequest},
 };
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf, copy},
-    net::{TcpListener, TcpStream},
+    io::{AsyncReadExt, AsyncWriteExt, WriteHalf, copy},
+    net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
     select,
     time::{sleep, timeout},
 };
 
 use crate::forward::{
     clock,
+    http_connection::TCP_USER_TIMEOUT,
     node::{ForwardNode, ShutdownPhase},
     peer_socket::PeerSocket,
-    peer_stream::PeerStream,
     response_scan::ResponseScan,
     tunnel_messages::{TunnelError, read_message, write_message},
     tunnel_stream::TunnelStream,
@@ -101,6 +102,8 @@
     mut stream: TcpStream,
 ) -> Result<(), TunnelError> {
     stream.set_nodelay(true)?;
+    let unsupported = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    drop(unsupported);
     let opening = read_message::<TunnelRequest>(&mut stream, socket);
     let Ok(opening) = timeout(REQUEST_TIMEOUT, opening).await else { return Ok(()) };
     let (header, request) = opening?;
@@ -263,8 +266,10 @@
     upstream: TcpStream,
 ) -> io::Result<()> {
     upstream.set_nodelay(true)?;
+    let unsupported = SockRef::from(&upstream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    drop(unsupported);
     let (mut tunnel_read, mut tunnel_write) = tokio::io::split(tunnel);
-    let (upstream_read, mut upstream_write) = tokio::io::split(PeerStream::new(upstream));
+    let (upstream_read, mut upstream_write) = upstream.into_split();
     let to_upstream = async {
         copy(&mut tunnel_read, &mut upstream_write).await?;
         upstream_write.shutdown().await?;
@@ -280,7 +285,7 @@
 async fn pass_response(
     node: &Rc<ForwardNode>,
     request: &TunnelRequest,
-    mut from: ReadHalf<PeerStream>,
+    mut from: OwnedReadHalf,
     to: &mut WriteHalf<TunnelStream>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
--- a/samphiredeck/src/forward/tunnel_stream.rs
+++ b/samphiredeck/src/forward/tunnel_stream.rs
@@ -12,8 +12,6 @@
     net::TcpStream,
 };
 
-use crate::forward::peer_stream::PeerStream;
-
 /// Length of the header of a frame in bytes.
 const HEADER_BYTES: usize = 2;
 /// Maximum number of bytes in a frame that is sent.
@@ -22,7 +20,7 @@
 /// Tunnel after its reply.
 #[derive(Debug)]
 pub struct TunnelStream {
-    stream: PeerStream,
+    stream: TcpStream,
     header: [u8; HEADER_BYTES],
     /// Number of bytes of `header` that were read.
     header_read: usize,
@@ -41,7 +39,7 @@
     /// Creates the stream of a tunnel over `stream`.
     pub fn new(stream: TcpStream) -> Self {
         Self {
-            stream: PeerStream::new(stream),
+            stream,
             header: [0; HEADER_BYTES],
             header_read: 0,
             frame_left: 0,
