Logs of usage: digest, sum, row and era of each window

Adds usage-found, a digest of the counts that can be compared between nodes, and the known version beside that of a duty-conflict.

--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -139,7 +139,9 @@
         match outcome {
             Ok(TransactionOutcome::Committed(version)) => {
                 if record.renewals == 0 {
-                    let fields = json!({ "fence": record.fence.0, "row": version.0 });
+                    let fields = json!({
+                        "fence": record.fence.0, "row": version.number(), "era": version.era().0,
+                    });
                     self.node.log.record("duty-won", fields);
                 }
                 state.leader_lease.record_written(record, version, sent_at);
@@ -147,9 +149,13 @@
             Ok(TransactionOutcome::Conflict(rows)) => {
                 let (record, version) = decode_leader_row(&rows);
                 let holder = record.as_ref().map(|record| record.holder.to_string());
-                let fields = json!({ "holder": holder, "row": version.0 });
-                self.node.log.record("duty-conflict", fields);
                 let era = self.node.store_eras.borrow().current();
+                let known = state.leader_lease.known_version();
+                let fields = json!({
+                    "holder": holder, "row": version.number(), "era": era.0,
+                    "known_row": known.number(), "known_era": known.era().0,
+                });
+                self.node.log.record("duty-conflict", fields);
                 state.leader_lease.observe(record, (era, version), clock::now());
             }
             Err(error) => {
--- a/samphiredeck/src/forward/leader/usage_reports.rs
+++ b/samphiredeck/src/forward/leader/usage_reports.rs
@@ -85,10 +85,11 @@
         };
         match self.store.transact(&transaction, WRITE_TIMEOUT).await {
             Ok(TransactionOutcome::Committed(version)) => {
-                let total: u64 = sum.counts.iter().map(|row| row.count).sum();
+                let nodes = self.node.state().members.nodes_counted(sum.window);
                 let fields = json!({
-                    "window": sum.window.0, "requests": total, "complete": complete,
-                    "row": version.0,
+                    "window": sum.window.0, "requests": sum.total(), "digest": sum.digest(),
+                    "complete": complete, "nodes": nodes, "row": version.number(),
+                    "era": version.era().0,
                 });
                 self.node.log.record("usage-agreed", fields);
                 Some(sum)
@@ -96,16 +97,23 @@
             Ok(TransactionOutcome::Conflict(rows)) => {
                 let committed = rows.iter().find_map(|row| {
                     match decode_record(&row.key, row.value.as_deref()?) {
-                        Ok(Some(SharedRecord::Usage(counts))) => Some(counts),
+                        Ok(Some(SharedRecord::Usage(counts))) => Some((counts, row.version)),
                         _ => None,
                     }
                 });
-                if committed.is_none() {
+                let Some((committed, version)) = committed else {
                     let fields =
                         json!({ "window": sum.window.0, "reason": "committed row is unreadable" });
                     self.node.log.record("usage-unagreed", fields);
-                }
-                committed
+                    return None;
+                };
+                let fields = json!({
+                    "window": sum.window.0, "requests": committed.total(),
+                    "digest": committed.digest(), "sum": sum.total(), "row": version.number(),
+                    "era": version.era().0,
+                });
+                self.node.log.record("usage-found", fields);
+                Some(committed)
             }
             Err(error) => {
                 // If the write took effect after all, the next round finds the row.
@@ -129,7 +137,8 @@
         let outcome = result.map(|(status, _)| decode_outcome(status));
         let accepted = matches!(outcome, Ok(OrderOutcome::Accepted));
         let fields = json!({
-            "window": counts.window.0, "fence": fence.0, "age_ms": age_ms,
+            "window": counts.window.0, "requests": counts.total(), "digest": counts.digest(),
+            "fence": fence.0, "age_ms": age_ms,
             "outcome": describe_outcome(&outcome),
         });
         self.node.log.record("usage-reported", fields);
--- a/samphiredeck_core/src/forward/leader.rs
+++ b/samphiredeck_core/src/forward/leader.rs
@@ -198,6 +198,12 @@
         (now.since(renewed_at) + LEADER_CALL_TIMEOUT < self.lease_time).then_some(fence)
     }
 
+    /// Version of the row as it was last read. Zero if there was none.
+    #[must_use]
+    pub fn known_version(&self) -> RowVersion {
+        self.observed.as_ref().map_or(RowVersion(0), |observed| observed.version)
+    }
+
     /// Leader according to the last read.
     #[must_use]
     pub fn holder(&self) -> Option<&LeaderRecord> {
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -263,6 +263,15 @@
         sum
     }
 
+    /// Number of nodes with counts for `window`, including nodes that are gone.
+    #[must_use]
+    pub fn nodes_counted(&self, window: WindowIndex) -> usize {
+        let has_counts = |heartbeat: &NodeHeartbeat| {
+            heartbeat.windows.iter().any(|counts| counts.window == window)
+        };
+        self.heartbeats.iter().filter(|(_, heartbeat)| has_counts(heartbeat)).count()
+    }
+
     /// Whether each live node has published all counts from before `end_ms`.
     #[must_use]
     pub fn is_usage_complete(&self, end_ms: i64) -> bool {
--- a/samphiredeck_core/src/forward/usage.rs
+++ b/samphiredeck_core/src/forward/usage.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::WorkspaceName;
 
@@ -80,6 +81,21 @@
         }
     }
 
+    /// Sum over all workspaces.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.counts.iter().map(|row| row.count).sum()
+    }
+
+    /// Digest of the counts, which differs if any count does.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let seed_of = |digest, row: &WorkspaceCount| {
+            xxh3_64_with_seed(row.workspace.as_str().as_bytes(), digest).wrapping_add(row.count)
+        };
+        self.counts.iter().fold(0, seed_of)
+    }
+
     /// Adds all counts of `other`.
     pub fn merge(&mut self, other: &Self) {
         for row in &other.counts {
