Usage: commit lost counts again, and sum no window that may have been reported

Leases and tokens were right; the row that both relied on was gone.

Each node that reads the store remembers committed counts and writes those that the store has lost again. A row tells when an era of the store was first seen. A window that ended before is summed only by a node that has held the lease since its end, in eras in which nobody else can have claimed; that node claims before others in a new era. A commit expects the lease's row as it was last written, so that it fails where the store has gone back meanwhile. Otherwise the window is withheld (usage-withheld).

Nodes of earlier builds ignore the new row; one of them that leads can still sum a lost window.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -1,5 +1,6 @@
 //! Node that forwards client requests to the platform's upstreams unmodified.
 
+mod agreed_rows;
 mod attempt;
 mod clock;
 mod connection_pool;
--- /dev/null
+++ b/samphiredeck/src/forward/agreed_rows.rs
@@ -0,0 +1,109 @@
+//! Rows that outlast a return of the store from an older copy: committed usage, and when the era began.
+
+use samphiredeck_core::{
+    forward::{
+        agreed_windows::EraRecord,
+        usage::{WindowCounts, WindowIndex},
+    },
+    ids::RowVersion,
+};
+use samphiredeck_platform::store::{StoreRows, StoreTransaction};
+use samphiredeck_wire::record::{
+    ERA_ROW_KEY, RecordError, SharedRecord, decode_record, encode_record, usage_key,
+};
+use serde_json::json;
+
+use crate::forward::{
+    clock,
+    dependency::STORE_TIMEOUT,
+    node::ForwardNode,
+    platform_client::{PlatformCallError, PlatformClient},
+    shared_rows::shared_key,
+};
+
+/// Records the committed usage in the shared rows and writes what the store has lost of it, so that the next leader finds
+/// it. In an era that no row tells of, writes when it began.
+pub async fn sync_agreed_rows(
+    node: &ForwardNode,
+    response: &StoreRows,
+    client: &mut PlatformClient,
+) -> Result<(), PlatformCallError> {
+    let era_version = record_rows(node, response);
+    let era = response.newest.era();
+    if era.0 == 0 {
+        return Ok(());
+    }
+    if let Some(version) = era_version {
+        let Some(start_ms) = node.state().clock.unix_ms(clock::now()) else { return Ok(()) };
+        let record = EraRecord { era, start_ms };
+        let fields = json!({ "era": era.0, "start_ms": start_ms });
+        node.log.record("era-begun", fields);
+        write_row(node, client, (ERA_ROW_KEY.to_owned(), version), encode_record(&record)).await?;
+    }
+    let stored: Vec<WindowIndex> = decode_usage(response).map(|counts| counts.window).collect();
+    let lost: Vec<WindowCounts> =
+        node.state().agreed_windows.find_lost(&stored).into_iter().cloned().collect();
+    for counts in lost {
+        let fields = json!({
+            "window": counts.window.0, "requests": counts.total(), "digest": counts.digest(),
+            "era": era.0,
+        });
+        node.log.record("usage-restored", fields);
+        let key = (usage_key(counts.window), RowVersion(0));
+        write_row(node, client, key, encode_record(&counts)).await?;
+    }
+    Ok(())
+}
+
+/// Records the rows of committed usage and of the era. Returns the version of the latter if it tells of an earlier one than
+/// the store's.
+fn record_rows(node: &ForwardNode, response: &StoreRows) -> Option<RowVersion> {
+    let mut state = node.state();
+    for counts in decode_usage(response) {
+        if !state.agreed_windows.record(&counts) {
+            let fields = json!({ "window": counts.window.0, "digest": counts.digest() });
+            node.log.record_once_a_minute("usage-disputed", "usage", fields);
+        }
+    }
+    let row = response.rows.iter().find(|row| row.key == ERA_ROW_KEY);
+    let decoded = row.and_then(|row| decode_record(&row.key, row.value.as_deref()?).ok());
+    let record = match decoded.flatten() {
+        Some(SharedRecord::Era(record)) => Some(record),
+        _ => None,
+    };
+    state.agreed_windows.record_era(record);
+    let is_outdated = record.is_none_or(|record| record.era < response.newest.era());
+    is_outdated.then(|| row.map_or(RowVersion(0), |row| row.version))
+}
+
+/// Committed usage in the rows. Rows that can't be decoded are logged with the other shared rows.
+fn decode_usage(response: &StoreRows) -> impl Iterator<Item = WindowCounts> {
+    response.rows.iter().filter_map(|row| match decode_record(&row.key, row.value.as_deref()?) {
+        Ok(Some(SharedRecord::Usage(counts))) => Some(counts),
+        _ => None,
+    })
+}
+
+/// Writes a row unless another node has written it since it was read.
+async fn write_row(
+    node: &ForwardNode,
+    client: &mut PlatformClient,
+    (key, version): (String, RowVersion),
+    value: Result<Vec<u8>, RecordError>,
+) -> Result<(), PlatformCallError> {
+    let value = match value {
+        Ok(value) => value,
+        Err(error) => {
+            let fields = json!({ "key": key, "reason": error.to_string() });
+            node.log.record("shared-unwritable", fields);
+            return Ok(());
+        }
+    };
+    let key = shared_key(key);
+    let transaction = StoreTransaction {
+        expected: vec![(key.clone(), version)],
+        writes: vec![(key, value)],
+        removals: Vec::new(),
+    };
+    client.transact(&transaction, STORE_TIMEOUT).await.map(drop)
+}
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -9,6 +9,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        agreed_windows::WithholdReason,
         capacity::CapacityPlanner,
         leader::{LeaderRecord, LeaderStep},
         usage::WindowIndex,
@@ -50,6 +51,8 @@
     planners: Vec<(PoolName, CapacityPlanner)>,
     /// Windows reported under the current fencing token.
     reported: Vec<WindowIndex>,
+    /// Windows that were not reported, and of which a log line tells.
+    withheld: Vec<(WindowIndex, WithholdReason)>,
     /// Fencing token while this node is the leader.
     fence: Option<FencingToken>,
     /// Fencing token under which `planners` and `reported` were built.
@@ -67,6 +70,7 @@
         node,
         planners: Vec::new(),
         reported: Vec::new(),
+        withheld: Vec::new(),
         fence: None,
         state_fence: None,
         last_order_round: BootTime::default(),
@@ -147,16 +151,8 @@
                 state.leader_lease.record_written(record, version, sent_at);
             }
             Ok(TransactionOutcome::Conflict(rows)) => {
-                let (record, version) = decode_leader_row(&rows);
-                let holder = record.as_ref().map(|record| record.holder.to_string());
-                let era = self.node.store_eras.borrow().current();
-                let known = state.leader_lease.known_version();
-                let fields = json!({
-                    "holder": holder, "row": version.number(), "era": era.0,
-                    "known_row": known.number(), "known_era": known.era().0,
-                });
-                self.node.log.record("duty-conflict", fields);
-                state.leader_lease.observe(record, (era, version), clock::now());
+                drop(state);
+                self.observe_lease(&rows, sent_at);
             }
             Err(error) => {
                 if error.is_outcome_unknown() {
@@ -169,6 +165,22 @@
         }
     }
 
+    /// Applies the lease's row in `rows`, which the store returned with a conflict.
+    fn observe_lease(&self, rows: &[StoreRow], sent_at: BootTime) {
+        let (record, version) = decode_leader_row(rows);
+        let holder = record.as_ref().map(|record| record.holder.to_string());
+        let era = self.node.store_eras.borrow().current();
+        let mut state = self.node.state();
+        let known = state.leader_lease.known_version();
+        let fields = json!({
+            "holder": holder, "row": version.number(), "era": era.0,
+            "known_row": known.number(), "known_era": known.era().0,
+            "answered_in_ms": clock::now().since(sent_at).as_millis(),
+        });
+        self.node.log.record("duty-conflict", fields);
+        state.leader_lease.observe(record, (era, version), clock::now());
+    }
+
     /// Updates the fencing token. A new token discards the state of earlier orders and reports; a
     /// lease that expired and was renewed under the same token keeps it.
     fn update_fence(&mut self) {
@@ -177,7 +189,7 @@
             return;
         }
         let gauge_value = fence.map_or(0, |fence| i64::try_from(fence.0).unwrap_or(i64::MAX));
-        self.node.metrics.leader_fence.set(gauge_value);
+        self.node.metrics.leader.fence.set(gauge_value);
         let kind = if fence.is_some() { "duty-held" } else { "duty-lost" };
         let fields = json!({
             "fence": fence.map(|fence| fence.0), "before": self.fence.map(|fence| fence.0),
--- a/samphiredeck/src/forward/leader/usage_reports.rs
+++ b/samphiredeck/src/forward/leader/usage_reports.rs
@@ -1,7 +1,9 @@
 //! Usage reports, which only the leader sends.
 
 use samphiredeck_core::{
+    boot_time::BootTime,
     forward::{
+        agreed_windows::{WindowStep, WithholdReason},
         leader::LEADER_CALL_TIMEOUT,
         usage::{WindowCounts, WindowIndex},
     },
@@ -9,9 +11,11 @@
 };
 use samphiredeck_platform::{
     orders::{OrderOutcome, decode_outcome, encode_usage_report},
-    store::{StoreTransaction, TransactionOutcome},
+    store::{StoreRow, StoreTransaction, TransactionOutcome},
+};
+use samphiredeck_wire::record::{
+    LEADER_ROW_KEY, SharedRecord, decode_record, encode_record, usage_key,
 };
-use samphiredeck_wire::record::{SharedRecord, decode_record, encode_record, usage_key};
 use serde_json::json;
 
 use crate::forward::clock;
@@ -44,80 +48,117 @@
                 continue;
             }
             let end_ms = window.end_ms(length);
-            let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
-            let (complete, sum) = {
-                let state = self.node.state();
-                let complete = state.members.is_usage_complete(end_ms);
-                (complete, state.members.sum_window(window))
+            let step = self.window_step(window, end_ms);
+            let (counts, complete) = match step {
+                WindowStep::Repeat(counts) => (counts, true),
+                WindowStep::Withhold(reason) => {
+                    self.log_withheld(window, reason);
+                    continue;
+                }
+                WindowStep::Sum => {
+                    let Some(sum) = self.sum_settled(window, now_ms - end_ms) else { continue };
+                    sum
+                }
             };
-            let is_settled = complete && now_ms >= end_ms + COUNTS_PUBLISHED_MS;
-            if !is_settled && now_ms < end_ms + COUNTS_DEADLINE_MS.min(due - REPORT_MARGIN_MS) {
-                continue;
-            }
-            if sum.counts.is_empty() {
-                // No requests ran, or no node has published its counts yet.
-                continue;
-            }
-            let Some(committed) = self.commit_usage(sum, complete).await else { return };
+            let Some(committed) = self.commit_usage(counts, complete).await else { return };
             if !self.send_usage_report(&committed, now_ms - end_ms).await {
                 return;
             }
         }
     }
 
-    /// Commits the counts of a window to the store. Returns the committed counts, which are final
-    /// for all nodes.
-    async fn commit_usage(&mut self, sum: WindowCounts, complete: bool) -> Option<WindowCounts> {
-        self.current_fence()?;
-        let key = shared_row_key(&usage_key(sum.window));
-        let expired = WindowIndex(sum.window.0 - COMMITTED_WINDOWS_KEPT);
-        let value = match encode_record(&sum) {
+    /// What this node may do about `window`, which ended at `end_ms`.
+    fn window_step(&self, window: WindowIndex, end_ms: i64) -> WindowStep {
+        let era = self.node.store_eras.borrow().current();
+        let state = self.node.state();
+        let tenure_since = state.leader_lease.tenure_since();
+        let tenure_ms = tenure_since.and_then(|since| state.clock.unix_ms(since));
+        state.agreed_windows.next_step(window, end_ms, era, tenure_ms)
+    }
+
+    /// Sum of the counts of `window`, which ended `age_ms` ago, and whether it is complete. `None` if more counts are
+    /// expected, or no requests ran.
+    fn sum_settled(&self, window: WindowIndex, age_ms: i64) -> Option<(WindowCounts, bool)> {
+        let settings = self.node.settings();
+        let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
+        let end_ms = window.end_ms(settings.bounds.usage_window.to_duration());
+        let state = self.node.state();
+        let complete = state.members.is_usage_complete(end_ms);
+        let is_settled = complete && age_ms >= COUNTS_PUBLISHED_MS;
+        if !is_settled && age_ms < COUNTS_DEADLINE_MS.min(due - REPORT_MARGIN_MS) {
+            return None;
+        }
+        let sum = state.members.sum_window(window);
+        // Without any, no requests ran, or no node has published its counts yet.
+        (!sum.counts.is_empty()).then_some((sum, complete))
+    }
+
+    fn log_withheld(&mut self, window: WindowIndex, reason: WithholdReason) {
+        let has_requests = !self.node.state().members.sum_window(window).counts.is_empty();
+        if !has_requests || self.withheld.contains(&(window, reason)) {
+            return;
+        }
+        self.withheld.push((window, reason));
+        let kept = usize::try_from(COMMITTED_WINDOWS_KEPT).unwrap_or(usize::MAX);
+        let excess = self.withheld.len().saturating_sub(kept);
+        self.withheld.drain(..excess);
+        if reason != WithholdReason::UnknownEra {
+            self.node.metrics.leader.windows_withheld.inc();
+        }
+        let fields = json!({
+            "window": window.0, "reason": format!("{reason:?}"),
+            "era": self.node.store_eras.borrow().current().0,
+        });
+        self.node.log.record("usage-withheld", fields);
+    }
+
+    /// Commits the counts of a window to the store, if this node is still the leader there. Returns the committed counts,
+    /// which are final for all nodes.
+    async fn commit_usage(&mut self, counts: WindowCounts, complete: bool) -> Option<WindowCounts> {
+        let fence = self.current_fence()?;
+        let key = shared_row_key(&usage_key(counts.window));
+        let expired = WindowIndex(counts.window.0 - COMMITTED_WINDOWS_KEPT);
+        let value = match encode_record(&counts) {
             Ok(value) => value,
             Err(error) => {
                 self.node.log.record("usage-unwritable", json!({ "reason": error.to_string() }));
                 return None;
             }
         };
+        // The lease's row is another one if the store has returned from an older copy meanwhile.
+        let lease_version = self.node.state().leader_lease.known_version();
         let transaction = StoreTransaction {
-            expected: vec![(key.clone(), RowVersion(0))],
+            expected: vec![
+                (key.clone(), RowVersion(0)),
+                (shared_row_key(LEADER_ROW_KEY), lease_version),
+            ],
             writes: vec![(key, value)],
             removals: vec![shared_row_key(&usage_key(expired))],
         };
+        let sent_at = clock::now();
         match self.store.transact(&transaction, WRITE_TIMEOUT).await {
-            Ok(TransactionOutcome::Committed(version)) => {
-                let nodes = self.node.state().members.nodes_counted(sum.window);
+            Ok(TransactionOutcome::Committed(version)) if version.era() != fence.era() => {
                 let fields = json!({
-                    "window": sum.window.0, "requests": sum.total(), "digest": sum.digest(),
-                    "complete": complete, "nodes": nodes, "row": version.number(),
-                    "era": version.era().0,
+                    "window": counts.window.0, "reason": "the store has begun another era",
                 });
-                self.node.log.record("usage-agreed", fields);
-                Some(sum)
+                self.node.log.record("usage-unagreed", fields);
+                None
             }
-            Ok(TransactionOutcome::Conflict(rows)) => {
-                let committed = rows.iter().find_map(|row| {
-                    match decode_record(&row.key, row.value.as_deref()?) {
-                        Ok(Some(SharedRecord::Usage(counts))) => Some((counts, row.version)),
-                        _ => None,
-                    }
-                });
-                let Some((committed, version)) = committed else {
-                    let fields =
-                        json!({ "window": sum.window.0, "reason": "committed row is unreadable" });
-                    self.node.log.record("usage-unagreed", fields);
-                    return None;
-                };
+            Ok(TransactionOutcome::Committed(version)) => {
+                let nodes = self.node.state().members.nodes_counted(counts.window);
                 let fields = json!({
-                    "window": sum.window.0, "requests": committed.total(),
-                    "digest": committed.digest(), "sum": sum.total(), "row": version.number(),
-                    "era": version.era().0,
+                    "window": counts.window.0, "requests": counts.total(),
+                    "digest": counts.digest(), "complete": complete, "nodes": nodes,
+                    "row": version.number(), "era": version.era().0,
                 });
-                self.node.log.record("usage-found", fields);
-                Some(committed)
+                self.node.log.record("usage-agreed", fields);
+                self.node.state().agreed_windows.record(&counts);
+                Some(counts)
             }
+            Ok(TransactionOutcome::Conflict(rows)) => self.find_committed(&counts, &rows, sent_at),
             Err(error) => {
                 // If the write took effect after all, the next round finds the row.
-                let fields = json!({ "window": sum.window.0, "reason": error.to_string() });
+                let fields = json!({ "window": counts.window.0, "reason": error.to_string() });
                 self.node.log.record("usage-unagreed", fields);
                 self.paused_until = clock::now() + RETRY_DELAY;
                 None
@@ -125,6 +166,40 @@
         }
     }
 
+    /// Finds the committed counts in `rows`, which the store returned with the conflict of a commit of `counts`.
+    fn find_committed(
+        &mut self,
+        counts: &WindowCounts,
+        rows: &[StoreRow],
+        sent_at: BootTime,
+    ) -> Option<WindowCounts> {
+        let window = counts.window;
+        let committed =
+            rows.iter().find_map(|row| match decode_record(&row.key, row.value.as_deref()?) {
+                Ok(Some(SharedRecord::Usage(committed))) => Some((committed, row.version)),
+                _ => None,
+            });
+        let Some((committed, version)) = committed else {
+            let is_missing = rows.iter().all(|row| row.key == LEADER_ROW_KEY);
+            let reason =
+                if is_missing { "the lease has changed" } else { "committed row is unreadable" };
+            let fields = json!({ "window": window.0, "reason": reason });
+            self.node.log.record("usage-unagreed", fields);
+            if is_missing {
+                self.observe_lease(rows, sent_at);
+            }
+            return None;
+        };
+        let is_agreed = self.node.state().agreed_windows.record(&committed);
+        let fields = json!({
+            "window": window.0, "requests": committed.total(), "digest": committed.digest(),
+            "own": counts.total(), "own_digest": counts.digest(), "row": version.number(),
+            "era": version.era().0, "disputed": !is_agreed,
+        });
+        self.node.log.record("usage-found", fields);
+        is_agreed.then_some(committed)
+    }
+
     /// Reports committed counts. Returns whether the platform accepted them.
     async fn send_usage_report(&mut self, counts: &WindowCounts, age_ms: i64) -> bool {
         let Some(fence) = self.current_fence() else { return false };
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -175,6 +175,26 @@
     }
 }
 
+/// Metrics of the leader.
+#[derive(Debug, Default)]
+pub struct LeaderMetrics {
+    /// Fencing token of this node, 0 if it is not the leader.
+    pub fence: Gauge,
+    /// Number of usage windows that were not reported, since they may have been reported before.
+    pub windows_withheld: Counter,
+}
+
+impl LeaderMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("duty_fence", "Number of the duty held here", self.fence.clone());
+        registry.register(
+            "windows_withheld",
+            "Windows of usage that may have been reported before the store returned",
+            self.windows_withheld.clone(),
+        );
+    }
+}
+
 /// Metrics of a forwarding node.
 #[derive(Debug)]
 pub struct ForwardMetrics {
@@ -222,8 +242,8 @@
     pub suspect_reports: Gauge,
     /// Number of live nodes.
     pub nodes: Gauge,
-    /// Fencing token of this node as the leader, 0 if it is not the leader.
-    pub leader_fence: Gauge,
+    /// This node as the leader.
+    pub leader: LeaderMetrics,
     /// Number of dropped log lines.
     pub dropped_lines: Gauge,
 }
@@ -254,7 +274,7 @@
             part_trials: Counter::default(),
             suspect_reports: Gauge::default(),
             nodes: Gauge::default(),
-            leader_fence: Gauge::default(),
+            leader: LeaderMetrics::default(),
             dropped_lines: Gauge::default(),
             registry: Registry::default(),
         };
@@ -320,11 +340,7 @@
             metrics.suspect_reports.clone(),
         );
         registry.register("nodes", "Nodes alive", metrics.nodes.clone());
-        registry.register(
-            "duty_fence",
-            "Number of the duty held here",
-            metrics.leader_fence.clone(),
-        );
+        metrics.leader.register(&mut registry);
         registry.register("dropped_lines", "Log lines dropped", metrics.dropped_lines.clone());
         Self { registry, ..metrics }
     }
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep;
 
 use crate::forward::{
+    agreed_rows::sync_agreed_rows,
     clock,
     dependency::{DependencyMonitor, STORE_TIMEOUT, sleep_with_jitter},
     heartbeats::{apply_member_count, own_heartbeat, send_to_reader},
@@ -142,6 +143,7 @@
         schedule.written_at = Some(sent_at);
     }
     handle_response(node, &response, client, sent_at).await;
+    sync_agreed_rows(node, &response, client).await?;
     if is_first && has_neighbours(node, &node.state()) {
         schedule.waits_until = sent_at + READER_CHOICE_TIME;
     }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -6,6 +6,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        agreed_windows::AgreedWindows,
         catalog::ForwardCatalog,
         clock::ClusterClock,
         demand::DemandMeter,
@@ -114,6 +115,8 @@
     pub retry_budget: RetryBudget,
     /// Counts of requests that started to run through this node.
     pub usage_ledger: UsageLedger,
+    /// Committed counts of usage that this node has read.
+    pub agreed_windows: AgreedWindows,
     /// Demand received by this node.
     pub demand: DemandMeter,
     /// Speeds of the pools, as measured by this node.
@@ -160,6 +163,7 @@
             heard_at: None,
             retry_budget: RetryBudget::new(bounds.retry_limit, NODES_ASSUMED),
             usage_ledger: UsageLedger::default(),
+            agreed_windows: AgreedWindows::default(),
             demand: DemandMeter::default(),
             speeds: PoolSpeedTable::default(),
             prompt_cache: PromptCacheTable::default(),
--- a/samphiredeck_core/src/forward/leader.rs
+++ b/samphiredeck_core/src/forward/leader.rs
@@ -26,6 +26,9 @@
 pub const LEADER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Additional time that a successor waits, for clocks that run at different rates.
 const CLOCK_RATE_MARGIN: Duration = Duration::from_millis(700);
+/// Additional time that a node waits in a new era unless it held the lease of before. The one that did knows what was
+/// reported, and notices the era with its next renewal.
+const PRECEDENCE_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// Content of the store's row that names the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,11 +64,21 @@
     version: RowVersion,
     /// Time of the first read that showed `version` in `era`.
     since: BootTime,
+    /// Time by which the last answer that showed it had been received.
+    read_at: BootTime,
     /// Whether a write of this node may have changed the row since. Nothing is decided until the
     /// row has been read again.
     uncertain: bool,
 }
 
+/// Span in which no other node can have acted as the leader.
+#[derive(Clone, Copy, Debug)]
+struct LeaderTenure {
+    since: BootTime,
+    /// Era up to which the span is known to go on.
+    era: StoreEra,
+}
+
 /// One node's view of the leader lease.
 #[derive(Clone, Debug)]
 pub struct LeaderLease {
@@ -78,6 +91,7 @@
     /// Fencing token under which this node holds the lease, and the time before its last renewal
     /// was sent.
     held: Option<(FencingToken, BootTime)>,
+    tenure: Option<LeaderTenure>,
 }
 
 impl LeaderLease {
@@ -85,7 +99,15 @@
     /// extends the lease by `lease_time`.
     #[must_use]
     pub fn new(node: NodeName, address: SocketAddr, lease_time: Duration) -> Self {
-        Self { node, address, incarnation: None, lease_time, observed: None, held: None }
+        Self {
+            node,
+            address,
+            incarnation: None,
+            lease_time,
+            observed: None,
+            held: None,
+            tenure: None,
+        }
     }
 
     /// Sets the incarnation of this node.
@@ -105,13 +127,40 @@
         if known.is_some_and(|known| (era, version) < (known.era, known.version)) {
             return;
         }
+        self.update_tenure(record.as_ref(), era, now);
         let own = record.as_ref().is_some_and(|record| self.is_own(record, era));
         if !own {
             self.held = None;
         }
+        let known = self.observed.as_ref();
         let known = known.filter(|known| (known.era, known.version) == (era, version));
         let since = known.map_or(now, |observed| observed.since);
-        self.observed = Some(ObservedRecord { record, era, version, since, uncertain: false });
+        let read_at = now;
+        self.observed =
+            Some(ObservedRecord { record, era, version, since, read_at, uncertain: false });
+    }
+
+    /// Ends or extends the tenure after the row was read in `era`. In a new era, a successor waits for longer than a
+    /// lease from its first read on, so that nobody can have acted while the lease of before was still valid.
+    fn update_tenure(&mut self, record: Option<&LeaderRecord>, era: StoreEra, now: BootTime) {
+        let is_valid = self.fence(now).is_some();
+        let names_other =
+            record.is_some_and(|record| record.fence.era() == era && !self.is_own(record, era));
+        let Some(tenure) = &mut self.tenure else { return };
+        if names_other || (tenure.era != era && !is_valid) {
+            self.tenure = None;
+        } else {
+            tenure.era = era;
+        }
+    }
+
+    /// Whether a row of `version`, asked for at `sent_at` in `era`, shows that the store returned from an older copy: it had
+    /// a later version in an answer that was received before.
+    #[must_use]
+    pub fn proves_return(&self, (era, version): (StoreEra, RowVersion), sent_at: BootTime) -> bool {
+        self.observed.as_ref().is_some_and(|known| {
+            known.era == era && version < known.version && known.read_at < sent_at
+        })
     }
 
     /// Whether this node holds the lease by `record` in `era`. One of an earlier era names nobody.
@@ -125,9 +174,15 @@
     /// meanwhile, the lease is not held.
     pub fn record_written(&mut self, record: LeaderRecord, version: RowVersion, sent_at: BootTime) {
         let era = version.era();
+        self.update_tenure(None, era, sent_at);
         self.held = self.is_own(&record, era).then_some((record.fence, sent_at));
+        if self.held.is_some() {
+            self.tenure.get_or_insert(LeaderTenure { since: sent_at, era });
+        }
         let (record, since) = (Some(record), sent_at);
-        self.observed = Some(ObservedRecord { record, era, version, since, uncertain: false });
+        let read_at = sent_at + LEADER_CALL_TIMEOUT;
+        self.observed =
+            Some(ObservedRecord { record, era, version, since, read_at, uncertain: false });
     }
 
     /// Marks the view as uncertain after a write whose outcome is unknown. A held lease runs to its
@@ -181,8 +236,10 @@
         let wait = match record {
             None if era == StoreEra::default() => Duration::ZERO,
             Some(record) if is_same_address(record) => LEADER_CALL_TIMEOUT,
+            Some(record) if record.fence.era() == era => self.successor_wait(),
             // The row of an earlier era does not tell who held the lease last.
-            None | Some(_) => self.lease_time + LEADER_CALL_TIMEOUT + CLOCK_RATE_MARGIN,
+            None | Some(_) if self.tenure.is_some() => self.successor_wait(),
+            None | Some(_) => self.successor_wait() + PRECEDENCE_MARGIN,
         };
         if now.since(observed.since) < wait {
             return LeaderStep::Wait;
@@ -191,6 +248,17 @@
         claim(next.max(FencingToken::first_in(era)))
     }
 
+    /// Time after the last change of the row from which its holder surely does not act any more.
+    fn successor_wait(&self) -> Duration {
+        self.lease_time + LEADER_CALL_TIMEOUT + CLOCK_RATE_MARGIN
+    }
+
+    /// Time since which no other node can have acted as the leader, if this node knows that of any.
+    #[must_use]
+    pub fn tenure_since(&self) -> Option<BootTime> {
+        self.tenure.map(|tenure| tenure.since)
+    }
+
     /// Fencing token under which this node may act at `now`, if it is the leader.
     #[must_use]
     pub fn fence(&self, now: BootTime) -> Option<FencingToken> {
--- a/samphiredeck_core/src/forward/store_eras.rs
+++ b/samphiredeck_core/src/forward/store_eras.rs
@@ -4,10 +4,13 @@
 //! everything that is compared with "newer than" would stand still. A version belongs to an era, which the store
 //! states; those of a later era are newer, whatever their number.
 //!
-//! A store that states none, and whose answers go back for longer than stale reads are, has begun a new era as well.
+//! A store that states none, and whose answers go back for longer than stale reads are, has begun a new era as well. A
+//! row that is read with a lower version than in an earlier answer shows that at once, as does another node's era.
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     boot_time::BootTime,
     ids::{FencingToken, RowVersion},
@@ -22,7 +25,8 @@
 const TERM_BITS: u32 = 32;
 
 /// Number of times that the store has returned from an older copy.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct StoreEra(pub u16);
 
 impl RowVersion {
@@ -64,6 +68,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StoreEras {
     era: StoreEra,
+    /// Whether the store has stated an era. What other nodes infer doesn't count then.
+    is_stated: bool,
     /// Newest version in the current era.
     newest: u64,
     /// Time since which all answers have been older.
@@ -85,6 +91,7 @@
         newest: RowVersion,
         now: BootTime,
     ) -> StoreEra {
+        self.is_stated |= stated.is_some();
         if let Some(stated) = stated.filter(|stated| *stated < self.era) {
             return stated;
         }
@@ -102,4 +109,19 @@
         self.behind_since = None;
         self.era
     }
+
+    /// Begins an era after a row had a lower version than in an answer that was received before it was asked for.
+    /// Returns whether it did: a store that states its eras is believed.
+    pub fn begin_unstated(&mut self) -> bool {
+        self.adopt(StoreEra(self.era.0.saturating_add(1)))
+    }
+
+    /// Adopts the era that another node is in, if it is later and the store states none. Returns whether it did.
+    pub fn adopt(&mut self, era: StoreEra) -> bool {
+        let is_later = !self.is_stated && era > self.era;
+        if is_later {
+            *self = Self { era, ..Self::default() };
+        }
+        is_later
+    }
 }
--- a/samphiredeck_core/tests/forward_leader.rs
+++ b/samphiredeck_core/tests/forward_leader.rs
@@ -120,6 +120,53 @@
     assert_eq!(record.fence.era(), StoreEra(1));
 }
 
+#[test]
+fn tenure_goes_on_over_a_return_of_the_store_only_for_the_holder_of_the_lease() {
+    let (mut first, record) = leader();
+    assert_eq!(first.tenure_since(), Some(at(100)));
+    acquire(&mut first, 11, 1_000);
+    // The copy names another leader of before, which holds nothing in the new era.
+    let other = LeaderRecord { holder: "c".parse().unwrap(), ..record.clone() };
+    let mut late = first.clone();
+    first.observe(Some(other.clone()), version(1, 5), at(2_000));
+    assert_eq!((first.fence(at(2_001)), first.tenure_since()), (None, Some(at(100))));
+    let (claimed, _) = claim_after(&first, 2_000);
+    acquire(&mut first, version(1, 20).1.0, claimed);
+    assert_eq!(first.tenure_since(), Some(at(100)));
+    // The lease of before had ended, so another node may have acted.
+    late.observe(Some(other), version(1, 5), at(3_300));
+    assert_eq!(late.tenure_since(), None);
+}
+
+#[test]
+fn tenure_ends_when_another_node_claims_or_the_store_returns_once_more() {
+    for (era, fence) in [(0, FencingToken(2)), (1, FencingToken::first_in(StoreEra(1)))] {
+        let (mut first, record) = leader();
+        first.observe(None, (StoreEra(era), RowVersion(0)), at(1_000));
+        let other = LeaderRecord { holder: "b".parse().unwrap(), fence, ..record };
+        first.observe(Some(other), version(era, 12), at(1_200));
+        assert_eq!(first.tenure_since(), None, "era {era}");
+    }
+    let (mut first, _) = leader();
+    first.observe(None, (StoreEra(1), RowVersion(0)), at(1_000));
+    assert!(first.tenure_since().is_some());
+    first.observe(None, (StoreEra(2), RowVersion(0)), at(2_000));
+    assert_eq!(first.tenure_since(), None, "another node may have claimed in era 1");
+}
+
+#[test]
+fn holder_of_before_claims_first_after_a_return_of_the_store() {
+    let (mut first, record) = leader();
+    let mut second = lease("b");
+    second.observe(Some(record), version(0, 10), at(110));
+    // The holder notices with its next renewal.
+    second.observe(None, (StoreEra(1), RowVersion(0)), at(500));
+    first.observe(None, (StoreEra(1), RowVersion(0)), at(1_500));
+    let (claimed, _) = claim_after(&first, 1_500);
+    let (next_claimed, _) = claim_after(&second, 500);
+    assert!(claimed < next_claimed, "{claimed} {next_claimed}");
+}
+
 #[test]
 fn tokens_of_a_later_era_are_higher() {
     let last = FencingToken::first_in(StoreEra(1)).next().next();
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -2,6 +2,7 @@
 
 use samphiredeck_core::{
     forward::{
+        agreed_windows::EraRecord,
         leader::LeaderRecord,
         members::MemberHeartbeat,
         stream_origins::PublishedOrigins,
@@ -22,6 +23,8 @@
 pub const LEADER_ROW_KEY: &str = "duty";
 /// Key of the row that holds the secret from which the key of the nodes' datagrams is derived.
 pub const SECRET_ROW_KEY: &str = "secret";
+/// Key of the row that tells when the store returned from an older copy. Absent if it never did.
+pub const ERA_ROW_KEY: &str = "era";
 /// Key prefix of the rows in which nodes publish the heartbeats of their groups.
 const GROUP_PREFIX: &str = "group.";
 /// Key prefix of the rows in which nodes publish the software versions that they observed.
@@ -61,6 +64,8 @@
     Suspects(PublishedSuspects),
     /// Agreed usage of one time window.
     Usage(WindowCounts),
+    /// Begin of the newest era of the store.
+    Era(EraRecord),
     /// Secret from which the key of the nodes' datagrams is derived.
     Secret(String),
 }
@@ -130,6 +135,9 @@
     if key == LEADER_ROW_KEY {
         return Ok(Some(SharedRecord::Duty(decode_content(value)?)));
     }
+    if key == ERA_ROW_KEY {
+        return Ok(Some(SharedRecord::Era(decode_content(value)?)));
+    }
     if key == SECRET_ROW_KEY {
         return Ok(Some(SharedRecord::Secret(decode_content(value)?)));
     }
