Store: a row whose version went down begins an era at once

A store that returned from an older copy without stating an era left rows behind for ever: a row below the known version was dropped as soon as the store's counter had passed that version. On reports_go_on_after_a_store_that_states_no_era_returned fails (3 windows missing after a copy 6 s old, 2 permitted), and changes_after_a_short_return_without_an_era_are_in_force_in_time (an added route unknown in 40 of 60 requests).

The lease's row and that of the configuration, read with a lower version by a call that was made after a higher one had been received, begin an era (era-inferred). The node reads the shared rows until the row era tells of it; others adopt it from there and from each other's versions (era-adopted). A 412 tells a stated era, too. A change may be given a version that the feed has passed: readers of a store that states no era read the whole configuration each 8 s, and another configuration in the same version proves a return as well.

Not covered: a lower limit, and a node that starts before it learns of an inferred era.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -34,6 +34,7 @@
 mod shared_rows;
 mod slot_exchange;
 mod state;
+mod store_returns;
 mod store_status;
 mod store_watch;
 mod stream_versions;
@@ -48,6 +49,7 @@
 mod upstream_choice;
 mod upstream_paths;
 mod upstream_response;
+mod version_rows;
 
 use std::{
     net::TcpListener,
--- a/samphiredeck/src/forward/agreed_rows.rs
+++ b/samphiredeck/src/forward/agreed_rows.rs
@@ -73,6 +73,9 @@
     };
     state.agreed_windows.record_era(record);
     let is_outdated = record.is_none_or(|record| record.era < response.newest.era());
+    if !is_outdated {
+        node.store_eras.borrow_mut().record_told();
+    }
     is_outdated.then(|| row.map_or(RowVersion(0), |row| row.version))
 }
 
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -30,6 +30,8 @@
     clock,
     node::{ForwardNode, ShutdownPhase},
     platform_client::{PlatformCallError, PlatformClient},
+    store_returns::begin_era,
+    store_watch::log_behind,
 };
 
 /// Interval at which the leader checks its tasks.
@@ -168,17 +170,24 @@
     /// Applies the lease's row in `rows`, which the store returned with a conflict.
     fn observe_lease(&self, rows: &[StoreRow], sent_at: BootTime) {
         let (record, version) = decode_leader_row(rows);
-        let holder = record.as_ref().map(|record| record.holder.to_string());
         let era = self.node.store_eras.borrow().current();
-        let mut state = self.node.state();
-        let known = state.leader_lease.known_version();
+        let (is_behind, known) = {
+            let lease = &self.node.state().leader_lease;
+            (lease.proves_return((era, version), sent_at), lease.known_version())
+        };
         let fields = json!({
-            "holder": holder, "row": version.number(), "era": era.0,
-            "known_row": known.number(), "known_era": known.era().0,
-            "answered_in_ms": clock::now().since(sent_at).as_millis(),
+            "holder": record.as_ref().map(|record| record.holder.to_string()),
+            "row": version.number(), "era": era.0, "known_row": known.number(),
+            "known_era": known.era().0,
         });
         self.node.log.record("duty-conflict", fields);
-        state.leader_lease.observe(record, (era, version), clock::now());
+        if is_behind {
+            log_behind(&self.node, "lease", version, known);
+            begin_era(&self.node, "lease", version, known);
+        }
+        let era = self.node.store_eras.borrow().current();
+        let version = version.in_era(era);
+        self.node.state().leader_lease.observe(record, (era, version), clock::now());
     }
 
     /// Updates the fencing token. A new token discards the state of earlier orders and reports; a
--- a/samphiredeck/src/forward/platform_client.rs
+++ b/samphiredeck/src/forward/platform_client.rs
@@ -207,7 +207,10 @@
         let outcome = decode_transaction(status, &body)?;
         let era = match &outcome {
             TransactionOutcome::Committed(version) => self.observe_era(*version)?,
-            TransactionOutcome::Conflict(_) => self.eras.borrow().current(),
+            TransactionOutcome::Conflict(_) => {
+                let stated = std::mem::replace(&mut self.stated_era, Ok(None))?;
+                self.eras.borrow_mut().observe_stated(stated)
+            }
         };
         Ok(outcome.in_era(era))
     }
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -12,7 +12,6 @@
         member_list::MemberIdentity,
         members::{NodeHeartbeat, is_lapsed},
         usage::WindowIndex,
-        version_history::PublishedHistory,
     },
     ids::{Incarnation, NodeName, RowVersion},
 };
@@ -33,7 +32,9 @@
     peer_messages,
     platform_client::{PlatformCallError, PlatformClient},
     state::ForwardState,
+    store_returns::notice_return,
     suspect_rows::{encode_suspects, merge_suspects},
+    version_rows::{encode_versions, merge_versions},
 };
 
 /// Interval between reads of the shared rows by the leader, which orders capacity for the demand in
@@ -68,7 +69,7 @@
 /// Time that a node which finds others alive takes to choose its reader. Until then it does not
 /// publish a row of its own.
 const READER_CHOICE_TIME: Duration = Duration::from_millis(800);
-/// Longest sleep of the loop, so that changes of the reader or the leader are noticed.
+/// Longest sleep of the loop, so that changes are noticed.
 const WAKE_PERIOD: Duration = Duration::from_millis(300);
 
 /// Schedule of the reads and writes of the shared rows.
@@ -130,10 +131,14 @@
 ) -> Result<ReadStep, PlatformCallError> {
     let sent_at = clock::now();
     let response = client.read_table(SHARED_TABLE, STORE_TIMEOUT).await?;
-    let looks_for_others = !std::mem::replace(&mut schedule.has_looked_for_others, true);
-    if looks_for_others && !has_live_neighbours(node, &response, sent_at) {
+    if !std::mem::replace(&mut schedule.has_looked_for_others, true)
+        && !has_live_neighbours(node, &response, sent_at)
+    {
         return Ok(ReadStep::LookAgain);
     }
+    if notice_return(node, &response, sent_at) {
+        return Ok(ReadStep::Applied);
+    }
     let is_first = schedule.read_at.is_none();
     schedule.read_at = Some(sent_at);
     if is_first && decode_groups(&response.rows).is_empty() {
@@ -181,6 +186,7 @@
         let is_frequent = state.reader.is_none()
             || is_leader
             || state.leader_lease.needs_read()
+            || node.store_eras.borrow().is_untold()
             || node.peer_socket.borrow().is_none();
         let is_unrelayed = state.members_relayed_at.is_none_or(|at| now.since(at) >= RELAY_TIMEOUT);
         let period = if is_leader {
@@ -435,29 +441,6 @@
     }
 }
 
-/// Adds the software versions that another node has published.
-fn merge_versions(state: &mut ForwardState, published: &PublishedHistory, now: BootTime) {
-    let Some(store_ms) = state.clock.store_ms(now) else { return };
-    let to_boot = |at_ms: i64| {
-        let age_ms = u64::try_from(store_ms.saturating_sub(at_ms)).unwrap_or(0);
-        now - Duration::from_millis(age_ms)
-    };
-    state.upstreams.versions.merge(published, to_boot);
-}
-
-/// Row with the software versions that this node has observed.
-fn encode_versions(node: &ForwardNode) -> Option<(StoreKey, Vec<u8>)> {
-    let state = node.state();
-    let published = state.upstreams.versions.publish(|at| state.clock.store_ms(at))?;
-    match encode_record(&published) {
-        Ok(value) => Some((shared_key(versions_key(&node.settings().name)), value)),
-        Err(error) => {
-            node.log.record("versions-unwritable", json!({ "reason": error.to_string() }));
-            None
-        }
-    }
-}
-
 /// Writes the row with the heartbeats of this node's group.
 async fn write_group(
     node: &ForwardNode,
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -66,6 +66,8 @@
     pub freshness: CatalogFreshness,
     /// Newest version of the configuration's row in the store, whether it could be decoded or not.
     pub config_row_version: RowVersion,
+    /// Time by which the answer that showed it had been received.
+    pub config_row_at: BootTime,
     /// Value of that row, for followers. `None` if it is too large to be relayed.
     pub config_value: Option<Bytes>,
     /// Whether another node has reported a newer version.
@@ -138,6 +140,7 @@
         Self {
             catalog: None,
             config_row_version: RowVersion::default(),
+            config_row_at: BootTime::default(),
             config_value: None,
             newer_config_reported: false,
             reader: None,
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -20,6 +20,7 @@
     node::ForwardNode,
     peer_messages::{fetch_config, query_store_status},
     peer_socket::PeerSocket,
+    store_returns::adopt_era,
     store_watch::apply_config_row,
     upstream_changes::handle_list_changes,
 };
@@ -101,6 +102,9 @@
 async fn query_peer(node: &Rc<ForwardNode>, other: &NodeName) -> Option<PeerStatus> {
     let socket = node.peer_socket.borrow().clone()?;
     let (store_status, sent_at) = query_whole_status(node, &socket, other).await?;
+    if let Some(config) = store_status.config {
+        adopt_era(node, config.row.era(), other.as_str());
+    }
     if let Some(config) = store_status.config
         && config.row > node.state().config_row_version
         && let Some(value) = fetch_config(node, &socket, other, config.row).await
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -22,6 +22,7 @@
     dependency::{DependencyMonitor, STORE_TIMEOUT, sleep_with_jitter},
     node::ForwardNode,
     platform_client::{PlatformCallError, PlatformClient},
+    store_returns::begin_era,
     store_status::{query_random_peers, query_readers},
     upstream_changes::handle_list_changes,
 };
@@ -31,6 +32,9 @@
 const LIST_PERIOD: Duration = Duration::from_millis(400);
 /// Interval between status queries to a reader.
 const STATUS_PERIOD: Duration = Duration::from_millis(500);
+/// Interval at which a reader reads the whole configuration of a store that states no era. After a return from an older
+/// copy, a change may have been given a version that the feed has passed.
+const REREAD_PERIOD: Duration = Duration::from_secs(8);
 /// Poll interval of a node that follows the configuration through other nodes.
 const CONFIG_POLL_PERIOD: Duration = Duration::from_millis(100);
 
@@ -55,8 +59,13 @@
     let mut client = PlatformClient::store(&node, "configuration");
     let mut monitor = DependencyMonitor::new(&node, "configuration");
     let mut last_version: Option<RowVersion> = None;
+    let mut reread_at = clock::now();
     wait_started(|| node.state().has_chosen_reader).await;
     loop {
+        let is_stated = node.store_eras.borrow().is_stated();
+        if !is_stated && clock::now() >= reread_at {
+            last_version = None;
+        }
         if !queries_store(&node) {
             // By the next query, the store may have dropped the history since the last response.
             last_version = None;
@@ -65,7 +74,10 @@
         }
         let sent_at = clock::now();
         let response = match last_version {
-            None => client.read_table(OPERATOR_TABLE, STORE_TIMEOUT).await,
+            None => {
+                reread_at = sent_at + REREAD_PERIOD;
+                client.read_table(OPERATOR_TABLE, STORE_TIMEOUT).await
+            }
             Some(after) => {
                 let max_wait = node.state().freshness.long_poll_wait();
                 poll_changes(&mut client, after, max_wait).await
@@ -115,6 +127,16 @@
 /// Applies the store's response to a query for the configuration sent at `sent_at`.
 fn apply_config(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) {
     for row in response.rows.iter().filter(|row| row.key == CATALOG_KEY) {
+        let (known, known_at) = {
+            let state = node.state();
+            (state.config_row_version, state.config_row_at)
+        };
+        let is_earlier = row.version < known && row.version.era() == known.era();
+        let is_behind = is_earlier || (row.version == known && is_other_config(node, row));
+        if is_behind && known_at < sent_at && begin_era(node, "configuration", row.version, known) {
+            // The next read is of the new era.
+            return;
+        }
         apply_config_row(node, row.version, row.value.as_deref(), sent_at);
     }
     let mut state = node.state();
@@ -122,6 +144,13 @@
     state.newer_config_reported = false;
 }
 
+/// Whether the row holds another configuration than the one that this node has read.
+fn is_other_config(node: &ForwardNode, row: &StoreRow) -> bool {
+    let current = node.state().catalog.as_ref().map(|catalog| catalog.version());
+    let read = row.value.as_deref().and_then(|value| decode_catalog(value).ok());
+    read.is_some_and(|catalog| current.is_some_and(|current| current != catalog.version()))
+}
+
 /// Applies version `row` of the configuration's row, which was queried at `sent_at`.
 pub fn apply_config_row(
     node: &ForwardNode,
@@ -133,6 +162,7 @@
     log_behind(node, "configuration", row, state.config_row_version);
     if row >= state.config_row_version {
         state.config_row_version = row;
+        state.config_row_at = clock::now();
         let relayed = value.filter(|value| value.len() <= RELAYED_CONFIG_MAX);
         state.config_value = relayed.map(Bytes::copy_from_slice);
     }
@@ -161,7 +191,7 @@
 
 /// Logs that the store has returned an older version `read` of `content` than the one that is `known`. It is
 /// ignored.
-fn log_behind(node: &ForwardNode, content: &'static str, read: RowVersion, known: RowVersion) {
+pub fn log_behind(node: &ForwardNode, content: &'static str, read: RowVersion, known: RowVersion) {
     if read < known {
         let fields = json!({ "content": content, "read": read.0, "known": known.0 });
         node.log.record_once_a_minute("read-behind", content, fields);
--- a/samphiredeck_core/src/forward/store_eras.rs
+++ b/samphiredeck_core/src/forward/store_eras.rs
@@ -70,6 +70,8 @@
     era: StoreEra,
     /// Whether the store has stated an era. What other nodes infer doesn't count then.
     is_stated: bool,
+    /// Whether this node has inferred the current era, and the store's rows may not tell of it yet.
+    is_untold: bool,
     /// Newest version in the current era.
     newest: u64,
     /// Time since which all answers have been older.
@@ -110,10 +112,39 @@
         self.era
     }
 
+    /// Era of an answer that states the era `stated`, if any, and no newest version.
+    pub fn observe_stated(&mut self, stated: Option<StoreEra>) -> StoreEra {
+        self.is_stated |= stated.is_some();
+        let stated = stated.unwrap_or(self.era);
+        if stated > self.era {
+            *self = Self { era: stated, is_stated: true, ..Self::default() };
+        }
+        stated
+    }
+
     /// Begins an era after a row had a lower version than in an answer that was received before it was asked for.
     /// Returns whether it did: a store that states its eras is believed.
     pub fn begin_unstated(&mut self) -> bool {
-        self.adopt(StoreEra(self.era.0.saturating_add(1)))
+        let has_begun = self.adopt(StoreEra(self.era.0.saturating_add(1)));
+        self.is_untold |= has_begun;
+        has_begun
+    }
+
+    /// Whether the store states its eras.
+    #[must_use]
+    pub fn is_stated(&self) -> bool {
+        self.is_stated
+    }
+
+    /// Whether this node has inferred an era that others may not know of.
+    #[must_use]
+    pub fn is_untold(&self) -> bool {
+        self.is_untold
+    }
+
+    /// Records that the store's rows tell of the current era.
+    pub fn record_told(&mut self) {
+        self.is_untold = false;
     }
 
     /// Adopts the era that another node is in, if it is later and the store states none. Returns whether it did.
