Service client: a response that is cut is not taken for a whole one

Cause: `awc` takes the end of a connection for the end of a body, whatever the length or the chunks say, and a body without either for an empty one. A cut within the head was an error before, too.

What callers saw: the node's `run` subcommand answered with 200, the verdict "ran" and an empty or short body, framed as whole. A service whose load reports have no length counted as down.

Failed before: `service_response_that_is_cut_does_not_look_whole` with "148 bytes, reset: false: 200 ran null", at the first byte after the head; `service_response_without_a_length_is_taken_whole` with "does not see enough accepting upstreams". `engine_response_that_is_cut_does_not_look_whole` passed before; streams of engines end with an event of their own.

Change: calls to services and their load reports go over `HttpConnection`, which forwarding nodes use for upstreams and which reports a body that ends early. As before, each opens a connection of its own. The proxy of the tests can cut responses.

--- a/samphiredeck/src/actor.rs
+++ b/samphiredeck/src/actor.rs
@@ -8,7 +8,6 @@
 use actix::{
     Actor, ActorFutureExt, Addr, AsyncContext, Context, ContextFutureSpawner, Handler, WrapFuture,
 };
-use awc::Client;
 use log::{debug, error};
 use samphiredeck_core::{
     ids::UpstreamId,
@@ -40,8 +39,6 @@
     pub platform: PlatformClient,
     /// Client of the engines.
     pub engines: EngineClient,
-    /// HTTP client for the load reports of plain services.
-    pub service_client: Client,
     /// Key that authenticates traffic between nodes.
     pub key: PeerKey,
     /// Local address whose IP address datagrams are sent from.
@@ -165,7 +162,7 @@
         }
         ControlEffect::FetchServiceReport { upstream, address } => {
             let sent_at = Instant::now();
-            let load: LoadReport = fetch_load(&io.service_client, &address).await?;
+            let load: LoadReport = fetch_load(&address).await?;
             ControlEvent::ServiceReport(upstream, sent_at, load)
         }
         ControlEffect::LoadModel { plan, address, command } => {
--- a/samphiredeck/src/caller.rs
+++ b/samphiredeck/src/caller.rs
@@ -39,7 +39,6 @@
     record::{RecordOutcome, WorkRecord},
     run::{RunBuffer, RunSpec, RunState},
     runner::{RunContext, RunTask},
-    service_client::ServiceClient,
 };
 
 /// Fraction of the first-token target within which an urgent request must be placed. The rest is
@@ -55,8 +54,6 @@
     pub runs: RunContext,
     /// Client of the platform.
     pub platform: PlatformClient,
-    /// Client of the plain HTTP services.
-    pub services: ServiceClient,
     /// Client for forwarding requests to other nodes.
     pub peer_client: awc::Client,
     /// Locks on idempotency keys whose claims are being written.
--- a/samphiredeck/src/caller/service.rs
+++ b/samphiredeck/src/caller/service.rs
@@ -4,6 +4,7 @@
 
 use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
 use bytes::Bytes;
+use http::Method;
 use log::warn;
 use samphiredeck_core::{
     claim::{ClaimedStage, NonIdempotentCall},
@@ -21,7 +22,7 @@
 use crate::{
     event::{ControlEvent, RunPlacement},
     logging::RUN,
-    service_client::{ServiceCall, ServiceError, ServiceResponse},
+    service_client::{ServiceCall, ServiceError, ServiceResponse, send_call},
 };
 
 /// Default and maximum timeout of a call.
@@ -37,7 +38,7 @@
     version: ConfigVersion,
     service: ServiceName,
     repeatable: bool,
-    pub(super) method: awc::http::Method,
+    pub(super) method: Method,
     pub(super) path: String,
     content_type: String,
     timeout: Duration,
@@ -80,7 +81,7 @@
         .filter(|service| workspace.may_call_service(&service.name))
         .ok_or_else(|| CallerError::unknown_path(request.path()))?;
     let content_type = request.headers().get("content-type");
-    let method = awc::http::Method::from_bytes(request.method().as_str().as_bytes());
+    let method = Method::from_bytes(request.method().as_str().as_bytes());
     let path = request.uri().path_and_query().map_or(request.path(), |path| path.as_str());
     let ticket = context.runs.control.next_ticket();
     Ok(CheckedCall {
@@ -149,20 +150,18 @@
     context: &CallerContext,
     call: &CheckedCall,
     placement: &RunPlacement,
-    body: Vec<u8>,
+    body: Bytes,
 ) -> Result<ServiceResponse, ServiceError> {
-    let result = context
-        .services
-        .call(ServiceCall {
-            address: &placement.address,
-            request: &call.request,
-            method: &call.method,
-            path: &call.path,
-            content_type: &call.content_type,
-            body,
-            timeout: call.timeout,
-        })
-        .await;
+    let result = send_call(ServiceCall {
+        address: &placement.address,
+        request: &call.request,
+        method: &call.method,
+        path: &call.path,
+        content_type: &call.content_type,
+        body,
+        timeout: call.timeout,
+    })
+    .await;
     let (upstream, failed) = (placement.upstream.clone(), result.is_err());
     context.runs.control.tell(ControlEvent::EndCall { upstream, failed });
     result
@@ -183,7 +182,7 @@
             Err(error) if verdict == RunVerdict::NotRun => return Err(error),
             Err(_) => return Err(last_error),
         };
-        match send_to(context, call, &placement, body.to_vec()).await {
+        match send_to(context, call, &placement, body.clone()).await {
             Ok(response) => return Ok(response),
             Err(error) => {
                 verdict = verdict.join(error.verdict);
@@ -217,7 +216,7 @@
 ) -> Result<ServiceResponse, SendError> {
     let mut exclude = Vec::new();
     let body = match claimed_call.into_body(Instant::now()) {
-        Ok(body) => body,
+        Ok(body) => Bytes::from(body),
         Err(_unsent) => return Err(SendError::NotRun(CallerError::table_down())),
     };
     let mut last_error = CallerError::config_unconfirmed();
--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -6,7 +6,7 @@
 mod decision_log;
 mod dependency;
 mod heartbeats;
-mod http_connection;
+pub mod http_connection;
 mod in_flight;
 mod ingress;
 mod leader;
--- a/samphiredeck/src/main.rs
+++ b/samphiredeck/src/main.rs
@@ -23,6 +23,7 @@
 mod stop;
 mod transport;
 mod view;
+mod whole_response;
 
 use std::{io::Read, process::ExitCode};
 
--- a/samphiredeck/src/node.rs
+++ b/samphiredeck/src/node.rs
@@ -31,7 +31,6 @@
     peer_server::{receive_datagrams, serve_peer_requests},
     platform_client::PlatformClient,
     runner::{RunContext, RunTask},
-    service_client::ServiceClient,
     settings::NodeSettings,
     stop::{stop_gracefully, wait_for_stop_signal},
 };
@@ -157,7 +156,6 @@
     ControlIo {
         platform: PlatformClient::new(settings.platform_address, timeout),
         engines: EngineClient::new(),
-        service_client: build_unpooled_client(),
         key: settings.peer_key.clone(),
         local_address: settings.peer_address,
         adopted_work,
@@ -165,8 +163,7 @@
     }
 }
 
-/// Builds a client that opens a new connection for each call. Used for calls to other nodes and
-/// for the load reports of services.
+/// Builds a client that opens a new connection for each call. Used for calls to other nodes.
 fn build_unpooled_client() -> Client {
     let connector =
         Connector::new().timeout(HTTP_CONNECT_TIMEOUT).conn_keep_alive(Duration::ZERO).limit(0);
@@ -227,7 +224,6 @@
             claim_locks: ClaimLocks::default(),
             runs: build_run_context(&shared, control.clone()),
             platform: PlatformClient::new(shared.platform_address, timeout),
-            services: ServiceClient::new(),
             peer_client: build_unpooled_client(),
             body_limit: shared.body_limit,
             operator_key: shared.operator_key,
--- a/samphiredeck/src/service_client.rs
+++ b/samphiredeck/src/service_client.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use awc::{Client, Connector, error::SendRequestError, http::StatusCode};
 use bytes::Bytes;
+use http::{
+    HeaderMap, Method, Request, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use http_body_util::Full;
 use samphiredeck_core::{
     engine_api::{REQUEST_ID_HEADER, RUN_VERDICT_HEADER},
     ids::RequestId,
@@ -12,7 +16,7 @@
 };
 use thiserror::Error;
 
-use crate::transport::is_connect_failure;
+use crate::whole_response::{CallFailure, CallLimits, fetch_whole};
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -50,82 +54,78 @@
     /// Id of the request.
     pub request: &'a RequestId,
     /// HTTP method.
-    pub method: &'a awc::http::Method,
+    pub method: &'a Method,
     /// Path and query.
     pub path: &'a str,
     /// Media type of the body.
     pub content_type: &'a str,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Timeout of the whole call.
     pub timeout: Duration,
 }
 
-/// Client for services. Each call opens a new connection, because a call on a dead pooled
-/// connection would have an unknown outcome.
-#[derive(Clone)]
-pub struct ServiceClient {
-    client: Client,
+/// Sends a call once and returns the complete response. Each call opens a new connection, because a call on a
+/// dead pooled connection would have an unknown outcome.
+pub async fn send_call(call: ServiceCall<'_>) -> Result<ServiceResponse, ServiceError> {
+    let request = build_request(&call)
+        .map_err(|error| ServiceError { reason: error.to_string(), verdict: RunVerdict::NotRun })?;
+    let limits = CallLimits {
+        connect: CONNECT_TIMEOUT,
+        total: call.timeout,
+        body_bytes: RESPONSE_MAX_BYTES,
+    };
+    let response = fetch_whole(call.address, request, limits).await.map_err(classify_failure)?;
+    let (head, body) = response.into_parts();
+    if header_text(&head.headers, REQUEST_ID_HEADER) != Some(call.request.to_string().as_str()) {
+        return Err(may_have_run("answer belongs to another request"));
+    }
+    let reported = header_text(&head.headers, RUN_VERDICT_HEADER);
+    if head.status == StatusCode::SERVICE_UNAVAILABLE
+        && reported.and_then(|text| text.parse().ok()) == Some(RunVerdict::NotRun)
+    {
+        let reason = "service refused the call".to_owned();
+        return Err(ServiceError { reason, verdict: RunVerdict::NotRun });
+    }
+    let content_type = header_text(&head.headers, CONTENT_TYPE.as_str());
+    let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
+    Ok(ServiceResponse { status: head.status.as_u16(), content_type, body })
 }
 
-impl ServiceClient {
-    /// Creates a client.
-    pub fn new() -> Self {
-        let connector =
-            Connector::new().timeout(CONNECT_TIMEOUT).conn_keep_alive(Duration::ZERO).limit(0);
-        Self { client: Client::builder().connector(connector).finish() }
-    }
+fn build_request(call: &ServiceCall<'_>) -> Result<Request<Full<Bytes>>, http::Error> {
+    Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(REQUEST_ID_HEADER, call.request.to_string())
+        .header(CONTENT_TYPE, call.content_type)
+        .body(Full::new(call.body.clone()))
+}
 
-    /// Sends a call once and returns the complete response.
-    pub async fn call(&self, call: ServiceCall<'_>) -> Result<ServiceResponse, ServiceError> {
-        let request = self
-            .client
-            .request(call.method.clone(), format!("http://{}{}", call.address, call.path))
-            .timeout(call.timeout)
-            .insert_header((REQUEST_ID_HEADER, call.request.to_string()))
-            .insert_header(("content-type", call.content_type));
-        let mut response = request.send_body(call.body).await.map_err(classify_send_error)?;
-        let header = |name: &str| {
-            let value = response.headers().get(name)?;
-            value.to_str().ok().map(str::to_owned)
-        };
-        if header(REQUEST_ID_HEADER).as_deref() != Some(call.request.to_string().as_str()) {
-            return Err(may_have_run("answer belongs to another request"));
-        }
-        let reported = header(RUN_VERDICT_HEADER).and_then(|text| text.parse().ok());
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE
-            && reported == Some(RunVerdict::NotRun)
-        {
-            let reason = "service refused the call".to_owned();
-            return Err(ServiceError { reason, verdict: RunVerdict::NotRun });
-        }
-        let content_type =
-            header("content-type").unwrap_or_else(|| "application/octet-stream".to_owned());
-        let status = response.status().as_u16();
-        // Reading a truncated body fails, so a partial response is never returned as complete.
-        let body = response.body().limit(RESPONSE_MAX_BYTES).await;
-        let body = body.map_err(may_have_run)?;
-        Ok(ServiceResponse { status, content_type, body })
-    }
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).map(HeaderValue::to_str)?.ok()
 }
 
 fn may_have_run(reason: impl std::fmt::Display) -> ServiceError {
     ServiceError { reason: reason.to_string(), verdict: RunVerdict::MayHaveRun }
 }
 
-/// Maps a send error to a verdict. If no connection was established, the call did not run.
-fn classify_send_error(error: SendRequestError) -> ServiceError {
-    if is_connect_failure(&error) {
-        ServiceError { reason: error.to_string(), verdict: RunVerdict::NotRun }
+/// Maps a failure to a verdict. If nothing was sent, the call did not run.
+fn classify_failure(failure: CallFailure) -> ServiceError {
+    if failure.unsent {
+        ServiceError { reason: failure.reason, verdict: RunVerdict::NotRun }
     } else {
-        may_have_run(error)
+        may_have_run(failure)
     }
 }
 
 /// Fetches the load report of a service.
-pub async fn fetch_load(client: &Client, address: &str) -> Option<LoadReport> {
-    let request = client.get(format!("http://{address}/report")).timeout(REPORT_TIMEOUT);
-    let mut response = request.send().await.ok()?;
-    let body = response.body().limit(RESPONSE_MAX_BYTES).await.ok()?;
-    serde_json::from_slice(&body).ok()
+pub async fn fetch_load(address: &str) -> Option<LoadReport> {
+    let request = Request::get("/report").body(Full::default()).ok()?;
+    let limits = CallLimits {
+        connect: CONNECT_TIMEOUT,
+        total: REPORT_TIMEOUT,
+        body_bytes: RESPONSE_MAX_BYTES,
+    };
+    let response = fetch_whole(address, request, limits).await.ok()?;
+    serde_json::from_slice(response.body()).ok()
 }
--- a/samphiredeck_standins/src/proxy.rs
+++ b/samphiredeck_standins/src/proxy.rs
@@ -4,8 +4,8 @@
     io,
     net::{SocketAddr, TcpListener as StdTcpListener, UdpSocket as StdUdpSocket},
     sync::{
-        Arc,
-        atomic::{AtomicU8, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -25,6 +25,9 @@
 /// Interval at which open connections check whether they must be closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time from the last byte before a reset to it.
+const RESET_DELAY: Duration = Duration::from_millis(2);
+
 /// How the proxy treats traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -51,9 +54,21 @@
     }
 }
 
+/// Cut of responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProxyCut {
+    /// Beginning of the requests whose responses are cut.
+    pub request: &'static str,
+    /// Number of bytes of a response that are forwarded. The connection ends after them.
+    pub bytes: usize,
+    /// Whether it is reset and not closed.
+    pub reset: bool,
+}
+
 /// Shared fault settings of a proxy.
 #[derive(Debug, Default)]
 struct ProxyControls {
+    cut: Mutex<Option<ProxyCut>>,
     mode: AtomicU8,
     delay_ms: AtomicU64,
     /// Share of dropped datagrams in permille.
@@ -64,6 +79,43 @@
     connections: AtomicU64,
 }
 
+impl ProxyControls {
+    fn lock_cut(&self) -> MutexGuard<'_, Option<ProxyCut>> {
+        self.cut.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Cut of the response that a connection waits for.
+#[derive(Debug, Default)]
+struct ConnectionCut {
+    cut: Mutex<Option<ProxyCut>>,
+    /// Number of bytes of the response that were forwarded.
+    forwarded: AtomicUsize,
+}
+
+impl ConnectionCut {
+    fn lock(&self) -> MutexGuard<'_, Option<ProxyCut>> {
+        self.cut.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records `bytes` of a request, which may have begun before.
+    fn record_request(&self, bytes: &[u8], controls: &ProxyControls) {
+        let cut = *controls.lock_cut();
+        if let Some(cut) = cut.filter(|cut| bytes.starts_with(cut.request.as_bytes())) {
+            *self.lock() = Some(cut);
+            self.forwarded.store(0, Ordering::SeqCst);
+        }
+    }
+
+    /// Counts `length` further bytes of a response. Returns how many of them are to be forwarded, and the cut
+    /// that follows them.
+    fn record_response(&self, length: usize) -> (usize, Option<ProxyCut>) {
+        let before = self.forwarded.fetch_add(length, Ordering::SeqCst);
+        let cut = self.lock().filter(|cut| before + length >= cut.bytes);
+        (cut.map_or(length, |cut| cut.bytes.saturating_sub(before)), cut)
+    }
+}
+
 /// Proxy for one target address. Its thread runs until the process exits.
 #[derive(Clone, Debug)]
 pub struct FaultProxy {
@@ -113,6 +165,11 @@
         self.controls.delay_ms.store(millis, Ordering::SeqCst);
     }
 
+    /// Cuts responses of HTTP requests from now on. The head of a request has to arrive at once.
+    pub fn set_cut(&self, cut: Option<ProxyCut>) {
+        *self.controls.lock_cut() = cut;
+    }
+
     /// Sets the share of dropped datagrams in permille.
     pub fn set_datagram_loss_permille(&self, permille: u64) {
         self.controls.drop_permille.store(permille, Ordering::SeqCst);
@@ -213,15 +270,18 @@
 ) {
     let (caller_read, caller_write) = caller.into_split();
     let (target_read, target_write) = target.into_split();
-    let to_target = forward_direction(caller_read, target_write, number, &controls, false);
-    let to_caller = forward_direction(target_read, caller_write, number, &controls, true);
+    let cut = ConnectionCut::default();
+    let ways = (number, &*controls, &cut);
+    let to_target = forward_direction(caller_read, target_write, ways, false);
+    let to_caller = forward_direction(target_read, caller_write, ways, true);
     let disconnected = async {
         while mode(&controls) != ProxyMode::Disconnect {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     };
+    let both = async { tokio::try_join!(to_target, to_caller) };
     tokio::select! {
-        () = async { tokio::join!(to_target, to_caller); } => {}
+        _ = both => {}
         () = disconnected => {}
     }
 }
@@ -236,18 +296,20 @@
     }
 }
 
+/// The connection ends after this response.
+struct ResponseEnded;
+
 async fn forward_direction(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    number: u64,
-    controls: &ProxyControls,
+    (number, controls, connection_cut): (u64, &ProxyControls, &ConnectionCut),
     is_response: bool,
-) {
+) -> Result<(), ResponseEnded> {
     let mut buffer = vec![0; BUFFER_BYTES];
     // A byte stream can't continue after a gap, so a connection that lost bytes stays silent.
     let mut bytes_lost = false;
     loop {
-        let Ok(length) = from.read(&mut buffer).await else { return };
+        let Ok(length) = from.read(&mut buffer).await else { return Ok(()) };
         bytes_lost |= discards(controls, number, is_response);
         if bytes_lost {
             if length == 0 {
@@ -262,10 +324,24 @@
         }
         if length == 0 {
             drop(to.shutdown().await);
-            return;
+            return Ok(());
+        }
+        let (forwarded, cut) = if is_response {
+            connection_cut.record_response(length)
+        } else {
+            connection_cut.record_request(&buffer[..length], controls);
+            (length, None)
+        };
+        if to.write_all(&buffer[..forwarded]).await.is_err() {
+            return Ok(());
         }
-        if to.write_all(&buffer[..length]).await.is_err() {
-            return;
+        if let Some(cut) = cut {
+            if cut.reset {
+                // What was forwarded arrives first.
+                tokio::time::sleep(RESET_DELAY).await;
+                drop(to.as_ref().set_zero_linger());
+            }
+            return Err(ResponseEnded);
         }
     }
 }
