Let a 421 cost no attempt, and trust who responded last at an address

Cause: a 421 counted as an attempt, so two wrong entries at the address of an upstream used up a route of two attempts. Entries that claim many slots came first in the choice of every node.

Callers saw: 503 "upstream did not take the request" after 1 ms for the first request at a node; later ones were served, as the entries were left out.

Change, in the core: - Outcome `Misdirected`: up to three such sends of a request are no attempts. The runner that answered has done no work. All sends still draw on the retry budget, and beyond three they are attempts, so a request has an end. - The request goes to other addresses first from then on. - Of several entries of a pool at one address, the one that responded last comes before the others until it leaves or its address answers 421. What an entry says of itself (`born`, slots) proves nothing. While none has responded, all are tried. Entries of other pools play no part: an address that another service uses again has two entries for a while, and both pools must find out by themselves.

Ruled out: leaving an address out after one 421. The entry that remains there is the more likely one to be right then, as after a replacement.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -10,7 +10,7 @@
     boot_time::BootTime,
     forward::{
         catalog::RetryPolicy,
-        outcome::{NextStep, SendOutcome, next_step},
+        outcome::{NextStep, SendOutcome, next_step, uses_attempt},
         placement::Placement,
         upstream_list::ListedUpstream,
     },
@@ -32,7 +32,9 @@
     send_permit::PermitLease,
     stream_versions::record_origin,
     suspect_checks::{barring_reason, check_suspects, handle_closed, record_proof},
-    upstream_choice::{PlaceDecision, can_go_elsewhere, place, pool_retry_delay},
+    upstream_choice::{
+        PlaceDecision, can_go_elsewhere, place, pool_retry_delay, record_misdirection,
+    },
     upstream_paths::connect_upstream,
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
@@ -94,7 +96,7 @@
                 continue;
             }
         };
-        if progress.attempts > 0 {
+        if progress.attempts > 0 || !progress.misdirected.is_empty() {
             if !node.state().retry_budget.take(&admitted.pool, now) {
                 return Err(unanswered_error(progress, "no budget for another send", time_left));
             }
@@ -110,6 +112,9 @@
         if failure.outcome != SendOutcome::Withdrawn {
             progress.tried.push(placement.upstream.clone());
         }
+        if !uses_attempt(failure.outcome, progress.misdirected.len()) {
+            record_misdirection(progress, node, &placement.upstream);
+        }
         let attempts_left = admitted.route.max_attempts.saturating_sub(progress.attempts);
         let attempts_left =
             if connect_failures >= CONNECT_FAILURES_MAX { 0 } else { attempts_left };
@@ -119,11 +124,10 @@
             admitted.route.retry_policy,
             attempts_left,
         );
-        let heard_at = node.state().upstream_heard_at;
         let fields = json!({
             "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
             "connected": progress.connected.map(|kind| format!("{kind:?}")), "pool": admitted.pool.as_str(),
-            "heard_ms": heard_at.map(|at| clock::now().since(at).as_millis()),
+            "heard_ms": node.state().upstream_heard_at.map(|at| clock::now().since(at).as_millis()),
             "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
             "closed": failure.closed, "parts": admitted.shared_part_ids(),
             "key": admitted.key.to_string(), "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -1,6 +1,6 @@
 //! State of a request over all its attempts, and the errors that follow from it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
 use samphiredeck_core::{
@@ -34,6 +34,8 @@
     pub tried: Vec<UpstreamId>,
     /// Number of upstreams that the request was sent to, including one whose response is awaited.
     pub attempts: u32,
+    /// Addresses at which the request reached another upstream than the listed one. These count as no attempts.
+    pub misdirected: Vec<SocketAddr>,
     /// Upstream whose response is awaited. It stays set if the wait is abandoned.
     pub awaited: Option<UpstreamId>,
     /// The only upstream that may still receive the request, since it counts among `attempts`.
@@ -70,6 +72,7 @@
         Self {
             tried: Vec::new(),
             attempts: 0,
+            misdirected: Vec::new(),
             awaited: None,
             only: None,
             connected: None,
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -156,6 +156,7 @@
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
         tried: choice.tried,
+        misdirected: &choice.progress.misdirected,
         only: choice.progress.only.as_ref(),
         software: choice.progress.software.as_ref(),
         max_connections: state.connection_share(admitted.max_connections),
@@ -187,3 +188,14 @@
     is_permitted
         && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
 }
+
+/// Records that another upstream than `upstream` responded at its address.
+pub fn record_misdirection(
+    progress: &mut RequestProgress,
+    node: &ForwardNode,
+    upstream: &UpstreamId,
+) {
+    progress.attempts -= 1;
+    let state = node.state();
+    progress.misdirected.extend(state.upstreams.find(upstream).map(|row| row.entry.address));
+}
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -159,9 +159,13 @@
     if metadata.not_executed == Some(NotExecutedReason::Refused) {
         record_refusal(&trace.node, &in_flight.upstream);
     }
-    if metadata.not_executed.is_some() {
+    if let Some(cause) = metadata.not_executed {
+        let outcome = match cause {
+            NotExecutedReason::Misdirected => SendOutcome::Misdirected,
+            NotExecutedReason::Refused => SendOutcome::Rejected,
+        };
         let reason = format!("rejected with {}", head.status.as_u16());
-        return Err(SendFailure::new(SendOutcome::Rejected, reason));
+        return Err(SendFailure::new(outcome, reason));
     }
     let headers = encode_response_headers(&head.headers);
     if head.status.is_success() {
--- a/samphiredeck_core/src/forward/outcome.rs
+++ b/samphiredeck_core/src/forward/outcome.rs
@@ -17,6 +17,8 @@
     Withdrawn,
     /// The upstream stated that it has not run the request and will not run it.
     Rejected,
+    /// Another upstream than the expected one responded, and has not run the request.
+    Misdirected,
     /// The upstream returned a complete error response of its own.
     Failed,
     /// There was no complete response, or one that cannot originate from the upstream.
@@ -34,13 +36,26 @@
     #[must_use]
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::Unsent | Self::NoPath | Self::Withdrawn | Self::Rejected => RunVerdict::NotRun,
+            Self::Unsent | Self::NoPath | Self::Withdrawn | Self::Rejected | Self::Misdirected => {
+                RunVerdict::NotRun
+            }
             Self::Broken => RunVerdict::MayHaveRun,
             Self::Failed => RunVerdict::Ran,
         }
     }
 }
 
+/// Maximum number of addresses of other upstreams that a request may reach beside its attempts. Several entries
+/// are wrong at once only after a loss of several upstreams, or if something else writes entries.
+const MISDIRECTIONS_MAX: usize = 3;
+
+/// Whether an attempt with `outcome` counts among those that its route permits. `misdirections` is the number of
+/// earlier ones that reached another upstream: these cost no upstream any work.
+#[must_use]
+pub fn uses_attempt(outcome: SendOutcome, misdirections: usize) -> bool {
+    outcome != SendOutcome::Misdirected || misdirections >= MISDIRECTIONS_MAX
+}
+
 /// What to do after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
@@ -73,6 +88,7 @@
         | SendOutcome::NoPath
         | SendOutcome::Withdrawn
         | SendOutcome::Rejected
+        | SendOutcome::Misdirected
             if combined == RunVerdict::NotRun =>
         {
             NextStep::RefuseUnrun
@@ -81,6 +97,7 @@
         | SendOutcome::NoPath
         | SendOutcome::Withdrawn
         | SendOutcome::Rejected
+        | SendOutcome::Misdirected
         | SendOutcome::Broken => NextStep::GiveUp,
     }
 }
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -17,7 +17,7 @@
 //!
 //! Times follow from the measured speed of the pool.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -41,6 +41,9 @@
 /// Cost of an upstream that is missing from the list after a read gap, in milliseconds. Exceeds
 /// that of any other upstream that can serve at all.
 const MISSING_COST_MS: f64 = 5_000.0;
+/// Cost of an entry at an address that probably serves another upstream, in milliseconds. Exceeds that of any
+/// upstream that can serve at all.
+const MISDIRECTED_COST_MS: f64 = 5_000.0;
 /// Cost of an upstream with a low limit while it is known that the limit applies, in milliseconds.
 /// Others take the work unless they are slower by this much.
 const LIMITED_COST_MS: f64 = 300.0;
@@ -92,6 +95,8 @@
     pub software: Option<&'a SoftwareVersion>,
     /// Upstreams that already received the request and must not be chosen again.
     pub tried: &'a [UpstreamId],
+    /// Addresses at which the request reached another upstream than the listed one.
+    pub misdirected: &'a [SocketAddr],
     /// The only upstream that may be chosen, if the request was sent there before and may be sent to
     /// no further one.
     pub only: Option<&'a UpstreamId>,
@@ -238,6 +243,10 @@
         if row.is_missing() {
             cost += MISSING_COST_MS;
         }
+        let is_doubtful = request.misdirected.contains(&row.entry.address);
+        if is_doubtful || registry.is_displaced(row, now) {
+            cost += MISDIRECTED_COST_MS;
+        }
         if request.avoids(row, now) {
             cost += LIMITED_COST_MS;
         }
@@ -342,7 +351,8 @@
 ) -> impl Iterator<Item = &'a UpstreamId> {
     let rows = registry.rows().iter();
     let rows = rows.filter(move |row| row.is_accepting(now) && !request.is_tight(row));
-    rows.filter(|row| row.entry.pool == *request.pool).map(|row| &row.entry.id)
+    let rows = rows.filter(|row| row.entry.pool == *request.pool);
+    rows.filter(move |row| !registry.is_displaced(row, now)).map(|row| &row.entry.id)
 }
 
 /// Upstreams dedicated to long prompts.
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -1,8 +1,9 @@
 //! Registry of the upstreams that the platform lists, with this node's observations of them.
 //!
 //! Whether an upstream takes new requests is decided by its [`UpstreamState`] alone, how many of them
-//! by its limit ([`limits`]).
+//! by its limit ([`limits`]). Of several entries with one address, at most one is right ([`addresses`]).
 
+mod addresses;
 pub mod limits;
 pub mod tracked;
 
@@ -207,7 +208,7 @@
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
         self.versions.observe(list.iter().map(|entry| (&entry.pool, &entry.software)), sent_at);
-        self.store_list(&list);
+        let differs = self.store_list(&list);
         for row in &mut self.rows {
             if find_entry(&list, &row.entry.id).is_some() {
                 continue;
@@ -221,14 +222,19 @@
         for entry in list {
             self.apply_entry(entry, now, &mut changes);
         }
+        if differs {
+            self.mark_shared_addresses();
+        }
         self.rows
             .retain(|row| row.in_flight > 0 || row.state.must_be_kept(row.limit.is_some(), now));
         changes
     }
 
-    fn store_list(&mut self, list: &[ListedUpstream]) {
+    /// Stores `list`. Returns whether it differs from the one before.
+    fn store_list(&mut self, list: &[ListedUpstream]) -> bool {
         let digest = digest_list(list);
-        if digest != self.digest {
+        let differs = digest != self.digest;
+        if differs {
             let changed = changed_ids(&self.list, list);
             self.recent_changes.push((self.digest, changed));
             let excess = self.recent_changes.len().saturating_sub(RECENT_CHANGES_MAX);
@@ -236,6 +242,7 @@
         }
         self.digest = digest;
         self.list = list.to_vec();
+        differs
     }
 
     fn apply_entry(
@@ -351,6 +358,7 @@
                 row.failures += 1.0;
             } else {
                 row.successes += 1.0;
+                row.answered_at = Some(now);
             }
         }
     }
--- a/samphiredeck_core/src/forward/upstreams/tracked.rs
+++ b/samphiredeck_core/src/forward/upstreams/tracked.rs
@@ -41,6 +41,10 @@
     pub(super) state: UpstreamState,
     /// Limit that it has named. `None` if it never named one.
     pub(super) limit: Option<UpstreamLimit>,
+    /// Whether the list has another entry of the pool with the same address.
+    pub(super) shares_address: bool,
+    /// Time of its last complete response.
+    pub(super) answered_at: Option<BootTime>,
     /// Slots of this node while the upstream is brittle.
     pub slots: NodeSlots,
     /// Time until which the upstream is slow after its start.
@@ -70,6 +74,8 @@
         Self {
             state: UpstreamState::started(entry.leaving),
             limit: None,
+            shares_address: false,
+            answered_at: None,
             slots,
             warm_up_until,
             in_flight: 0,
--- a/samphiredeck_core/tests/forward_states.rs
+++ b/samphiredeck_core/tests/forward_states.rs
@@ -76,6 +76,7 @@
         engine: false,
         parts: &[],
         tried: &[],
+        misdirected: &[],
         max_connections: 50,
         max_event_gap: Duration::ZERO,
         speed: PoolSpeed::default(),
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -78,6 +78,7 @@
         engine,
         parts,
         tried,
+        misdirected: &[],
         max_connections: 50,
         max_event_gap: Duration::from_millis(600),
         speed: PoolSpeed::default(),
