Keep a silent upstream until another has had the request for a while

Cause: before the response begins, a silent upstream was left for another one that could take the request by what the node knew, and the connection was closed. If that one then refused, nobody was left.

Callers saw: 502 at 1.25 s, half of the time left, of an upstream that would have responded at 1.5 s.

Change: `silent_upstream.rs` asks the other one beside the first, as relay.rs does for streams that have begun. The first response decides, or 300 ms after the other one has received the request; the first run is cancelled then. A refusal, a failed connection or a server error of the other one leaves the first one awaited. If the first one fails before the other has received the request, the usual path decides, which looks for a crash first. Retry budget and attempts are drawn by each send, as before.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -31,6 +31,7 @@
 mod serve;
 pub mod settings;
 mod shared_rows;
+mod silent_upstream;
 mod slot_exchange;
 mod state;
 mod store_status;
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -1,15 +1,14 @@
 //! Sends a request to upstreams until one responds or no further attempt is permitted.
 
-use std::{future::pending, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::{FutureExt, future::FusedFuture};
+use futures_util::FutureExt;
 use http::{Request, StatusCode, Uri, uri::PathAndQuery};
 use http_body_util::Full;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
-        catalog::RetryPolicy,
         outcome::{NextStep, SendOutcome, next_step, uses_attempt},
         placement::Placement,
         upstream_list::ListedUpstream,
@@ -19,7 +18,6 @@
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
 use serde_json::json;
-use tokio::{select, time::sleep};
 
 use crate::forward::{
     clock,
@@ -30,11 +28,10 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{ConnectionKind, RequestProgress, deadline_error, unanswered_error},
     send_permit::PermitLease,
+    silent_upstream::{ExchangeEnd, LeftUpstream, SendEnd, SentRequest, receive_or_replace},
     stream_versions::record_origin,
     suspect_checks::{barring_reason, check_suspects, handle_closed, record_proof},
-    upstream_choice::{
-        PlaceDecision, can_go_elsewhere, place, pool_retry_delay, record_misdirection,
-    },
+    upstream_choice::{PlaceDecision, place, pool_retry_delay, record_misdirection},
     upstream_paths::connect_upstream,
     upstream_response::{
         CompleteResponse, ReceivedResponse, SendFailure, StreamingResponse, UpstreamResponse,
@@ -44,13 +41,6 @@
 
 /// Minimum remaining time for an attempt. No upstream can respond in less.
 const SEND_TIME_MIN: Duration = Duration::from_millis(20);
-/// Fraction of the remaining time after which a request that may run again is retried at another
-/// upstream, as its upstream is considered lost. A busy one is given this much, since the work that
-/// it has begun would be repeated.
-const ATTEMPT_TIME_SHARE: f64 = 0.5;
-/// Interval at which the node checks whether another upstream can take a request whose upstream has
-/// not responded in time.
-const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Reason for not sending a request to an upstream whose limit or slots leave none to this node.
 const LIMIT_REASON: &str = "limit or slots of the upstream";
 /// Maximum number of failed connection attempts per request.
@@ -211,10 +201,9 @@
     // Until here the request keeps its place before others that wait.
     progress.ticket = None;
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
-    let can_retry = admitted.route.max_attempts > progress.attempts + 1;
     loop {
         progress.connected = None;
-        let (mut connection, kind) = open_connection(admitted, node, &in_flight, address).await?;
+        let (connection, kind) = open_connection(admitted, node, &in_flight, address).await?;
         progress.connected = Some(kind);
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
@@ -224,16 +213,18 @@
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
         }
         let time_left = admitted.deadline.since(sent_at);
-        let time_limit = attempt_time_limit(admitted, time_left, can_retry);
         let request = build_request(admitted, placement, time_left, resume);
         record_sent(progress, &mut permit, &placement.upstream);
-        let received = {
-            let exchange = exchange(admitted, trace, &mut connection, request, &mut in_flight);
-            let is_lost = || can_go_elsewhere(admitted, progress, node, &placement.upstream);
-            let silence = wait_for_silence(admitted, node, &placement.upstream, kind);
-            wait_for_response(exchange, silence, time_limit, admitted.deadline, is_lost).await
+        let exchange = exchange(admitted, trace, connection, request, in_flight).boxed_local();
+        let sent = SentRequest { admitted, trace, placement, resume, kind, sent_at };
+        let end = match receive_or_replace(sent, progress, exchange).await {
+            SendEnd::Received(end) => *end,
+            SendEnd::Left(left) => {
+                return record_left(admitted, progress, trace, placement, sent_at, *left).await;
+            }
         };
-        progress.awaited = None;
+        let ExchangeEnd { connection, received, .. } = end;
+        in_flight = end.in_flight;
         if received.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unsent) {
             progress.attempts -= 1;
             permit.set_consumed(false);
@@ -356,6 +347,29 @@
     }
 }
 
+/// Records that the upstream of `placement`, to which the request was sent at `sent_at`, was left. Returns the response of
+/// the other one that was asked meanwhile.
+async fn record_left(
+    admitted: &AdmittedRequest,
+    progress: &mut RequestProgress,
+    trace: &RequestTrace,
+    placement: &Placement,
+    sent_at: BootTime,
+    left: LeftUpstream,
+) -> Result<UpstreamResponse, SendFailure> {
+    let LeftUpstream { failure, in_flight, response } = left;
+    if let Some(in_flight) = in_flight {
+        handle_failure(admitted, progress, trace, &in_flight, &failure, sent_at).await;
+    } else {
+        if !admitted.route.streams {
+            count_usage(admitted, progress, &trace.node, sent_at);
+        }
+        let mut state = trace.node.state();
+        state.upstreams.record_outcome(&placement.upstream, true, clock::now());
+    }
+    response.ok_or(failure)
+}
+
 /// Why the request must not be sent to the upstream of `placement` any more, as known after its
 /// connection was opened: the upstream has left, asked for time or named a limit, the request or a part
 /// of it has crashed upstreams, or the configuration may have changed meanwhile.
@@ -382,65 +396,18 @@
 async fn exchange(
     admitted: &AdmittedRequest,
     trace: &RequestTrace,
-    connection: &mut HttpConnection,
+    mut connection: HttpConnection,
     request: Request<Full<Bytes>>,
-    in_flight: &mut InFlightRequest,
-) -> Result<ReceivedResponse, SendFailure> {
-    let response = connection.send(request).await.map_err(|error| {
-        let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
-        SendFailure { closed: error.closed, ..SendFailure::new(outcome, error.reason) }
-    })?;
-    receive_response(admitted, trace, response, in_flight).await
-}
-
-/// Waits until open connections to `upstream` are probably silent, if the request may go elsewhere then.
-async fn wait_for_silence(
-    admitted: &AdmittedRequest,
-    node: &ForwardNode,
-    upstream: &UpstreamId,
-    kind: ConnectionKind,
-) {
-    if kind == ConnectionKind::Tunnel || admitted.runs_at_most_once() {
-        return pending().await;
-    }
-    loop {
-        let changed = node.path_lost.notified();
-        if node.state().paths.is_silent(upstream) {
-            return;
-        }
-        changed.await;
-    }
-}
-
-/// Waits for the response of an upstream. After `time_limit`, or `silence`, the upstream is considered lost as soon
-/// as `is_lost`: a silent one may still respond, so it is only left for another that can take the
-/// request.
-async fn wait_for_response(
-    exchange: impl Future<Output = Result<ReceivedResponse, SendFailure>>,
-    silence: impl Future<Output = ()>,
-    time_limit: Duration,
-    deadline: BootTime,
-    is_lost: impl Fn() -> bool,
-) -> Result<ReceivedResponse, SendFailure> {
-    tokio::pin!(exchange);
-    let started_at = clock::now();
-    let mut wait = time_limit;
-    let mut silence = pin!(silence.fuse());
-    loop {
-        select! {
-            received = exchange.as_mut() => return received,
-            () = sleep(wait) => {}
-            () = silence.as_mut(), if !silence.is_terminated() => {}
-        }
-        let now = clock::now();
-        let time_left = deadline.since(now);
-        if time_left.is_zero() || is_lost() {
-            let waited = now.since(started_at);
-            let reason = format!("no response within {waited:?}");
-            return Err(SendFailure::new(SendOutcome::Broken, reason));
+    mut in_flight: InFlightRequest,
+) -> ExchangeEnd {
+    let received = match connection.send(request).await {
+        Ok(response) => receive_response(admitted, trace, response, &mut in_flight).await,
+        Err(error) => {
+            let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
+            Err(SendFailure { closed: error.closed, ..SendFailure::new(outcome, error.reason) })
         }
-        wait = LOST_CHECK_PERIOD.min(time_left);
-    }
+    };
+    ExchangeEnd { connection, in_flight, received }
 }
 
 /// Records the time that a plain upstream took for its whole `response`.
@@ -486,14 +453,3 @@
         node.log.record("uncounted", fields);
     }
 }
-
-/// Time limit of an attempt that gets no response.
-fn attempt_time_limit(admitted: &AdmittedRequest, left: Duration, can_retry: bool) -> Duration {
-    if !can_retry {
-        return left;
-    }
-    match admitted.route.retry_policy {
-        RetryPolicy::NonIdempotent => left,
-        RetryPolicy::Idempotent | RetryPolicy::Resumable => left.mul_f64(ATTEMPT_TIME_SHARE),
-    }
-}
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -25,6 +25,7 @@
     request::{AdmittedRequest, RequestTrace},
     request_progress::RequestProgress,
     response_body::StreamSender,
+    silent_upstream::OVERLAP_MAX,
     suspect_checks::{handle_closed, record_proof},
     upstream_response::{StreamingResponse, UpstreamResponse, UpstreamStream},
 };
@@ -37,9 +38,6 @@
 /// Number of event batches of one upstream that prove the prompt sound. An engine that crashes as it
 /// begins a response may have written its first event.
 const BATCHES_PROVING: u32 = 2;
-/// Time for which a silent upstream is kept after another one has received the request. Engines must
-/// not both work on a stream for more than 400 ms.
-const OVERLAP_MAX: Duration = Duration::from_millis(300);
 
 /// Next step of a stream.
 enum StreamStep {
