Ask another upstream for a stream before its caller leaves

Cause: a silent upstream was left at half of the time left to the deadline. The callers of a stream leave earlier, after the longest of two seconds, four latency targets and eight event gaps, also before the first event.

Callers saw: a resumable stream that was complete at 5.5 s only, where callers leave after a gap of 4 s.

Change: `awaited_response.rs` in the core. Another upstream is asked after half of the gap after which the caller leaves, and not before the response was expected to begin, if nothing was received from the first one on any connection of this node for so long, and if the other one is expected to begin before the caller leaves. An upstream that serves others meanwhile is busy: its work is not thrown away, and half of the time to the deadline holds as before.

A node that has no other stream at a busy upstream can't tell it from a silent one. It asks the other one then, and leaves the first one 300 ms later.

--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -61,8 +61,14 @@
         ResponseSource { request, upstream: &self.upstream, started_ms, sent_at }
     }
 
+    /// Records that a part of the response was received.
+    pub fn record_heard(&self) {
+        self.node.state().upstreams.record_heard(&self.upstream, clock::now());
+    }
+
     /// Records that the response has started.
     pub fn record_response_start(&mut self) {
+        self.record_heard();
         if let Some(pending) = self.pending.take() {
             let mut state = self.node.state();
             state.upstreams.record_no_longer_pending(&self.upstream, &pending);
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -95,6 +95,7 @@
             StreamStep::Events(batch) => match send_batch(&sender, batch, &mut gate).await {
                 Ok(true) => {
                     batches += 1;
+                    progress.caller_heard_at = Some(clock::now());
                     if batches >= BATCHES_PROVING {
                         record_proof(&admitted, &mut progress, &trace.node);
                     }
@@ -341,6 +342,7 @@
         };
         match frame {
             Some(Ok(frame)) => {
+                source.in_flight.record_heard();
                 let Some(chunk) = frame.data_ref() else { continue };
                 if let Some(batch) = source.buffer.push(chunk) {
                     return StreamStep::Events(batch);
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 use samphiredeck_core::{
+    boot_time::BootTime,
     ids::{SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
@@ -44,6 +45,8 @@
     pub connected: Option<ConnectionKind>,
     /// Notified once when the request has been sent.
     pub on_sent: Option<oneshot::Sender<()>>,
+    /// Time at which the caller received the last events of its stream.
+    pub caller_heard_at: Option<BootTime>,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
     /// Software version of the upstream at which the stream began. Only upstreams of this version
@@ -77,6 +80,7 @@
             only: None,
             connected: None,
             on_sent: None,
+            caller_heard_at: None,
             verdict: RunVerdict::NotRun,
             software,
             ticket: None,
--- a/samphiredeck/src/forward/silent_upstream.rs
+++ b/samphiredeck/src/forward/silent_upstream.rs
@@ -11,7 +11,12 @@
 };
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::{outcome::SendOutcome, placement::Placement},
+    forward::{
+        awaited_response::{AwaitedResponse, abandon_gap},
+        outcome::SendOutcome,
+        placement::Placement,
+        upstreams::tracked::TrackedUpstream,
+    },
     ids::UpstreamId,
 };
 use serde_json::json;
@@ -32,9 +37,6 @@
 /// Time for which a silent upstream is kept after another one has received the request. Engines must
 /// not both work on a stream for more than 400 ms.
 pub const OVERLAP_MAX: Duration = Duration::from_millis(300);
-/// Fraction of the remaining time after which a request that may run again is sent to another upstream, as its upstream is
-/// considered lost. A busy one is given this much, since the work that it has begun would be repeated.
-const ATTEMPT_TIME_SHARE: f64 = 0.5;
 /// Interval at which the node checks whether another upstream can take a request whose upstream has
 /// not responded in time.
 const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -79,6 +81,17 @@
         &self.placement.upstream
     }
 
+    fn awaited(&self, progress: &RequestProgress) -> AwaitedResponse {
+        let route = &self.admitted.route;
+        let heard_at = progress.caller_heard_at.unwrap_or(self.trace.arrived_at);
+        AwaitedResponse {
+            sent_at: self.sent_at,
+            deadline: self.admitted.deadline,
+            abandoned_at: route.streams.then(|| heard_at + abandon_gap(route)),
+            expected_wait: self.placement.expected_wait,
+        }
+    }
+
     /// The end of a request whose upstream has not responded, with the `response` of another one.
     fn left(&self, response: Option<UpstreamResponse>) -> SendEnd {
         let reason = format!("no response within {:?}", clock::now().since(self.sent_at));
@@ -95,10 +108,11 @@
     mut exchange: LocalBoxFuture<'_, ExchangeEnd>,
 ) -> SendEnd {
     let SentRequest { admitted, trace, .. } = sent;
+    let awaited = sent.awaited(progress);
     let can_retry = admitted.route.retry_policy.permits_retry()
         && progress.attempts < admitted.route.max_attempts;
-    let time_left = admitted.deadline.since(sent.sent_at);
-    let mut wait = if can_retry { time_left.mul_f64(ATTEMPT_TIME_SHARE) } else { time_left };
+    let first_check = if can_retry { awaited.first_check() } else { admitted.deadline };
+    let mut wait = first_check.since(clock::now());
     let mut silence =
         pin!(wait_for_silence(admitted, &trace.node, sent.upstream(), sent.kind).fuse());
     loop {
@@ -117,7 +131,18 @@
             return sent.left(None);
         }
         wait = LOST_CHECK_PERIOD.min(time_left);
-        if can_go_elsewhere(admitted, progress, &trace.node, sent.upstream()) {
+        let heard_at = {
+            let state = trace.node.state();
+            state.upstreams.find(sent.upstream()).and_then(TrackedUpstream::heard_at)
+        };
+        let due_at = if silence.is_terminated() {
+            Some(admitted.deadline)
+        } else {
+            awaited.other_due_at(heard_at, now)
+        };
+        let can_go =
+            |due_at| can_go_elsewhere(admitted, progress, &trace.node, sent.upstream(), due_at);
+        if due_at.is_some_and(can_go) {
             exchange = match ask_beside(&sent, progress, exchange).await {
                 ControlFlow::Continue(exchange) => exchange,
                 ControlFlow::Break(end) => return end,
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -168,12 +168,14 @@
     }
 }
 
-/// Whether the request that `silent` has received could be sent to another upstream now.
+/// Whether the request that `silent` has received could be sent to another upstream now, which begins to respond
+/// before `due_at`.
 pub fn can_go_elsewhere(
     admitted: &AdmittedRequest,
     progress: &RequestProgress,
     node: &ForwardNode,
     silent: &UpstreamId,
+    due_at: BootTime,
 ) -> bool {
     let now = clock::now();
     let mut state = node.state();
@@ -184,7 +186,7 @@
     let turn = state.node_turn(&node.settings().name, now);
     let choice = PlacementContext { progress, tried: &tried, turn };
     let placement = find_placement(admitted, &choice, node, &state, now);
-    let time_left = admitted.deadline.since(now);
+    let time_left = due_at.since(now);
     is_permitted
         && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
 }
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -3,6 +3,7 @@
 //! Each module covers one decision. Functions take the current time and the known state as
 //! arguments, perform no I/O, and return the action to take.
 
+pub mod awaited_response;
 pub mod brittle_pools;
 pub mod capacity;
 pub mod catalog;
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -343,6 +343,13 @@
         }
     }
 
+    /// Records that a part of a response of `id` was received at `now`.
+    pub fn record_heard(&mut self, id: &UpstreamId, now: BootTime) {
+        if let Some(row) = self.find_mut(id) {
+            row.heard_at = Some(now);
+        }
+    }
+
     /// Records the end of a request to `id`, whether or not it succeeded.
     pub fn record_request_end(&mut self, id: &UpstreamId) {
         if let Some(row) = self.find_mut(id) {
--- a/samphiredeck_core/src/forward/upstreams/tracked.rs
+++ b/samphiredeck_core/src/forward/upstreams/tracked.rs
@@ -43,6 +43,8 @@
     pub(super) limit: Option<UpstreamLimit>,
     /// Whether the list has another entry of the pool with the same address.
     pub(super) shares_address: bool,
+    /// Time at which anything was received from it last.
+    pub(super) heard_at: Option<BootTime>,
     /// Time of its last complete response.
     pub(super) answered_at: Option<BootTime>,
     /// Slots of this node while the upstream is brittle.
@@ -75,6 +77,7 @@
             state: UpstreamState::started(entry.leaving),
             limit: None,
             shares_address: false,
+            heard_at: None,
             answered_at: None,
             slots,
             warm_up_until,
@@ -97,6 +100,12 @@
         self.state
     }
 
+    /// Time at which anything was received from the upstream last.
+    #[must_use]
+    pub fn heard_at(&self) -> Option<BootTime> {
+        self.heard_at
+    }
+
     /// Whether new requests may be sent at `now`.
     #[must_use]
     pub fn is_accepting(&self, now: BootTime) -> bool {
