--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -25,6 +25,7 @@
     request::{AdmittedRequest, RequestTrace},
     request_progress::RequestProgress,
     response_body::StreamSender,
+    silent_upstream::OVERLAP_MAX,
     suspect_checks::{handle_closed, record_proof},
     upstream_response::{StreamingResponse, UpstreamResponse, UpstreamStream},
 };
@@ -37,9 +38,6 @@
 /// Number of event batches of one upstream that prove the prompt sound. An engine that crashes as it
 /// begins a response may have written its first event.
 const BATCHES_PROVING: u32 = 2;
-/// Time for which a silent upstream is kept after another one has received the request. Engines must
-/// not both work on a stream for more than 400 ms.
-const OVERLAP_MAX: Duration = Duration::from_millis(300);
 
 /// Next step of a stream.
 enum StreamStep {
@@ -97,6 +95,7 @@
             StreamStep::Events(batch) => match send_batch(&sender, batch, &mut gate).await {
                 Ok(true) => {
                     batches += 1;
+                    progress.caller_heard_at = Some(clock::now());
                     if batches >= BATCHES_PROVING {
                         record_proof(&admitted, &mut progress, &trace.node);
                     }
@@ -343,6 +342,7 @@
         };
         match frame {
             Some(Ok(frame)) => {
+                source.in_flight.record_heard();
                 let Some(chunk) = frame.data_ref() else { continue };
                 if let Some(batch) = source.buffer.push(chunk) {
                     return StreamStep::Events(batch);
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -1,9 +1,10 @@
 //! State of a request over all its attempts, and the errors that follow from it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
 use samphiredeck_core::{
+    boot_time::BootTime,
     ids::{SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
@@ -34,6 +35,8 @@
     pub tried: Vec<UpstreamId>,
     /// Number of upstreams that the request was sent to, including one whose response is awaited.
     pub attempts: u32,
+    /// Addresses at which the request reached another upstream than the listed one. These count as no attempts.
+    pub misdirected: Vec<SocketAddr>,
     /// Upstream whose response is awaited. It stays set if the wait is abandoned.
     pub awaited: Option<UpstreamId>,
     /// The only upstream that may still receive the request, since it counts among `attempts`.
@@ -42,6 +45,8 @@
     pub connected: Option<ConnectionKind>,
     /// Notified once when the request has been sent.
     pub on_sent: Option<oneshot::Sender<()>>,
+    /// Time at which the caller received the last events of its stream.
+    pub caller_heard_at: Option<BootTime>,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
     /// Software version of the upstream at which the stream began. Only upstreams of this version
@@ -70,10 +75,12 @@
         Self {
             tried: Vec::new(),
             attempts: 0,
+            misdirected: Vec::new(),
             awaited: None,
             only: None,
             connected: None,
             on_sent: None,
+            caller_heard_at: None,
             verdict: RunVerdict::NotRun,
             software,
             ticket: None,
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -156,6 +156,7 @@
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
         tried: choice.tried,
+        misdirected: &choice.progress.misdirected,
         only: choice.progress.only.as_ref(),
         software: choice.progress.software.as_ref(),
         max_connections: state.connection_share(admitted.max_connections),
@@ -167,12 +168,14 @@
     }
 }
 
-/// Whether the request that `silent` has received could be sent to another upstream now.
+/// Whether the request that `silent` has received could be sent to another upstream now, which begins to respond
+/// before `due_at`.
 pub fn can_go_elsewhere(
     admitted: &AdmittedRequest,
     progress: &RequestProgress,
     node: &ForwardNode,
     silent: &UpstreamId,
+    due_at: BootTime,
 ) -> bool {
     let now = clock::now();
     let mut state = node.state();
@@ -183,7 +186,18 @@
     let turn = state.node_turn(&node.settings().name, now);
     let choice = PlacementContext { progress, tried: &tried, turn };
     let placement = find_placement(admitted, &choice, node, &state, now);
-    let time_left = admitted.deadline.since(now);
+    let time_left = due_at.since(now);
     is_permitted
         && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
 }
+
+/// Records that another upstream than `upstream` responded at its address.
+pub fn record_misdirection(
+    progress: &mut RequestProgress,
+    node: &ForwardNode,
+    upstream: &UpstreamId,
+) {
+    progress.attempts -= 1;
+    let state = node.state();
+    progress.misdirected.extend(state.upstreams.find(upstream).map(|row| row.entry.address));
+}
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -4,6 +4,7 @@
 //! arguments, perform no I/O, and return the action to take.
 
 pub mod agreed_windows;
+pub mod awaited_response;
 pub mod brittle_pools;
 pub mod capacity;
 pub mod catalog;
