Streams: not resumed after an event without an id

Cause: a stream whose last event has no id was resumed all the same, after the last id that was known, or from its beginning if there was none. The caller got the events of two runs, one after the other, and an end that looks complete (ORDER).

Change: batches tell which of their events have an id, and the gate gives a point to resume at only if the last event released had one. Otherwise the response is aborted, and the caller may resume it by itself. Comments are no events. An id counts once for each event, as the last of its lines. A line of data that contains "id:" was not taken for an id before and isn't now.

Tests: ids in forward_events.rs became Some(id), and last_id() became resume_point(), with the same values.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -10,6 +10,7 @@
     boot_time::BootTime,
     forward::{
         catalog::RetryPolicy,
+        event_order::ResumePoint,
         outcome::{NextStep, SendOutcome, next_step},
         placement::Placement,
         upstream_list::ListedUpstream,
@@ -55,7 +56,7 @@
 const CONNECT_FAILURES_MAX: usize = 3;
 
 /// Sends `admitted` to upstreams until one responds or no further attempt is permitted. With
-/// `resume`, the upstream resumes the stream after that event.
+/// `resume`, the upstream resumes the stream there.
 ///
 /// # Errors
 ///
@@ -64,7 +65,7 @@
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
     trace: &RequestTrace,
-    resume: Option<u64>,
+    resume: Option<ResumePoint>,
 ) -> Result<UpstreamResponse, ErrorResponse> {
     let node = &trace.node;
     let mut connect_failures = 0;
@@ -171,14 +172,14 @@
     admitted: &AdmittedRequest,
     placement: &Placement,
     time_left: Duration,
-    resume: Option<u64>,
+    resume: Option<ResumePoint>,
 ) -> Request<Full<Bytes>> {
     let fields = ForwardMetadata {
         upstream: &placement.upstream,
         remaining: time_left,
         workspace: admitted.workspace.as_ref(),
         priority: admitted.priority,
-        last_event_id: resume,
+        last_event_id: resume.and_then(|point| point.last_id),
     };
     let mut request = Request::new(Full::new(admitted.body.clone()));
     *request.method_mut() = admitted.method.clone();
@@ -194,7 +195,7 @@
     progress: &mut RequestProgress,
     trace: &RequestTrace,
     placement: &Placement,
-    resume: Option<u64>,
+    resume: Option<ResumePoint>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let node = &trace.node;
     let entry = node.state().upstreams.find(&placement.upstream).map(|row| row.entry.clone());
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -6,7 +6,7 @@
 use samphiredeck_core::{
     forward::{
         catalog::RetryPolicy,
-        event_order::{EventGate, OrderError},
+        event_order::{EventGate, OrderError, ResumePoint},
         events::EventBatch,
     },
     verdict::RunVerdict,
@@ -118,9 +118,8 @@
             }
             StreamStep::Broken(stream_break) => stream_break,
             StreamStep::Silent => {
-                let last_id = gate.last_id();
-                match end_silence(&admitted, &mut progress, &trace, source, &sender, last_id).await
-                {
+                let point = gate.resume_point();
+                match end_silence(&admitted, &mut progress, &trace, source, &sender, point).await {
                     SilenceEnd::GoesOn(kept, step) => {
                         source = *kept;
                         next_step = step;
@@ -151,16 +150,16 @@
             }
         };
         gate.rewind();
-        let last_id = gate.last_id();
+        let point = gate.resume_point();
         source.in_flight.record_outcome(true);
         if stream_break.closed && batches < BATCHES_PROVING {
             handle_closed(&admitted, &mut progress, &trace, &source.in_flight).await;
         }
-        log_break(&admitted, &progress, &trace, &source, &stream_break, last_id);
+        log_break(&admitted, &progress, &trace, &source, &stream_break, point);
         // Closes the connection to cancel the old run before another upstream resumes it.
         drop(source);
         let resumed = select! {
-            resumed = resume(&admitted, &mut progress, &trace, last_id) => resumed,
+            resumed = resume(&admitted, &mut progress, &trace, point) => resumed,
             () = sender.closed() => {
                 trace.finish("caller-left", 0, "");
                 return;
@@ -200,12 +199,12 @@
     trace: &RequestTrace,
     source: &UpstreamStream,
     stream_break: &StreamBreak,
-    last_id: Option<u64>,
+    point: Option<ResumePoint>,
 ) {
     let upstream = source.in_flight.upstream.as_str();
     let fields = json!({
         "request": trace.attempt_id, "upstream": upstream, "reason": stream_break.reason,
-        "closed": stream_break.closed, "last_event": last_id, "age_ms": trace.age_ms(),
+        "closed": stream_break.closed, "last_event": point.and_then(|point| point.last_id), "age_ms": trace.age_ms(),
         "sent": progress.attempts, "version": admitted.config_version,
         "parts": admitted.shared_part_ids(), "key": admitted.key.to_string(),
     });
@@ -244,16 +243,16 @@
     trace: &RequestTrace,
     source: UpstreamStream,
     sender: &StreamSender,
-    last_id: Option<u64>,
+    point: Option<ResumePoint>,
 ) -> SilenceEnd {
     let fields = json!({
         "request": trace.attempt_id, "upstream": source.in_flight.upstream.as_str(),
-        "last_event": last_id, "age_ms": trace.age_ms(), "sent": progress.attempts,
+        "last_event": point.and_then(|point| point.last_id), "age_ms": trace.age_ms(), "sent": progress.attempts,
     });
     trace.node.log.record("stream-silent", fields);
     let (on_sent, sent) = oneshot::channel();
     progress.on_sent = Some(on_sent);
-    let resumption = resume(admitted, progress, trace, last_id);
+    let resumption = resume(admitted, progress, trace, point);
     let silence_end = read_beside(admitted, source, sender, resumption, sent).await;
     if let SilenceEnd::GoesOn(kept, Some(StreamStep::Events(_) | StreamStep::Ended)) = &silence_end
     {
@@ -364,15 +363,16 @@
     }
 }
 
-/// Resumes the stream after `last_id` at another upstream, if the route permits.
+/// Resumes the stream at `point` at another upstream, if there is one and the route permits.
 async fn resume(
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
     trace: &RequestTrace,
-    last_id: Option<u64>,
+    point: Option<ResumePoint>,
 ) -> Option<Box<StreamingResponse>> {
     let forbidden = match admitted.route.retry_policy {
         RetryPolicy::NonIdempotent | RetryPolicy::Idempotent => Some("route does not permit it"),
+        RetryPolicy::Resumable if point.is_none() => Some("the last event has no id"),
         // An upstream whose response was not awaited counts already and may be sent to once more.
         RetryPolicy::Resumable if progress.attempts >= admitted.route.max_attempts => {
             progress.only = progress.awaited.take();
@@ -387,11 +387,11 @@
         return None;
     }
     progress.verdict = progress.verdict.join(RunVerdict::MayHaveRun);
-    match send_with_retries(admitted, progress, trace, last_id).await {
+    match send_with_retries(admitted, progress, trace, point).await {
         Ok(UpstreamResponse::Streaming(stream)) => {
             let fields = json!({
                 "request": trace.attempt_id, "upstream": stream.source.in_flight.upstream.as_str(),
-                "after_event": last_id,
+                "after_event": point.and_then(|point| point.last_id),
             });
             trace.node.log.record("stream-resumed", fields);
             Some(stream)
--- a/samphiredeck_core/src/forward/event_order.rs
+++ b/samphiredeck_core/src/forward/event_order.rs
@@ -33,16 +33,27 @@
     Confirmed(u64),
 }
 
+/// Point after which another upstream may go on with a stream that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResumePoint {
+    /// Id of the last event before it. `None` if the stream goes on with its first one.
+    pub last_id: Option<u64>,
+}
+
 /// Ids of a stream up to some event.
 #[derive(Clone, Copy, Debug)]
 struct EventSequence {
-    /// Id of the last event, if any had one.
+    /// Id of the last event that had one.
     last: Option<u64>,
+    /// Whether events without an id follow it.
+    is_past_last: bool,
     step: EventStep,
 }
 
 impl EventSequence {
-    fn push(&mut self, next: u64) -> Result<(), OrderError> {
+    fn push(&mut self, next: Option<u64>) -> Result<(), OrderError> {
+        self.is_past_last = next.is_none();
+        let Some(next) = next else { return Ok(()) };
         let Some(last) = self.last.replace(next) else { return Ok(()) };
         let error = OrderError { next, last };
         let step = next.checked_sub(last).filter(|step| *step > 0).ok_or(error)?;
@@ -73,14 +84,16 @@
     /// Creates the gate of a stream that begins, or goes on after the event `last`.
     #[must_use]
     pub fn after(last: Option<u64>) -> Self {
-        let sequence = EventSequence { last, step: EventStep::Assumed };
+        let sequence = EventSequence { last, is_past_last: false, step: EventStep::Assumed };
         Self { released: sequence, received: sequence, held: BytesMut::new() }
     }
 
-    /// Id of the last event released, after which the stream may be resumed.
+    /// Point after the last event released. `None` if that event has no id, so that another upstream can't
+    /// tell where to go on.
     #[must_use]
-    pub fn last_id(&self) -> Option<u64> {
-        self.released.last
+    pub fn resume_point(&self) -> Option<ResumePoint> {
+        let EventSequence { last: last_id, is_past_last, .. } = self.released;
+        (!is_past_last).then_some(ResumePoint { last_id })
     }
 
     /// Whether events are held. A stream that ends so has lost one.
--- a/samphiredeck_core/src/forward/events.rs
+++ b/samphiredeck_core/src/forward/events.rs
@@ -11,8 +11,8 @@
 pub struct EventBatch {
     /// Raw bytes of the events.
     pub bytes: Bytes,
-    /// Ids of the events that have a numeric one, in the order of the events.
-    pub ids: Vec<u64>,
+    /// Numeric ids of the events, in their order. `None` for one without. Comments are no events.
+    pub ids: Vec<Option<u64>>,
 }
 
 /// Buffers a stream and releases it up to the end of the last complete event.
@@ -63,8 +63,22 @@
 }
 
 fn parse_batch(bytes: &Bytes) -> EventBatch {
-    let lines = bytes.split(|byte| *byte == b'\n');
-    let texts = lines.filter_map(|line| std::str::from_utf8(line.strip_prefix(b"id:")?).ok());
-    let ids = texts.filter_map(|text| text.trim().parse().ok()).collect();
+    let mut ids = Vec::new();
+    // Id of the event that the lines belong to, once there is one.
+    let mut current = None;
+    for line in bytes.split(|byte| *byte == b'\n') {
+        match line.strip_suffix(b"\r").unwrap_or(line) {
+            b"" => ids.extend(current.take()),
+            [b':', ..] => {}
+            line => {
+                let id = line.strip_prefix(b"id:").map(parse_id);
+                current = Some(id.unwrap_or(current.flatten()));
+            }
+        }
+    }
     EventBatch { bytes: bytes.clone(), ids }
 }
+
+fn parse_id(text: &[u8]) -> Option<u64> {
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
--- a/samphiredeck_core/tests/forward_events.rs
+++ b/samphiredeck_core/tests/forward_events.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use samphiredeck_core::forward::{
-    event_order::EventGate,
+    event_order::{EventGate, ResumePoint},
     events::{EventBatch, EventBuffer},
 };
 
@@ -76,14 +76,14 @@
 
 #[test]
 fn no_event_after_a_lost_one_is_released() {
-    let batch = |id: u64| EventBatch { bytes: Bytes::from(format!("{id},")), ids: vec![id] };
+    let batch = |id: u64| EventBatch { bytes: Bytes::from(format!("{id},")), ids: vec![Some(id)] };
     let mut gate = EventGate::after(None);
     assert_eq!(gate.push(batch(1)).unwrap(), "1,");
     // 2 is lost.
     assert_eq!(gate.push(batch(3)).unwrap(), "");
     gate.push(batch(4)).unwrap_err();
     gate.rewind();
-    assert_eq!(gate.last_id(), Some(1));
+    assert_eq!(gate.resume_point(), Some(ResumePoint { last_id: Some(1) }));
     assert_eq!(gate.push(batch(2)).unwrap(), "2,");
     // 3 is lost.
     gate.push(batch(4)).unwrap_err();
@@ -93,10 +93,10 @@
 
 #[test]
 fn streams_with_another_step_are_released_and_resumed() {
-    let batch = |id: u64| EventBatch { bytes: Bytes::from(format!("{id},")), ids: vec![id] };
+    let batch = |id: u64| EventBatch { bytes: Bytes::from(format!("{id},")), ids: vec![Some(id)] };
     let mut gate = EventGate::after(Some(4));
     assert_eq!(gate.push(batch(6)).unwrap(), "");
-    assert_eq!(gate.last_id(), Some(4));
+    assert_eq!(gate.resume_point(), Some(ResumePoint { last_id: Some(4) }));
     assert_eq!(gate.push(batch(8)).unwrap(), "6,8,");
     assert_eq!(gate.push(batch(10)).unwrap(), "10,");
     gate.rewind();
@@ -104,6 +104,37 @@
     gate.push(batch(13)).unwrap_err();
 }
 
+#[test]
+fn events_without_an_id_are_told_apart() {
+    let cases: [(&str, &[Option<u64>]); 7] = [
+        ("id: 1\ndata: a\n\ndata: b\n\nid:3\n\n", &[Some(1), None, Some(3)]),
+        (": comment\n\n", &[]),
+        (": comment\n\nid: 4\r\n\r\n", &[Some(4)]),
+        ("data: a\nid: x\n\n", &[None]),
+        ("id: 5\ndata: a\n: comment\n\n\n", &[Some(5)]),
+        ("x-weights: 3\nid: 6\ndata: id: 7\n\n", &[Some(6)]),
+        ("HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\n", &[None]),
+    ];
+    for (text, ids) in cases {
+        let batch = EventBuffer::default().push(text.as_bytes()).unwrap();
+        assert_eq!(batch.ids, ids, "{text:?}");
+    }
+}
+
+#[test]
+fn stream_is_not_resumed_after_an_event_without_an_id() {
+    let batch = |id: Option<u64>| EventBatch { bytes: Bytes::from("x"), ids: vec![id] };
+    let mut gate = EventGate::after(None);
+    assert_eq!(gate.resume_point(), Some(ResumePoint { last_id: None }));
+    gate.push(batch(None)).unwrap();
+    assert_eq!(gate.resume_point(), None);
+    gate.push(batch(Some(1))).unwrap();
+    assert_eq!(gate.resume_point(), Some(ResumePoint { last_id: Some(1) }));
+    gate.push(batch(None)).unwrap();
+    gate.rewind();
+    assert_eq!(gate.resume_point(), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(
         std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(10_000)
