Streams: only the rest of a stream continues it

Cause: a response to a resumed stream passed as its rest if it was signed and had a successful status.

What callers saw: after the events of the first upstream, the error text of the next one, or nothing, and then the last chunk, as if the stream were complete.

Unsigned responses and partial events did no harm.

Change: with the head of a stream sent, a successful response has to be a 200 with the type of event streams whose first event has an id. Comments before it are skipped. Anything else counts as a broken attempt: another upstream goes on if attempts are left, and otherwise the response is aborted.

Weighed: an upstream that is asked to go on after the last event of a stream answers honestly with an empty stream, if the one before broke off between this event and the end. This node can't tell it from one that fails before its first event, and a truncated stream that looks complete is worse than one that its caller resumes. So such a stream is aborted now, where it was ended before; the caller that resumes it gets the empty end from the upstream itself (caller_may_resume_after_the_last_event).

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -56,7 +56,7 @@
 const CONNECT_FAILURES_MAX: usize = 3;
 
 /// Sends `admitted` to upstreams until one responds or no further attempt is permitted. With
-/// `resume`, the upstream resumes the stream there.
+/// `resume`, the upstream resumes the stream there, and any other response counts as a failure.
 ///
 /// # Errors
 ///
@@ -225,7 +225,8 @@
         let request = build_request(admitted, placement, time_left, resume);
         record_sent(progress, &mut permit, &placement.upstream);
         let received = {
-            let exchange = exchange(admitted, trace, &mut connection, request, &mut in_flight);
+            let exchange =
+                exchange(admitted, trace, &mut connection, request, &mut in_flight, resume);
             let is_lost = || can_go_elsewhere(admitted, progress, node, &placement.upstream);
             let silence = wait_for_silence(admitted, node, &placement.upstream, kind);
             wait_for_response(exchange, silence, time_limit, admitted.deadline, is_lost).await
@@ -382,12 +383,13 @@
     connection: &mut HttpConnection,
     request: Request<Full<Bytes>>,
     in_flight: &mut InFlightRequest,
+    resume: Option<ResumePoint>,
 ) -> Result<ReceivedResponse, SendFailure> {
     let response = connection.send(request).await.map_err(|error| {
         let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
         SendFailure { closed: error.closed, ..SendFailure::new(outcome, error.reason) }
     })?;
-    receive_response(admitted, trace, response, in_flight).await
+    receive_response(admitted, trace, response, in_flight, resume).await
 }
 
 /// Waits until open connections to `upstream` are probably silent, if the request may go elsewhere then.
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -3,13 +3,14 @@
 use bytes::Bytes;
 use http::{
     HeaderMap, Response, StatusCode,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        event_order::ResumePoint,
         events::{EventBatch, EventBuffer},
         outcome::SendOutcome,
         upstream_state::ResponseEvent,
@@ -31,6 +32,8 @@
 
 /// Maximum size of a complete response, which is buffered and validated before it is relayed.
 const RESPONSE_BYTES_MAX: usize = 8 * 1_024 * 1_024;
+/// Content type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// Complete response of an upstream.
 #[derive(Debug)]
@@ -122,12 +125,14 @@
     },
 }
 
-/// Validates the head of a response and receives its body, or the first event of its stream.
+/// Validates the head of a response and receives its body, or the first event of its stream. With `resume`, the
+/// caller has the beginning of the stream.
 pub async fn receive_response(
     admitted: &AdmittedRequest,
     trace: &RequestTrace,
     response: Response<Incoming>,
     in_flight: &mut InFlightRequest,
+    resume: Option<ResumePoint>,
 ) -> Result<ReceivedResponse, SendFailure> {
     let (head, body) = response.into_parts();
     let metadata = decode_response_headers(head.status, &head.headers);
@@ -171,10 +176,16 @@
                 "successful response without a valid signature",
             ));
         }
+        if resume.is_some() && (head.status != StatusCode::OK || !is_event_stream(&head.headers)) {
+            let reason = "response is not the rest of a stream";
+            return Err(SendFailure::new(SendOutcome::Broken, reason));
+        }
         if admitted.route.streams {
             let is_unframed = !head.headers.contains_key(CONTENT_LENGTH)
                 && !head.headers.contains_key(TRANSFER_ENCODING);
-            return receive_stream(head.status, headers, body, metadata, is_unframed).await;
+            let is_rest = resume.is_some();
+            return receive_stream(head.status, headers, body, metadata, is_unframed, is_rest)
+                .await;
         }
     }
     let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
@@ -208,12 +219,21 @@
     )
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let essence = content_type.and_then(|text| text.split(';').next());
+    essence.is_some_and(|essence| essence.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// Receives a stream up to its first event. The rest of a stream has to begin with an event that has an id: one
+/// without may be an error, and an end does not show that the stream was complete.
 async fn receive_stream(
     status: StatusCode,
     headers: HeaderMap,
     mut body: Incoming,
     metadata: ResponseMetadata,
     is_unframed: bool,
+    is_rest: bool,
 ) -> Result<ReceivedResponse, SendFailure> {
     let mut buffer = EventBuffer::default();
     loop {
@@ -225,6 +245,10 @@
                 let failure = SendFailure::new(SendOutcome::Broken, reason);
                 return Err(SendFailure { closed: true, ..failure });
             }
+            if is_rest {
+                let reason = "rest of a stream ended before its first event";
+                return Err(SendFailure::new(SendOutcome::Broken, reason));
+            }
             let (first_batch, ended) = (None, true);
             return Ok(ReceivedResponse::Streaming {
                 status,
@@ -239,6 +263,14 @@
         let frame = frame.map_err(|error| SendFailure::unread(&error))?;
         let Some(chunk) = frame.data_ref() else { continue };
         if let Some(first_batch) = buffer.push(chunk) {
+            match first_batch.ids.first() {
+                None if is_rest => continue,
+                Some(None) if is_rest => {
+                    let reason = "rest of a stream begins with an event without an id";
+                    return Err(SendFailure::new(SendOutcome::Broken, reason));
+                }
+                _ => {}
+            }
             let (first_batch, ended) = (Some(first_batch), false);
             return Ok(ReceivedResponse::Streaming {
                 status,
