Streams: an error in place of the rest leaves the attempts to others

Cause: a signed client error, such as 400 or 404, in response to a resumed stream was taken as a response to deliver. The caller has the head of the stream by then, so the response was dropped and the stream aborted, though attempts were left. An upstream that can't resume a stream says nothing about others.

What callers saw: a broken stream. No byte of any error reached them, and no ending looked complete, before and after.

--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -126,7 +126,7 @@
 }
 
 /// Validates the head of a response and receives its body, or the first event of its stream. With `resume`, the
-/// caller has the beginning of the stream.
+/// caller has the beginning of the stream, so that nothing but the rest of it is of use.
 pub async fn receive_response(
     admitted: &AdmittedRequest,
     trace: &RequestTrace,
@@ -168,6 +168,10 @@
         let reason = format!("rejected with {}", head.status.as_u16());
         return Err(SendFailure::new(SendOutcome::Rejected, reason));
     }
+    if resume.is_some() && !head.status.is_success() {
+        let reason = format!("failed with {}", head.status.as_u16());
+        return Err(SendFailure::new(SendOutcome::Failed, reason));
+    }
     let headers = encode_response_headers(&head.headers);
     if head.status.is_success() {
         if !metadata.signed || metadata.encoded {
