--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        event_order::ResumePoint,
         outcome::{NextStep, SendOutcome, next_step, uses_attempt},
         placement::Placement,
         upstream_list::ListedUpstream,
@@ -47,7 +48,7 @@
 const CONNECT_FAILURES_MAX: usize = 3;
 
 /// Sends `admitted` to upstreams until one responds or no further attempt is permitted. With
-/// `resume`, the upstream resumes the stream after that event.
+/// `resume`, the upstream resumes the stream there, and any other response counts as a failure.
 ///
 /// # Errors
 ///
@@ -56,7 +57,7 @@
     admitted: &AdmittedRequest,
     progress: &mut RequestProgress,
     trace: &RequestTrace,
-    resume: Option<u64>,
+    resume: Option<ResumePoint>,
 ) -> Result<UpstreamResponse, ErrorResponse> {
     let node = &trace.node;
     let mut connect_failures = 0;
@@ -165,14 +166,14 @@
     admitted: &AdmittedRequest,
     placement: &Placement,
     time_left: Duration,
-    resume: Option<u64>,
+    resume: Option<ResumePoint>,
 ) -> Request<Full<Bytes>> {
     let fields = ForwardMetadata {
         upstream: &placement.upstream,
         remaining: time_left,
         workspace: admitted.workspace.as_ref(),
         priority: admitted.priority,
-        last_event_id: resume,
+        last_event_id: resume.and_then(|point| point.last_id),
     };
     let mut request = Request::new(Full::new(admitted.body.clone()));
     *request.method_mut() = admitted.method.clone();
@@ -188,7 +189,7 @@
     progress: &mut RequestProgress,
     trace: &RequestTrace,
     placement: &Placement,
-    resume: Option<u64>,
+    resume: Option<ResumePoint>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let node = &trace.node;
     let entry = node.state().upstreams.find(&placement.upstream).map(|row| row.entry.clone());
@@ -215,7 +216,8 @@
         let time_left = admitted.deadline.since(sent_at);
         let request = build_request(admitted, placement, time_left, resume);
         record_sent(progress, &mut permit, &placement.upstream);
-        let exchange = exchange(admitted, trace, connection, request, in_flight).boxed_local();
+        let exchange =
+            exchange(admitted, trace, connection, request, in_flight, resume).boxed_local();
         let sent = SentRequest { admitted, trace, placement, resume, kind, sent_at };
         let end = match receive_or_replace(sent, progress, exchange).await {
             SendEnd::Received(end) => *end,
@@ -399,9 +401,10 @@
     mut connection: HttpConnection,
     request: Request<Full<Bytes>>,
     mut in_flight: InFlightRequest,
+    resume: Option<ResumePoint>,
 ) -> ExchangeEnd {
     let received = match connection.send(request).await {
-        Ok(response) => receive_response(admitted, trace, response, &mut in_flight).await,
+        Ok(response) => receive_response(admitted, trace, response, &mut in_flight, resume).await,
         Err(error) => {
             let outcome = if error.unsent { SendOutcome::Unsent } else { SendOutcome::Broken };
             Err(SendFailure { closed: error.closed, ..SendFailure::new(outcome, error.reason) })
--- a/samphiredeck/src/forward/silent_upstream.rs
+++ b/samphiredeck/src/forward/silent_upstream.rs
@@ -13,6 +13,7 @@
     boot_time::BootTime,
     forward::{
         awaited_response::{AwaitedResponse, abandon_gap},
+        event_order::ResumePoint,
         outcome::SendOutcome,
         placement::Placement,
         upstreams::tracked::TrackedUpstream,
@@ -46,8 +47,8 @@
     pub admitted: &'a AdmittedRequest,
     pub trace: &'a RequestTrace,
     pub placement: &'a Placement,
-    /// Event after which the upstream resumes the stream.
-    pub resume: Option<u64>,
+    /// Point at which the upstream resumes the stream.
+    pub resume: Option<ResumePoint>,
     pub kind: ConnectionKind,
     pub sent_at: BootTime,
 }
