--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -15,6 +15,7 @@
         member_list::MEMBER_PAGE_ENTRIES,
         members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
+        origin_query::VersionView,
         pool_speed::PoolSpeedTable,
         prompt_cache::PromptCacheTable,
         quota::{LocalQuota, PeerLiveness, QuotaOwner, rank_quota_owners},
@@ -305,6 +306,23 @@
         self.upstreams.versions.only_version(pools, timeout, now)
     }
 
+    /// What this node knows of the versions of `pools`, for a request that arrived at `arrived_at`.
+    pub fn version_view(
+        &self,
+        pools: &[PoolName],
+        arrived_at: BootTime,
+        now: BootTime,
+    ) -> VersionView {
+        let Some(catalog) = &self.catalog else { return VersionView::default() };
+        let versions = &self.upstreams.versions;
+        let known = versions.known_versions(pools, catalog.longest_resumable(), now);
+        VersionView {
+            only: self.only_version(pools, now).cloned(),
+            known: known.cloned().collect(),
+            is_later: versions.observed_at().is_some_and(|at| at >= arrived_at),
+        }
+    }
+
     /// Takes up to `count` origins of own streams that other nodes can't tell from the versions that
     /// served, with the time for which the streams may be resumed.
     pub fn take_unannounced(
--- a/samphiredeck/src/forward/stream_versions.rs
+++ b/samphiredeck/src/forward/stream_versions.rs
@@ -6,6 +6,7 @@
 use samphiredeck_core::{
     forward::{
         catalog::{RetryPolicy, RouteRow},
+        origin_query::{KeeperReplies, OriginDecision, decide_origin},
         stream_origins::{KEEPERS, OriginSource, StreamOrigin, rank_keepers},
     },
     ids::{AttemptKey, PoolName, SoftwareVersion},
@@ -38,6 +39,11 @@
 const START_WAIT_MAX: Duration = Duration::from_millis(600);
 /// Interval between queries while it waits.
 const START_POLL_PERIOD: Duration = Duration::from_millis(60);
+/// Maximum time for which a request waits for a list that is queried after its arrival. Covers a read by a
+/// reader, and the next query of its follower.
+const LIST_WAIT_MAX: Duration = Duration::from_millis(1_300);
+/// Interval at which it is checked whether that list has arrived.
+const LIST_POLL_PERIOD: Duration = Duration::from_millis(20);
 /// Retry delay of a caller whose stream has an unknown origin.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -121,48 +127,55 @@
     let attempt = metadata.resumed_attempt.as_deref().map(AttemptKey::of);
     let pools = route.pools();
     let mut queries = 0;
-    let mut replies = 0;
-    loop {
-        if let Some(origin) =
-            attempt.and_then(|attempt| node.state().origins.find(attempt).cloned())
-        {
+    let (replies, mut decision) = loop {
+        if let Some(origin) = find_recorded(node, attempt) {
             return Ok(Some(origin));
         }
-        let answered = query_keepers(node, attempt, &pools).await;
-        if let Some(origin) = &answered.origin {
-            return Ok(Some(origin.clone()));
+        let replies = query_keepers(node, attempt, &pools).await;
+        let decision = decide(trace, &pools, &replies);
+        if let OriginDecision::Known(origin) = decision {
+            return Ok(Some(origin));
         }
-        replies += answered.replies;
         queries += 1;
-        // Without the others, this node may have missed a version that they know.
-        let is_alone = node.state().members.count() <= 1;
-        let only = node.state().only_version(&pools, clock::now()).cloned();
-        if let Some(software) = only.filter(|_| answered.replies > 0 || is_alone) {
-            return Ok(Some(StreamOrigin { software, pool: None }));
-        }
         let now = clock::now();
         let is_starting =
             now.since(node.started_at) < START_TIME && now.since(trace.arrived_at) < START_WAIT_MAX;
         if queries >= QUERIES && !is_starting {
-            break;
+            break (replies, decision);
         }
         sleep(START_POLL_PERIOD).await;
+    };
+    while decision == OriginDecision::NeedsList
+        && clock::now().since(trace.arrived_at) < LIST_WAIT_MAX
+    {
+        sleep(LIST_POLL_PERIOD).await;
+        if let Some(origin) = find_recorded(node, attempt) {
+            return Ok(Some(origin));
+        }
+        decision = decide(trace, &pools, &replies);
+        if let OriginDecision::Known(origin) = decision {
+            return Ok(Some(origin));
+        }
     }
     let fields = json!({
         "request": trace.attempt_id, "resumes": metadata.resumed_attempt, "queries": queries,
-        "replies": replies, "age_ms": trace.age_ms(),
+        "queried": replies.queried, "replies": replies.count(), "inferred": replies.inferred.len(),
+        "needs_list": decision == OriginDecision::NeedsList, "age_ms": trace.age_ms(),
     });
     node.log.record("origin-unknown", fields);
     let wait = with_jitter(UNKNOWN_RETRY_DELAY);
     Err(ErrorResponse::not_executed("the stream's software version is not known", wait))
 }
 
-/// What the nodes that keep an origin responded.
-struct KeeperAnswer {
-    /// Where the stream began. One that was announced comes before one that was inferred.
-    origin: Option<StreamOrigin>,
-    /// Number of nodes that responded.
-    replies: u32,
+/// Origin of the stream of `attempt`, if this node recorded it.
+fn find_recorded(node: &ForwardNode, attempt: Option<AttemptKey>) -> Option<StreamOrigin> {
+    node.state().origins.find(attempt?).cloned()
+}
+
+/// Decides where a stream began that one of `pools` serves, given the `replies` of other nodes.
+fn decide(trace: &RequestTrace, pools: &[PoolName], replies: &KeeperReplies) -> OriginDecision {
+    let view = trace.node.state().version_view(pools, trace.arrived_at, clock::now());
+    decide_origin(&view, replies)
 }
 
 /// Queries the nodes to which the origin of `attempt` was announced, all at once.
@@ -170,9 +183,9 @@
     node: &Rc<ForwardNode>,
     attempt: Option<AttemptKey>,
     pools: &[PoolName],
-) -> KeeperAnswer {
-    let mut answer = KeeperAnswer { origin: None, replies: 0 };
-    let Some(socket) = node.peer_socket.borrow().clone() else { return answer };
+) -> KeeperReplies {
+    let mut replies = KeeperReplies::default();
+    let Some(socket) = node.peer_socket.borrow().clone() else { return replies };
     let own_name = node.settings().name.clone();
     let attempt = attempt.unwrap_or_else(|| AttemptKey::of(""));
     let keepers: Vec<_> = {
@@ -184,18 +197,14 @@
         let socket = Rc::clone(&socket);
         async move { query_origin(node, &socket, (&keeper, address), attempt, pools.to_vec()).await }
     };
+    replies.queried = keepers.len();
     let mut responses: FuturesUnordered<_> = keepers.into_iter().map(query).collect();
-    while let Some(response) = responses.next().await {
-        let Some(origin) = response else { continue };
-        answer.replies += 1;
-        match origin {
-            Some(announced) if announced.pool.is_some() => {
-                answer.origin = Some(announced);
-                return answer;
-            }
-            Some(inferred) => answer.origin = Some(inferred),
-            None => {}
+    while replies.announced.is_none()
+        && let Some(response) = responses.next().await
+    {
+        if let Some(origin) = response {
+            replies.add(origin);
         }
     }
-    answer
+    replies
 }
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -7,6 +7,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        catalog::RetryPolicy,
         deadline::{fits_deadline, retry_after_pause},
         demand::DemandRate,
         placement::{LimitForecast, Placement, PlacementRequest, choose_upstream, forecast_limits},
@@ -142,8 +143,21 @@
     state: &ForwardState,
     now: BootTime,
 ) -> Option<Placement> {
-    let request = placement_request(admitted, choice, state);
-    choose_upstream(&state.upstreams, &request, &node.settings().domain, now, random::<f64>)
+    let mut request = placement_request(admitted, choice, state);
+    let domain = &node.settings().domain;
+    // Another node may still infer an older version for a stream that begins at one that has just joined.
+    let is_new_stream =
+        admitted.route.retry_policy == RetryPolicy::Resumable && request.software.is_none();
+    let joining = state.upstreams.versions.joining(&admitted.pool, now);
+    if is_new_stream && !joining.is_empty() {
+        request.avoided_software = &joining;
+        let choice = choose_upstream(&state.upstreams, &request, domain, now, random::<f64>);
+        if choice.is_some() {
+            return choice;
+        }
+        request.avoided_software = &[];
+    }
+    choose_upstream(&state.upstreams, &request, domain, now, random::<f64>)
 }
 
 fn placement_request<'a>(
@@ -158,6 +172,7 @@
         tried: choice.tried,
         only: choice.progress.only.as_ref(),
         software: choice.progress.software.as_ref(),
+        avoided_software: &[],
         max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
         speed: state.speeds.speed(&admitted.pool),
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -18,6 +18,7 @@
 pub mod member_list;
 pub mod members;
 pub mod node_groups;
+pub mod origin_query;
 pub mod outcome;
 pub mod placement;
 pub mod pool_speed;
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -90,6 +90,8 @@
     /// Software version at which the request's stream began, if it has begun. Other versions can't
     /// continue it.
     pub software: Option<&'a SoftwareVersion>,
+    /// Software versions that must not be chosen.
+    pub avoided_software: &'a [SoftwareVersion],
     /// Upstreams that already received the request and must not be chosen again.
     pub tried: &'a [UpstreamId],
     /// The only upstream that may be chosen, if the request was sent there before and may be sent to
@@ -121,6 +123,7 @@
     fn is_taken_by(&self, row: &TrackedUpstream, now: BootTime) -> bool {
         row.entry.pool == *self.pool
             && self.software.is_none_or(|software| row.entry.software == *software)
+            && !self.avoided_software.contains(&row.entry.software)
             && row.is_accepting(now)
             && row.in_flight < self.max_connections
             && !self.tried.contains(&row.entry.id)
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -206,7 +206,8 @@
         }
         list.sort_by(|a, b| a.id.cmp(&b.id));
         list.dedup_by(|a, b| a.id == b.id);
-        self.versions.observe(list.iter().map(|entry| (&entry.pool, &entry.software)), sent_at);
+        let listed = list.iter().map(|entry| (&entry.pool, &entry.software));
+        self.versions.observe(listed, sent_at, now);
         self.store_list(&list);
         for row in &mut self.rows {
             if find_entry(&list, &row.entry.id).is_some() {
--- a/samphiredeck_core/tests/forward_states.rs
+++ b/samphiredeck_core/tests/forward_states.rs
@@ -72,6 +72,7 @@
     let request = PlacementRequest {
         only: None,
         software: None,
+        avoided_software: &[],
         pool: &"pool".parse().unwrap(),
         engine: false,
         parts: &[],
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -74,6 +74,7 @@
     let request = PlacementRequest {
         only: None,
         software: None,
+        avoided_software: &[],
         pool: &pool,
         engine,
         parts,
--- a/samphiredeck_core/tests/forward_versions.rs
+++ b/samphiredeck_core/tests/forward_versions.rs
@@ -37,7 +37,8 @@
 fn observe(history: &mut VersionHistory, labels: &[&str], from_ms: u64, to_ms: u64) {
     let listed: Vec<_> = labels.iter().map(|label| (pool("p"), version(label))).collect();
     for millis in (from_ms..=to_ms).step_by(500) {
-        history.observe(listed.iter().map(|(pool, version)| (pool, version)), at(millis));
+        let listed = listed.iter().map(|(pool, version)| (pool, version));
+        history.observe(listed, at(millis), at(millis));
     }
 }
 
