--- a/samphiredeck_core/tests/forward_addresses.rs
+++ b/samphiredeck_core/tests/forward_addresses.rs
@@ -57,6 +57,7 @@
     let request = PlacementRequest {
         only: None,
         software: None,
+        avoided_software: &[],
         pool: &"pool".parse().unwrap(),
         engine: false,
         parts: &[],
