Tests: errors in place of the rest of a stream, in the completions interface

No fault was found here: events name their request and their number, and only the last one ends a response. The tests land as guards. Engines break a stream off after the first token, in the middle or before the end event, and respond with 400, 404, 500 or 503, with and without a verdict, or a 200 that is empty, JSON, HTML, an error event or a token of another request, with a length and in chunks. Each response is played with one of the three breaks. Bodies that end with the connection are not played: the stand-in can't write them.

--- a/samphiredeck_standins/src/engine.rs
+++ b/samphiredeck_standins/src/engine.rs
@@ -4,6 +4,7 @@
 mod cache;
 mod model;
 mod options;
+mod wrong_rest;
 
 use std::{
     io,
@@ -28,7 +29,10 @@
 use tokio::sync::mpsc;
 
 use self::model::{EngineState, StreamRequest};
-pub use self::options::{EngineOptions, EngineStats};
+pub use self::{
+    options::{EngineOptions, EngineStats},
+    wrong_rest::WrongRest,
+};
 
 /// Interval between two steps of the batch.
 const STEP_INTERVAL: Duration = Duration::from_millis(2);
@@ -59,6 +63,8 @@
     /// Number of streams that are run and answered with a refusal which names no request, as one of an earlier
     /// request that is written again.
     pub unnamed_refusals: u32,
+    /// Responses to the next requests to go on with a stream, in place of its rest. The last one comes first.
+    pub wrong_rests: Vec<WrongRest>,
     /// Whether the test has reclaimed the engine. Starts the clock of `last_new_after_leaving_ms`.
     pub leaving: bool,
     /// Whether a leaving engine reports in its load that it is leaving.
@@ -108,6 +114,11 @@
     if lock(&state).is_deadly(&body) {
         std::process::exit(0);
     }
+    if offset.is_some_and(|offset| offset > 0)
+        && let Some(wrong_rest) = lock(&state).take_wrong_rest()
+    {
+        return wrong_rest.respond(&id);
+    }
     let (sender, receiver) = mpsc::unbounded_channel();
     let stream_request =
         StreamRequest { request: id.clone(), class, offset, body: body.into_inner(), sender };
--- a/samphiredeck_standins/src/engine/model.rs
+++ b/samphiredeck_standins/src/engine/model.rs
@@ -18,6 +18,7 @@
     EngineFaults,
     cache::BlockCache,
     options::{EngineOptions, EngineStats},
+    wrong_rest::WrongRest,
 };
 use crate::tokens::token_text;
 
@@ -129,6 +130,11 @@
         takes
     }
 
+    /// Response in place of the rest of a stream, if one is due.
+    pub(super) fn take_wrong_rest(&mut self) -> Option<WrongRest> {
+        self.faults.wrong_rests.pop()
+    }
+
     /// Admits a request, or reattaches to its stream if it is still here.
     pub(super) fn accept(
         &mut self,
