Usage: look for missing reports as far back as counts are kept

A duty that was taken over 5.4 s after a kill left a window of 2 s unreported for ever: the successor looked four windows back. Nodes keep the counts of six windows, so five are looked at.

--- a/samphiredeck/src/forward/leader/usage_reports.rs
+++ b/samphiredeck/src/forward/leader/usage_reports.rs
@@ -5,7 +5,7 @@
     forward::{
         agreed_windows::{WindowStep, WithholdReason},
         leader::LEADER_CALL_TIMEOUT,
-        usage::{WindowCounts, WindowIndex},
+        usage::{REPORT_LOOKBACK, WindowCounts, WindowIndex},
     },
     ids::RowVersion,
 };
@@ -32,8 +32,6 @@
 const REPORT_MARGIN_MS: i64 = 1_500;
 /// Number of windows whose committed usage is kept in the store.
 const COMMITTED_WINDOWS_KEPT: i64 = 12;
-/// Number of past windows that are checked for a missing report.
-const REPORT_LOOKBACK: i64 = 4;
 
 impl LeaderTasks {
     /// Commits and reports the usage of completed windows.
--- a/samphiredeck_core/src/forward/usage.rs
+++ b/samphiredeck_core/src/forward/usage.rs
@@ -10,8 +10,11 @@
 
 use crate::ids::WorkspaceName;
 
-/// Number of windows for which counts are kept. Reports are due two windows after the end.
+/// Number of windows for which counts are kept.
 const KEPT_WINDOWS: usize = 6;
+/// Number of past windows that are checked for a missing report: those of which all nodes still have the counts. Short windows
+/// are past their due time by then; their usage is still billed.
+pub const REPORT_LOOKBACK: i64 = 5;
 
 /// Index of a time window, counted from the Unix epoch.
 #[derive(
