--- a/samphiredeck/src/forward/agreed_rows.rs
+++ b/samphiredeck/src/forward/agreed_rows.rs
@@ -7,7 +7,7 @@
     },
     ids::RowVersion,
 };
-use samphiredeck_platform::store::{StoreRows, StoreTransaction};
+use samphiredeck_platform::store::{StoreRows, StoreTransaction, TransactionOutcome};
 use samphiredeck_wire::record::{
     ERA_ROW_KEY, RecordError, SharedRecord, decode_record, encode_record, usage_key,
 };
@@ -22,10 +22,12 @@
 };
 
 /// Records the committed usage in the shared rows and writes what the store has lost of it, so that the next leader finds
-/// it. In an era that no row tells of, writes when it began.
+/// it. Only counts of the windows `known`, sorted, can be lost, which were known before the rows were read. In an era that
+/// no row tells of, writes when it began.
 pub async fn sync_agreed_rows(
     node: &ForwardNode,
     response: &StoreRows,
+    known: &[WindowIndex],
     client: &mut PlatformClient,
 ) -> Result<(), PlatformCallError> {
     let era_version = record_rows(node, response);
@@ -36,21 +38,26 @@
     if let Some(version) = era_version {
         let Some(start_ms) = node.state().clock.unix_ms(clock::now()) else { return Ok(()) };
         let record = EraRecord { era, start_ms };
-        let fields = json!({ "era": era.0, "start_ms": start_ms });
-        node.log.record("era-begun", fields);
-        write_row(node, client, (ERA_ROW_KEY.to_owned(), version), encode_record(&record)).await?;
+        let key = (ERA_ROW_KEY.to_owned(), version);
+        if write_row(node, client, key, encode_record(&record)).await? {
+            node.log.record("era-begun", json!({ "era": era.0, "start_ms": start_ms }));
+        }
     }
     let stored: Vec<WindowIndex> = decode_usage(response).map(|counts| counts.window).collect();
-    let lost: Vec<WindowCounts> =
-        node.state().agreed_windows.find_lost(&stored).into_iter().cloned().collect();
+    let lost: Vec<WindowCounts> = {
+        let state = node.state();
+        let lost = state.agreed_windows.find_lost(&stored).into_iter();
+        lost.filter(|counts| known.binary_search(&counts.window).is_ok()).cloned().collect()
+    };
     for counts in lost {
-        let fields = json!({
-            "window": counts.window.0, "requests": counts.total(), "digest": counts.digest(),
-            "era": era.0,
-        });
-        node.log.record("usage-restored", fields);
         let key = (usage_key(counts.window), RowVersion(0));
-        write_row(node, client, key, encode_record(&counts)).await?;
+        if write_row(node, client, key, encode_record(&counts)).await? {
+            let fields = json!({
+                "window": counts.window.0, "requests": counts.total(), "digest": counts.digest(),
+                "era": era.0,
+            });
+            node.log.record("usage-restored", fields);
+        }
     }
     Ok(())
 }
@@ -87,19 +94,19 @@
     })
 }
 
-/// Writes a row unless another node has written it since it was read.
+/// Writes a row unless another node has written it since it was read. Returns whether it did.
 async fn write_row(
     node: &ForwardNode,
     client: &mut PlatformClient,
     (key, version): (String, RowVersion),
     value: Result<Vec<u8>, RecordError>,
-) -> Result<(), PlatformCallError> {
+) -> Result<bool, PlatformCallError> {
     let value = match value {
         Ok(value) => value,
         Err(error) => {
             let fields = json!({ "key": key, "reason": error.to_string() });
             node.log.record("shared-unwritable", fields);
-            return Ok(());
+            return Ok(false);
         }
     };
     let key = shared_key(key);
@@ -108,5 +115,6 @@
         writes: vec![(key, value)],
         removals: Vec::new(),
     };
-    client.transact(&transaction, STORE_TIMEOUT).await.map(drop)
+    let outcome = client.transact(&transaction, STORE_TIMEOUT).await?;
+    Ok(matches!(outcome, TransactionOutcome::Committed(_)))
 }
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -167,7 +167,8 @@
         }
     }
 
-    /// Applies the lease's row in `rows`, which the store returned with a conflict.
+    /// Applies the lease's row in `rows`, which the store returned with the conflict of a renewal or of a commit that expects
+    /// the row, asked for at `sent_at`. Begins an era if the row's version went down.
     fn observe_lease(&self, rows: &[StoreRow], sent_at: BootTime) {
         let (record, version) = decode_leader_row(rows);
         let era = self.node.store_eras.borrow().current();
@@ -181,6 +182,10 @@
             "known_era": known.era().0,
         });
         self.node.log.record("duty-conflict", fields);
+        if version.number() != 0 && version.era() < era {
+            // The answer is older than what another call has learned.
+            return;
+        }
         if is_behind {
             log_behind(&self.node, "lease", version, known);
             begin_era(&self.node, "lease", version, known);
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -130,6 +130,7 @@
     schedule: &mut SyncSchedule,
 ) -> Result<ReadStep, PlatformCallError> {
     let sent_at = clock::now();
+    let known_windows = node.state().agreed_windows.known();
     let response = client.read_table(SHARED_TABLE, STORE_TIMEOUT).await?;
     if !std::mem::replace(&mut schedule.has_looked_for_others, true)
         && !has_live_neighbours(node, &response, sent_at)
@@ -148,7 +149,7 @@
         schedule.written_at = Some(sent_at);
     }
     handle_response(node, &response, client, sent_at).await;
-    sync_agreed_rows(node, &response, client).await?;
+    sync_agreed_rows(node, &response, &known_windows, client).await?;
     if is_first && has_neighbours(node, &node.state()) {
         schedule.waits_until = sent_at + READER_CHOICE_TIME;
     }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -33,8 +33,8 @@
         usage::{UsageLedger, WindowIndex},
     },
     ids::{
-        AttemptKey, DomainName, Incarnation, NodeName, PoolName, RowVersion, SoftwareVersion,
-        WorkspaceName,
+        AttemptKey, ConfigVersion, DomainName, Incarnation, NodeName, PoolName, RowVersion,
+        SoftwareVersion, WorkspaceName,
     },
     units::Millis,
 };
@@ -69,6 +69,8 @@
     pub config_row_version: RowVersion,
     /// Time by which the answer that showed it had been received.
     pub config_row_at: BootTime,
+    /// Version of the configuration in it, if it could be decoded. An older one than `catalog` may have returned.
+    pub config_row_catalog: Option<ConfigVersion>,
     /// Value of that row, for followers. `None` if it is too large to be relayed.
     pub config_value: Option<Bytes>,
     /// Whether another node has reported a newer version.
@@ -142,6 +144,7 @@
             catalog: None,
             config_row_version: RowVersion::default(),
             config_row_at: BootTime::default(),
+            config_row_catalog: None,
             config_value: None,
             newer_config_reported: false,
             reader: None,
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -144,11 +144,11 @@
     state.newer_config_reported = false;
 }
 
-/// Whether the row holds another configuration than the one that this node has read.
+/// Whether the row holds another configuration than the one that this node has read in the same version of the row.
 fn is_other_config(node: &ForwardNode, row: &StoreRow) -> bool {
-    let current = node.state().catalog.as_ref().map(|catalog| catalog.version());
+    let known = node.state().config_row_catalog;
     let read = row.value.as_deref().and_then(|value| decode_catalog(value).ok());
-    read.is_some_and(|catalog| current.is_some_and(|current| current != catalog.version()))
+    read.is_some_and(|catalog| known.is_some_and(|known| known != catalog.version()))
 }
 
 /// Applies version `row` of the configuration's row, which was queried at `sent_at`.
@@ -160,13 +160,17 @@
 ) {
     let mut state = node.state();
     log_behind(node, "configuration", row, state.config_row_version);
+    let decoded = value.map(decode_catalog);
     if row >= state.config_row_version {
         state.config_row_version = row;
         state.config_row_at = clock::now();
+        state.config_row_catalog = match &decoded {
+            Some(Ok(catalog)) => Some(catalog.version()),
+            Some(Err(_)) | None => None,
+        };
         let relayed = value.filter(|value| value.len() <= RELAYED_CONFIG_MAX);
         state.config_value = relayed.map(Bytes::copy_from_slice);
     }
-    let decoded = value.map(decode_catalog);
     let current = state.catalog.as_ref().map(|catalog| catalog.version());
     match decoded {
         Some(Ok(catalog)) if Some(catalog.version()) > current => {
--- a/samphiredeck_core/src/forward/agreed_windows.rs
+++ b/samphiredeck_core/src/forward/agreed_windows.rs
@@ -90,6 +90,12 @@
         self.era_record = record;
     }
 
+    /// Windows whose counts are known, sorted.
+    #[must_use]
+    pub fn known(&self) -> Vec<WindowIndex> {
+        self.windows.iter().map(|row| row.counts.window).collect()
+    }
+
     /// Known counts whose rows are missing from the store, which has those of the windows `stored`, in any order.
     #[must_use]
     pub fn find_lost(&self, stored: &[WindowIndex]) -> Vec<&WindowCounts> {
--- a/samphiredeck_core/src/forward/store_eras.rs
+++ b/samphiredeck_core/src/forward/store_eras.rs
@@ -100,6 +100,10 @@
         let number = newest.number();
         let is_new = stated.is_some_and(|stated| stated > self.era);
         if !is_new && number < self.newest {
+            // A store that states its eras is believed.
+            if stated.is_some() {
+                return self.era;
+            }
             let since = *self.behind_since.get_or_insert(now);
             if now.since(since) < BEHIND_MAX {
                 return self.era;
--- a/samphiredeck_core/tests/forward_store_eras.rs
+++ b/samphiredeck_core/tests/forward_store_eras.rs
@@ -50,3 +50,27 @@
     assert_eq!(eras.observe(None, RowVersion(515), at(15)), StoreEra(1));
     assert_eq!(eras.observe(None, RowVersion(516), at(16)), StoreEra(1));
 }
+
+#[test]
+fn store_that_states_its_era_is_believed() {
+    let mut eras = StoreEras::default();
+    eras.observe(Some(StoreEra(2)), RowVersion(900), at(0));
+    for second in 1..20 {
+        assert_eq!(eras.observe(Some(StoreEra(2)), RowVersion(500), at(second)), StoreEra(2));
+    }
+    assert!(!eras.begin_unstated());
+    assert!(!eras.adopt(StoreEra(7)));
+    assert_eq!(eras.observe_stated(Some(StoreEra(3))), StoreEra(3));
+    assert_eq!(eras.current(), StoreEra(3));
+}
+
+#[test]
+fn era_is_adopted_once() {
+    let mut eras = StoreEras::default();
+    eras.observe(None, RowVersion(900), at(0));
+    assert!(eras.begin_unstated());
+    assert!(eras.is_untold());
+    assert!(!eras.adopt(StoreEra(1)), "another node has inferred the same return");
+    assert!(eras.adopt(StoreEra(2)));
+    assert_eq!((eras.current(), eras.is_untold()), (StoreEra(2), false));
+}
