--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
-from bed import Bed, Runner, fail_setup, read_body, read_head, response  # noqa: E402
+from bed import Bed, Runner, fail_setup, read_body, read_head, response, run  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -133,4 +133,4 @@
     return 1 if stale else 0
 
 
-sys.exit(asyncio.run(main()))
+run(main)
--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -333,3 +334,21 @@
 def fail_setup(text):
     print(f"the case could not run: {text}", file=sys.stderr)
     return 2
+
+
+def run(main):
+    """Runs `main` and exits with what it returns. A signal ends it in order, with its processes, as a case that could not run."""
+
+    async def guarded():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return fail_setup("it was ended from outside")
+        except Exception:  # Exit status 1 is for a broken rule alone.
+            traceback.print_exc()
+            return fail_setup("an error of the script")
+
+    sys.exit(asyncio.run(guarded()))
