Review: a row that outgrows what the store takes

Cause: a reader publishes its whole zone in one row, which nothing bounds; adding machines makes the store refuse it.

--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -89,11 +89,16 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+ROW_BYTES = 65_536
+
+
 class Store:
     """The platform's store and its API for duties."""
 
     def __init__(self, record):
         self.record = record
+        self.largest = {}
+        self.refused = {}
         self.rows = {}
         self.version = 0
         self.changes = []
@@ -179,6 +184,14 @@
                 if (found["row_version"] if found else 0) != expected["row_version"]:
                     rows = [self.rows[key_of(row)] for row in call["expected_revision"] if key_of(row) in self.rows]
                     return 412, {"rows": rows, "row_version": self.version, "now_ms": self.now_ms()}
+            for entry in call.get("set_keys", []):
+                size = len(base64.b64decode(entry["value"]))
+                self.largest[entry["key"]] = max(size, self.largest.get(entry["key"], 0))
+                if size > ROW_BYTES:
+                    if entry["key"] not in self.refused:
+                        self.record.write("row-refused", key=entry["key"], bytes=size)
+                    self.refused[entry["key"]] = self.refused.get(entry["key"], 0) + 1
+                    return 413, {"row_version": self.version, "now_ms": self.now_ms()}
             self.version += 1
             for entry in call.get("set_keys", []):
                 row = {**{"part": ""}, **entry, "row_version": self.version}
