Review: ports of the stand-ins

Cause: a port that is chosen before its node binds it may be taken by an outgoing connection or another script. Change: ports below those of outgoing connections; a node that could not bind them starts again with others.

--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -20,22 +21,25 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "samphiredeck")
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+USED_PORTS = set()
 
 
 def free_ports(count):
-    """Ports that are free now, all different. Sockets are held until all are chosen."""
-    held = []
-    for _ in range(count):
-        probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        probe.bind(("127.0.0.1", 0))
-        held.append(probe)
-    ports = [probe.getsockname()[1] for probe in held]
-    for probe in held:
-        probe.close()
+    """Ports that are free now for TCP and UDP. They lie below those that the system gives to outgoing connections, so that a
+    node finds its own free again after a restart."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(15_000, 30_000)
+        if port in USED_PORTS:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        USED_PORTS.add(port)
+        ports.append(port)
     return ports
 
 
@@ -264,10 +268,13 @@
 
     def __init__(self, bed, name, zone):
         self.bed, self.name, self.zone = bed, name, zone
-        self.caller, self.ready, self.metrics, self.peer = free_ports(4)
         self.process = None
+        self.choose_ports()
         self.settings = os.path.join(bed.folder, f"{name}.json")
 
+    def choose_ports(self):
+        self.caller, self.ready, self.metrics, self.peer = free_ports(4)
+
     def write_settings(self):
         local = lambda port: f"127.0.0.1:{port}"
         settings = {
@@ -326,6 +333,11 @@
         while time.monotonic() < until:
             if all([await node.is_ready() for node in self.nodes]):
                 return True
+            for node in self.nodes:
+                if node.process.returncode is not None:
+                    # Another program has taken one of its ports in between.
+                    node.choose_ports()
+                    await node.start()
             await asyncio.sleep(0.1)
         return False
 
