Review: no node starts after its script has ended

Cause: a restart that is under way when a script fails could start a node that nobody ends. Change: nodes don't start once the stand-ins are stopping. Result: cases 1 and 5 fail as before and leave no process.

--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -294,6 +294,8 @@
             json.dump(settings, file)
 
     async def start(self):
+        if self.bed.is_stopping:
+            return
         self.write_settings()
         log = open(os.path.join(self.bed.folder, f"{self.name}.log"), "ab")
         env = {"PATH": os.environ.get("PATH", ""), "SAMPHIREDECK_NODE_FILE": self.settings}
@@ -324,6 +326,7 @@
         self.record = Record(record_path)
         self.store = Store(self.record)
         self.nodes, self.runners = [], []
+        self.is_stopping = False
 
     async def start_nodes(self, names_and_zones):
         self.nodes = [Node(self, name, zone) for name, zone in names_and_zones]
@@ -342,6 +345,7 @@
         return False
 
     async def stop(self):
+        self.is_stopping = True
         for node in self.nodes:
             if node.process and node.process.returncode is None:
                 try:
