Configuration: a row that can't be read confirms nothing

Cause: a node noted the version of a row as read before it had decoded it. Its own answered query then confirmed that the configuration in force was the newest, peers confirmed it to each other by the same version, and a row was relayed unread.

The row is now one value in the core that says whether it can be read. It is still told by its version and with the age of the last confirmation, which is sound: who can read it holds something newer. Operators see samphiredeck_config_unreadable, and the reason in the body of /readyz.

--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -113,9 +113,9 @@
     node: Rc<ForwardNode>,
     listener: StdTcpListener,
 ) -> std::io::Result<()> {
-    serve_plain(listener, move |_request| {
-        let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        (status, Bytes::new())
+    serve_plain(listener, move |_request| match node.unready_reason() {
+        None => (StatusCode::OK, Bytes::new()),
+        Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from(reason.as_str())),
     })
     .await
 }
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -217,6 +217,8 @@
     pub in_flight: Gauge,
     /// Version of the active configuration.
     pub config_version: Gauge,
+    /// 1 while the newest configuration can't be read.
+    pub config_unreadable: Gauge,
     /// Versions of the store.
     pub store: StoreMetrics,
     /// Time since the configuration was confirmed to be the newest, in seconds.
@@ -261,6 +263,7 @@
             platform_calls: Family::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
+            config_unreadable: Gauge::default(),
             store: StoreMetrics::default(),
             config_age: Gauge::default(),
             list_age: Gauge::default(),
@@ -308,6 +311,11 @@
             metrics.config_version.clone(),
         );
         metrics.store.register(&mut registry);
+        registry.register(
+            "config_unreadable",
+            "Whether the newest configuration can't be read",
+            metrics.config_unreadable.clone(),
+        );
         registry.register("config_age_seconds", "Age of its proof", metrics.config_age.clone());
         registry.register("list_age_seconds", "Age of the list", metrics.list_age.clone());
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -32,6 +32,28 @@
     Closing,
 }
 
+/// Why a node reports itself as not ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadyReason {
+    /// It is stopping.
+    Stopping,
+    /// The newest configuration can't be read, and the one before may be revoked.
+    UnreadableConfig,
+    /// No configuration is known to be the newest.
+    UnconfirmedConfig,
+}
+
+impl UnreadyReason {
+    /// Text for operators.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Stopping => "stopping",
+            Self::UnreadableConfig => "the newest configuration can't be read",
+            Self::UnconfirmedConfig => "no configuration is known to be the newest",
+        }
+    }
+}
+
 /// Forwarding node. All its tasks run on one thread.
 #[derive(Debug)]
 pub struct ForwardNode {
@@ -140,11 +162,17 @@
         Rc::strong_count(&self.tunnels) - 1
     }
 
-    /// Whether the load balancer should route new connections to this node.
-    pub fn is_ready(&self) -> bool {
+    /// Why the load balancer should route no new connections to this node. `None` if it should.
+    pub fn unready_reason(&self) -> Option<UnreadyReason> {
         let state = self.state();
-        self.phase() == ShutdownPhase::Serving
-            && state.catalog.is_some()
-            && state.freshness.is_ready(clock::now())
+        if self.phase() != ShutdownPhase::Serving {
+            Some(UnreadyReason::Stopping)
+        } else if state.catalog.is_some() && state.freshness.is_ready(clock::now()) {
+            None
+        } else if state.config_row.is_unreadable() {
+            Some(UnreadyReason::UnreadableConfig)
+        } else {
+            Some(UnreadyReason::UnconfirmedConfig)
+        }
     }
 }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -9,6 +9,7 @@
         agreed_windows::AgreedWindows,
         catalog::ForwardCatalog,
         clock::ClusterClock,
+        config_row::ConfigRow,
         demand::DemandMeter,
         freshness::CatalogFreshness,
         leader::LeaderLease,
@@ -33,8 +34,8 @@
         usage::{UsageLedger, WindowIndex},
     },
     ids::{
-        AttemptKey, ConfigVersion, DomainName, Incarnation, NodeName, PoolName, RowVersion,
-        SoftwareVersion, WorkspaceName,
+        AttemptKey, DomainName, Incarnation, NodeName, PoolName, RowVersion, SoftwareVersion,
+        WorkspaceName,
     },
     units::Millis,
 };
@@ -65,13 +66,9 @@
     pub catalog: Option<Rc<ForwardCatalog>>,
     /// Time since `catalog` was known to be the newest configuration.
     pub freshness: CatalogFreshness,
-    /// Newest version of the configuration's row in the store, whether it could be decoded or not.
-    pub config_row_version: RowVersion,
-    /// Time by which the answer that showed it had been received.
-    pub config_row_at: BootTime,
-    /// Version of the configuration in it, if it could be decoded. An older one than `catalog` may have returned.
-    pub config_row_catalog: Option<ConfigVersion>,
-    /// Value of that row, for followers. `None` if it is too large to be relayed.
+    /// Newest row of the configuration in the store. An older configuration than `catalog` may have returned.
+    pub config_row: ConfigRow,
+    /// Value of that row, for followers. `None` if this node can't read it or it is too large to be relayed.
     pub config_value: Option<Bytes>,
     /// Whether another node has reported a newer version.
     pub newer_config_reported: bool,
@@ -142,9 +139,7 @@
         let bounds = settings.bounds;
         Self {
             catalog: None,
-            config_row_version: RowVersion::default(),
-            config_row_at: BootTime::default(),
-            config_row_catalog: None,
+            config_row: ConfigRow::default(),
             config_value: None,
             newer_config_reported: false,
             reader: None,
@@ -233,7 +228,7 @@
         let config = self
             .freshness
             .age(now)
-            .map(|age| ConfigStatus { row: self.config_row_version, age_ms: millis(age) });
+            .map(|age| ConfigStatus { row: self.config_row.version(), age_ms: millis(age) });
         let list = self.upstreams.read_at().map(|at| {
             let digest = self.upstreams.digest();
             let delta = Some(known_digest).filter(|known| *known != digest);
@@ -254,7 +249,7 @@
     /// Size of the configuration's row of version `row`, and its next bytes after `skip`. Empty if
     /// this node does not hold that version or can't relay it.
     pub fn config_part(&self, row: RowVersion, skip: u32) -> (u32, Vec<u8>) {
-        let value = self.config_value.as_ref().filter(|_| row == self.config_row_version);
+        let value = self.config_value.as_ref().filter(|_| row == self.config_row.version());
         let Some(value) = value else { return (0, Vec::new()) };
         let start = to_usize(skip).min(value.len());
         let end = (start + CONFIG_PART_BYTES).min(value.len());
--- a/samphiredeck/src/forward/store_status.rs
+++ b/samphiredeck/src/forward/store_status.rs
@@ -106,7 +106,7 @@
         adopt_era(node, config.row.era(), other.as_str());
     }
     if let Some(config) = store_status.config
-        && config.row > node.state().config_row_version
+        && config.row > node.state().config_row.version()
         && let Some(value) = fetch_config(node, &socket, other, config.row).await
     {
         apply_config_row(node, config.row, Some(&value), sent_at);
@@ -122,10 +122,9 @@
     if let Some(config) = store_status.config
         && let Some(as_of) = as_of(config.age_ms)
     {
-        // Before the operator's first write, both versions are zero.
-        if config.row == state.config_row_version {
+        if state.config_row.is_confirmed_by(config.row) {
             state.freshness.record_confirmation(as_of);
-        } else if config.row > state.config_row_version {
+        } else if config.row > state.config_row.version() {
             state.newer_config_reported = true;
         }
     }
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use samphiredeck_core::{
-    boot_time::BootTime, forward::upstream_list::ListedUpstream, ids::RowVersion,
+    boot_time::BootTime,
+    forward::{config_row::RowContent, upstream_list::ListedUpstream},
+    ids::RowVersion,
 };
 use samphiredeck_platform::{
     catalog::decode_catalog,
@@ -73,6 +75,7 @@
             continue;
         }
         let sent_at = clock::now();
+        let is_whole = last_version.is_none();
         let response = match last_version {
             None => {
                 reread_at = sent_at + REREAD_PERIOD;
@@ -92,7 +95,12 @@
                     last_version.is_some_and(|known| newest < known || newest.era() != known.era());
                 last_version = Some(response.newest).filter(|_| !went_back);
                 if !went_back {
-                    apply_config(&node, &response, sent_at);
+                    apply_config(&node, &response, is_whole, sent_at);
+                }
+                if node.state().config_row.is_unreadable() {
+                    // The feed brings no version twice, and the answer may have been garbled.
+                    last_version = None;
+                    sleep(LIST_PERIOD).await;
                 }
             }
             Err(error) => {
@@ -124,33 +132,43 @@
     client.query_rows(call, max_wait + STORE_TIMEOUT).await
 }
 
-/// Applies the store's response to a query for the configuration sent at `sent_at`.
-fn apply_config(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) {
+/// Applies the store's response to a query for the configuration sent at `sent_at`. With `is_whole`, it was a query for all
+/// rows and not for changes.
+fn apply_config(node: &ForwardNode, response: &StoreRows, is_whole: bool, sent_at: BootTime) {
+    let mut is_missing = is_whole;
     for row in response.rows.iter().filter(|row| row.key == CATALOG_KEY) {
-        let (known, known_at) = {
-            let state = node.state();
-            (state.config_row_version, state.config_row_at)
-        };
+        is_missing = false;
+        let config_row = node.state().config_row;
+        if config_row.is_known(row.version, row.value.as_deref()) {
+            continue;
+        }
+        let known = config_row.version();
         let is_earlier = row.version < known && row.version.era() == known.era();
-        let is_behind = is_earlier || (row.version == known && is_other_config(node, row));
-        if is_behind && known_at < sent_at && begin_era(node, "configuration", row.version, known) {
+        let value = row.value.as_deref();
+        let content =
+            RowContent::of(value, value.is_some_and(|value| decode_catalog(value).is_ok()));
+        let is_behind = is_earlier || config_row.is_replaced(row.version, content);
+        if is_behind
+            && config_row.read_at() < sent_at
+            && begin_era(node, "configuration", row.version, known)
+        {
             // The next read is of the new era.
             return;
         }
         apply_config_row(node, row.version, row.value.as_deref(), sent_at);
     }
     let mut state = node.state();
-    state.freshness.record_confirmation(sent_at);
+    let version = state.config_row.version();
+    if is_missing && version > RowVersion::default() {
+        node.log.record_once_a_minute("config-missing", "", json!({ "row": version.0 }));
+        return;
+    }
+    if state.config_row.is_confirmed_by(version) {
+        state.freshness.record_confirmation(sent_at);
+    }
     state.newer_config_reported = false;
 }
 
-/// Whether the row holds another configuration than the one that this node has read in the same version of the row.
-fn is_other_config(node: &ForwardNode, row: &StoreRow) -> bool {
-    let known = node.state().config_row_catalog;
-    let read = row.value.as_deref().and_then(|value| decode_catalog(value).ok());
-    read.is_some_and(|catalog| known.is_some_and(|known| known != catalog.version()))
-}
-
 /// Applies version `row` of the configuration's row, which was queried at `sent_at`.
 pub fn apply_config_row(
     node: &ForwardNode,
@@ -159,18 +177,16 @@
     sent_at: BootTime,
 ) {
     let mut state = node.state();
-    log_behind(node, "configuration", row, state.config_row_version);
+    log_behind(node, "configuration", row, state.config_row.version());
     let decoded = value.map(decode_catalog);
-    if row >= state.config_row_version {
-        state.config_row_version = row;
-        state.config_row_at = clock::now();
-        state.config_row_catalog = match &decoded {
-            Some(Ok(catalog)) => Some(catalog.version()),
-            Some(Err(_)) | None => None,
-        };
-        let relayed = value.filter(|value| value.len() <= RELAYED_CONFIG_MAX);
-        state.config_value = relayed.map(Bytes::copy_from_slice);
+    let content = RowContent::of(value, matches!(decoded, Some(Ok(_))));
+    if !state.config_row.apply(row, content, clock::now()) {
+        return;
     }
+    let is_unreadable = state.config_row.is_unreadable();
+    node.metrics.config_unreadable.set(i64::from(is_unreadable));
+    let relayed = value.filter(|value| !is_unreadable && value.len() <= RELAYED_CONFIG_MAX);
+    state.config_value = relayed.map(Bytes::copy_from_slice);
     let current = state.catalog.as_ref().map(|catalog| catalog.version());
     match decoded {
         Some(Ok(catalog)) if Some(catalog.version()) > current => {
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod catalog;
 pub mod clock;
+pub mod config_row;
 pub mod deadline;
 pub mod demand;
 pub mod event_order;
