Configuration: an entry that can't be read spares the others

Callers of all tenants and routes lost a configuration over one field: a name with a capital letter, a limit that is no number, a price in words.

Cause: the decoder refused the whole, and names had to be identifiers, though no page asks for that. needs_keys was derived from the number of workspaces, and a request that had waited was let through when it was zero.

Entries are decoded one by one. One that can't be read refuses its own requests with 503, not run, and is logged and counted. Names that are no identifiers are escaped or hashed inside, so that keys of rows, labels and datagrams keep their form, also for builds of before; platform/ writes the original. Keys are needed if the configuration has the field, and a key that nobody holds is refused in any case.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -199,7 +199,7 @@
     let now = clock::now();
     let metrics = &node.metrics;
     metrics.store.era.set(node.store_eras.borrow().current().0.into());
-    metrics.config_age.set(state.freshness.age(now).unwrap_or_default().as_secs_f64());
+    metrics.config.age.set(state.freshness.age(now).unwrap_or_default().as_secs_f64());
     let read_at = state.upstreams.read_at();
     metrics.list_age.set(read_at.map(|at| now.since(at)).unwrap_or_default().as_secs_f64());
     let accepting = state.upstreams.rows().iter().filter(|row| row.is_accepting(now)).count();
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to upstreams until one responds or no further attempt is permitted.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{borrow::Cow, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -14,7 +14,8 @@
         placement::Placement,
         upstream_list::ListedUpstream,
     },
-    ids::{KeyHash, UpstreamId},
+    ids::{KeyHash, UpstreamId, WorkspaceName},
+    name_text::NameTexts,
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
@@ -29,6 +30,7 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{ConnectionKind, RequestProgress, deadline_error, unanswered_error},
     send_permit::PermitLease,
+    serve::unknown_key,
     silent_upstream::{ExchangeEnd, LeftUpstream, SendEnd, SentRequest, receive_or_replace},
     stream_versions::record_origin,
     suspect_checks::{barring_reason, check_suspects, handle_closed, record_proof},
@@ -153,25 +155,27 @@
     let catalog = node.state().catalog.clone();
     let changed = catalog.filter(|catalog| catalog.version().0 != admitted.config_version);
     let (Some(catalog), Some(workspace)) = (changed, &admitted.workspace) else { return Ok(()) };
-    let key = admitted.metadata.api_key.as_deref().map(KeyHash::of);
-    let holder = key.and_then(|key| catalog.find_workspace_by_key(key));
-    if !catalog.needs_keys() || holder.is_some_and(|row| row.name == *workspace) {
-        return Ok(());
+    let Some(key) = admitted.metadata.api_key.as_deref().map(KeyHash::of) else { return Ok(()) };
+    match catalog.find_workspace_by_key(key) {
+        Some(row) if row.name == *workspace => Ok(()),
+        Some(_) | None => Err(unknown_key(&catalog, key)),
     }
-    Err(ErrorResponse::not_retryable(StatusCode::UNAUTHORIZED, "unknown key"))
 }
 
 /// Builds the request for the upstream of `placement`.
 fn build_request(
     admitted: &AdmittedRequest,
+    names: &NameTexts,
     placement: &Placement,
     time_left: Duration,
     resume: Option<ResumePoint>,
 ) -> Request<Full<Bytes>> {
+    let workspace = admitted.workspace.as_ref().map(WorkspaceName::as_str);
+    let workspace = workspace.map(|name| names.text_of(name).unwrap_or(Cow::Borrowed(name)));
     let fields = ForwardMetadata {
         upstream: &placement.upstream,
         remaining: time_left,
-        workspace: admitted.workspace.as_ref(),
+        workspace: workspace.as_deref(),
         priority: admitted.priority,
         last_event_id: resume.and_then(|point| point.last_id),
     };
@@ -214,7 +218,7 @@
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
         }
         let time_left = admitted.deadline.since(sent_at);
-        let request = build_request(admitted, placement, time_left, resume);
+        let request = build_request(admitted, &node.state().names, placement, time_left, resume);
         record_sent(progress, &mut permit, &placement.upstream);
         let exchange =
             exchange(admitted, trace, connection, request, in_flight, resume).boxed_local();
--- a/samphiredeck/src/forward/leader/capacity_orders.rs
+++ b/samphiredeck/src/forward/leader/capacity_orders.rs
@@ -130,7 +130,8 @@
         let fence = self.current_fence()?;
         let settings = self.node.settings();
         let client = self.orders.as_mut()?;
-        let result = match encode_capacity_order(&pool.name, order, &settings.name, fence) {
+        let names = self.node.state().names.clone();
+        let result = match encode_capacity_order(&pool.name, order, &names, &settings.name, fence) {
             Ok(call) => client.call(call, LEADER_CALL_TIMEOUT).await,
             Err(error) => Err(error.into()),
         };
--- a/samphiredeck/src/forward/leader/usage_reports.rs
+++ b/samphiredeck/src/forward/leader/usage_reports.rs
@@ -203,7 +203,8 @@
         let Some(fence) = self.current_fence() else { return false };
         let settings = self.node.settings();
         let Some(client) = self.orders.as_mut() else { return false };
-        let result = match encode_usage_report(counts, &settings.name, fence) {
+        let names = self.node.state().names.clone();
+        let result = match encode_usage_report(counts, &names, &settings.name, fence) {
             Ok(call) => client.call(call, LEADER_CALL_TIMEOUT).await,
             Err(error) => Err(error.into()),
         };
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -86,6 +86,30 @@
     }
 }
 
+/// Metrics of the configuration.
+#[derive(Debug, Default)]
+pub struct ConfigMetrics {
+    /// Version that is in force.
+    pub version: Gauge,
+    /// Time in seconds since it was known to be the newest.
+    pub age: Gauge<f64, AtomicU64>,
+    /// 1 while the newest configuration can't be read.
+    pub unreadable: Gauge,
+    /// Number of fields of the one in force that can't be read.
+    pub issues: Gauge,
+}
+
+impl ConfigMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("config_version", "Configuration in force", self.version.clone());
+        registry.register("config_age_seconds", "Age of its proof", self.age.clone());
+        let unreadable = "Whether the newest configuration can't be read";
+        registry.register("config_unreadable", unreadable, self.unreadable.clone());
+        let issues = "Fields of the active configuration that can't be read";
+        registry.register("config_unreadable_fields", issues, self.issues.clone());
+    }
+}
+
 /// Metrics of the limits that upstreams named.
 #[derive(Debug, Default)]
 pub struct LimitMetrics {
@@ -215,14 +239,10 @@
     pub platform_calls: PlatformCallCounters,
     /// Requests in progress.
     pub in_flight: Gauge,
-    /// Version of the active configuration.
-    pub config_version: Gauge,
-    /// 1 while the newest configuration can't be read.
-    pub config_unreadable: Gauge,
+    /// Configuration.
+    pub config: ConfigMetrics,
     /// Versions of the store.
     pub store: StoreMetrics,
-    /// Time since the configuration was confirmed to be the newest, in seconds.
-    pub config_age: Gauge<f64, AtomicU64>,
     /// Age of the upstream list in seconds.
     pub list_age: Gauge<f64, AtomicU64>,
     /// Number of upstreams that accept requests.
@@ -262,10 +282,8 @@
             paths: PathMetrics::default(),
             platform_calls: Family::default(),
             in_flight: Gauge::default(),
-            config_version: Gauge::default(),
-            config_unreadable: Gauge::default(),
+            config: ConfigMetrics::default(),
             store: StoreMetrics::default(),
-            config_age: Gauge::default(),
             list_age: Gauge::default(),
             accepting: Gauge::default(),
             upstreams: Family::default(),
@@ -305,18 +323,8 @@
             metrics.platform_calls.clone(),
         );
         registry.register("in_flight", "Requests being served", metrics.in_flight.clone());
-        registry.register(
-            "config_version",
-            "Configuration in force",
-            metrics.config_version.clone(),
-        );
         metrics.store.register(&mut registry);
-        registry.register(
-            "config_unreadable",
-            "Whether the newest configuration can't be read",
-            metrics.config_unreadable.clone(),
-        );
-        registry.register("config_age_seconds", "Age of its proof", metrics.config_age.clone());
+        metrics.config.register(&mut registry);
         registry.register("list_age_seconds", "Age of the list", metrics.list_age.clone());
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
         registry.register("upstreams", "Upstreams by state", metrics.upstreams.clone());
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -42,6 +42,9 @@
 /// ready, and they reach another one.
 const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Retry delay for callers of a route or workspace that can't be read. Only another configuration helps them.
+const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Maximum time for which a request waits for the first configuration of a starting node.
 const FIRST_CATALOG_TIMEOUT: Duration = Duration::from_secs(1);
 /// Poll interval while it waits.
@@ -95,6 +98,10 @@
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
     let Some(route) = catalog.find_route(&name, parts.uri.path()).cloned() else {
+        if catalog.is_unreadable_route(&name, parts.uri.path()) {
+            let wait = with_jitter(UNREADABLE_RETRY_DELAY);
+            return Err(ErrorResponse::not_executed("the route can't be read", wait));
+        }
         return Err(ErrorResponse::not_retryable(StatusCode::NOT_FOUND, "no route"));
     };
     trace.route.clone_from(&route.name);
@@ -173,14 +180,28 @@
     route: &RouteRow,
     metadata: &RequestMetadata,
 ) -> Result<Option<&'a WorkspaceRow>, ErrorResponse> {
-    if route.public || !catalog.needs_keys() {
+    if route.public {
         return Ok(None);
     }
-    let key = metadata.api_key.as_deref().map(KeyHash::of);
-    match key.and_then(|key| catalog.find_workspace_by_key(key)) {
-        Some(row) => Ok(Some(row)),
-        None => Err(ErrorResponse::not_retryable(StatusCode::UNAUTHORIZED, "unknown key")),
+    match metadata.api_key.as_deref().map(KeyHash::of) {
+        Some(key) => match catalog.find_workspace_by_key(key) {
+            Some(row) => Ok(Some(row)),
+            None => Err(unknown_key(catalog, key)),
+        },
+        None if catalog.needs_keys() => {
+            Err(ErrorResponse::not_retryable(StatusCode::UNAUTHORIZED, "no key"))
+        }
+        None => Ok(None),
+    }
+}
+
+/// Response to a request with a key that no workspace of `catalog` holds, as far as it can be read.
+pub fn unknown_key(catalog: &ForwardCatalog, key: KeyHash) -> ErrorResponse {
+    if catalog.is_unreadable_key(key) {
+        let wait = with_jitter(UNREADABLE_RETRY_DELAY);
+        return ErrorResponse::not_executed("the workspace can't be read", wait);
     }
+    ErrorResponse::not_retryable(StatusCode::UNAUTHORIZED, "unknown key")
 }
 
 async fn read_body(
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -4,7 +4,7 @@
 
 use samphiredeck_core::{
     forward::{quota::QuotaSlack, retry_budget::RetryLimit},
-    ids::{DomainName, NodeName},
+    ids::{DomainName, IdError, NodeName},
     units::Millis,
 };
 use serde::Deserialize;
@@ -168,6 +168,16 @@
         parsed.map_err(|reason| self.reject(field, reason)).ok()
     }
 
+    fn name<T>(
+        &mut self,
+        field: &str,
+        text: &str,
+        parse: fn(&str) -> Result<T, IdError>,
+    ) -> Option<T> {
+        let parsed = parse(text).map_err(|error| format!("{text:?}: {error}"));
+        parsed.map_err(|reason| self.reject(field, reason)).ok()
+    }
+
     fn require_positive(&mut self, field: &str, value: Millis) {
         if value.0 == 0 {
             self.reject(field, "must be at least 1ms");
@@ -186,8 +196,8 @@
 
     fn try_from(raw: RawForward) -> Result<Self, Self::Error> {
         let mut validator = SettingsValidator::default();
-        let name = validator.parse("node.name", &raw.node.name);
-        let domain = validator.parse("node.domain", &raw.node.domain);
+        let name = validator.name("node.name", &raw.node.name, NodeName::of_text);
+        let domain = validator.name("node.domain", &raw.node.domain, DomainName::of_text);
         let caller = validator.parse("listen.caller", &raw.listen.caller);
         let ready = validator.parse("listen.ready", &raw.listen.ready);
         let metrics = validator.parse("listen.metrics", &raw.listen.metrics);
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -37,6 +37,7 @@
         AttemptKey, DomainName, Incarnation, NodeName, PoolName, RowVersion, SoftwareVersion,
         WorkspaceName,
     },
+    name_text::NameTexts,
     units::Millis,
 };
 use samphiredeck_wire::forward::RelayedMembers;
@@ -64,6 +65,8 @@
 pub struct ForwardState {
     /// Newest configuration that was read.
     pub catalog: Option<Rc<ForwardCatalog>>,
+    /// Names as the operator wrote them, in this and earlier configurations of this run.
+    pub names: NameTexts,
     /// Time since `catalog` was known to be the newest configuration.
     pub freshness: CatalogFreshness,
     /// Newest row of the configuration in the store. An older configuration than `catalog` may have returned.
@@ -139,6 +142,7 @@
         let bounds = settings.bounds;
         Self {
             catalog: None,
+            names: NameTexts::default(),
             config_row: ConfigRow::default(),
             config_value: None,
             newer_config_reported: false,
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::{config_row::RowContent, upstream_list::ListedUpstream},
+    forward::{
+        catalog::{CatalogIssue, ForwardCatalog},
+        config_row::RowContent,
+        upstream_list::ListedUpstream,
+    },
     ids::RowVersion,
 };
 use samphiredeck_platform::{
@@ -184,7 +188,7 @@
         return;
     }
     let is_unreadable = state.config_row.is_unreadable();
-    node.metrics.config_unreadable.set(i64::from(is_unreadable));
+    node.metrics.config.unreadable.set(i64::from(is_unreadable));
     let relayed = value.filter(|value| !is_unreadable && value.len() <= RELAYED_CONFIG_MAX);
     state.config_value = relayed.map(Bytes::copy_from_slice);
     let current = state.catalog.as_ref().map(|catalog| catalog.version());
@@ -197,7 +201,9 @@
                 "answered_in_ms": clock::now().since(sent_at).as_millis(),
             });
             node.log.record("config", fields);
-            node.metrics.config_version.set(i64::try_from(catalog.version().0).unwrap_or(0));
+            log_issues(node, &catalog);
+            state.names.merge(catalog.names());
+            node.metrics.config.version.set(i64::try_from(catalog.version().0).unwrap_or(0));
             state.catalog = Some(Rc::new(catalog));
         }
         Some(Ok(_older)) => {}
@@ -209,6 +215,16 @@
     }
 }
 
+/// Logs what could not be read in `catalog`.
+fn log_issues(node: &ForwardNode, catalog: &ForwardCatalog) {
+    for CatalogIssue { field, reason } in catalog.issues() {
+        let fields = json!({ "version": catalog.version().0, "field": field, "reason": reason });
+        node.log.record("config-entry-unreadable", fields);
+    }
+    let count = i64::try_from(catalog.issues().len()).unwrap_or(i64::MAX);
+    node.metrics.config.issues.set(count);
+}
+
 /// Logs that the store has returned an older version `read` of `content` than the one that is `known`. It is
 /// ignored.
 pub fn log_behind(node: &ForwardNode, content: &'static str, read: RowVersion, known: RowVersion) {
--- a/samphiredeck_core/src/forward/catalog.rs
+++ b/samphiredeck_core/src/forward/catalog.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::ids::{ConfigVersion, DomainName, KeyHash, PoolName, WorkspaceName};
+use crate::{
+    ids::{ConfigVersion, DomainName, KeyHash, PoolName, WorkspaceName},
+    name_text::NameTexts,
+};
 
 /// Retry policy of the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +136,32 @@
     pub idle_timeout: Duration,
 }
 
+/// Part of a configuration that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CatalogIssue {
+    /// Where it is, as a path of fields.
+    pub field: String,
+    /// Why it can't be read.
+    pub reason: String,
+}
+
+/// The route of a request can't be read.
+#[derive(Clone, Copy, Debug)]
+struct UnreadableRoute;
+
+/// What a configuration declares that can't be read. Requests for it are refused, the others are served.
+#[derive(Clone, Debug, Default)]
+pub struct UnreadableEntries {
+    /// Host and prefix of routes.
+    pub routes: Vec<(String, String)>,
+    /// Hashes of the API keys of workspaces.
+    pub keys: Vec<KeyHash>,
+    /// Whether there are API keys that can't be read themselves.
+    pub any_key: bool,
+    /// All that can't be read, also where a default stands in for it.
+    pub issues: Vec<CatalogIssue>,
+}
+
 /// One accepted version of the configuration.
 #[derive(Clone, Debug)]
 pub struct ForwardCatalog {
@@ -141,11 +170,17 @@
     routes: Vec<RouteRow>,
     /// Sorted by name, without duplicates.
     pools: Vec<PoolRow>,
-    /// Sorted by name, without duplicates. Empty if callers need no API keys.
+    /// Sorted by name, without duplicates.
     workspaces: Vec<WorkspaceRow>,
+    /// Whether callers need API keys.
+    needs_keys: bool,
     /// Key hashes with the index of their workspace in `workspaces`, sorted by hash.
     keys: Vec<(KeyHash, usize)>,
     limits: CallerLimits,
+    /// Its routes and keys are sorted.
+    unreadable: UnreadableEntries,
+    /// Names as the operator wrote them.
+    names: NameTexts,
 }
 
 impl ForwardCatalog {
@@ -169,8 +204,50 @@
             .flat_map(|(index, (_, hashes))| hashes.iter().map(move |hash| (*hash, index)))
             .collect();
         keys.sort_unstable();
-        let workspaces = workspaces.into_iter().map(|(row, _)| row).collect();
-        Self { version, routes, pools, workspaces, keys, limits }
+        let workspaces: Vec<WorkspaceRow> = workspaces.into_iter().map(|(row, _)| row).collect();
+        Self {
+            version,
+            routes,
+            pools,
+            needs_keys: !workspaces.is_empty(),
+            workspaces,
+            keys,
+            limits,
+            unreadable: UnreadableEntries::default(),
+            names: NameTexts::default(),
+        }
+    }
+
+    /// Sets whether callers need API keys. A configuration that declares an empty list of workspaces lets nobody in.
+    #[must_use]
+    pub fn with_keys_needed(self, needs_keys: bool) -> Self {
+        Self { needs_keys, ..self }
+    }
+
+    /// Sets the names as the operator wrote them.
+    #[must_use]
+    pub fn with_names(self, names: NameTexts) -> Self {
+        Self { names, ..self }
+    }
+
+    /// Sets what can't be read.
+    #[must_use]
+    pub fn with_unreadable(self, mut unreadable: UnreadableEntries) -> Self {
+        unreadable.routes.sort_unstable();
+        unreadable.keys.sort_unstable();
+        Self { unreadable, ..self }
+    }
+
+    /// What can't be read in the configuration.
+    #[must_use]
+    pub fn issues(&self) -> &[CatalogIssue] {
+        &self.unreadable.issues
+    }
+
+    /// Names as the operator wrote them.
+    #[must_use]
+    pub fn names(&self) -> &NameTexts {
+        &self.names
     }
 
     /// Configuration version.
@@ -203,23 +280,42 @@
         &self.workspaces
     }
 
-    /// Whether any workspace is declared, which makes an API key mandatory on non-public routes.
+    /// Whether an API key is mandatory on non-public routes.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
-        !self.workspaces.is_empty()
+        self.needs_keys
     }
 
-    /// Finds the route with the longest prefix of `path`. `host` is in lower case without the port.
+    /// Finds the route with the longest prefix of `path`. `host` is in lower case without the port. `None` if there is none
+    /// or it can't be read.
     #[must_use]
     pub fn find_route(&self, host: &str, path: &str) -> Option<&RouteRow> {
-        let mut slashes = path.rmatch_indices('/');
-        slashes.find_map(|(at, _)| {
+        self.match_route(host, path).ok().flatten()
+    }
+
+    /// Whether the route with the longest prefix of `path` is one that can't be read.
+    #[must_use]
+    pub fn is_unreadable_route(&self, host: &str, path: &str) -> bool {
+        self.match_route(host, path).is_err()
+    }
+
+    fn match_route(&self, host: &str, path: &str) -> Result<Option<&RouteRow>, UnreadableRoute> {
+        for (at, _) in path.rmatch_indices('/') {
             let prefix = &path[..=at];
+            let of = |(known_host, known_prefix): &(String, String)| {
+                (known_host.as_str(), known_prefix.as_str()).cmp(&(host, prefix))
+            };
+            if self.unreadable.routes.binary_search_by(of).is_ok() {
+                return Err(UnreadableRoute);
+            }
             let found = self.routes.binary_search_by(|row| {
                 (row.host.as_str(), row.prefix.as_str()).cmp(&(host, prefix))
             });
-            found.ok().map(|index| &self.routes[index])
-        })
+            if let Ok(index) = found {
+                return Ok(Some(&self.routes[index]));
+            }
+        }
+        Ok(None)
     }
 
     /// Finds the pool `name`.
@@ -256,6 +352,12 @@
         Some(&self.workspaces[index])
     }
 
+    /// Whether the API key with this hash may belong to a workspace that can't be read.
+    #[must_use]
+    pub fn is_unreadable_key(&self, key: KeyHash) -> bool {
+        self.unreadable.any_key || self.unreadable.keys.binary_search(&key).is_ok()
+    }
+
     /// Finds the workspace that owns the API key with this hash.
     #[must_use]
     pub fn find_workspace_by_key(&self, key: KeyHash) -> Option<&WorkspaceRow> {
--- a/samphiredeck_core/src/ids.rs
+++ b/samphiredeck_core/src/ids.rs
@@ -1,6 +1,7 @@
 //! Identifier types, validated when they are parsed.
 
 use std::{
+    borrow::Cow,
     convert::Infallible,
     fmt::{self, Display, Formatter},
     str::FromStr,
@@ -10,8 +11,10 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
 
+use crate::name_text::{decode_name, encode_name};
+
 /// Maximum length of a name in bytes.
-const NAME_MAX_BYTES: usize = 64;
+pub(crate) const NAME_MAX_BYTES: usize = 64;
 
 /// Reason why a text is not a valid identifier.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -27,7 +30,7 @@
     Number(String),
 }
 
-fn check_name(text: &str) -> Result<(), IdError> {
+pub(crate) fn check_name(text: &str) -> Result<(), IdError> {
     if text.is_empty() || text.len() > NAME_MAX_BYTES {
         return Err(IdError::Length(text.len()));
     }
@@ -51,6 +54,21 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Identifier of a name of any alphabet and length.
+            ///
+            /// # Errors
+            ///
+            /// Fails if no header can carry the name, see [`encode_name`].
+            pub fn of_text(text: &str) -> Result<Self, IdError> {
+                encode_name(text).map(Self)
+            }
+
+            /// Name that this identifier stands for. `None` if it is a hash.
+            #[must_use]
+            pub fn to_text(&self) -> Option<Cow<'_, str>> {
+                decode_name(&self.0)
+            }
         }
 
         impl FromStr for $name {
--- a/samphiredeck_core/src/lib.rs
+++ b/samphiredeck_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod in_flight;
 pub mod lease;
 pub mod membership;
+pub mod name_text;
 pub mod patient;
 pub mod placement;
 pub mod platform_api;
