Limits: an owner grants by the share of nodes it reaches

Cause: owners are ranked from the list in the store, which both sides of a cut read; each side had an owner that granted at the full rate. Each owner that came back brought a bucket that had filled meanwhile.

Owners probe other nodes while a limit is under pressure and grant by the share that responds; ended nodes, whose address refuses connections, don't count. An owner asked in place of another one that it reaches asks that one. A node that no owner answers grants by its own share, which also serves requests that were refused while owners declined. Buckets that were not in use start anew. The check for single nodes goes: their share is 1 of n.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -23,6 +23,7 @@
 mod peer_socket;
 mod platform_client;
 mod quota;
+mod quota_decision;
 mod relay;
 mod request;
 mod request_progress;
@@ -177,6 +178,7 @@
     spawn(limit_exchange::compare_limits(Rc::clone(node)));
     spawn(slot_exchange::announce_brittle(Rc::clone(node)));
     spawn(slot_exchange::return_slots(Rc::clone(node)));
+    spawn(quota_decision::watch_reach(Rc::clone(node)));
     spawn(upstream_paths::probe_paths(Rc::clone(node)));
     spawn(tunnel_server::accept_tunnels(Rc::clone(node)));
     spawn(maintain(Rc::clone(node)));
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -6,7 +6,7 @@
     boot_time::BootTime,
     forward::{
         members::NodeHeartbeat,
-        quota::{OwnerStatus, PROBE_TIMEOUT, QuotaDecision},
+        quota::QuotaDecision,
         store_readers::StoreStatus,
         stream_origins::{OriginSource, StreamOrigin},
         suspects::exchange::PublishedSuspects,
@@ -15,15 +15,14 @@
 };
 use samphiredeck_wire::forward::{ForwardDatagram, RelayedMembers};
 use serde_json::json;
-use tokio::time::sleep;
 
 use crate::forward::{
     clock,
     limit_exchange::handle_limit_message,
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
+    quota_decision::decide_quota,
     slot_exchange::handle_slot_message,
-    state::ISOLATED_AFTER,
     suspect_exchange::{answer_comparison, handle_update},
 };
 
@@ -32,8 +31,6 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(40);
 /// Response timeout of a failover owner, which first probes the higher-ranked owners.
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(90);
-/// Number of nodes probed by a node that has not heard from any other.
-const PEERS_PROBED: usize = 3;
 /// Response timeout of a query for the origin of a stream, for which a caller waits.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(80);
 /// Response timeout of a status query. Covers slow nodes, since no request waits for it.
@@ -274,6 +271,9 @@
 fn update_liveness(node: &ForwardNode, received: &ReceivedDatagram) {
     let now = clock::now();
     node.state().heard_at = Some(now);
+    if matches!(received.datagram, ForwardDatagram::Pong | ForwardDatagram::NotEligible) {
+        node.state().quota_reach.record_answer(&received.sender, now);
+    }
     match received.datagram {
         ForwardDatagram::NotEligible => node.state().liveness.record_unable(&received.sender, now),
         // Nodes that can't act as owners exchange these messages too, so they say nothing about
@@ -386,6 +386,7 @@
         }
         ForwardDatagram::ReleaseTrial { key } => node.state().suspects.release_trial(key),
         ForwardDatagram::ReleaseUnits { workspace, units } => {
+            // An owner that only asked another one has no bucket in use. What it granted itself comes back to it.
             node.state().quota_owner.refund(&workspace, units);
         }
         ForwardDatagram::Ping => {
@@ -407,82 +408,3 @@
         None => ForwardDatagram::Declined { query_id: id },
     }
 }
-
-/// Decides a quota query as an owner of `workspace`. Returns `None` if a higher-ranked owner may be
-/// alive, or if this node must not grant units because it is isolated, can't prove that its
-/// configuration is the newest or does not know the workspace.
-pub async fn decide_quota(
-    node: &ForwardNode,
-    socket: &PeerSocket,
-    workspace: &WorkspaceName,
-    units: f64,
-    is_failover: bool,
-) -> Option<QuotaDecision> {
-    let now = clock::now();
-    if !node.state().may_own_quotas(&socket.own_name, now) {
-        return None;
-    }
-    let owners = node.state().quota_owners(workspace, now);
-    // A node that does not know a new owner yet must not obtain units from two owners.
-    if !is_failover && owners.first() != Some(&socket.own_name) {
-        return None;
-    }
-    if is_failover && !may_replace_owners(node, socket, &owners).await {
-        return None;
-    }
-    let isolated = {
-        let state = node.state();
-        let now = clock::now();
-        state.members.count() > 1 && !state.liveness.has_recent_contact(ISOLATED_AFTER, now)
-    };
-    if isolated {
-        let others = {
-            let state = node.state();
-            let rows = state.members.list().entries().iter().map(|entry| entry.node.clone());
-            rows.filter(|name| *name != socket.own_name).take(PEERS_PROBED).collect::<Vec<_>>()
-        };
-        probe_peers(node, socket, &others).await;
-        if !node.state().liveness.has_recent_contact(ISOLATED_AFTER, clock::now()) {
-            return None;
-        }
-    }
-    let now = clock::now();
-    let mut state = node.state();
-    let catalog = state.catalog.clone()?;
-    if !state.freshness.allows_admission(now) {
-        return None;
-    }
-    let row = catalog.find_workspace(workspace)?;
-    Some(state.quota_owner.take(row, units, now))
-}
-
-/// Whether this node may take over from the `owners` that rank higher. Probes those of unknown
-/// status.
-async fn may_replace_owners(node: &ForwardNode, socket: &PeerSocket, owners: &[NodeName]) -> bool {
-    if !owners.contains(&socket.own_name) {
-        return false;
-    }
-    let higher_ranked: Vec<NodeName> =
-        owners.iter().take_while(|owner| **owner != socket.own_name).cloned().collect();
-    let status_of = |owner: &NodeName| node.state().liveness.owner_status(owner, clock::now());
-    let unknown: Vec<NodeName> = higher_ranked
-        .iter()
-        .filter(|owner| status_of(owner) == OwnerStatus::Unknown)
-        .cloned()
-        .collect();
-    if !unknown.is_empty() {
-        probe_peers(node, socket, &unknown).await;
-    }
-    higher_ranked.iter().all(|owner| status_of(owner) == OwnerStatus::Unresponsive)
-}
-
-/// Probes `others` and waits for the time in which a live node replies.
-async fn probe_peers(node: &ForwardNode, socket: &PeerSocket, others: &[NodeName]) {
-    for other in others {
-        let address = node.state().members.peer_address(other);
-        if let Some(address) = address {
-            send(node, socket, other, address, &ForwardDatagram::Ping).await;
-        }
-    }
-    sleep(PROBE_TIMEOUT).await;
-}
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -17,7 +17,8 @@
 use crate::forward::{
     clock,
     node::ForwardNode,
-    peer_messages::{decide_quota, query_owner, release_units},
+    peer_messages::{query_owner, release_units},
+    quota_decision::decide_quota,
     request::{ErrorResponse, RequestTrace, with_jitter},
 };
 
@@ -102,6 +103,9 @@
         sleep(OWNERS_POLL_PERIOD).await;
         decision = query_owners(&node, row, units).await;
     }
+    if decision.is_some() {
+        node.state().unowned.record_decision(&row.name);
+    }
     match decision {
         Some((owner, QuotaDecision::Granted)) => {
             let workspace = row.name.clone();
@@ -131,6 +135,11 @@
     if admitted {
         return Ok(QuotaReservation::new(None));
     }
+    if node.state().take_own_share(row, units, clock::now()) {
+        let owner = node.settings().name.clone();
+        let workspace = row.name.clone();
+        return Ok(QuotaReservation::new(Some(OwnerGrant { node, owner, workspace, units })));
+    }
     let wait = with_jitter(UNCHECKED_RETRY_DELAY);
     Err(ErrorResponse::not_executed("the workspace's limit can't be checked", wait))
 }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -7,7 +7,7 @@
     boot_time::BootTime,
     forward::{
         agreed_windows::AgreedWindows,
-        catalog::ForwardCatalog,
+        catalog::{ForwardCatalog, WorkspaceRow},
         clock::ClusterClock,
         config_row::ConfigRow,
         demand::DemandMeter,
@@ -20,7 +20,11 @@
         origin_query::VersionView,
         pool_speed::PoolSpeedTable,
         prompt_cache::PromptCacheTable,
-        quota::{LocalQuota, PeerLiveness, QuotaOwner, rank_quota_owners},
+        quota::{
+            LocalQuota, PeerLiveness, QuotaDecision, QuotaOwner, UnownedTable, first_quota_owner,
+            rank_quota_owners,
+        },
+        quota_reach::QuotaReach,
         retry_budget::RetryBudget,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
@@ -51,9 +55,10 @@
 /// complete this long after its end.
 const COUNT_DELAY_MS: i64 = 1_000;
 
-/// Time without contact to any other node after which this node considers itself isolated and
-/// grants nothing beyond its local quota.
-pub const ISOLATED_AFTER: Duration = Duration::from_millis(1_500);
+/// Time between two looks at the buckets after which the process was frozen, and others may have granted units meanwhile.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
+/// Time without a decision of any owner after which a node grants by its own share.
+const UNOWNED_AFTER: Duration = Duration::from_millis(500);
 
 /// Time without any datagram of another node after which this one tells others through the store. Nodes
 /// send comparisons to random others each second.
@@ -110,6 +115,12 @@
     pub published_at: Option<BootTime>,
     /// Token buckets of the workspaces that this node owns.
     pub quota_owner: QuotaOwner,
+    /// Nodes that this one decides for as an owner.
+    pub quota_reach: QuotaReach,
+    /// Time of the last look at the buckets of `quota_owner`.
+    pub quota_seen_at: Option<BootTime>,
+    /// Workspaces for which no owner decides.
+    pub unowned: UnownedTable,
     /// This node's share of the quota that may be granted beyond the limits.
     pub local_quota: LocalQuota,
     /// Liveness of other nodes.
@@ -164,6 +175,9 @@
             members_relayed_at: None,
             published_at: None,
             quota_owner: QuotaOwner::new(bounds.quota_slack),
+            quota_reach: QuotaReach::default(),
+            quota_seen_at: None,
+            unowned: UnownedTable::default(),
             local_quota: LocalQuota::new(bounds.quota_slack, NODES_ASSUMED),
             liveness: PeerLiveness::default(),
             heard_at: None,
@@ -375,6 +389,32 @@
         rank_quota_owners(workspace, &candidates).into_iter().cloned().collect()
     }
 
+    /// Notes at `now` whether the process was frozen since the last look at its buckets. Others have decided meanwhile.
+    pub fn notice_pause(&mut self, now: BootTime) {
+        if self.quota_seen_at.is_some_and(|at| now.since(at) >= PAUSE_MIN) {
+            self.quota_owner.relieve(|_| false, now);
+        }
+        self.quota_seen_at = Some(now);
+    }
+
+    /// Notes which buckets are not those of the first owner, called `own`.
+    pub fn relieve_buckets(&mut self, own: &NodeName, now: BootTime) {
+        let candidates = self.members.quota_owner_candidates(self.clock.store_ms(now));
+        let is_first =
+            |workspace: &WorkspaceName| first_quota_owner(workspace, &candidates) == Some(own);
+        self.quota_owner.relieve(is_first, now);
+    }
+
+    /// Takes `units` of `workspace` from this node's own share of the limit, if no owner has decided for a while.
+    pub fn take_own_share(&mut self, workspace: &WorkspaceRow, units: f64, now: BootTime) -> bool {
+        let nodes = self.members.count();
+        if nodes == 1 || self.unowned.silence(&workspace.name, now) < UNOWNED_AFTER {
+            return false;
+        }
+        let share = 1.0 / f64::from(nodes);
+        self.quota_owner.take(workspace, units, share, now) == QuotaDecision::Granted
+    }
+
     /// Turn of this node, called `own`, at upstreams with a limit. `None` while it is not in its own
     /// list of members, or does not know the store's clock.
     pub fn node_turn(&self, own: &NodeName, now: BootTime) -> Option<NodeTurn> {
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -27,6 +27,7 @@
 pub mod pool_speed;
 pub mod prompt_cache;
 pub mod quota;
+pub mod quota_reach;
 pub mod retry_budget;
 pub mod store_eras;
 pub mod store_readers;
--- a/samphiredeck_core/src/forward/quota.rs
+++ b/samphiredeck_core/src/forward/quota.rs
@@ -5,6 +5,9 @@
 //! only token bucket and decides on each request that is not small, so that a workspace that sends
 //! a multiple of its usual load stays within its limit. Small requests, and all requests while no
 //! owner responds, are charged to a local bucket: this node's share of the permitted overage.
+//!
+//! An owner grants by the share of the nodes that it reaches, see [`crate::forward::quota_reach`]. A node without any owner
+//! within reach grants its own requests by its own share.
 
 use std::time::Duration;
 
@@ -35,6 +38,14 @@
 const LARGE_SHARE: f64 = 0.5;
 /// Share of the permitted overage up to which a bucket may go into debt.
 const DEBT_EXCESS: f64 = 0.12;
+/// Share of the permitted overage that one request for each part of the nodes may take beyond their buckets.
+const LARGE_EXCESS: f64 = 0.5;
+/// Share of a full bucket below which it counts as under pressure.
+const PRESSED_SHARE: f64 = 0.5;
+/// Time for which it does.
+const PRESSED_LIFETIME: Duration = Duration::from_secs(2);
+/// Time without a decision after which a bucket that this node is not the first owner of is no longer in use.
+const RELIEVED_AFTER: Duration = Duration::from_millis(500);
 /// Minimum retry delay reported to a refused caller.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 /// Maximum retry delay reported to a refused caller.
@@ -88,6 +99,21 @@
     level: f64,
     /// Time up to which the bucket was refilled.
     filled_at: BootTime,
+    /// Whether another node may have granted units of the workspace since then.
+    relieved: bool,
+}
+
+/// Size of a token bucket.
+#[derive(Clone, Copy, Debug)]
+struct BucketSize {
+    /// Units of a new bucket, and the most that one holds after another node may have granted units.
+    start: f64,
+    /// Units a second.
+    rate: f64,
+    /// Units a second while another node may have granted units.
+    idle_rate: f64,
+    /// Units of a full bucket.
+    capacity: f64,
 }
 
 /// Buckets by workspace.
@@ -98,26 +124,33 @@
 }
 
 impl BucketTable {
-    /// Refills the bucket of `workspace` up to `now`. A new bucket starts with `start` units.
+    /// Refills the bucket of `workspace` up to `now`.
     fn refill(
         &mut self,
         workspace: &WorkspaceName,
-        start: f64,
-        rate: f64,
-        capacity: f64,
+        size: BucketSize,
         now: BootTime,
     ) -> &mut TokenBucket {
         let at = match self.rows.binary_search_by(|row| row.workspace.cmp(workspace)) {
             Ok(at) => at,
             Err(at) => {
                 let workspace = workspace.clone();
-                self.rows.insert(at, TokenBucket { workspace, level: start, filled_at: now });
+                self.rows.insert(
+                    at,
+                    TokenBucket { workspace, level: size.start, filled_at: now, relieved: false },
+                );
                 at
             }
         };
         let row = &mut self.rows[at];
         let passed = now.since(row.filled_at).as_secs_f64();
-        row.level = (row.level + rate * passed).min(capacity);
+        if row.relieved {
+            // What came in meanwhile may have been granted elsewhere.
+            row.level = (row.level + size.idle_rate * passed).min(size.start);
+            row.relieved = false;
+        } else {
+            row.level = (row.level + size.rate * passed).min(size.capacity);
+        }
         row.filled_at = now;
         row
     }
@@ -137,25 +170,43 @@
 pub struct QuotaOwner {
     slack: QuotaSlack,
     buckets: BucketTable,
+    /// Time at which a bucket was last less than half full.
+    pressed_at: Option<BootTime>,
 }
 
 impl QuotaOwner {
     /// Creates an owner without any buckets.
     #[must_use]
     pub fn new(slack: QuotaSlack) -> Self {
-        Self { slack, buckets: BucketTable::default() }
+        Self { slack, buckets: BucketTable::default(), pressed_at: None }
     }
 
-    /// Takes `cost` units of `workspace`, if available.
-    pub fn take(&mut self, workspace: &WorkspaceRow, cost: f64, now: BootTime) -> QuotaDecision {
+    /// Takes `cost` units of `workspace`, if available. `share` is that of the nodes that this one decides for.
+    pub fn take(
+        &mut self,
+        workspace: &WorkspaceRow,
+        cost: f64,
+        share: f64,
+        now: BootTime,
+    ) -> QuotaDecision {
         let excess = self.slack.excess(workspace);
-        let capacity = workspace.burst + excess * BUCKET_EXCESS;
-        let start = (excess * INITIAL_EXCESS).min(capacity);
-        let rate = workspace.rate + excess * RATE_EXCESS / self.slack.window.as_secs_f64();
-        let bucket = self.buckets.refill(&workspace.name, start, rate, capacity, now);
-        // A request that exceeds the bucket and the permitted debt needs a full bucket.
-        let needed =
-            (capacity * LARGE_SHARE).max(cost - excess * DEBT_EXCESS).min(cost).min(capacity);
+        let capacity = (workspace.burst + excess * BUCKET_EXCESS) * share;
+        let start = (excess * INITIAL_EXCESS * share).min(capacity);
+        // The overage is left to shares that overlap, as those of nodes in a chain do.
+        let rate_excess = if share < 1.0 { 0.0 } else { excess * RATE_EXCESS };
+        let rate = (workspace.rate + rate_excess / self.slack.window.as_secs_f64()) * share;
+        let idle_rate = start / self.slack.window.as_secs_f64();
+        let size = BucketSize { start, rate, idle_rate, capacity };
+        let bucket = self.buckets.refill(&workspace.name, size, now);
+        if bucket.level - cost < capacity * PRESSED_SHARE {
+            self.pressed_at = Some(now);
+        }
+        // A request that exceeds the bucket and the permitted debt needs a full bucket. Where each part of the nodes may
+        // grant one, all of them together have to fit into the permitted overage.
+        let is_large = cost / share > excess * LARGE_EXCESS && share < 1.0;
+        let limit = if is_large { f64::INFINITY } else { capacity };
+        let debt = excess * DEBT_EXCESS * if is_large { share } else { 1.0 };
+        let needed = (capacity * LARGE_SHARE).max(cost - debt).min(cost).min(limit);
         if bucket.level >= needed {
             bucket.level -= cost;
             return QuotaDecision::Granted;
@@ -165,6 +216,22 @@
         QuotaDecision::Over(Duration::from_secs_f64(wait))
     }
 
+    /// Whether a bucket was less than half full lately, so that it matters for how many nodes this one decides.
+    #[must_use]
+    pub fn is_pressed(&self, now: BootTime) -> bool {
+        self.pressed_at.is_some_and(|at| now.since(at) < PRESSED_LIFETIME)
+    }
+
+    /// Notes that other nodes may have granted units of the workspaces for which `owns` is false. Their buckets were not
+    /// used for a while: what they hold may have been granted elsewhere.
+    pub fn relieve(&mut self, owns: impl Fn(&WorkspaceName) -> bool, now: BootTime) {
+        for row in &mut self.buckets.rows {
+            if now.since(row.filled_at) >= RELIEVED_AFTER && !row.relieved {
+                row.relieved = !owns(&row.workspace);
+            }
+        }
+    }
+
     /// Returns `cost` units of `workspace` for a request that did not run.
     pub fn refund(&mut self, workspace: &WorkspaceName, cost: f64) {
         let rows = &mut self.buckets.rows;
@@ -199,7 +266,8 @@
         let share = self.slack.excess(workspace) / f64::from(self.nodes);
         let rate = share * LOCAL_RATE_EXCESS / self.slack.window.as_secs_f64();
         let capacity = share * LOCAL_BURST_EXCESS;
-        self.buckets.refill(&workspace.name, capacity, rate, capacity, now)
+        let size = BucketSize { start: capacity, rate, idle_rate: rate, capacity };
+        self.buckets.refill(&workspace.name, size, now)
     }
 
     /// Takes `cost` units of `workspace` if they are a small part of the available ones.
@@ -223,6 +291,33 @@
     }
 }
 
+/// Workspaces for which no owner decides.
+#[derive(Clone, Debug, Default)]
+pub struct UnownedTable {
+    /// Workspace and time of the first query without a decision, sorted by workspace, without duplicates.
+    rows: Vec<(WorkspaceName, BootTime)>,
+}
+
+impl UnownedTable {
+    /// Records that an owner of `workspace` has decided.
+    pub fn record_decision(&mut self, workspace: &WorkspaceName) {
+        if let Ok(at) = self.rows.binary_search_by(|(known, _)| known.cmp(workspace)) {
+            self.rows.remove(at);
+        }
+    }
+
+    /// Records a query without a decision, and returns the time since the first one.
+    pub fn silence(&mut self, workspace: &WorkspaceName, now: BootTime) -> Duration {
+        match self.rows.binary_search_by(|(known, _)| known.cmp(workspace)) {
+            Ok(at) => now.since(self.rows[at].1),
+            Err(at) => {
+                self.rows.insert(at, (workspace.clone(), now));
+                Duration::ZERO
+            }
+        }
+    }
+}
+
 /// One row of a [`PeerLiveness`].
 #[derive(Clone, Debug)]
 struct PeerContact {
@@ -330,10 +425,22 @@
     workspace: &WorkspaceName,
     nodes: &[&'a NodeName],
 ) -> Vec<&'a NodeName> {
-    let seed = xxh3_64_with_seed(workspace.as_str().as_bytes(), 0);
-    let weight = |node: &&NodeName| xxh3_64_with_seed(node.as_str().as_bytes(), seed);
     let mut owners = nodes.to_vec();
-    owners.sort_by_cached_key(|node| std::cmp::Reverse(weight(node)));
+    owners.sort_by_cached_key(|node| std::cmp::Reverse(owner_weight(workspace, node)));
     owners.truncate(OWNERS_MAX);
     owners
 }
+
+/// First owner of `workspace` among `nodes`.
+#[must_use]
+pub fn first_quota_owner<'a>(
+    workspace: &WorkspaceName,
+    nodes: &[&'a NodeName],
+) -> Option<&'a NodeName> {
+    nodes.iter().copied().max_by_key(|node| owner_weight(workspace, node))
+}
+
+fn owner_weight(workspace: &WorkspaceName, node: &NodeName) -> u64 {
+    let seed = xxh3_64_with_seed(workspace.as_str().as_bytes(), 0);
+    xxh3_64_with_seed(node.as_str().as_bytes(), seed)
+}
--- a/samphiredeck_core/tests/forward_limits.rs
+++ b/samphiredeck_core/tests/forward_limits.rs
@@ -73,7 +73,7 @@
             || if silent {
                 local_quota.take(&row, units, at(now))
             } else {
-                owner.take(&row, units, at(now)) == QuotaDecision::Granted
+                owner.take(&row, units, 1.0, at(now)) == QuotaDecision::Granted
             };
         if granted {
             admitted.push((now, units));
@@ -114,7 +114,7 @@
             let mut local_quotas =
                 vec![LocalQuota::new(slack(), u32::try_from(NODES).unwrap()); NODES];
             // The workspace was idle before, so that the bucket is full.
-            owner.take(&row, 1.0, at(0));
+            owner.take(&row, 1.0, 1.0, at(0));
             let mut admitted = Vec::new();
             for step in 0..1_200_u64 {
                 let now = 20_000 + step * 15;
@@ -125,7 +125,7 @@
                 let index = usize::try_from(step).unwrap();
                 let units = sizes[(index + offset) % sizes.len()];
                 let granted = local_quotas[index % NODES].take_small(&row, units, at(now))
-                    || owner.take(&row, units, at(now)) == QuotaDecision::Granted;
+                    || owner.take(&row, units, 1.0, at(now)) == QuotaDecision::Granted;
                 if granted {
                     admitted.push((now, units));
                 }
@@ -141,12 +141,12 @@
     // Limits that count requests have no token slack: 10 units in a window, and 1 more is allowed.
     let row = WorkspaceRow { by_tokens: false, ..workspace(1.0) };
     let mut owner = QuotaOwner::new(slack());
-    owner.take(&row, 0.0, at(0));
+    owner.take(&row, 0.0, 1.0, at(0));
     let full = 20_000;
     // The bucket holds 1 + 0.2 x 0.9 units. Debt may grow to 0.12 x 0.9, however large the request.
-    assert_eq!(owner.take(&row, 0.5, at(full)), QuotaDecision::Granted);
-    assert_ne!(owner.take(&row, 1.0, at(full)), QuotaDecision::Granted);
-    assert_eq!(owner.take(&row, 0.75, at(full)), QuotaDecision::Granted);
+    assert_eq!(owner.take(&row, 0.5, 1.0, at(full)), QuotaDecision::Granted);
+    assert_ne!(owner.take(&row, 1.0, 1.0, at(full)), QuotaDecision::Granted);
+    assert_eq!(owner.take(&row, 0.75, 1.0, at(full)), QuotaDecision::Granted);
 }
 
 #[test]
@@ -155,11 +155,11 @@
     let row = workspace(38_000.0);
     let mut owner = QuotaOwner::new(slack());
     // A new bucket starts nearly empty, as another owner may have granted requests until now.
-    owner.take(&row, 1.0, at(0));
+    owner.take(&row, 1.0, 1.0, at(0));
     let mut refused = 0;
     for burst in 0..20_u64 {
         for _ in 0..3 {
-            let decision = owner.take(&row, 13_000.0, at(3_000 + burst * 2_000));
+            let decision = owner.take(&row, 13_000.0, 1.0, at(3_000 + burst * 2_000));
             refused += u32::from(decision != QuotaDecision::Granted);
         }
     }
@@ -170,9 +170,9 @@
 fn request_larger_than_the_bucket_is_eventually_served() {
     let row = workspace(1_000.0);
     let mut owner = QuotaOwner::new(QuotaSlack { tokens: 0.0, ..slack() });
-    owner.take(&row, 1.0, at(0));
-    assert_eq!(owner.take(&row, 50_000.0, at(20_000)), QuotaDecision::Granted);
-    let QuotaDecision::Over(wait) = owner.take(&row, 10.0, at(20_001)) else {
+    owner.take(&row, 1.0, 1.0, at(0));
+    assert_eq!(owner.take(&row, 50_000.0, 1.0, at(20_000)), QuotaDecision::Granted);
+    let QuotaDecision::Over(wait) = owner.take(&row, 10.0, 1.0, at(20_001)) else {
         panic!("granted although the bucket is in debt")
     };
     assert!(wait >= Duration::from_secs(5));
@@ -182,10 +182,10 @@
 fn units_of_requests_that_did_not_run_are_refunded() {
     let row = workspace(10_000.0);
     let mut owner = QuotaOwner::new(QuotaSlack { tokens: 0.0, ..slack() });
-    owner.take(&row, 1.0, at(0));
-    while owner.take(&row, 1_000.0, at(10_000)) == QuotaDecision::Granted {}
+    owner.take(&row, 1.0, 1.0, at(0));
+    while owner.take(&row, 1_000.0, 1.0, at(10_000)) == QuotaDecision::Granted {}
     owner.refund(&row.name, 1_000.0);
-    assert_eq!(owner.take(&row, 1_000.0, at(10_000)), QuotaDecision::Granted);
+    assert_eq!(owner.take(&row, 1_000.0, 1.0, at(10_000)), QuotaDecision::Granted);
 }
 
 fn names() -> Vec<NodeName> {
