Stop: requests are refused or answered before the node ends

Callers of a node that was stopped in calm had requests cut off without a byte, among them some that may not be repeated: nothing looked at the time that was left, on admission or at the end.

A stopping node refuses what nine in ten of the last requests of its route would not have ended in, and answers what still waits 400 ms before the process ends: 502 if it may have run, a refusal only if it surely did not.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -80,6 +80,8 @@
 const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
 /// Part of the grace period left unused, so that the process exits before it is killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_200);
+/// Time for which a stopping node answers the requests that its upstreams have not responded to.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Poll interval while draining.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(40);
 /// Interval of connection cleanup and gauge updates.
@@ -243,20 +245,29 @@
     let started_at = clock::now();
     let running = || node.metrics.in_flight.get();
     node.log.record("stop", json!({ "running": running(), "grace_ms": grace.as_millis() }));
+    let ends_at = started_at + grace.saturating_sub(ANSWER_TIME);
+    node.ends_at.set(Some(ends_at));
     node.phase.send_replace(ShutdownPhase::Draining);
     sleep(BALANCER_NOTICE.min(grace / 2)).await;
     node.phase.send_replace(ShutdownPhase::Closing);
-    let time_left = grace.saturating_sub(clock::now().since(started_at));
-    let drained = async {
-        // A connection stays open until its caller has received the last response.
-        while running() > 0 || node.open_connections() > 0 || node.open_tunnels() > 0 {
-            sleep(DRAIN_POLL_PERIOD).await;
-        }
-    };
-    let in_order = timeout(time_left, drained).await.is_ok();
+    // A connection stays open until its caller has received the last response.
+    let is_drained = || running() == 0 && node.open_connections() == 0 && node.open_tunnels() == 0;
+    while !is_drained() && clock::now() < ends_at {
+        sleep(DRAIN_POLL_PERIOD).await;
+    }
+    let (in_order, unanswered) = (is_drained(), running());
+    if !in_order {
+        node.phase.send_replace(ShutdownPhase::Ending);
+        let answered = async {
+            while !is_drained() {
+                sleep(DRAIN_POLL_PERIOD).await;
+            }
+        };
+        drop(timeout(ANSWER_TIME, answered).await);
+    }
     shared_rows::publish_final_counts(node).await;
     let fields = json!({
-        "running": running(), "in_order": in_order,
+        "running": running(), "in_order": in_order, "unanswered": unanswered,
         "after_ms": clock::now().since(started_at).as_millis(),
     });
     node.log.record("stopped", fields);
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -53,7 +53,7 @@
     loop {
         let accepted = select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => return Ok(()),
+            _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Closing) => return Ok(()),
         };
         match accepted {
             Ok((stream, _)) if node.open_connections() < CALLER_CONNECTIONS_MAX => {
@@ -97,7 +97,7 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut phase = node.phase.subscribe();
-    let closing = async { phase.wait_for(|phase| *phase == ShutdownPhase::Closing).await.is_ok() };
+    let closing = async { phase.wait_for(|phase| *phase >= ShutdownPhase::Closing).await.is_ok() };
     // A connection error affects only its caller. The log has a line for each of its requests.
     select! {
         ended = connection.as_mut() => drop(ended),
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell, RefMut},
+    future::pending,
     rc::Rc,
     time::Duration,
 };
@@ -30,6 +31,8 @@
     Draining,
     /// Idle connections are closed.
     Closing,
+    /// Requests without a response are answered, since the process is about to end.
+    Ending,
 }
 
 /// Why a node reports itself as not ready.
@@ -87,6 +90,8 @@
     /// Cloned by each open tunnel of another node.
     pub tunnels: Rc<()>,
     pub phase: watch::Sender<ShutdownPhase>,
+    /// Time by which requests must have ended, once the node is stopping.
+    pub ends_at: Cell<Option<BootTime>>,
     pub started_at: BootTime,
     /// Cloned by each open connection of a caller.
     pub caller_connections: Rc<()>,
@@ -116,6 +121,7 @@
             path_lost: Notify::new(),
             tunnels: Rc::new(()),
             phase: watch::Sender::new(ShutdownPhase::Serving),
+            ends_at: Cell::new(None),
             started_at: clock::now(),
             caller_connections: Rc::new(()),
             buffered_bytes: Cell::new(0),
@@ -152,6 +158,23 @@
         *self.phase.borrow()
     }
 
+    /// Waits until requests without a response have to be answered, since the process is about to end.
+    pub async fn wait_ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the node.
+        if phase.wait_for(|phase| *phase == ShutdownPhase::Ending).await.is_err() {
+            pending::<()>().await;
+        }
+    }
+
+    /// Whether a request of `route` that arrives at `now` is not expected to end before this node does. Unless it is known how
+    /// long requests of the route take, it is.
+    pub fn ends_before(&self, route: &str, now: BootTime) -> bool {
+        let Some(ends_at) = self.ends_at.get() else { return false };
+        let expected = self.state().durations.expected(route).unwrap_or_default();
+        now + expected >= ends_at
+    }
+
     /// Number of open connections of callers.
     pub fn open_connections(&self) -> usize {
         Rc::strong_count(&self.caller_connections) - 1
--- a/samphiredeck/src/forward/quota.rs
+++ b/samphiredeck/src/forward/quota.rs
@@ -57,6 +57,11 @@
         Self { grant, consumed: false }
     }
 
+    /// Whether the request may have run.
+    pub fn is_consumed(&self) -> bool {
+        self.consumed
+    }
+
     /// Sets whether the request may have run.
     pub fn set_consumed(&mut self, consumed: bool) {
         self.consumed = consumed;
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -114,6 +114,10 @@
             pool: self.pool.clone(),
             outcome: outcome.to_owned(),
         };
+        if outcome == "served" {
+            let elapsed = clock::now().since(self.arrived_at);
+            self.node.state().durations.record(&self.route, elapsed);
+        }
         let metrics = &self.node.metrics;
         metrics.requests.get_or_create(&labels).inc();
         let seconds = clock::now().since(self.arrived_at).as_secs_f64();
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -17,6 +17,11 @@
     suspect_checks::TrialLease,
 };
 
+/// Reason for refusing or ending requests of a node that stops.
+pub const ENDING_REASON: &str = "the node is stopping";
+/// Retry delay for callers of a node that stops. Others serve them at once, and new connections reach those.
+pub const ENDING_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// How an upstream was connected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionKind {
@@ -105,6 +110,15 @@
     ErrorResponse::not_retryable(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
 }
 
+/// Error response for a request whose node ends before the upstream has responded.
+pub fn ending_error(progress: &RequestProgress) -> ErrorResponse {
+    // It is set before the first byte is sent, and taken back only if the upstream surely did not run the request.
+    if progress.reservation.is_consumed() {
+        return ErrorResponse::not_retryable(StatusCode::BAD_GATEWAY, ENDING_REASON);
+    }
+    ErrorResponse::not_executed(ENDING_REASON, ENDING_RETRY_DELAY)
+}
+
 /// Error response for a request that is not retried.
 pub fn unanswered_error(
     progress: &RequestProgress,
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -18,7 +18,10 @@
     RequestMetadata, decode_request_headers, encode_refusal_headers,
 };
 use serde_json::json;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    select,
+    time::{sleep, timeout},
+};
 
 use crate::forward::{
     attempt::send_with_retries,
@@ -27,7 +30,7 @@
     quota::reserve_quota,
     relay::relay_stream,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, with_jitter},
-    request_progress::RequestProgress,
+    request_progress::{ENDING_REASON, ENDING_RETRY_DELAY, RequestProgress, ending_error},
     response_body::ResponseBody,
     stream_versions::resolve_origin,
     upstream_response::UpstreamResponse,
@@ -78,7 +81,14 @@
         }
     };
     let mut trace = RequestTrace::start(Rc::clone(&node), metadata.attempt_id.clone(), arrived_at);
-    match admit_request(&mut trace, metadata, request).await {
+    let admitted = select! {
+        biased;
+        () = node.wait_ending() => {
+            Err(ErrorResponse::not_executed(ENDING_REASON, ENDING_RETRY_DELAY))
+        }
+        admitted = admit_request(&mut trace, metadata, request) => admitted,
+    };
+    match admitted {
         Ok((admitted, progress, buffered)) => respond(admitted, progress, trace, buffered).await,
         Err(error_response) => finish_with_error(&mut trace, &error_response),
     }
@@ -105,6 +115,9 @@
         return Err(ErrorResponse::not_retryable(StatusCode::NOT_FOUND, "no route"));
     };
     trace.route.clone_from(&route.name);
+    if node.ends_before(&route.name, clock::now()) {
+        return Err(ErrorResponse::not_executed(ENDING_REASON, ENDING_RETRY_DELAY));
+    }
     let workspace = find_workspace(&catalog, &route, &metadata)?;
     trace.workspace = workspace.map(|row| row.name.to_string()).unwrap_or_default();
     let time_limit = metadata.deadline.unwrap_or(TIME_LIMIT_DEFAULT);
@@ -246,7 +259,12 @@
     mut trace: RequestTrace,
     buffered: BufferedBody,
 ) -> Response<ResponseBody> {
-    match send_with_retries(&admitted, &mut progress, &trace, None).await {
+    let sent = select! {
+        biased;
+        sent = send_with_retries(&admitted, &mut progress, &trace, None) => Some(sent),
+        () = trace.node.wait_ending() => None,
+    };
+    match sent.unwrap_or_else(|| Err(ending_error(&progress))) {
         Ok(UpstreamResponse::Complete(complete)) => {
             trace.record_first_response();
             let outcome = if complete.status.is_success() { "served" } else { "upstream-failed" };
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -26,6 +26,7 @@
         },
         quota_reach::QuotaReach,
         retry_budget::RetryBudget,
+        route_durations::RouteDurations,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
         suspects::{CrashReport, SuspectTable},
@@ -137,6 +138,8 @@
     pub demand: DemandMeter,
     /// Speeds of the pools, as measured by this node.
     pub speeds: PoolSpeedTable,
+    /// Times that requests took, by route.
+    pub durations: RouteDurations,
     /// Shared prompt parts that this node sent to upstreams.
     pub prompt_cache: PromptCacheTable,
     /// Clock that the nodes agree on.
@@ -186,6 +189,7 @@
             agreed_windows: AgreedWindows::default(),
             demand: DemandMeter::default(),
             speeds: PoolSpeedTable::default(),
+            durations: RouteDurations::default(),
             prompt_cache: PromptCacheTable::default(),
             clock: ClusterClock::default(),
             since_ms: None,
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -203,6 +203,8 @@
             node.log.record("config", fields);
             log_issues(node, &catalog);
             state.names.merge(catalog.names());
+            let is_declared = |name: &str| catalog.routes().iter().any(|row| row.name == name);
+            state.durations.retain(is_declared);
             node.metrics.config.version.set(i64::try_from(catalog.version().0).unwrap_or(0));
             state.catalog = Some(Rc::new(catalog));
         }
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -29,6 +29,7 @@
 pub mod quota;
 pub mod quota_reach;
 pub mod retry_budget;
+pub mod route_durations;
 pub mod store_eras;
 pub mod store_readers;
 pub mod stream_origins;
