Memory: a budget for all bytes that a node holds

100 responses without end of one faulty upstream took a node to 897 MB where instances have 260 MB, and all requests on it ended: each response was bounded, their sum was not, and bodies being received were not counted.

Uploads, responses and events share a budget that follows from limits.memory_mb in the settings. An upstream meets its own share first; when it is full the largest response ends and the others wait. Uploads beyond their half are refused as not run. Streams queue 64 KB for a slow caller and hold 1 MB of events whose order is not known.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -2,6 +2,8 @@
 
 mod agreed_rows;
 mod attempt;
+mod bounded_body;
+mod byte_lease;
 mod clock;
 mod connection_pool;
 mod decision_log;
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -265,6 +265,7 @@
                 ended,
                 body,
                 buffer,
+                lease,
                 metadata,
             }) => {
                 count_usage(admitted, progress, node, clock::now());
@@ -280,6 +281,7 @@
                 let source = UpstreamStream {
                     body,
                     buffer,
+                    lease,
                     connection,
                     in_flight,
                     metadata,
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -239,6 +239,8 @@
     pub platform_calls: PlatformCallCounters,
     /// Requests in progress.
     pub in_flight: Gauge,
+    /// Requests and responses that ended because too many bytes were held.
+    pub bytes_exceeded: Counter,
     /// Configuration.
     pub config: ConfigMetrics,
     /// Versions of the store.
@@ -282,6 +284,7 @@
             paths: PathMetrics::default(),
             platform_calls: Family::default(),
             in_flight: Gauge::default(),
+            bytes_exceeded: Counter::default(),
             config: ConfigMetrics::default(),
             store: StoreMetrics::default(),
             list_age: Gauge::default(),
@@ -324,6 +327,8 @@
         );
         registry.register("in_flight", "Requests being served", metrics.in_flight.clone());
         metrics.store.register(&mut registry);
+        let exceeded = "Requests and responses that ended as too many bytes were held";
+        registry.register("bytes_exceeded", exceeded, metrics.bytes_exceeded.clone());
         metrics.config.register(&mut registry);
         registry.register("list_age_seconds", "Age of the list", metrics.list_age.clone());
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -9,7 +9,7 @@
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::store_eras::StoreEras,
+    forward::{byte_budget::ByteBudget, store_eras::StoreEras},
     ids::{Incarnation, UpstreamId},
 };
 use tokio::sync::{Notify, watch};
@@ -95,14 +95,15 @@
     pub started_at: BootTime,
     /// Cloned by each open connection of a caller.
     pub caller_connections: Rc<()>,
-    /// Total size of the buffered request bodies in bytes.
-    pub buffered_bytes: Cell<usize>,
+    /// Bytes held for requests and responses.
+    pub byte_budget: RefCell<ByteBudget>,
 }
 
 impl ForwardNode {
     /// Creates a node without any state.
     pub fn new(settings: ForwardSettings) -> Self {
         let state = ForwardState::new(&settings);
+        let byte_budget = ByteBudget::new(settings.memory);
         let log = DecisionLog::start(settings.name.to_string(), settings.log_rate);
         Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -124,7 +125,7 @@
             ends_at: Cell::new(None),
             started_at: clock::now(),
             caller_connections: Rc::new(()),
-            buffered_bytes: Cell::new(0),
+            byte_budget: RefCell::new(byte_budget),
         }
     }
 
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -15,7 +15,7 @@
 use tokio::{
     select,
     sync::oneshot,
-    time::{Duration, sleep},
+    time::{Duration, sleep, timeout},
 };
 
 use crate::forward::{
@@ -343,7 +343,16 @@
             Some(Ok(frame)) => {
                 source.in_flight.record_heard();
                 let Some(chunk) = frame.data_ref() else { continue };
-                if let Some(batch) = source.buffer.push(chunk) {
+                let batch = source.buffer.push(chunk);
+                let held = source.lease.hold(source.buffer.pending_bytes());
+                match timeout(time_left, held).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(error)) => {
+                        return StreamStep::Broken(StreamBreak::new(error.to_string()));
+                    }
+                    Err(_elapsed) => return StreamStep::TimedOut,
+                }
+                if let Some(batch) = batch {
                     return StreamStep::Events(batch);
                 }
                 if source.buffer.is_overlong() {
--- a/samphiredeck/src/forward/response_body.rs
+++ b/samphiredeck/src/forward/response_body.rs
@@ -2,16 +2,26 @@
 
 use std::{
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::{
+    select,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+};
+
+use crate::forward::byte_lease::ByteLease;
 
+/// Size of the parts of a complete body.
+const PART_BYTES_MAX: usize = 65_536;
 /// Maximum number of stream chunks queued for a slow caller.
 const QUEUED_CHUNKS_MAX: usize = 16;
+/// Maximum number of their bytes. A longer chunk is queued alone.
+const QUEUED_BYTES_MAX: usize = 65_536;
 
 /// The stream ended before its last event. The caller's connection is aborted, so that the response
 /// does not appear complete.
@@ -22,19 +32,29 @@
 /// Chunk of a stream.
 #[derive(Debug)]
 enum StreamChunk {
-    Data(Bytes),
+    /// Bytes and their room in the queue.
+    Data(Bytes, OwnedSemaphorePermit),
     End,
 }
 
 /// Response body.
 #[derive(Debug)]
 pub enum ResponseBody {
-    /// Complete body. `None` if it is empty or has been sent.
-    Full(Option<Bytes>),
+    /// Complete body.
+    Full(FullBody),
     /// Body sent in chunks.
     Stream(StreamBody),
 }
 
+/// Complete body that is sent in parts, so that it is held until its caller has received nearly all.
+#[derive(Debug)]
+pub struct FullBody {
+    /// What is still to be sent.
+    bytes: Bytes,
+    /// Holds the whole body.
+    _lease: Option<ByteLease>,
+}
+
 /// Receiving half of a stream.
 #[derive(Debug)]
 pub struct StreamBody {
@@ -46,26 +66,41 @@
 #[derive(Debug)]
 pub struct StreamSender {
     chunks: mpsc::Sender<StreamChunk>,
+    /// Bytes that may still be queued.
+    room: Arc<Semaphore>,
 }
 
 impl ResponseBody {
     /// Creates a body of `bytes`.
     pub fn full(bytes: Bytes) -> Self {
-        Self::Full(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        Self::held(bytes, None)
+    }
+
+    /// Creates a body of `bytes`, for which `lease` holds them.
+    pub fn held(bytes: Bytes, lease: Option<ByteLease>) -> Self {
+        Self::Full(FullBody { bytes, _lease: lease })
     }
 
     /// Creates a streaming body and its sender.
     pub fn stream() -> (StreamSender, Self) {
         let (sender, chunks) = mpsc::channel(QUEUED_CHUNKS_MAX);
         let body = StreamBody { chunks, ended: false };
-        (StreamSender { chunks: sender }, Self::Stream(body))
+        let room = Arc::new(Semaphore::new(QUEUED_BYTES_MAX));
+        (StreamSender { chunks: sender, room }, Self::Stream(body))
     }
 }
 
 impl StreamSender {
     /// Sends complete events. Returns whether the caller is still connected.
     pub async fn send(&self, bytes: Bytes) -> bool {
-        self.chunks.send(StreamChunk::Data(bytes)).await.is_ok()
+        let taken = u32::try_from(bytes.len().min(QUEUED_BYTES_MAX)).unwrap_or(u32::MAX);
+        let room = select! {
+            room = Arc::clone(&self.room).acquire_many_owned(taken) => room,
+            () = self.chunks.closed() => return false,
+        };
+        // The room is never closed.
+        let Ok(room) = room else { return false };
+        self.chunks.send(StreamChunk::Data(bytes, room)).await.is_ok()
     }
 
     /// Completes the response. Returns whether the caller is still connected.
@@ -88,14 +123,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         let stream = match self.get_mut() {
-            Self::Full(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Full(FullBody { bytes, .. }) => {
+                let part = bytes.split_to(bytes.len().min(PART_BYTES_MAX));
+                return Poll::Ready((!part.is_empty()).then(|| Ok(Frame::data(part))));
+            }
             Self::Stream(stream) => stream,
         };
         if stream.ended {
             return Poll::Ready(None);
         }
         stream.chunks.poll_recv(cx).map(|chunk| match chunk {
-            Some(StreamChunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(StreamChunk::Data(bytes, _room)) => Some(Ok(Frame::data(bytes))),
             Some(StreamChunk::End) => {
                 stream.ended = true;
                 None
@@ -106,14 +144,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Full(bytes) => bytes.is_none(),
+            Self::Full(body) => body.bytes.is_empty(),
             Self::Stream(stream) => stream.ended,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Full(body) => SizeHint::with_exact(body.bytes.len() as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -6,12 +6,14 @@
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode, header::CONNECTION, uri::PathAndQuery,
 };
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::random;
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::catalog::{ForwardCatalog, RouteRow, WorkspaceRow},
+    forward::{
+        byte_budget::ByteSource,
+        catalog::{ForwardCatalog, RouteRow, WorkspaceRow},
+    },
     ids::{KeyHash, SuspectKey, WorkspaceName},
 };
 use samphiredeck_platform::headers::{
@@ -25,6 +27,8 @@
 
 use crate::forward::{
     attempt::send_with_retries,
+    bounded_body::{BodyError, WhenFull, collect_body},
+    byte_lease::ByteLease,
     clock,
     node::{ForwardNode, ShutdownPhase},
     quota::reserve_quota,
@@ -38,9 +42,6 @@
 
 /// Time limit of a request that does not state a deadline.
 pub const TIME_LIMIT_DEFAULT: Duration = Duration::from_secs(15);
-/// Maximum total size of buffered request bodies. A quarter of the memory of the users' smallest
-/// instances.
-const BUFFERED_BYTES_MAX: usize = 40 * 1_024 * 1_024;
 /// Retry delay for callers of a node that can't serve. By then the node has reported itself as not
 /// ready, and they reach another one.
 const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -53,19 +54,6 @@
 /// Poll interval while it waits.
 const FIRST_CATALOG_POLL_PERIOD: Duration = Duration::from_millis(10);
 
-/// Accounts for a buffered request body until the request has ended.
-#[derive(Debug)]
-struct BufferedBody {
-    node: Rc<ForwardNode>,
-    bytes: usize,
-}
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.node.buffered_bytes.set(self.node.buffered_bytes.get() - self.bytes);
-    }
-}
-
 pub async fn serve_request(
     node: Rc<ForwardNode>,
     request: Request<Incoming>,
@@ -99,7 +87,7 @@
     trace: &mut RequestTrace,
     metadata: RequestMetadata,
     request: Request<Incoming>,
-) -> Result<(AdmittedRequest, RequestProgress, BufferedBody), ErrorResponse> {
+) -> Result<(AdmittedRequest, RequestProgress, ByteLease), ErrorResponse> {
     let node = Rc::clone(&trace.node);
     let (parts, payload) = request.into_parts();
     wait_for_first_catalog(&node, trace).await;
@@ -222,7 +210,7 @@
     catalog: &ForwardCatalog,
     body: Incoming,
     deadline: BootTime,
-) -> Result<(Bytes, BufferedBody), ErrorResponse> {
+) -> Result<(Bytes, ByteLease), ErrorResponse> {
     let limit = catalog.limits().max_body_bytes;
     let too_large =
         || ErrorResponse::not_retryable(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
@@ -230,34 +218,30 @@
     if declared.is_some_and(|bytes| usize::try_from(bytes).is_ok_and(|bytes| bytes > limit)) {
         return Err(too_large());
     }
-    if node.buffered_bytes.get() > BUFFERED_BYTES_MAX {
-        return Err(ErrorResponse::not_executed("too many bytes held", UNREADY_RETRY_DELAY));
-    }
     let time_left = deadline.since(clock::now());
-    let collected = timeout(time_left, Limited::new(body, limit).collect()).await;
-    let bytes = match collected {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
-        Ok(Err(_cut)) => {
-            return Err(ErrorResponse::not_retryable(StatusCode::BAD_REQUEST, "body cut off"));
+    let mut lease = ByteLease::new(node, ByteSource::Caller);
+    let collected = collect_body(body, limit, &mut lease, WhenFull::Fail);
+    match timeout(time_left, collected).await {
+        Ok(Ok(bytes)) => Ok((bytes, lease)),
+        Ok(Err(BodyError::TooLong)) => Err(too_large()),
+        Ok(Err(BodyError::Full(_))) => Err(ErrorResponse::not_executed(
+            "too many bytes held",
+            with_jitter(UNREADY_RETRY_DELAY),
+        )),
+        Ok(Err(BodyError::Broken(_cut))) => {
+            Err(ErrorResponse::not_retryable(StatusCode::BAD_REQUEST, "body cut off"))
         }
         Err(_elapsed) => {
-            return Err(ErrorResponse::not_retryable(
-                StatusCode::REQUEST_TIMEOUT,
-                "body came too slowly",
-            ));
+            Err(ErrorResponse::not_retryable(StatusCode::REQUEST_TIMEOUT, "body came too slowly"))
         }
-    };
-    node.buffered_bytes.set(node.buffered_bytes.get() + bytes.len());
-    let buffered = BufferedBody { node: Rc::clone(node), bytes: bytes.len() };
-    Ok((bytes, buffered))
+    }
 }
 
 async fn respond(
     admitted: AdmittedRequest,
     mut progress: RequestProgress,
     mut trace: RequestTrace,
-    buffered: BufferedBody,
+    buffered: ByteLease,
 ) -> Response<ResponseBody> {
     let sent = select! {
         biased;
@@ -269,7 +253,7 @@
             trace.record_first_response();
             let outcome = if complete.status.is_success() { "served" } else { "upstream-failed" };
             trace.finish(outcome, complete.status.as_u16(), "");
-            let body = ResponseBody::full(complete.body);
+            let body = ResponseBody::held(complete.body, complete.lease);
             build_response(&trace.node, complete.status, complete.headers, body)
         }
         Ok(UpstreamResponse::Streaming(stream)) => {
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -22,6 +22,9 @@
     }
 }
 
+/// Memory without which a node can't hold one response of the permitted size, in megabytes.
+const MEMORY_MB_MIN: usize = 128;
+
 /// Settings file.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -31,9 +34,24 @@
     platform: RawPlatform,
     bounds: RawBounds,
     #[serde(default)]
+    limits: RawMemory,
+    #[serde(default)]
     log: RawLog,
 }
 
+/// Section `limits`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawMemory {
+    memory_mb: usize,
+}
+
+impl Default for RawMemory {
+    fn default() -> Self {
+        Self { memory_mb: 256 }
+    }
+}
+
 /// Section `node`.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -145,6 +163,8 @@
     pub platform: PlatformSettings,
     /// Bounds that the node must keep.
     pub bounds: BoundSettings,
+    /// Memory of the instance in bytes.
+    pub memory: usize,
     /// Maximum number of log lines per kind and second. At least 1.
     pub log_rate: u32,
 }
@@ -222,6 +242,9 @@
         if raw.log.lines_per_second == 0 {
             validator.reject("log.lines_per_second", "must be at least 1");
         }
+        if raw.limits.memory_mb < MEMORY_MB_MIN {
+            validator.reject("limits.memory_mb", format!("must be at least {MEMORY_MB_MIN}"));
+        }
         let parsed = (|| {
             Some(Self {
                 name: name?,
@@ -250,6 +273,7 @@
                         window: bounds.quota_window.to_duration(),
                     },
                 },
+                memory: raw.limits.memory_mb.saturating_mul(1_024 * 1_024),
                 log_rate: raw.log.lines_per_second,
             })
         })();
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -5,11 +5,12 @@
     HeaderMap, Response, StatusCode,
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        byte_budget::ByteSource,
         event_order::ResumePoint,
         events::{EventBatch, EventBuffer},
         outcome::SendOutcome,
@@ -22,6 +23,8 @@
 };
 
 use crate::forward::{
+    bounded_body::{BodyError, WhenFull, collect_body},
+    byte_lease::ByteLease,
     clock,
     http_connection::{HttpConnection, is_closed_by_peer},
     in_flight::InFlightRequest,
@@ -42,6 +45,8 @@
     /// Headers for the caller.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Holds the body.
+    pub lease: Option<ByteLease>,
 }
 
 /// Streaming response of an upstream, from its first event on.
@@ -65,6 +70,8 @@
     pub body: Incoming,
     /// Buffer for a partial event.
     pub buffer: EventBuffer,
+    /// Holds the buffer.
+    pub lease: ByteLease,
     /// Connection of the stream. Dropping it cancels the run.
     pub connection: HttpConnection,
     /// Keeps the request counted as in flight.
@@ -121,6 +128,7 @@
         ended: bool,
         body: Incoming,
         buffer: EventBuffer,
+        lease: ByteLease,
         metadata: ResponseMetadata,
     },
 }
@@ -177,6 +185,8 @@
         return Err(SendFailure::new(SendOutcome::Failed, reason));
     }
     let headers = encode_response_headers(&head.headers);
+    let source = ByteSource::Upstream(in_flight.upstream.clone());
+    let mut lease = ByteLease::new(&trace.node, source);
     if head.status.is_success() {
         if !metadata.signed || metadata.encoded {
             return Err(SendFailure::new(
@@ -192,17 +202,24 @@
             let is_unframed = !head.headers.contains_key(CONTENT_LENGTH)
                 && !head.headers.contains_key(TRANSFER_ENCODING);
             let is_rest = resume.is_some();
-            return receive_stream(head.status, headers, body, metadata, is_unframed, is_rest)
-                .await;
+            return receive_stream(
+                head.status,
+                headers,
+                (body, lease),
+                metadata,
+                is_unframed,
+                is_rest,
+            )
+            .await;
         }
     }
-    let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
-    let body = body.map_err(|error| match error.downcast_ref::<hyper::Error>() {
-        Some(error) => SendFailure::unread(error),
-        None => SendFailure::new(SendOutcome::Broken, error.to_string()),
+    let body = collect_body(body, RESPONSE_BYTES_MAX, &mut lease, WhenFull::Wait).await;
+    let body = body.map_err(|error| match error {
+        BodyError::Broken(error) => SendFailure::unread(&error),
+        error => SendFailure::new(SendOutcome::Broken, error.to_string()),
     })?;
-    let body = body.to_bytes();
-    let complete = CompleteResponse { status: head.status, headers, body };
+    let lease = Some(lease);
+    let complete = CompleteResponse { status: head.status, headers, body, lease };
     let client_error =
         head.status.is_client_error() && metadata.signed && !implies_not_executed(head.status);
     if head.status.is_success() || client_error {
@@ -238,7 +255,7 @@
 async fn receive_stream(
     status: StatusCode,
     headers: HeaderMap,
-    mut body: Incoming,
+    (mut body, mut lease): (Incoming, ByteLease),
     metadata: ResponseMetadata,
     is_unframed: bool,
     is_rest: bool,
@@ -265,6 +282,7 @@
                 ended,
                 body,
                 buffer,
+                lease,
                 metadata,
             });
         };
@@ -287,9 +305,13 @@
                 ended,
                 body,
                 buffer,
+                lease,
                 metadata,
             });
         }
+        if let Err(error) = lease.hold(buffer.pending_bytes()).await {
+            return Err(SendFailure::new(SendOutcome::Broken, error.to_string()));
+        }
         if buffer.is_overlong() {
             return Err(SendFailure::new(SendOutcome::Broken, "event exceeds the size limit"));
         }
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -6,6 +6,7 @@
 pub mod agreed_windows;
 pub mod awaited_response;
 pub mod brittle_pools;
+pub mod byte_budget;
 pub mod capacity;
 pub mod catalog;
 pub mod clock;
--- a/samphiredeck_core/src/forward/event_order.rs
+++ b/samphiredeck_core/src/forward/event_order.rs
@@ -12,14 +12,23 @@
 
 use super::events::EventBatch;
 
-/// An event was lost, repeated or reordered.
+/// Maximum size of the events that are held, in bytes.
+const HELD_BYTES_MAX: usize = 1_048_576;
+
+/// Events can't be passed on.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-#[error("event {next} follows event {last}")]
-pub struct OrderError {
-    /// Id of the event that does not follow.
-    pub next: u64,
-    /// Id of the event before it.
-    pub last: u64,
+pub enum OrderError {
+    /// An event was lost, repeated or reordered.
+    #[error("event {next} follows event {last}")]
+    Gap {
+        /// Id of the event that does not follow.
+        next: u64,
+        /// Id of the event before it.
+        last: u64,
+    },
+    /// Too many events came before one that shows the step of the ids.
+    #[error("too many events whose order is not known")]
+    Overlong,
 }
 
 /// Difference between the ids of two events.
@@ -55,7 +64,7 @@
         self.is_past_last = next.is_none();
         let Some(next) = next else { return Ok(()) };
         let Some(last) = self.last.replace(next) else { return Ok(()) };
-        let error = OrderError { next, last };
+        let error = OrderError::Gap { next, last };
         let step = next.checked_sub(last).filter(|step| *step > 0).ok_or(error)?;
         self.step = match self.step {
             EventStep::Assumed if step == 1 => EventStep::Confirmed(1),
@@ -106,12 +115,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event was lost, repeated or reordered. None of `batch` is released then.
+    /// Returns an error if an event was lost, repeated or reordered, or too many are held. None of `batch` is released then.
     pub fn push(&mut self, batch: EventBatch) -> Result<Bytes, OrderError> {
         for id in batch.ids {
             self.received.push(id)?;
         }
         if matches!(self.received.step, EventStep::Suspected(_)) {
+            if self.held.len() + batch.bytes.len() > HELD_BYTES_MAX {
+                return Err(OrderError::Overlong);
+            }
             self.held.extend_from_slice(&batch.bytes);
             return Ok(Bytes::new());
         }
--- a/samphiredeck_core/src/forward/events.rs
+++ b/samphiredeck_core/src/forward/events.rs
@@ -45,6 +45,12 @@
         lf.max(crlf).map(|at| from + at)
     }
 
+    /// Number of bytes of the incomplete event.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether an incomplete event is buffered.
     #[must_use]
     pub fn is_partial(&self) -> bool {
