Limits: a query does not wait for connections to silent nodes

By reading: an owner asked in place of another one tried the addresses of nodes that did not respond before it decided, for up to 100 ms. Its caller waits 90 ms and would have passed it over for 400 ms whenever a machine without power was in the list. The attempts run beside the decision now. Not shown by a test: stand-ins on loopback refuse at once.

--- a/samphiredeck/src/forward/quota_decision.rs
+++ b/samphiredeck/src/forward/quota_decision.rs
@@ -2,7 +2,7 @@
 
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
-use futures_util::future::join_all;
+use actix_web::rt::spawn;
 use rand::seq::IndexedRandom;
 use samphiredeck_core::{
     forward::{
@@ -141,9 +141,9 @@
     }
 }
 
-/// Probes other nodes and waits for the time in which a live one responds. Of nodes that don't, it is found out whether
-/// they have ended.
-async fn probe_reach(node: &ForwardNode, socket: &PeerSocket) {
+/// Probes other nodes and waits for the time in which a live one responds. Of nodes that don't, it is found out after that
+/// whether they have ended.
+async fn probe_reach(node: &Rc<ForwardNode>, socket: &PeerSocket) {
     let others: Vec<NodeName> = {
         let state = node.state();
         let entries = state.members.list().entries().iter();
@@ -158,12 +158,14 @@
     }
     sleep(PROBE_TIMEOUT).await;
     let unanswered = node.state().quota_reach.unanswered();
-    let tried = unanswered.into_iter().take(PROBED_PER_ROUND);
-    join_all(tried.map(|other| find_end(node, other))).await;
+    for other in unanswered.into_iter().take(PROBED_PER_ROUND) {
+        // A query waits for the probes, but for no connection.
+        spawn(find_end(Rc::clone(node), other));
+    }
 }
 
 /// Notes whether the process of `other` has ended: its address refuses connections then.
-async fn find_end(node: &ForwardNode, other: NodeName) {
+async fn find_end(node: Rc<ForwardNode>, other: NodeName) {
     let address = node.state().members.peer_address(&other);
     let Some(address) = address else { return };
     let connected = timeout(END_TIMEOUT, TcpStream::connect(address)).await;
