Lease: one that can't be read is not taken for one that nobody holds

The same class as configurations that can't be read: a conflict that showed a lease in a form which this build doesn't know was observed as no lease at all. The node then wrote its own over it at once, with the first fencing token. Reads of the shared rows already left such a lease alone; conflicts do now, and the row is read before the next decision.

lease_that_cannot_be_read_is_not_taken failed before (the row held a lease of a node again), and passes: nobody acts while the lease can't be read, and the duty goes on with higher tokens once it can.

--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -182,6 +182,11 @@
             "known_era": known.era().0,
         });
         self.node.log.record("duty-conflict", fields);
+        if record.is_none() && version.number() != 0 {
+            // Somebody may hold a lease that this node can't read. Its reads of the shared rows leave it alone too.
+            self.node.state().leader_lease.mark_uncertain();
+            return;
+        }
         if version.number() != 0 && version.era() < era {
             // The answer is older than what another call has learned.
             return;
