Memory: whole responses count for their callers, not for the upstream

By reading: a response that was complete and waited for a slow caller still counted for its upstream. A few callers that read nothing filled the share of a sound upstream, and its other responses waited until their deadlines.

A whole response moves to a share of its own, half of the budget; only when that is full it stays with the upstream.

--- a/samphiredeck/src/forward/byte_lease.rs
+++ b/samphiredeck/src/forward/byte_lease.rs
@@ -62,9 +62,16 @@
         }
     }
 
+    /// Counts what it holds for the caller of a whole response.
+    pub fn deliver(&mut self) {
+        if let Some(number) = self.number {
+            self.node.byte_budget.borrow_mut().deliver(number);
+        }
+    }
+
     fn exceeded(&self, bytes: usize) -> BudgetExceeded {
         let source = match &self.source {
-            ByteSource::Caller => "",
+            ByteSource::Caller | ByteSource::Delivery => "",
             ByteSource::Upstream(upstream) => upstream.as_str(),
         };
         let held = self.node.byte_budget.borrow().held();
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -218,6 +218,7 @@
         BodyError::Broken(error) => SendFailure::unread(&error),
         error => SendFailure::new(SendOutcome::Broken, error.to_string()),
     })?;
+    lease.deliver();
     let lease = Some(lease);
     let complete = CompleteResponse { status: head.status, headers, body, lease };
     let client_error =
--- a/samphiredeck_core/src/forward/byte_budget.rs
+++ b/samphiredeck_core/src/forward/byte_budget.rs
@@ -11,6 +11,8 @@
 const MEMORY_PARTS: usize = 3;
 /// Part of the budget that uploads may take.
 const UPLOAD_PARTS: usize = 2;
+/// Part of the budget that whole responses may take until their callers have read them.
+const DELIVERY_PARTS: usize = 2;
 /// Part of the budget that the responses of one upstream may take.
 const UPSTREAM_PARTS: usize = 4;
 
@@ -21,6 +23,8 @@
     Caller,
     /// Upstream that responds.
     Upstream(UpstreamId),
+    /// Upstreams that have responded: the caller has still to read the response.
+    Delivery,
 }
 
 /// Number of a lease. Never used twice in a run.
@@ -81,6 +85,20 @@
         self.rows.binary_search_by_key(&number, |row| row.number)
     }
 
+    /// Counts the whole response of the lease `number` for its caller, who may read slowly, and no longer for its upstream.
+    /// Callers that read too much too slowly hold up the upstream's share.
+    pub fn deliver(&mut self, number: LeaseNumber) {
+        let Ok(at) = self.find(number) else { return };
+        let delivered = self.held_by(&ByteSource::Delivery) + self.rows[at].bytes;
+        if delivered <= self.total / DELIVERY_PARTS {
+            self.rows[at].source = ByteSource::Delivery;
+        }
+    }
+
+    fn held_by(&self, source: &ByteSource) -> usize {
+        self.rows.iter().filter(|row| row.source == *source).map(|row| row.bytes).sum()
+    }
+
     /// Bytes held in all.
     #[must_use]
     pub fn held(&self) -> usize {
@@ -99,10 +117,9 @@
         let parts = match source {
             ByteSource::Caller => UPLOAD_PARTS,
             ByteSource::Upstream(_) => UPSTREAM_PARTS,
+            ByteSource::Delivery => DELIVERY_PARTS,
         };
-        let of_source = self.rows.iter().filter(|row| row.source == source);
-        let held_by_source: usize = of_source.map(|row| row.bytes).sum();
-        let is_share_full = held_by_source + grown > self.total / parts;
+        let is_share_full = self.held_by(&source) + grown > self.total / parts;
         if !is_share_full && self.held() + grown <= self.total {
             self.rows[at].bytes = bytes;
             return BudgetDecision::Granted;
@@ -111,8 +128,9 @@
         if source == ByteSource::Caller || bytes > self.total / parts {
             return BudgetDecision::Exceeded;
         }
-        let competes = |row: &&LeaseRow| {
-            row.source != ByteSource::Caller && (!is_share_full || row.source == source)
+        let competes = |row: &&LeaseRow| match &row.source {
+            ByteSource::Caller | ByteSource::Delivery => false,
+            ByteSource::Upstream(_) => !is_share_full || row.source == source,
         };
         let largest = self.rows.iter().filter(competes).max_by_key(|row| (row.bytes, row.number));
         match largest {
--- a/samphiredeck_core/tests/forward_bytes.rs
+++ b/samphiredeck_core/tests/forward_bytes.rs
@@ -41,6 +41,29 @@
     assert_eq!(budget.resize(late, 1), BudgetDecision::Granted);
 }
 
+#[test]
+fn responses_that_callers_read_slowly_do_not_count_for_their_upstream() {
+    let mut budget = ByteBudget::new(1_200);
+    let first = budget.open(upstream(1));
+    assert_eq!(budget.resize(first, 100), BudgetDecision::Granted);
+    let second = budget.open(upstream(1));
+    assert_eq!(budget.resize(second, 50), BudgetDecision::Wait);
+    budget.deliver(first);
+    assert_eq!(budget.resize(second, 100), BudgetDecision::Granted);
+    budget.deliver(second);
+    // Half of the budget is held for slow callers. The next response stays with its upstream, others go on.
+    let third = budget.open(upstream(1));
+    assert_eq!(budget.resize(third, 90), BudgetDecision::Granted);
+    budget.deliver(third);
+    let fourth = budget.open(upstream(1));
+    assert_eq!(budget.resize(fourth, 20), BudgetDecision::Wait);
+    let other = budget.open(upstream(2));
+    assert_eq!(budget.resize(other, 90), BudgetDecision::Granted);
+    budget.close(first);
+    budget.deliver(third);
+    assert_eq!(budget.resize(fourth, 20), BudgetDecision::Granted);
+}
+
 proptest! {
     /// The counterpart of the bound: of those that want more, at least one is never left waiting for ever.
     #[test]
