Memory: informational responses without end are broken off

A hundred connections on which an upstream sent informational responses and nothing else kept the thread of a node busy: a request to another upstream took 4.2 s. The HTTP library bounds a head, not what comes before it.

A connection fails when 256 KB have arrived between a request and the end of the head of its response. The scan of tunnels ends likewise.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -8,6 +8,7 @@
 mod connection_pool;
 mod decision_log;
 mod dependency;
+mod head_stream;
 mod heartbeats;
 pub mod http_connection;
 mod in_flight;
--- a/samphiredeck/src/forward/http_connection.rs
+++ b/samphiredeck/src/forward/http_connection.rs
@@ -28,7 +28,11 @@
     time::timeout,
 };
 
-use crate::forward::{patient_stream::PatientStream, tunnel_stream::TunnelStream};
+use crate::forward::{
+    head_stream::{HeadBytes, HeadStream},
+    patient_stream::PatientStream,
+    tunnel_stream::TunnelStream,
+};
 
 /// Time after which the kernel closes a connection with unacknowledged data. Prevents a request
 /// that has timed out here from arriving much later.
@@ -66,6 +70,8 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bytes received while the head of a response is awaited.
+    head: HeadBytes,
     driver: JoinHandle<()>,
     /// Node through which the upstream is reached, if not directly.
     via: Option<NodeName>,
@@ -92,12 +98,14 @@
     ) -> Result<Self, hyper::Error> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_BYTES_MAX);
+        let head = HeadBytes::default();
+        let stream = HeadStream::new(stream, head.clone());
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let driver = actix_web::rt::spawn(async move {
             // Errors that affect a request are returned by `sender`.
             drop(connection.await);
         });
-        Ok(Self { sender, driver, via })
+        Ok(Self { sender, head, driver, via })
     }
 
     /// Node through which the upstream is reached, if not directly.
@@ -122,7 +130,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        self.head.begin();
+        let sent = self.sender.try_send_request(request).await;
+        self.head.end();
+        sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let error = error.into_error();
             SendError { unsent, closed: is_closed_by_peer(&error), reason: error.to_string() }
--- a/samphiredeck/src/forward/response_scan.rs
+++ b/samphiredeck/src/forward/response_scan.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub struct ResponseScan {
     bytes: Vec<u8>,
+    /// Bytes of informational responses.
+    passed: usize,
     is_done: bool,
 }
 
@@ -36,6 +38,11 @@
             let status = response.code.and_then(|code| StatusCode::from_u16(code).ok());
             if status.is_some_and(|status| status.is_informational()) {
                 self.bytes.drain(..length);
+                self.passed += length;
+                if self.passed > HEAD_BYTES_MAX {
+                    self.finish();
+                    return None;
+                }
                 continue;
             }
             let mut headers = HeaderMap::new();
