--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -282,6 +282,7 @@
                     body,
                     buffer,
                     lease,
+                    held_events: 0,
                     connection,
                     in_flight,
                     metadata,
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -94,6 +94,7 @@
         let stream_break = match step {
             StreamStep::Events(batch) => match send_batch(&sender, batch, &mut gate).await {
                 Ok(true) => {
+                    source.held_events = gate.held_bytes();
                     batches += 1;
                     progress.caller_heard_at = Some(clock::now());
                     if batches >= BATCHES_PROVING {
@@ -344,7 +345,7 @@
                 source.in_flight.record_heard();
                 let Some(chunk) = frame.data_ref() else { continue };
                 let batch = source.buffer.push(chunk);
-                let held = source.lease.hold(source.buffer.pending_bytes());
+                let held = source.lease.hold(source.buffer.pending_bytes() + source.held_events);
                 match timeout(time_left, held).await {
                     Ok(Ok(())) => {}
                     Ok(Err(error)) => {
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -70,8 +70,10 @@
     pub body: Incoming,
     /// Buffer for a partial event.
     pub buffer: EventBuffer,
-    /// Holds the buffer.
+    /// Holds the buffer, and the events whose order is not known yet.
     pub lease: ByteLease,
+    /// Bytes of those events.
+    pub held_events: usize,
     /// Connection of the stream. Dropping it cancels the run.
     pub connection: HttpConnection,
     /// Keeps the request counted as in flight.
--- a/samphiredeck_core/src/forward/event_order.rs
+++ b/samphiredeck_core/src/forward/event_order.rs
@@ -105,6 +105,12 @@
         (!is_past_last).then_some(ResumePoint { last_id })
     }
 
+    /// Number of bytes held.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.held.len()
+    }
+
     /// Whether events are held. A stream that ends so has lost one.
     #[must_use]
     pub fn is_holding(&self) -> bool {
--- a/samphiredeck_core/tests/forward_events.rs
+++ b/samphiredeck_core/tests/forward_events.rs
@@ -104,6 +104,25 @@
     gate.push(batch(13)).unwrap_err();
 }
 
+/// Guards against a gate that holds events without a bound while their order is not known.
+#[test]
+fn events_of_unknown_order_are_held_up_to_a_bound() {
+    let mut gate = EventGate::after(None);
+    let batch = |ids: Vec<Option<u64>>| EventBatch { bytes: Bytes::from(vec![b'x'; 1_000]), ids };
+    assert_eq!(gate.push(batch(vec![Some(5)])).unwrap().len(), 1_000);
+    assert!(gate.push(batch(vec![Some(15)])).unwrap().is_empty());
+    let held = (0..2_000).take_while(|number| gate.push(batch(vec![None; number % 2])).is_ok());
+    assert!((500..1_100).contains(&held.count()));
+    // Up to there, the event that shows the step releases all.
+    let mut gate = EventGate::after(None);
+    gate.push(batch(vec![Some(5)])).unwrap();
+    gate.push(batch(vec![Some(15)])).unwrap();
+    for _ in 0..900 {
+        gate.push(batch(vec![None])).unwrap();
+    }
+    assert_eq!(gate.push(batch(vec![Some(25)])).unwrap().len(), 902_000);
+}
+
 #[test]
 fn events_without_an_id_are_told_apart() {
     let cases: [(&str, &[Option<u64>]); 7] = [
