Memory: instances below 128 MB are served with a smaller budget

Cause: the settings refused `limits.memory_mb` below 128, so that nodes with 120 MB ended with code 2, again and again. The bound stood for one response of the largest permitted size, not for what a node needs to serve.

Ruled out: a fixed third of the memory for every instance. A process that serves needs about 30 MB, so that a third and the process exceed three quarters of 64 MB.

Change: every memory above zero starts. Below 77 MB the budget is what three quarters of the memory leave beside 32 MB for the process, 4 MB at least. The gauge `byte_budget` shows it, and a line `memory-small` tells when the share of one upstream can't hold a response of the permitted size.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -76,6 +76,7 @@
     metrics::StateLabels,
     node::{ForwardNode, ShutdownPhase},
     settings::{ForwardSettings, load_forward_settings},
+    upstream_response::RESPONSE_BYTES_MAX,
 };
 
 /// Time for which a stopping node keeps accepting connections. The load balancer probes once a
@@ -167,6 +168,15 @@
         "program": env!("CARGO_PKG_VERSION"),
     });
     node.log.record("start", fields);
+    let budget = node.byte_budget.borrow();
+    node.metrics.byte_budget.set(i64::try_from(budget.total()).unwrap_or(i64::MAX));
+    if budget.upstream_share() < RESPONSE_BYTES_MAX {
+        let fields = json!({
+            "memory": settings.memory, "budget": budget.total(),
+            "response_max": budget.upstream_share(),
+        });
+        node.log.record("memory-small", fields);
+    }
 }
 
 /// Spawns the background tasks and listeners. Each runs until the process exits.
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -241,6 +241,8 @@
     pub in_flight: Gauge,
     /// Requests and responses that ended because too many bytes were held.
     pub bytes_exceeded: Counter,
+    /// Bytes that may be held for requests and responses.
+    pub byte_budget: Gauge,
     /// Configuration.
     pub config: ConfigMetrics,
     /// Versions of the store.
@@ -285,6 +287,7 @@
             platform_calls: Family::default(),
             in_flight: Gauge::default(),
             bytes_exceeded: Counter::default(),
+            byte_budget: Gauge::default(),
             config: ConfigMetrics::default(),
             store: StoreMetrics::default(),
             list_age: Gauge::default(),
@@ -329,6 +332,8 @@
         metrics.store.register(&mut registry);
         let exceeded = "Requests and responses that ended as too many bytes were held";
         registry.register("bytes_exceeded", exceeded, metrics.bytes_exceeded.clone());
+        let budget = "Bytes that may be held for requests and responses";
+        registry.register("byte_budget", budget, metrics.byte_budget.clone());
         metrics.config.register(&mut registry);
         registry.register("list_age_seconds", "Age of the list", metrics.list_age.clone());
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -103,7 +103,7 @@
     /// Creates a node without any state.
     pub fn new(settings: ForwardSettings) -> Self {
         let state = ForwardState::new(&settings);
-        let byte_budget = ByteBudget::new(settings.memory);
+        let byte_budget = ByteBudget::of_instance(settings.memory);
         let log = DecisionLog::start(settings.name.to_string(), settings.log_rate);
         Self {
             settings: RefCell::new(Rc::new(settings)),
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -22,9 +22,6 @@
     }
 }
 
-/// Memory without which a node can't hold one response of the permitted size, in megabytes.
-const MEMORY_MB_MIN: usize = 128;
-
 /// Settings file.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -242,8 +239,8 @@
         if raw.log.lines_per_second == 0 {
             validator.reject("log.lines_per_second", "must be at least 1");
         }
-        if raw.limits.memory_mb < MEMORY_MB_MIN {
-            validator.reject("limits.memory_mb", format!("must be at least {MEMORY_MB_MIN}"));
+        if raw.limits.memory_mb == 0 {
+            validator.reject("limits.memory_mb", "must be at least 1");
         }
         let parsed = (|| {
             Some(Self {
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -34,7 +34,7 @@
 };
 
 /// Maximum size of a complete response, which is buffered and validated before it is relayed.
-const RESPONSE_BYTES_MAX: usize = 8 * 1_024 * 1_024;
+pub const RESPONSE_BYTES_MAX: usize = 8 * 1_024 * 1_024;
 /// Content type of streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
--- a/samphiredeck_core/src/forward/byte_budget.rs
+++ b/samphiredeck_core/src/forward/byte_budget.rs
@@ -9,6 +9,11 @@
 
 /// Part of the instance's memory that the budget is.
 const MEMORY_PARTS: usize = 3;
+/// Parts of three quarters of a small instance's memory that the process needs besides, in bytes: tables, connections and
+/// buffers of a node that serves.
+const PROCESS_BYTES: usize = 32 * 1_024 * 1_024;
+/// Minimum budget in bytes, whatever the memory.
+const BUDGET_MIN: usize = 4 * 1_024 * 1_024;
 /// Part of the budget that uploads may take.
 const UPLOAD_PARTS: usize = 2;
 /// Part of the budget that whole responses may take until their callers have read them.
@@ -66,6 +71,26 @@
         Self { total: memory / MEMORY_PARTS, rows: Vec::new(), next: 0 }
     }
 
+    /// Creates the budget of an instance with `memory` bytes, of which the process itself needs some. Small instances get
+    /// a smaller part.
+    #[must_use]
+    pub fn of_instance(memory: usize) -> Self {
+        let spare = (memory / 4 * 3).saturating_sub(PROCESS_BYTES).max(BUDGET_MIN);
+        Self { total: (memory / MEMORY_PARTS).min(spare), rows: Vec::new(), next: 0 }
+    }
+
+    /// Bytes that may be held in all.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        self.total
+    }
+
+    /// Bytes that the responses of one upstream may take.
+    #[must_use]
+    pub fn upstream_share(&self) -> usize {
+        self.total / UPSTREAM_PARTS
+    }
+
     /// Opens a lease that holds nothing.
     pub fn open(&mut self, source: ByteSource) -> LeaseNumber {
         let number = LeaseNumber(self.next);
--- a/samphiredeck_core/tests/forward_bytes.rs
+++ b/samphiredeck_core/tests/forward_bytes.rs
@@ -24,6 +24,21 @@
     assert_eq!(budget.resize(second, 100), BudgetDecision::Granted);
 }
 
+/// Guards against an instance that does not start, or that gives away memory that its process needs.
+#[test]
+fn budget_leaves_memory_for_the_process_on_every_instance() {
+    const MB: usize = 1_024 * 1_024;
+    for memory_mb in [64, 96, 120, 160, 260, 512] {
+        let total = ByteBudget::of_instance(memory_mb * MB).total();
+        assert!(total + 32 * MB <= memory_mb * MB / 4 * 3, "{memory_mb}: {total}");
+        assert!(total >= 4 * MB, "{memory_mb}: {total}");
+    }
+    // The counterpart: larger instances keep the third that they had.
+    for memory_mb in [120, 260, 512] {
+        assert_eq!(ByteBudget::of_instance(memory_mb * MB).total(), memory_mb * MB / 3);
+    }
+}
+
 #[test]
 fn uploads_leave_room_for_responses() {
     let mut budget = ByteBudget::new(1_200);
