Load: waits for slots, speeds of upstreams, requests counted over all nodes, admission

Cause: the estimate of an engine's wait had no part for its slots, and a node heard of each of 90 upstreams every few seconds only. An upstream without a recent report counted as idle. Engines of 16 slots held over 40 requests while others held under 4; the first event came up to 16 times later than expected.

Ruled out: asking the upstreams more often, which callers and operators pay for; asking the node that counts an upstream before each send, which adds a round trip to each request; random of two, which evens out the little that a node knows.

Change: `WaitEstimate` has the wait for a slot. Nodes count the requests that they have in flight and tell the collector of their failure domain ten times a second; collectors exchange sums and return the total. What others sent since the view is assumed to have filled the least loaded upstreams to a common level. Each node prefers other upstreams among those that are alike. The time between events gives the speed of each upstream, told between nodes. While the best upstream has no free slot, a request waits briefly at the node or is refused by its urgency, its latency target and the share of its workspace (`admission`; not measured yet).

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -1,5 +1,6 @@
 //! Node that forwards client requests to the platform's upstreams unmodified.
 
+mod admission;
 mod agreed_rows;
 mod attempt;
 mod bounded_body;
@@ -16,6 +17,7 @@
 mod leader;
 mod limit_exchange;
 mod limit_queue;
+mod load_exchange;
 mod metrics;
 mod node;
 mod operator;
@@ -38,6 +40,7 @@
 mod shared_rows;
 mod silent_upstream;
 mod slot_exchange;
+mod speed_exchange;
 mod state;
 mod store_returns;
 mod store_status;
@@ -191,6 +194,8 @@
     spawn(suspect_exchange::compare_suspects(Rc::clone(node)));
     spawn(limit_exchange::announce_limits(Rc::clone(node)));
     spawn(limit_exchange::compare_limits(Rc::clone(node)));
+    spawn(speed_exchange::announce_speeds(Rc::clone(node)));
+    spawn(load_exchange::exchange_loads(Rc::clone(node)));
     spawn(slot_exchange::announce_brittle(Rc::clone(node)));
     spawn(slot_exchange::return_slots(Rc::clone(node)));
     spawn(quota_decision::watch_reach(Rc::clone(node)));
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -20,6 +20,7 @@
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
 use serde_json::json;
+use tokio::{select, time::sleep};
 
 use crate::forward::{
     clock,
@@ -84,6 +85,13 @@
         let time_left = admitted.deadline.since(now);
         let placement = match place(admitted, progress, trace, now, time_left)? {
             PlaceDecision::Send(placement) => placement,
+            PlaceDecision::Hold(until) => {
+                select! {
+                    () = node.request_ended.notified() => {}
+                    () = sleep(until.since(now)) => {}
+                }
+                continue;
+            }
             PlaceDecision::Wait { forecast, ahead } => {
                 wait_for_turn(admitted, progress, trace, forecast, ahead).await?;
                 continue;
@@ -287,6 +295,7 @@
                     in_flight,
                     metadata,
                     first_event_at,
+                    later_events: (0, first_event_at),
                 };
                 let response = StreamingResponse { status, headers, first_batch, ended, source };
                 Ok(UpstreamResponse::Streaming(Box::new(response)))
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -46,7 +46,7 @@
         }
         let pending = PendingResponse {
             prefill_tokens: placement.prefill_tokens,
-            due_at: now + placement.expected_wait,
+            due_at: now + placement.wait.total(),
         };
         state.upstreams.record_request_start(&placement.upstream, &pending);
         drop(guard);
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -39,6 +39,14 @@
     pub cause: &'static str,
 }
 
+/// Labels of requests that were not sent at once.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct AdmissionLabels {
+    pub route: String,
+    /// Whether they waited, or why they were refused.
+    pub decision: &'static str,
+}
+
 /// Label of a change of an upstream's limit.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct LimitLabels {
@@ -255,6 +263,8 @@
     pub upstreams: Family<StateLabels, Gauge>,
     /// Number of state changes that responses caused.
     pub state_changes: Family<StateLabels, Counter>,
+    /// Requests that waited or were refused since their pool was short of slots.
+    pub admissions: Family<AdmissionLabels, Counter>,
     /// Limits that upstreams named.
     pub limits: LimitMetrics,
     pub slots: SlotMetrics,
@@ -294,6 +304,7 @@
             accepting: Gauge::default(),
             upstreams: Family::default(),
             state_changes: Family::default(),
+            admissions: Family::default(),
             limits: LimitMetrics::default(),
             slots: SlotMetrics::default(),
             engine_crashes: Counter::default(),
@@ -343,6 +354,8 @@
             "Changes of state that answers told of",
             metrics.state_changes.clone(),
         );
+        let admissions = "Requests that waited or were refused, as their pool was short of slots";
+        registry.register("admissions", admissions, metrics.admissions.clone());
         metrics.limits.register(&mut registry);
         metrics.slots.register(&mut registry);
         registry.register(
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -19,10 +19,12 @@
 use crate::forward::{
     clock,
     limit_exchange::handle_limit_message,
+    load_exchange::handle_load_message,
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
     quota_decision::decide_quota,
     slot_exchange::handle_slot_message,
+    speed_exchange::handle_speed_message,
     suspect_exchange::{answer_comparison, handle_update},
 };
 
@@ -294,7 +296,9 @@
         | ForwardDatagram::ReleaseTrial { .. }
         | ForwardDatagram::TrialDecision { .. }
         | ForwardDatagram::Limits(_)
-        | ForwardDatagram::Slots(_) => {}
+        | ForwardDatagram::Slots(_)
+        | ForwardDatagram::Speeds(_)
+        | ForwardDatagram::Loads(_) => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -384,6 +388,8 @@
         ForwardDatagram::Slots(message) => {
             handle_slot_message(node, socket, (&sender, from), message).await;
         }
+        ForwardDatagram::Loads(message) => handle_load_message(node, &sender, message),
+        ForwardDatagram::Speeds(message) => handle_speed_message(node, &sender, &message),
         ForwardDatagram::ReleaseTrial { key } => node.state().suspects.release_trial(key),
         ForwardDatagram::ReleaseUnits { workspace, units } => {
             // An owner that only asked another one has no bucket in use. What it granted itself comes back to it.
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -8,6 +8,7 @@
         catalog::RetryPolicy,
         event_order::{EventGate, OrderError, ResumePoint},
         events::EventBatch,
+        upstream_speed::EVENTS_MIN,
     },
     verdict::RunVerdict,
 };
@@ -92,22 +93,27 @@
             }
         };
         let stream_break = match step {
-            StreamStep::Events(batch) => match send_batch(&sender, batch, &mut gate).await {
-                Ok(true) => {
-                    source.held_events = gate.held_bytes();
-                    batches += 1;
-                    progress.caller_heard_at = Some(clock::now());
-                    if batches >= BATCHES_PROVING {
-                        record_proof(&admitted, &mut progress, &trace.node);
-                    }
-                    continue;
+            StreamStep::Events(batch) => {
+                if batches > 0 {
+                    source.record_events(batch.ids.len());
                 }
-                Ok(false) => {
-                    trace.finish("caller-left", 0, "");
-                    return;
+                match send_batch(&sender, batch, &mut gate).await {
+                    Ok(true) => {
+                        source.held_events = gate.held_bytes();
+                        batches += 1;
+                        progress.caller_heard_at = Some(clock::now());
+                        if batches >= BATCHES_PROVING {
+                            record_proof(&admitted, &mut progress, &trace.node);
+                        }
+                        continue;
+                    }
+                    Ok(false) => {
+                        trace.finish("caller-left", 0, "");
+                        return;
+                    }
+                    Err(error) => StreamBreak::new(error.to_string()),
                 }
-                Err(error) => StreamBreak::new(error.to_string()),
-            },
+            }
             StreamStep::Ended if gate.is_holding() => {
                 StreamBreak::new("the last event may follow a lost one")
             }
@@ -309,6 +315,12 @@
         let elapsed = clock::now().since(source.first_event_at);
         let mut state = trace.node.state();
         state.speeds.speed_mut(&admitted.pool).record_output(admitted.output_tokens(), elapsed);
+        let (events, last_at) = source.later_events;
+        if events >= EVENTS_MIN {
+            let interval = last_at.since(source.first_event_at) / events;
+            let (id, started_ms) = (&source.in_flight.upstream, source.in_flight.started_ms);
+            state.upstreams.record_event_interval(id, started_ms, interval, clock::now());
+        }
     }
 }
 
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -3,8 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
+use rand::random;
 use samphiredeck_core::{
     boot_time::BootTime,
+    forward::admission::urgency::UrgencyRank,
     ids::{SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
@@ -61,6 +63,12 @@
     pub ticket: Option<QueueTicket>,
     /// Whether the request was added to the demand.
     pub demanded: bool,
+    /// Urgency among the requests of its pool.
+    pub rank: UrgencyRank,
+    /// Whether its caller was refused before and has come back.
+    pub has_returned: bool,
+    /// Uniform in 0 to 1. Decides whether the request belongs to those of its kind that are sent in any case.
+    pub draw: f64,
     /// Number of engines that crashed while the request waited there for its first event.
     pub crashes_met: u32,
     /// Trial of a suspected prompt part that this request is.
@@ -90,6 +98,9 @@
             software,
             ticket: None,
             demanded: false,
+            rank: UrgencyRank::default(),
+            has_returned: false,
+            draw: random(),
             crashes_met: 0,
             trial: None,
             proven: false,
--- a/samphiredeck/src/forward/silent_upstream.rs
+++ b/samphiredeck/src/forward/silent_upstream.rs
@@ -89,7 +89,7 @@
             sent_at: self.sent_at,
             deadline: self.admitted.deadline,
             abandoned_at: route.streams.then(|| heard_at + abandon_gap(route)),
-            expected_wait: self.placement.expected_wait,
+            expected_wait: self.placement.wait.total(),
         }
     }
 
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -6,6 +6,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        admission::{fair_share::WorkspaceUses, urgency::UrgencyTable},
         agreed_windows::AgreedWindows,
         catalog::{ForwardCatalog, WorkspaceRow},
         clock::ClusterClock,
@@ -14,6 +15,7 @@
         freshness::CatalogFreshness,
         leader::LeaderLease,
         limit_queue::LimitQueue,
+        load_view::LoadExchange,
         member_list::MEMBER_PAGE_ENTRIES,
         members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
@@ -136,6 +138,12 @@
     pub agreed_windows: AgreedWindows,
     /// Demand received by this node.
     pub demand: DemandMeter,
+    /// Urgencies and deadlines of the requests that arrived at this node.
+    pub urgencies: UrgencyTable,
+    /// What workspaces ask for.
+    pub uses: WorkspaceUses,
+    /// Requests of all nodes at the upstreams.
+    pub loads: LoadExchange,
     /// Speeds of the pools, as measured by this node.
     pub speeds: PoolSpeedTable,
     /// Times that requests took, by route.
@@ -188,6 +196,9 @@
             usage_ledger: UsageLedger::default(),
             agreed_windows: AgreedWindows::default(),
             demand: DemandMeter::default(),
+            urgencies: UrgencyTable::default(),
+            uses: WorkspaceUses::default(),
+            loads: LoadExchange::default(),
             speeds: PoolSpeedTable::default(),
             durations: RouteDurations::default(),
             prompt_cache: PromptCacheTable::default(),
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -13,12 +13,13 @@
         placement::{LimitForecast, Placement, PlacementRequest, choose_upstream, forecast_limits},
         upstream_limit::NodeTurn,
     },
-    ids::{PoolName, UpstreamId},
+    ids::{NodeName, PoolName, UpstreamId},
     verdict::RunVerdict,
 };
 use serde_json::json;
 
 use crate::forward::{
+    admission::{AdmissionStep, admit_placed, record_arrival},
     clock,
     limit_queue::QueueTicket,
     node::ForwardNode,
@@ -42,6 +43,8 @@
 pub enum PlaceDecision {
     /// To this upstream, now.
     Send(Placement),
+    /// Nowhere before this time, since its pool is short of slots.
+    Hold(BootTime),
     /// To an upstream with a limit, after `ahead` other requests of this node.
     Wait { forecast: LimitForecast, ahead: u32 },
 }
@@ -59,15 +62,25 @@
     time_left: Duration,
 ) -> Result<PlaceDecision, ErrorResponse> {
     let node = &trace.node;
+    let settings = node.settings();
     let mut state = node.state();
     let speed = state.speeds.speed(&admitted.pool);
     let number = progress.ticket.as_ref().map(QueueTicket::number);
     let ahead = state.limit_queue.count_ahead(&admitted.pool, admitted.priority, number);
-    let turn = state.node_turn(&node.settings().name, now);
+    let turn = state.node_turn(&settings.name, now);
     let usable_turn = turn.filter(|_| ahead == 0);
-    let choice = PlacementContext { progress, tried: &progress.tried, turn: usable_turn };
+    let choice = PlacementContext {
+        node: &settings.name,
+        progress,
+        tried: &progress.tried,
+        turn: usable_turn,
+    };
     let placement = find_placement(admitted, &choice, node, &state, now);
-    if admitted.engine && !std::mem::replace(&mut progress.demanded, true) {
+    let is_new = !std::mem::replace(&mut progress.demanded, true);
+    if is_new {
+        record_arrival(&mut state, admitted, progress, now);
+    }
+    if admitted.engine && is_new {
         // Counts requests that are refused, too: capacity is ordered for them.
         let own_tokens = admitted.metadata.prompt_parts.last().map_or(0, |part| part.tokens);
         let tokens = placement.as_ref().map_or(own_tokens, |placement| placement.prefill_tokens);
@@ -82,7 +95,12 @@
     });
     let pause_end = state.upstreams.pool_pause_end(&admitted.pool, now);
     let forecast = turn.filter(|_| placement.is_none()).and_then(|turn| {
-        let choice = PlacementContext { progress, tried: &progress.tried, turn: Some(turn) };
+        let choice = PlacementContext {
+            node: &settings.name,
+            progress,
+            tried: &progress.tried,
+            turn: Some(turn),
+        };
         let request = placement_request(admitted, &choice, &state);
         forecast_limits(&state.upstreams, &request, turn, now)
     });
@@ -106,14 +124,14 @@
     let fields = json!({
         "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
         "software": software, "resumes": admitted.metadata.resumed_attempt,
-        "expected_ms": placement.expected_wait.as_millis(),
+        "expected_ms": placement.wait.total().as_millis(),
         "unread": placement.prefill_tokens, "home": placement.has_affinity,
         "left_ms": time_left.as_millis(), "version": admitted.config_version,
         "list_age_ms": list_age,
     });
-    if !fits_deadline(placement.expected_wait, time_left) {
+    if !fits_deadline(placement.wait.total(), time_left) {
         node.log.record("overloaded", fields);
-        let excess = placement.expected_wait.saturating_sub(time_left / 2);
+        let excess = placement.wait.total().saturating_sub(time_left / 2);
         if progress.verdict == RunVerdict::NotRun {
             return Err(ErrorResponse::not_executed(
                 "too long a wait",
@@ -122,12 +140,17 @@
         }
         return Err(unanswered_error(progress, "too long a wait", time_left));
     }
+    match admit_placed(admitted, progress, trace, &placement, (now, time_left))? {
+        AdmissionStep::Send => {}
+        AdmissionStep::WaitUntil(at) => return Ok(PlaceDecision::Hold(at)),
+    }
     node.log.record("place", fields);
     Ok(PlaceDecision::Send(placement))
 }
 
 /// What a choice depends on besides the request and the state of the node.
 struct PlacementContext<'a> {
+    node: &'a NodeName,
     progress: &'a RequestProgress,
     /// Upstreams that must not be chosen.
     tried: &'a [UpstreamId],
@@ -166,6 +189,7 @@
     state: &'a ForwardState,
 ) -> PlacementRequest<'a> {
     PlacementRequest {
+        node: choice.node,
         pool: &admitted.pool,
         engine: admitted.engine,
         parts: &admitted.metadata.prompt_parts,
@@ -193,17 +217,18 @@
     due_at: BootTime,
 ) -> bool {
     let now = clock::now();
+    let settings = node.settings();
     let mut state = node.state();
     let is_permitted = progress.attempts < admitted.route.max_attempts
         && state.freshness.allows_admission(now)
         && state.retry_budget.has_room(&admitted.pool, now);
     let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
-    let turn = state.node_turn(&node.settings().name, now);
-    let choice = PlacementContext { progress, tried: &tried, turn };
+    let turn = state.node_turn(&settings.name, now);
+    let choice = PlacementContext { node: &settings.name, progress, tried: &tried, turn };
     let placement = find_placement(admitted, &choice, node, &state, now);
     let time_left = due_at.since(now);
     is_permitted
-        && placement.is_some_and(|placement| fits_deadline(placement.expected_wait, time_left))
+        && placement.is_some_and(|placement| fits_deadline(placement.wait.total(), time_left))
 }
 
 /// Records that another upstream than `upstream` responded at its address.
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -82,6 +82,16 @@
     pub metadata: ResponseMetadata,
     /// Time at which the first event arrived.
     pub first_event_at: BootTime,
+    /// Number of events after those that arrived then, and the time at which the last of them arrived.
+    pub later_events: (u32, BootTime),
+}
+
+impl UpstreamStream {
+    /// Records that `count` events after the first ones arrived.
+    pub fn record_events(&mut self, count: usize) {
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        self.later_events = (self.later_events.0.saturating_add(count), clock::now());
+    }
 }
 
 /// Response of an upstream.
@@ -327,6 +337,10 @@
         let mut state = trace.node.state();
         state.upstreams.record_load(&in_flight.upstream, running, waiting, clock::now());
     }
+    if let Some(pace) = metadata.pace {
+        let mut state = trace.node.state();
+        state.upstreams.record_pace(&in_flight.upstream, pace.factor(), clock::now());
+    }
     if metadata.not_executed == Some(NotExecutedReason::Misdirected) {
         let source = in_flight.source(&trace.attempt_id);
         handle_response_event(&trace.node, &source, ResponseEvent::AddressReused);
--- /dev/null
+++ b/samphiredeck_core/src/forward/load_view.rs
@@ -0,0 +1,287 @@
+//! Adds up the requests that all nodes have in flight at each upstream, and tells every node the sums.
+//!
+//! Answers pools of so many upstreams that a node hears of each one only every few seconds: its view is empty or old just
+//! when the load moves. The upstreams are asked nothing: nodes know what they have sent.
+//!
+//! Each node tells one node of its failure domain, the collector, how many requests it has in flight at which upstream. A
+//! collector adds up those of its nodes, exchanges the sums with the collectors of other domains, and returns the total.
+//! All messages carry absolute numbers, so a lost one is made up for by the next. What is not told again is forgotten.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    boot_time::BootTime,
+    forward::{
+        admission::fair_share::{WorkspaceUse, add_uses},
+        member_list::MemberIdentity,
+        upstreams::UpstreamRegistry,
+    },
+    ids::{DomainName, NodeName, UpstreamId},
+};
+
+/// Time after which the counts of a node or collector that tells nothing are dropped.
+const SOURCE_LIFETIME: Duration = Duration::from_millis(600);
+/// Time without a view after which a node turns to another collector.
+const VIEW_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a silent collector is not asked again.
+const AVOIDED_TIME: Duration = Duration::from_secs(4);
+/// Maximum number of counts in one message, so that it fits into a datagram.
+pub const PAGE_COUNTS: usize = 150;
+/// Maximum number of pages of one view. Larger pools are not exchanged: each node would get more bytes than the control
+/// traffic may take.
+pub const PAGES_MAX: usize = 4;
+
+/// Maximum number of workspaces in sums.
+pub const USES_MAX: usize = 40;
+
+/// Short name of an upstream in counts. Two upstreams of one pool hardly ever have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamKey(u32);
+
+impl UpstreamKey {
+    /// Key of `upstream`.
+    #[must_use]
+    pub fn of(upstream: &UpstreamId) -> Self {
+        let hash = xxh3_64(upstream.as_str().as_bytes());
+        Self(u32::try_from(hash >> 32).unwrap_or(u32::MAX))
+    }
+}
+
+/// Number of requests in flight at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCount {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Requests there. Above 0.
+    pub count: u16,
+}
+
+/// Counts of one sender, sorted by upstream, without duplicates.
+pub type RequestCounts = Vec<RequestCount>;
+
+/// Counts that a node or a collector told.
+#[derive(Clone, Debug)]
+struct CountSource {
+    node: NodeName,
+    counts: RequestCounts,
+    uses: Vec<WorkspaceUse>,
+    told_at: BootTime,
+}
+
+/// Sorted by node, without duplicates.
+type CountSources = Vec<CountSource>;
+
+fn store(sources: &mut CountSources, node: &NodeName, sums: LoadSums, now: BootTime) {
+    let LoadSums { mut counts, mut uses } = sums;
+    counts.sort_by_key(|row| row.upstream);
+    counts.dedup_by_key(|row| row.upstream);
+    uses.sort_by_key(|row| row.workspace);
+    uses.dedup_by_key(|row| row.workspace);
+    sources.retain(|source| now.since(source.told_at) < SOURCE_LIFETIME);
+    let source = CountSource { node: node.clone(), counts, uses, told_at: now };
+    match sources.binary_search_by(|other| other.node.cmp(node)) {
+        Ok(at) => sources[at] = source,
+        Err(at) => sources.insert(at, source),
+    }
+}
+
+/// Requests in flight, and what workspaces ask for, of one node or of several.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSums {
+    /// Counts above 0, sorted by upstream, without duplicates.
+    pub counts: RequestCounts,
+    /// Uses, sorted by workspace, without duplicates.
+    pub uses: Vec<WorkspaceUse>,
+}
+
+impl LoadSums {
+    fn add(&mut self, counts: &[RequestCount], uses: &[WorkspaceUse]) {
+        for row in counts {
+            match self.counts.binary_search_by_key(&row.upstream, |other| other.upstream) {
+                Ok(at) => {
+                    self.counts[at].count = self.counts[at].count.saturating_add(row.count);
+                }
+                Err(at) => self.counts.insert(at, *row),
+            }
+        }
+        add_uses(&mut self.uses, uses);
+    }
+}
+
+/// Page of sums.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewPage {
+    /// Number of this page, below `pages`.
+    pub page: u8,
+    /// Number of pages. An upstream belongs to the page of its key modulo this number.
+    pub pages: u8,
+    /// Sums of the upstreams of this page. The first page has all uses, as far as they fit.
+    pub sums: LoadSums,
+}
+
+/// Divides `sums` into pages.
+#[must_use]
+pub fn paginate(sums: &LoadSums) -> Vec<ViewPage> {
+    let counts = &sums.counts;
+    let pages = counts.len().div_ceil(PAGE_COUNTS).max(1);
+    if pages > PAGES_MAX {
+        return Vec::new();
+    }
+    let Ok(pages) = u8::try_from(pages) else { return Vec::new() };
+    let of_page = |page: u8| {
+        let is_in = |row: &&RequestCount| row.upstream.0 % u32::from(pages) == u32::from(page);
+        counts.iter().filter(is_in).copied().collect()
+    };
+    let uses_of = |page: u8| {
+        let count = if page == 0 { USES_MAX.min(sums.uses.len()) } else { 0 };
+        sums.uses[..count].to_vec()
+    };
+    (0..pages)
+        .map(|page| {
+            let sums = LoadSums { counts: of_page(page), uses: uses_of(page) };
+            ViewPage { page, pages, sums }
+        })
+        .collect()
+}
+
+/// What a node knows of the requests of all nodes, and what it adds up for others.
+#[derive(Clone, Debug, Default)]
+pub struct LoadExchange {
+    /// Nodes that this one collects for.
+    nodes: CountSources,
+    /// Collectors of other domains.
+    collectors: CountSources,
+    /// What this node told its collector last.
+    told: RequestCounts,
+    /// Collector that it tells, and since when.
+    collector: Option<(NodeName, BootTime)>,
+    /// Time of the last view.
+    viewed_at: Option<BootTime>,
+    /// Collectors that did not reply, with the time until which they are not asked.
+    avoided: Vec<(NodeName, BootTime)>,
+}
+
+impl LoadExchange {
+    /// Chooses whom this node tells at `now`: the first of `candidates` that replies. They are the nodes of the own domain
+    /// in the order that all nodes agree on.
+    pub fn choose_collector(&mut self, candidates: &[NodeName], now: BootTime) -> Option<NodeName> {
+        self.avoided.retain(|(_, until)| now < *until);
+        if let Some((collector, since)) = &self.collector {
+            let heard_at = self.viewed_at.map_or(*since, |at| at.max(*since));
+            if now.since(heard_at) >= VIEW_TIMEOUT {
+                self.avoided.push((collector.clone(), now + AVOIDED_TIME));
+                self.collector = None;
+            }
+        }
+        let is_avoided = |node: &NodeName| self.avoided.iter().any(|(other, _)| other == node);
+        let chosen = candidates.iter().find(|node| !is_avoided(node))?;
+        if self.collector.as_ref().is_none_or(|(known, _)| known != chosen) {
+            self.collector = Some((chosen.clone(), now));
+        }
+        Some(chosen.clone())
+    }
+
+    /// Records what this node tells now.
+    pub fn record_told(&mut self, counts: RequestCounts) {
+        self.told = counts;
+    }
+
+    /// Records counts that `node` told this one, its collector.
+    pub fn record_node(&mut self, node: &NodeName, sums: LoadSums, now: BootTime) {
+        store(&mut self.nodes, node, sums, now);
+    }
+
+    /// Records sums that the collector `node` of another domain told.
+    pub fn record_collector(&mut self, node: &NodeName, sums: LoadSums, now: BootTime) {
+        store(&mut self.collectors, node, sums, now);
+    }
+
+    /// Nodes that this one collects for at `now`.
+    #[must_use]
+    pub fn followers(&self, now: BootTime) -> Vec<NodeName> {
+        let is_live = |source: &&CountSource| now.since(source.told_at) < SOURCE_LIFETIME;
+        self.nodes.iter().filter(is_live).map(|source| source.node.clone()).collect()
+    }
+
+    /// Whether the collector `node` of another domain has told sums lately.
+    #[must_use]
+    pub fn hears_collector(&self, node: &NodeName, now: BootTime) -> bool {
+        let is_live = |source: &CountSource| now.since(source.told_at) < SOURCE_LIFETIME;
+        self.collectors.iter().any(|source| source.node == *node && is_live(source))
+    }
+
+    /// Sum over this node, which has `own`, and those that it collects for.
+    #[must_use]
+    pub fn domain_sum(&self, own: &LoadSums, now: BootTime) -> LoadSums {
+        let mut sum = own.clone();
+        let live = self.nodes.iter().filter(|source| now.since(source.told_at) < SOURCE_LIFETIME);
+        live.for_each(|source| sum.add(&source.counts, &source.uses));
+        sum
+    }
+
+    /// Sum over all nodes, given that of this domain.
+    #[must_use]
+    pub fn total(&self, domain_sum: &LoadSums, now: BootTime) -> LoadSums {
+        let mut sum = domain_sum.clone();
+        let live =
+            self.collectors.iter().filter(|source| now.since(source.told_at) < SOURCE_LIFETIME);
+        live.for_each(|source| sum.add(&source.counts, &source.uses));
+        sum
+    }
+
+    /// Records that a view arrived at `now`. Returns what this node had told before it.
+    pub fn record_view(&mut self, now: BootTime) -> &[RequestCount] {
+        self.viewed_at = Some(now);
+        &self.told
+    }
+
+    /// Age of the last view at `now`, if it is recent enough to be used.
+    #[must_use]
+    pub fn view_age(&self, now: BootTime) -> Option<Duration> {
+        self.viewed_at.map(|at| now.since(at)).filter(|age| *age < VIEW_TIMEOUT)
+    }
+}
+
+/// Nodes of `domain` in the order in which all nodes ask them to collect.
+#[must_use]
+pub fn collector_order(members: &[MemberIdentity], domain: &DomainName) -> Vec<NodeName> {
+    let near = members.iter().filter(|member| member.domain == *domain);
+    let mut order: Vec<NodeName> = near.map(|member| member.node.clone()).collect();
+    order.sort_by_cached_key(|node| xxh3_64(node.as_str().as_bytes()));
+    order
+}
+
+impl UpstreamRegistry {
+    /// Requests that this node has in flight.
+    #[must_use]
+    pub fn request_counts(&self) -> RequestCounts {
+        let busy = self.rows().iter().filter(|row| row.in_flight > 0);
+        let mut counts: RequestCounts = busy
+            .map(|row| RequestCount {
+                upstream: UpstreamKey::of(&row.entry.id),
+                count: u16::try_from(row.in_flight).unwrap_or(u16::MAX),
+            })
+            .collect();
+        counts.sort_by_key(|row| row.upstream);
+        counts.dedup_by_key(|row| row.upstream);
+        counts
+    }
+
+    /// Applies a page of the total that this node's collector sent, whose counts include the `own` ones.
+    pub fn apply_load_view(&mut self, page: &ViewPage, own: &[RequestCount], now: BootTime) {
+        let find = |counts: &[RequestCount], key: UpstreamKey| {
+            let found = counts.binary_search_by_key(&key, |row| row.upstream);
+            found.map_or(0, |at| counts[at].count)
+        };
+        for row in self.rows_mut() {
+            let key = UpstreamKey::of(&row.entry.id);
+            if key.0 % u32::from(page.pages.max(1)) == u32::from(page.page) {
+                let others = find(&page.sums.counts, key).saturating_sub(find(own, key));
+                row.set_shared_load(u32::from(others), now);
+            }
+        }
+    }
+}
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -24,16 +24,18 @@
 use crate::{
     boot_time::BootTime,
     forward::{
+        even_load::upstream_preference,
+        pool_room::PoolLoad,
         pool_speed::PoolSpeed,
         prompt_cache::{CacheAffinity, PromptCacheTable},
         upstream_limit::{NodeTurn, UpstreamLimit},
+        upstream_speed::PoolPace,
         upstreams::{UpstreamRegistry, tracked::TrackedUpstream},
+        wait_estimate::{UpstreamLoad, WaitEstimate},
     },
-    ids::{DomainName, PoolName, SoftwareVersion, UpstreamId},
+    ids::{DomainName, NodeName, PoolName, SoftwareVersion, UpstreamId},
 };
 
-/// Share of the running requests of an engine whose prompt is assumed to be still in prefill.
-const PREFILL_SHARE: f64 = 0.1;
 /// Cost of an upstream on which every request fails, in milliseconds. Exceeds any usual wait.
 const FAILURE_COST_MS: f64 = 3_000.0;
 /// Cost of an upstream that is still slow after its start, in milliseconds.
@@ -55,6 +57,8 @@
 const CROSS_DOMAIN_COST_MS: f64 = 2.0;
 /// Range of the jitter that spreads nodes over similar upstreams, in milliseconds.
 const JITTER_MS: f64 = 4.0;
+/// Range of the preference of a node among upstreams that are alike, in milliseconds.
+const PREFERENCE_MS: f64 = 6.0;
 /// Share of the maximum event gap from which the prefill of a prompt stalls concurrent streams for
 /// longer than callers accept.
 const LONG_PREFILL_SHARE: f64 = 0.5;
@@ -84,6 +88,8 @@
 /// Properties of a request that determine its placement.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest<'a> {
+    /// Node that chooses. Nodes with the same view prefer different upstreams.
+    pub node: &'a NodeName,
     /// Pool that has to serve the request.
     pub pool: &'a PoolName,
     /// Whether the pool's upstreams are engines.
@@ -209,7 +215,7 @@
     /// depend on what other nodes left in its cache.
     pub is_prefill_certain: bool,
     /// Expected time to the first sign of a response.
-    pub expected_wait: Duration,
+    pub wait: WaitEstimate,
     /// Whether this is the affinity upstream of the last shared part.
     pub has_affinity: bool,
 }
@@ -230,6 +236,8 @@
     let dedicated = find_long_prompt_upstreams(registry, request, now);
     let affinity_order = find_affinity_upstreams(registry, request, &dedicated, now);
     let long = request.is_long();
+    let load = PoolLoad::of(registry, request.pool, request.speed.held(), now);
+    let pace = PoolPace::of(registry, request.pool, now);
     let mut best: Option<(f64, Placement)> = None;
     for row in registry.rows().iter().filter(fits) {
         let affinity = match affinity_order.map(|id| id.is_some_and(|id| *id == row.entry.id)) {
@@ -238,8 +246,15 @@
             [false, false] => CacheAffinity::None,
         };
         let prefill_tokens = request.expected_prefill_tokens(row, affinity, now);
-        let wait = expected_wait_ms(row, request, prefill_tokens, now);
-        let mut cost = wait + row.failure_rate(now) * FAILURE_COST_MS + jitter() * JITTER_MS;
+        let requests = f64::from(row.in_flight) + load.other_requests(row, now);
+        let time_factor = pace.time_factor(row, now);
+        let wait = expected_wait(row, request, (prefill_tokens, requests, time_factor), now);
+        let mut cost = wait.total().as_secs_f64() * 1_000.0
+            + row.failure_rate(now) * FAILURE_COST_MS
+            + jitter() * JITTER_MS;
+        if request.engine {
+            cost += upstream_preference(request.node, &row.entry.id) * PREFERENCE_MS;
+        }
         if now < row.warm_up_until {
             cost += WARM_UP_COST_MS;
         }
@@ -262,7 +277,6 @@
             _ => {}
         }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            let expected_wait = Duration::from_secs_f64(wait / 1_000.0);
             let upstream = row.entry.id.clone();
             best = Some((
                 cost,
@@ -270,7 +284,7 @@
                     upstream,
                     prefill_tokens,
                     is_prefill_certain: request.is_certain(prefill_tokens),
-                    expected_wait,
+                    wait,
                     has_affinity: affinity == CacheAffinity::First,
                 },
             ));
@@ -402,23 +416,26 @@
     [first.map(|(_, id)| id), second.map(|(_, id)| id)]
 }
 
-/// Expected time to the first sign of a response from `row`, in milliseconds.
-fn expected_wait_ms(
+/// Expected time to the first sign of a response from `row`, which holds `requests` and computes `prefill_tokens` for this
+/// one, `time_factor` times as slowly as usual.
+fn expected_wait(
     row: &TrackedUpstream,
     request: &PlacementRequest<'_>,
-    prefill_tokens: u64,
+    (prefill_tokens, requests, time_factor): (u64, f64, f64),
     now: BootTime,
-) -> f64 {
-    let speed = &request.speed;
-    let other_load = row.other_nodes_load(now);
-    let requests = f64::from(row.in_flight) + other_load;
-    if !request.engine {
-        let service_ms = (requests + 1.0) / f64::from(row.entry.slots.max(1)) * speed.service_ms();
-        return service_ms + row.lateness_ms(now);
-    }
-    let waiting = f64::from(row.reported_waiting(now)).min(other_load);
+) -> WaitEstimate {
     #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
-    let own_tokens = (row.pending_prefill_tokens + prefill_tokens) as f64;
-    let other_tokens = (waiting + requests * PREFILL_SHARE) * speed.prompt_tokens();
-    speed.first_token_ms() + speed.prefill_ms(own_tokens + other_tokens) + row.lateness_ms(now)
+    let own_tokens = row.pending_prefill_tokens.saturating_add(prefill_tokens) as f64;
+    let load = UpstreamLoad {
+        slots: f64::from(row.entry.slots.max(1)),
+        requests,
+        own_tokens,
+        time_factor,
+        lateness_ms: row.lateness_ms(now),
+    };
+    if request.engine {
+        load.engine_wait(&request.speed)
+    } else {
+        load.service_wait(&request.speed)
+    }
 }
--- a/samphiredeck_core/src/forward/pool_speed.rs
+++ b/samphiredeck_core/src/forward/pool_speed.rs
@@ -154,6 +154,12 @@
         self.output_tokens.value
     }
 
+    /// Time from the first token of a response to its last, in milliseconds.
+    #[must_use]
+    pub fn response_ms(&self) -> f64 {
+        self.output_tokens.value * self.token_interval_ms.value
+    }
+
     /// Records that a request whose prompt left about `tokens` tokens to compute was placed.
     pub fn record_prompt(&mut self, tokens: u64) {
         self.prompt_tokens.record(to_f64(tokens));
--- a/samphiredeck_core/src/forward/upstreams/tracked.rs
+++ b/samphiredeck_core/src/forward/upstreams/tracked.rs
@@ -8,6 +8,7 @@
         upstream_limit::UpstreamLimit,
         upstream_list::ListedUpstream,
         upstream_slots::{NodeSlots, SlotDecision},
+        upstream_speed::UpstreamSpeed,
         upstream_state::UpstreamState,
     },
 };
@@ -16,6 +17,8 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Half-life of the lateness of an upstream without responses, so that it is tried again.
 const LATENESS_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Age up to which what the collector told is used. It tells several times a second.
+const SHARED_LIFETIME: Duration = Duration::from_millis(600);
 /// Time over which a load report loses its weight, since other nodes send requests in the meantime.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -57,6 +60,12 @@
     pub pending_prefill_tokens: u64,
     /// Last reported load.
     pub(super) report: Option<LoadReport>,
+    /// Requests of other nodes there as the collector told, and when.
+    pub(super) shared_load: Option<(u32, BootTime)>,
+    /// How fast it works, as far as known.
+    pub speed: UpstreamSpeed,
+    /// Time at which this start of the upstream became known.
+    pub(super) known_at: BootTime,
     /// Times at which this node's requests without a sign of a response were expected to have one.
     /// In the order in which the requests were sent.
     pub(super) due_times: Vec<BootTime>,
@@ -84,6 +93,9 @@
             in_flight: 0,
             pending_prefill_tokens: 0,
             report: None,
+            shared_load: None,
+            speed: UpstreamSpeed::default(),
+            known_at: now,
             due_times: Vec::new(),
             lateness_ms: 0.0,
             late_at: now,
@@ -134,13 +146,46 @@
         self.slots.decide(self.in_flight, queued, now)
     }
 
-    /// Estimated number of requests of other nodes on this upstream at `now`.
+    /// Sets the requests of other nodes, as the collector told at `now`.
+    pub(in crate::forward) fn set_shared_load(&mut self, requests: u32, now: BootTime) {
+        self.shared_load = Some((requests, now));
+    }
+
+    /// Requests of other nodes as far as known, and how recent that is at `now`, from 0 to 1: what the collector told, or
+    /// else the last report. `None` if there is neither.
     #[must_use]
-    pub fn other_nodes_load(&self, now: BootTime) -> f64 {
-        let Some(report) = self.report else { return 0.0 };
-        let foreign = (report.running + report.waiting).saturating_sub(report.own_in_flight);
+    pub fn reported_load(&self, now: BootTime) -> Option<(f64, f64)> {
+        if let Some((requests, _)) =
+            self.shared_load.filter(|(_, at)| now.since(*at) < SHARED_LIFETIME)
+        {
+            return Some((f64::from(requests), 1.0));
+        }
+        let report = self.report?;
+        let requests = report.running.saturating_add(report.waiting);
+        let foreign = requests.saturating_sub(report.own_in_flight);
         let age = now.since(report.at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
-        f64::from(foreign) * (1.0 - age).clamp(0.0, 1.0)
+        Some((f64::from(foreign), (1.0 - age).clamp(0.0, 1.0)))
+    }
+
+    /// Age at `now` of what the collector told, if that is recent enough to be used.
+    #[must_use]
+    pub fn shared_load_age(&self, now: BootTime) -> Option<Duration> {
+        let age = self.shared_load.map(|(_, at)| now.since(at));
+        age.filter(|age| *age < SHARED_LIFETIME)
+    }
+
+    /// Age at `now` of what is known of the load of other nodes.
+    #[must_use]
+    pub fn report_age(&self, now: BootTime) -> Option<Duration> {
+        self.shared_load_age(now).or(self.report.map(|report| now.since(report.at)))
+    }
+
+    /// Share of the pool's usual load that an upstream without a report is assumed to have at `now`: it grows from 0 for
+    /// one that has just become known.
+    #[must_use]
+    pub fn assumed_share(&self, now: BootTime) -> f64 {
+        let known = now.since(self.known_at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
+        known.clamp(0.0, 1.0)
     }
 
     /// Number of queued requests in the last report, if it is recent enough at `now`.
--- a/samphiredeck_core/tests/forward_addresses.rs
+++ b/samphiredeck_core/tests/forward_addresses.rs
@@ -55,6 +55,7 @@
 
 fn choose(registry: &UpstreamRegistry, misdirected: &[SocketAddr], millis: u64) -> String {
     let request = PlacementRequest {
+        node: &"n".parse().unwrap(),
         only: None,
         software: None,
         avoided_software: &[],
--- a/samphiredeck_core/tests/forward_states.rs
+++ b/samphiredeck_core/tests/forward_states.rs
@@ -70,6 +70,7 @@
 
 fn choose(registry: &UpstreamRegistry, now: BootTime) -> Option<String> {
     let request = PlacementRequest {
+        node: &"n".parse().unwrap(),
         only: None,
         software: None,
         avoided_software: &[],
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -2,9 +2,16 @@
 
 use samphiredeck_core::{
     forward::{
-        brittle_pools::SharedBrittle, clock::ClockOffset, member_list::MemberDelta,
-        members::NodeHeartbeat, store_readers::StoreStatus, stream_origins::StreamOrigin,
-        suspects::exchange::PublishedSuspects, upstream_limit::exchange::SharedLimit,
+        brittle_pools::SharedBrittle,
+        clock::ClockOffset,
+        load_view::{LoadSums, ViewPage},
+        member_list::MemberDelta,
+        members::NodeHeartbeat,
+        store_readers::StoreStatus,
+        stream_origins::StreamOrigin,
+        suspects::exchange::PublishedSuspects,
+        upstream_limit::exchange::SharedLimit,
+        upstream_speed::SharedSpeed,
     },
     ids::{AttemptKey, PoolName, RowVersion, SuspectKey, UpstreamId, WorkspaceName},
 };
@@ -213,6 +220,10 @@
     Limits(LimitMessage),
     /// Message about brittle upstreams. Unknown to earlier builds, which refuse it.
     Slots(SlotMessage),
+    /// Message about the speed of upstreams. Unknown to earlier builds, which refuse it.
+    Speeds(SpeedMessage),
+    /// Message about requests in flight at upstreams. Unknown to earlier builds, which refuse it.
+    Loads(LoadMessage),
 }
 
 /// Message about the limits that upstreams have named.
@@ -261,6 +272,36 @@
     },
 }
 
+/// Message about how fast upstreams work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum SpeedMessage {
+    /// Tells about speeds.
+    Announce {
+        /// Speeds, as far as they fit.
+        speeds: Vec<SharedSpeed>,
+    },
+}
+
+/// Message about the requests that nodes have in flight at upstreams.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LoadMessage {
+    /// Tells the receiver, the collector of the sender's failure domain, the sums of the sender alone.
+    Node {
+        /// Sums of the sender.
+        sums: LoadSums,
+    },
+    /// Tells the collector of another failure domain the sums of the sender's domain.
+    Domain {
+        /// Sums, as far as they fit.
+        page: ViewPage,
+    },
+    /// Tells a node the sums over all nodes.
+    View {
+        /// Sums, as far as they fit.
+        page: ViewPage,
+    },
+}
+
 /// Slots of one upstream that a node holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldSlots {
