--- a/samphiredeck/src/forward/admission.rs
+++ b/samphiredeck/src/forward/admission.rs
@@ -39,7 +39,8 @@
     progress: &mut RequestProgress,
     now: BootTime,
 ) {
-    progress.rank = state.urgencies.record(&admitted.pool, admitted.priority, now);
+    let urgency = (admitted.priority, admitted.route.latency_target);
+    (progress.rank, progress.pool_target) = state.urgencies.record(&admitted.pool, urgency, now);
     if let Some(stated) = admitted.metadata.deadline {
         progress.has_returned = state.urgencies.record_deadline(&admitted.route.name, stated);
     }
@@ -65,7 +66,7 @@
     let node = &trace.node;
     let state = node.state();
     // Without the exchange of loads, a node knows too little of the slots to refuse by them.
-    if !state.upstreams.shares_machines() || placement.wait.slot.is_zero() {
+    if !state.upstreams.is_exchanged() || placement.wait.queue().is_zero() {
         return Ok(AdmissionStep::Send);
     }
     let held = state.speeds.speed(&admitted.pool).held();
@@ -76,6 +77,7 @@
         age: now.since(trace.arrived_at),
         time_left,
         latency_target: admitted.route.latency_target,
+        pool_target: progress.pool_target,
         rank: progress.rank,
         is_over_share: workspace.is_some_and(|name| state.uses.is_over_share(name, excess, now)),
         has_returned: progress.has_returned,
@@ -99,7 +101,7 @@
     let fields = json!({
         "request": trace.attempt_id, "route": trace.route, "workspace": trace.workspace,
         "pool": admitted.pool.as_str(), "reason": name, "rank": request.rank.0,
-        "returned": request.has_returned, "slot_ms": placement.wait.slot.as_millis(),
+        "returned": request.has_returned, "slot_ms": placement.wait.slot.as_millis(), "backlog_ms": placement.wait.backlog.as_millis(),
         "wait_ms": placement.wait.total().as_millis(), "free_slots": room.free_slots.round(),
         "slots": room.slots, "queued": room.queued.round(), "room_age_ms": room.age.as_millis(),
         "retry_ms": retry_after.as_millis(), "age_ms": trace.age_ms(),
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -5,6 +5,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        part_exchange::PartSource,
         placement::{Placement, PromptPart},
         upstreams::PendingResponse,
     },
@@ -42,7 +43,10 @@
         let shared = &parts[..parts.len().saturating_sub(1)];
         let started_ms = row.and_then(|row| row.entry.started_ms);
         if row.is_some() {
-            state.prompt_cache.record_sent(&placement.upstream, started_ms, shared, now);
+            let new = state.prompt_cache.record_sent(&placement.upstream, started_ms, shared, now);
+            if state.upstreams.is_exchanged() {
+                state.parts.add(&new, PartSource::Own);
+            }
         }
         let pending = PendingResponse {
             prefill_tokens: placement.prefill_tokens,
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -65,6 +65,8 @@
     pub demanded: bool,
     /// Urgency among the requests of its pool.
     pub rank: UrgencyRank,
+    /// Least latency target among those of its pool that are as urgent or more urgent.
+    pub pool_target: Duration,
     /// Whether its caller was refused before and has come back.
     pub has_returned: bool,
     /// Uniform in 0 to 1. Decides whether the request belongs to those of its kind that are sent in any case.
@@ -99,6 +101,7 @@
             ticket: None,
             demanded: false,
             rank: UrgencyRank::default(),
+            pool_target: Duration::ZERO,
             has_returned: false,
             draw: random(),
             crashes_met: 0,
--- a/samphiredeck/src/forward/speed_exchange.rs
+++ b/samphiredeck/src/forward/speed_exchange.rs
@@ -20,14 +20,14 @@
 /// Minimum time between two log lines about speeds that are not applied.
 const REJECTED_LOG_PERIOD: Duration = Duration::from_secs(60);
 
-/// Tells a random other node of the best known speeds, until the process exits. Does nothing unless upstreams state that
-/// their machines are shared.
+/// Tells a random other node of the best known speeds, until the process exits. Does nothing while nodes know the
+/// upstreams well enough from their own responses.
 pub async fn announce_speeds(node: Rc<ForwardNode>) {
     loop {
         sleep(ANNOUNCE_PERIOD).await;
         let mut speeds = {
             let state = node.state();
-            if !state.upstreams.shares_machines() {
+            if !state.upstreams.is_exchanged() {
                 continue;
             }
             state.upstreams.share_speeds(clock::now())
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -20,6 +20,7 @@
         members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
         origin_query::VersionView,
+        part_exchange::PartExchange,
         pool_speed::PoolSpeedTable,
         prompt_cache::PromptCacheTable,
         quota::{
@@ -142,6 +143,8 @@
     pub urgencies: UrgencyTable,
     /// What workspaces ask for.
     pub uses: WorkspaceUses,
+    /// Shared prompt parts that other nodes are to be told of.
+    pub parts: PartExchange,
     /// Requests of all nodes at the upstreams.
     pub loads: LoadExchange,
     /// Speeds of the pools, as measured by this node.
@@ -198,6 +201,7 @@
             demand: DemandMeter::default(),
             urgencies: UrgencyTable::default(),
             uses: WorkspaceUses::default(),
+            parts: PartExchange::default(),
             loads: LoadExchange::default(),
             speeds: PoolSpeedTable::default(),
             durations: RouteDurations::default(),
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -203,6 +203,7 @@
         speed: state.speeds.speed(&admitted.pool),
         prompt_cache: &state.prompt_cache,
         nodes: state.members.count(),
+        is_told: state.upstreams.is_exchanged(),
         turn: choice.turn,
     }
 }
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -27,6 +27,7 @@
 pub mod node_groups;
 pub mod origin_query;
 pub mod outcome;
+pub mod part_exchange;
 pub mod placement;
 pub mod pool_room;
 pub mod pool_speed;
--- a/samphiredeck_core/src/forward/admission.rs
+++ b/samphiredeck_core/src/forward/admission.rs
@@ -3,12 +3,13 @@
 //! Answers seconds in which callers compete for too little room: upstreams were lost or many requests came at once. If all
 //! are sent, they wait in long queues at the upstreams, all are late and callers leave, the most urgent ones too.
 //!
-//! A pool is short for a request if the best upstream has no slot free for it. Then the request may wait for a part of its
-//! latency target, a smaller one the less urgent it is, so that the queues stay shorter than what the most urgent requests
-//! can bear. Beyond that it is refused with a time to return. The decision rests on the estimate for the best upstream
-//! alone, so the shortage is over as soon as that has a free slot, whatever was refused before.
+//! A pool is short for a request that has to wait at its best upstream, for a slot or for the prompts of others. Then the most urgent requests may wait
+//! as long as they still meet their latency target, and others for a part of that, a smaller one the less urgent they
+//! are. A longer queue would not serve more requests, as the upstreams are busy with a short one. Beyond that a request is
+//! refused with a time to return. The decision rests on the estimate for the best upstream alone, so the shortage is over
+//! as soon as that has room, whatever was refused before.
 //!
-//! Nothing is refused while a slot is free, a caller that comes back goes before new ones, and a part of each kind is sent
+//! Nothing is refused while there is room, a caller that comes back goes before new ones, and a part of each kind is sent
 //! in any case, so that none starves. What a request itself has to compute does not count, or long prompts would.
 
 pub mod fair_share;
@@ -26,9 +27,12 @@
 
 use self::urgency::UrgencyRank;
 
-/// Part of the latency target that the most urgent requests may wait for a slot. The rest is for the prompt and the first
-/// token.
-const PATIENCE_SHARE: f64 = 0.6;
+/// Part of what the rest of the wait leaves of the latency target that a request may wait for a slot. The estimate is an
+/// old one.
+const PATIENCE_SHARE: f64 = 0.8;
+/// Part of the latency target that the rest of the wait takes at most, so that long prompts are not refused for their
+/// length.
+const OWN_SHARE_MAX: f64 = 0.5;
 /// Factor by which that part is smaller for each more urgent rank.
 const RANK_FACTOR: f64 = 0.5;
 /// Share of the requests of each kind that may wait as long as the most urgent ones.
@@ -93,6 +97,8 @@
     pub time_left: Duration,
     /// Latency target of its route.
     pub latency_target: Duration,
+    /// Least latency target among those of its pool that are as urgent or more urgent.
+    pub pool_target: Duration,
     /// Urgency among the requests of its pool.
     pub rank: UrgencyRank,
     /// Whether its workspace uses more than its share of the pool.
@@ -109,15 +115,20 @@
         self.rank.0 + u32::from(self.is_over_share)
     }
 
-    /// Time that it may wait for a slot at an upstream. `draw` is uniform in 0 to 1.
-    fn patience(&self, draw: f64) -> Duration {
-        let target = self.latency_target.mul_f64(PATIENCE_SHARE);
+    /// Time that it may wait for a slot at an upstream, if `rest` is the rest of its wait there. `draw` is uniform in 0 to 1.
+    fn patience(&self, rest: Duration, draw: f64) -> Duration {
         if self.has_returned {
-            return target.max(self.time_left.mul_f64(RETURNED_SHARE));
+            return self.time_left.mul_f64(RETURNED_SHARE);
         }
-        let rank = if draw < FLOOR_SHARE { 0 } else { self.waiting_rank() };
+        let (rank, target) = match self.waiting_rank() {
+            0 => (0, self.latency_target),
+            _ if draw < FLOOR_SHARE => (0, self.latency_target),
+            rank => (rank, self.latency_target.min(self.pool_target)),
+        };
+        let rest = rest.min(target.mul_f64(OWN_SHARE_MAX));
         let exponent = i32::try_from(rank).unwrap_or(i32::MAX);
-        target.saturating_sub(self.age).mul_f64(RANK_FACTOR.powi(exponent))
+        let left = target.saturating_sub(rest).saturating_sub(self.age);
+        left.mul_f64(PATIENCE_SHARE * RANK_FACTOR.powi(exponent))
     }
 
     fn refusal_reason(&self) -> RefusalReason {
@@ -149,14 +160,14 @@
             reason: RefusalReason::DeadlineUnreachable,
         };
     }
-    let patience = request.patience(draw);
-    if wait.slot <= patience || !request.is_refusable {
+    let patience = request.patience(total.saturating_sub(wait.queue()), draw);
+    if wait.queue() <= patience || !request.is_refusable {
         return AdmissionDecision::Send;
     }
     if request.age < request.latency_target.mul_f64(NODE_WAIT_SHARE) {
         return AdmissionDecision::WaitUntil(now + LOOK_PERIOD.mul_f64(0.5 + jitter));
     }
-    let excess = wait.slot.saturating_sub(patience) + RANK_DELAY * request.waiting_rank();
+    let excess = wait.queue().saturating_sub(patience) + RANK_DELAY * request.waiting_rank();
     let retry_after = retry_after(excess, request.time_left, jitter);
     AdmissionDecision::Refuse { retry_after, reason: request.refusal_reason() }
 }
--- a/samphiredeck_core/src/forward/admission/urgency.rs
+++ b/samphiredeck_core/src/forward/admission/urgency.rs
@@ -21,8 +21,8 @@
 #[derive(Clone, Debug)]
 struct PoolUrgencies {
     pool: PoolName,
-    /// Time of the last request, by priority.
-    seen: [Option<BootTime>; PRIORITIES],
+    /// Time and latency target of the last request, by priority.
+    seen: [Option<(BootTime, Duration)>; PRIORITIES],
 }
 
 #[derive(Clone, Debug)]
@@ -41,8 +41,14 @@
 }
 
 impl UrgencyTable {
-    /// Records a request for `pool` at `now` and returns its rank.
-    pub fn record(&mut self, pool: &PoolName, priority: u8, now: BootTime) -> UrgencyRank {
+    /// Records a request for `pool` at `now`. Returns its rank, and the least latency target of those that are as urgent or
+    /// more urgent.
+    pub fn record(
+        &mut self,
+        pool: &PoolName,
+        (priority, latency_target): (u8, Duration),
+        now: BootTime,
+    ) -> (UrgencyRank, Duration) {
         let at = match self.pools.binary_search_by(|row| row.pool.cmp(pool)) {
             Ok(at) => at,
             Err(at) => {
@@ -53,10 +59,12 @@
         };
         let priority = usize::from(priority).min(PRIORITIES - 1);
         let seen = &mut self.pools[at].seen;
-        seen[priority] = Some(now);
-        let is_recent = |at: &&Option<BootTime>| at.is_some_and(|at| now.since(at) < LIFETIME);
-        let more_urgent = seen[..priority].iter().filter(is_recent).count();
-        UrgencyRank(u32::try_from(more_urgent).unwrap_or(u32::MAX))
+        seen[priority] = Some((now, latency_target));
+        let recent = seen[..priority].iter().flatten();
+        let recent = recent.filter(|(at, _)| now.since(*at) < LIFETIME);
+        let (rank, least) = recent
+            .fold((0, latency_target), |(rank, least), (_, target)| (rank + 1, least.min(*target)));
+        (UrgencyRank(rank), least)
     }
 
     /// Records the time to the deadline that a request of `route` states. Returns whether its caller has come back.
--- a/samphiredeck_core/src/forward/load_view.rs
+++ b/samphiredeck_core/src/forward/load_view.rs
@@ -17,7 +17,7 @@
     forward::{
         admission::fair_share::{WorkspaceUse, add_uses},
         member_list::MemberIdentity,
-        upstreams::UpstreamRegistry,
+        upstreams::{UpstreamRegistry, tracked::SharedLoad},
     },
     ids::{DomainName, NodeName, UpstreamId},
 };
@@ -29,11 +29,22 @@
 /// Time for which a silent collector is not asked again.
 const AVOIDED_TIME: Duration = Duration::from_secs(4);
 /// Maximum number of counts in one message, so that it fits into a datagram.
-pub const PAGE_COUNTS: usize = 150;
+pub const PAGE_COUNTS: usize = 110;
 /// Maximum number of pages of one view. Larger pools are not exchanged: each node would get more bytes than the control
 /// traffic may take.
 pub const PAGES_MAX: usize = 4;
 
+/// Share of the nodes whose counts a total must have.
+const NODES_SHARE_MIN: f64 = 0.8;
+/// Mean age of a node's own reports from which it needs those of others: a request at an upstream then usually began after
+/// the last report.
+const REPORT_AGE_NEEDED: Duration = Duration::from_secs(1);
+/// Age that a report has at most in that mean, or an upstream without one.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(3);
+/// Time for which a node goes on taking part after it needed to.
+const NEEDED_LIFETIME: Duration = Duration::from_secs(5);
+/// Minimum number of upstreams for an exchange.
+const UPSTREAMS_MIN: usize = 8;
 /// Maximum number of workspaces in sums.
 pub const USES_MAX: usize = 40;
 
@@ -50,6 +61,9 @@
     }
 }
 
+/// Prompt tokens in a unit of [`RequestCount::pending`]. A few milliseconds of work.
+const TOKEN_UNIT: u64 = 128;
+
 /// Number of requests in flight at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestCount {
@@ -57,6 +71,8 @@
     pub upstream: UpstreamKey,
     /// Requests there. Above 0.
     pub count: u16,
+    /// Prompt tokens to compute for those without a sign of a response, in units of [`TOKEN_UNIT`].
+    pub pending: u16,
 }
 
 /// Counts of one sender, sorted by upstream, without duplicates.
@@ -66,22 +82,20 @@
 #[derive(Clone, Debug)]
 struct CountSource {
     node: NodeName,
-    counts: RequestCounts,
-    uses: Vec<WorkspaceUse>,
+    sums: LoadSums,
     told_at: BootTime,
 }
 
 /// Sorted by node, without duplicates.
 type CountSources = Vec<CountSource>;
 
-fn store(sources: &mut CountSources, node: &NodeName, sums: LoadSums, now: BootTime) {
-    let LoadSums { mut counts, mut uses } = sums;
-    counts.sort_by_key(|row| row.upstream);
-    counts.dedup_by_key(|row| row.upstream);
-    uses.sort_by_key(|row| row.workspace);
-    uses.dedup_by_key(|row| row.workspace);
+fn store(sources: &mut CountSources, node: &NodeName, mut sums: LoadSums, now: BootTime) {
+    sums.counts.sort_by_key(|row| row.upstream);
+    sums.counts.dedup_by_key(|row| row.upstream);
+    sums.uses.sort_by_key(|row| row.workspace);
+    sums.uses.dedup_by_key(|row| row.workspace);
     sources.retain(|source| now.since(source.told_at) < SOURCE_LIFETIME);
-    let source = CountSource { node: node.clone(), counts, uses, told_at: now };
+    let source = CountSource { node: node.clone(), sums, told_at: now };
     match sources.binary_search_by(|other| other.node.cmp(node)) {
         Ok(at) => sources[at] = source,
         Err(at) => sources.insert(at, source),
@@ -91,6 +105,8 @@
 /// Requests in flight, and what workspaces ask for, of one node or of several.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadSums {
+    /// Number of nodes that these are the sums of.
+    pub nodes: u16,
     /// Counts above 0, sorted by upstream, without duplicates.
     pub counts: RequestCounts,
     /// Uses, sorted by workspace, without duplicates.
@@ -98,16 +114,19 @@
 }
 
 impl LoadSums {
-    fn add(&mut self, counts: &[RequestCount], uses: &[WorkspaceUse]) {
-        for row in counts {
+    fn add(&mut self, other: &Self) {
+        self.nodes = self.nodes.saturating_add(other.nodes);
+        for row in &other.counts {
             match self.counts.binary_search_by_key(&row.upstream, |other| other.upstream) {
                 Ok(at) => {
-                    self.counts[at].count = self.counts[at].count.saturating_add(row.count);
+                    let sum = &mut self.counts[at];
+                    sum.count = sum.count.saturating_add(row.count);
+                    sum.pending = sum.pending.saturating_add(row.pending);
                 }
                 Err(at) => self.counts.insert(at, *row),
             }
         }
-        add_uses(&mut self.uses, uses);
+        add_uses(&mut self.uses, &other.uses);
     }
 }
 
@@ -141,7 +160,7 @@
     };
     (0..pages)
         .map(|page| {
-            let sums = LoadSums { counts: of_page(page), uses: uses_of(page) };
+            let sums = LoadSums { nodes: sums.nodes, counts: of_page(page), uses: uses_of(page) };
             ViewPage { page, pages, sums }
         })
         .collect()
@@ -160,11 +179,28 @@
     collector: Option<(NodeName, BootTime)>,
     /// Time of the last view.
     viewed_at: Option<BootTime>,
+    /// Last time at which this node needed to know more than its own responses tell.
+    needed_at: Option<BootTime>,
     /// Collectors that did not reply, with the time until which they are not asked.
     avoided: Vec<(NodeName, BootTime)>,
 }
 
 impl LoadExchange {
+    /// Whether this node takes part at `now`: it hears of upstreams too seldom itself, or collects for others.
+    pub fn is_needed(&mut self, registry: &UpstreamRegistry, now: BootTime) -> bool {
+        let accepting = registry.rows().iter().filter(|row| row.is_accepting(now));
+        let ages = accepting.map(|row| row.own_report_age(now).unwrap_or(REPORT_AGE_MAX));
+        let (count, sum) = ages.fold((0_u32, Duration::ZERO), |(count, sum), age| {
+            (count + 1, sum + age.min(REPORT_AGE_MAX))
+        });
+        let is_large = usize::try_from(count).is_ok_and(|count| count >= UPSTREAMS_MIN);
+        if is_large && sum / count.max(1) >= REPORT_AGE_NEEDED {
+            self.needed_at = Some(now);
+        }
+        let is_recent = |at: BootTime| now.since(at) < NEEDED_LIFETIME;
+        self.needed_at.is_some_and(is_recent) || !self.followers(now).is_empty()
+    }
+
     /// Chooses whom this node tells at `now`: the first of `candidates` that replies. They are the nodes of the own domain
     /// in the order that all nodes agree on.
     pub fn choose_collector(&mut self, candidates: &[NodeName], now: BootTime) -> Option<NodeName> {
@@ -218,7 +254,7 @@
     pub fn domain_sum(&self, own: &LoadSums, now: BootTime) -> LoadSums {
         let mut sum = own.clone();
         let live = self.nodes.iter().filter(|source| now.since(source.told_at) < SOURCE_LIFETIME);
-        live.for_each(|source| sum.add(&source.counts, &source.uses));
+        live.for_each(|source| sum.add(&source.sums));
         sum
     }
 
@@ -228,7 +264,7 @@
         let mut sum = domain_sum.clone();
         let live =
             self.collectors.iter().filter(|source| now.since(source.told_at) < SOURCE_LIFETIME);
-        live.for_each(|source| sum.add(&source.counts, &source.uses));
+        live.for_each(|source| sum.add(&source.sums));
         sum
     }
 
@@ -263,6 +299,8 @@
             .map(|row| RequestCount {
                 upstream: UpstreamKey::of(&row.entry.id),
                 count: u16::try_from(row.in_flight).unwrap_or(u16::MAX),
+                pending: u16::try_from(row.pending_prefill_tokens.div_ceil(TOKEN_UNIT))
+                    .unwrap_or(u16::MAX),
             })
             .collect();
         counts.sort_by_key(|row| row.upstream);
@@ -270,17 +308,29 @@
         counts
     }
 
-    /// Applies a page of the total that this node's collector sent, whose counts include the `own` ones.
-    pub fn apply_load_view(&mut self, page: &ViewPage, own: &[RequestCount], now: BootTime) {
+    /// Applies a page of the total that this node's collector sent, whose counts include the `own` ones. Ignores it unless
+    /// it has those of nearly all of `members` nodes.
+    pub fn apply_load_view(
+        &mut self,
+        page: &ViewPage,
+        own: &[RequestCount],
+        members: u32,
+        now: BootTime,
+    ) {
+        if f64::from(page.sums.nodes) < f64::from(members) * NODES_SHARE_MIN {
+            return;
+        }
         let find = |counts: &[RequestCount], key: UpstreamKey| {
             let found = counts.binary_search_by_key(&key, |row| row.upstream);
-            found.map_or(0, |at| counts[at].count)
+            found.map_or((0, 0), |at| (counts[at].count, counts[at].pending))
         };
         for row in self.rows_mut() {
             let key = UpstreamKey::of(&row.entry.id);
             if key.0 % u32::from(page.pages.max(1)) == u32::from(page.page) {
-                let others = find(&page.sums.counts, key).saturating_sub(find(own, key));
-                row.set_shared_load(u32::from(others), now);
+                let (all, own) = (find(&page.sums.counts, key), find(own, key));
+                let requests = u32::from(all.0.saturating_sub(own.0));
+                let pending_tokens = u64::from(all.1.saturating_sub(own.1)) * TOKEN_UNIT;
+                row.set_shared_load(SharedLoad { requests, pending_tokens, at: now });
             }
         }
     }
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -57,6 +57,9 @@
 const CROSS_DOMAIN_COST_MS: f64 = 2.0;
 /// Range of the jitter that spreads nodes over similar upstreams, in milliseconds.
 const JITTER_MS: f64 = 4.0;
+/// Part of the time for the prompt of a request that counts once more, as others wait for it, too. A request then leaves the
+/// upstream that has its shared parts later than its own wait alone would tell.
+const PREFILL_BURDEN: f64 = 1.0;
 /// Range of the preference of a node among upstreams that are alike, in milliseconds.
 const PREFERENCE_MS: f64 = 6.0;
 /// Share of the maximum event gap from which the prefill of a prompt stalls concurrent streams for
@@ -119,6 +122,8 @@
     pub prompt_cache: &'a PromptCacheTable,
     /// Number of nodes that send requests to the pool. At least 1.
     pub nodes: u32,
+    /// Whether they tell each other which parts they send where.
+    pub is_told: bool,
     /// Turn of this node at upstreams with a limit. `None` if the request must not be sent to any of
     /// them.
     pub turn: Option<NodeTurn>,
@@ -193,7 +198,13 @@
     ) -> u64 {
         let upstream = (&row.entry.id, row.entry.started_ms);
         let parts = self.shared_parts();
-        let miss = self.prompt_cache.expected_miss(upstream, affinity, parts, self.nodes, now);
+        let miss = self.prompt_cache.expected_miss(
+            upstream,
+            affinity,
+            parts,
+            (self.nodes, self.is_told),
+            now,
+        );
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -255,6 +266,9 @@
         if request.engine {
             cost += upstream_preference(request.node, &row.entry.id) * PREFERENCE_MS;
         }
+        if registry.is_exchanged() {
+            cost += wait.prefill.as_secs_f64() * 1_000.0 * PREFILL_BURDEN;
+        }
         if now < row.warm_up_until {
             cost += WARM_UP_COST_MS;
         }
@@ -425,11 +439,13 @@
     now: BootTime,
 ) -> WaitEstimate {
     #[expect(clippy::cast_precision_loss, reason = "prompts have far fewer tokens")]
-    let own_tokens = row.pending_prefill_tokens.saturating_add(prefill_tokens) as f64;
+    let tokens = |tokens: u64| tokens as f64;
     let load = UpstreamLoad {
         slots: f64::from(row.entry.slots.max(1)),
         requests,
-        own_tokens,
+        own_pending: tokens(row.pending_prefill_tokens),
+        other_pending: row.shared_load(now).map(|load| tokens(load.pending_tokens)),
+        prompt_tokens: tokens(prefill_tokens),
         time_factor,
         lateness_ms: row.lateness_ms(now),
     };
--- a/samphiredeck_core/src/forward/pool_speed.rs
+++ b/samphiredeck_core/src/forward/pool_speed.rs
@@ -43,6 +43,10 @@
 /// load is. Nothing makes them too fast but the cache, and only requests that hardly depend on it
 /// are measured.
 const PREFILL_QUANTILE: f64 = 0.85;
+/// Weight of the newest sample in a mean once it has settled.
+const MEAN_WEIGHT_MIN: f64 = 0.02;
+/// Maximum factor between a sample and the mean before it.
+const MEAN_EXCESS_MAX: f64 = 10.0;
 /// Minimum number of output tokens of a response that measures the time between tokens.
 const OUTPUT_TOKENS_MIN: u64 = 8;
 
@@ -79,6 +83,32 @@
     }
 }
 
+/// Running mean of a positive quantity. What upstreams do in a time follows from means: few long requests take most of it,
+/// and the median does not show them.
+#[derive(Clone, Copy, Debug)]
+struct TrackedMean {
+    /// Above zero.
+    value: f64,
+    samples: u32,
+}
+
+impl TrackedMean {
+    fn new(start: f64) -> Self {
+        Self { value: start, samples: 0 }
+    }
+
+    /// Moves the mean towards `sample`. An absurd one counts as the largest plausible.
+    fn record(&mut self, sample: f64) {
+        if !sample.is_finite() || sample <= 0.0 {
+            return;
+        }
+        let weight = MEAN_WEIGHT_MIN.max(1.0 / (f64::from(self.samples) + 2.0));
+        let bounded = sample.min(self.value * MEAN_EXCESS_MAX);
+        self.value += (bounded - self.value) * weight;
+        self.samples = self.samples.saturating_add(1);
+    }
+}
+
 /// Speed of the upstreams of one pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolSpeed {
@@ -89,6 +119,8 @@
     held_ms: TrackedQuantile,
     prompt_tokens: TrackedQuantile,
     output_tokens: TrackedQuantile,
+    prompt_mean: TrackedMean,
+    output_mean: TrackedMean,
 }
 
 impl Default for PoolSpeed {
@@ -101,6 +133,8 @@
             held_ms: TrackedQuantile::new(HELD_START_MS, HELD_QUANTILE),
             prompt_tokens: TrackedQuantile::new(PROMPT_START, 0.5),
             output_tokens: TrackedQuantile::new(OUTPUT_START, 0.5),
+            prompt_mean: TrackedMean::new(PROMPT_START),
+            output_mean: TrackedMean::new(OUTPUT_START),
         }
     }
 }
@@ -154,15 +188,22 @@
         self.output_tokens.value
     }
 
-    /// Time from the first token of a response to its last, in milliseconds.
+    /// Mean time from the first token of a response to its last, in milliseconds.
     #[must_use]
     pub fn response_ms(&self) -> f64 {
-        self.output_tokens.value * self.token_interval_ms.value
+        self.output_mean.value * self.token_interval_ms.value
+    }
+
+    /// Mean time that an engine spends on the prompt of a request, in milliseconds.
+    #[must_use]
+    pub fn mean_prefill_ms(&self) -> f64 {
+        self.prefill_ms(self.prompt_mean.value)
     }
 
     /// Records that a request whose prompt left about `tokens` tokens to compute was placed.
     pub fn record_prompt(&mut self, tokens: u64) {
         self.prompt_tokens.record(to_f64(tokens));
+        self.prompt_mean.record(to_f64(tokens));
     }
 
     /// Records the first token of a response `elapsed` after its request was sent to an engine
@@ -181,6 +222,7 @@
     /// event to its last.
     pub fn record_output(&mut self, tokens: u64, elapsed: Duration) {
         self.output_tokens.record(to_f64(tokens));
+        self.output_mean.record(to_f64(tokens));
         if tokens >= OUTPUT_TOKENS_MIN {
             self.token_interval_ms.record(elapsed.as_secs_f64() * 1_000.0 / to_f64(tokens));
         }
--- a/samphiredeck_core/src/forward/upstream_speed.rs
+++ b/samphiredeck_core/src/forward/upstream_speed.rs
@@ -119,7 +119,7 @@
     /// Pace of `pool` at `now`.
     #[must_use]
     pub fn of(registry: &UpstreamRegistry, pool: &PoolName, now: BootTime) -> Self {
-        if !registry.shares_machines() {
+        if !registry.is_exchanged() {
             return Self::default();
         }
         let rows = registry.rows().iter().filter(|row| row.entry.pool == *pool);
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -75,8 +75,8 @@
     pub brittle: BrittlePools,
     /// Software versions that were listed.
     pub versions: VersionHistory,
-    /// Whether any upstream has stated the pace of its machine.
-    shares_machines: bool,
+    /// Whether nodes tell each other what they know of upstreams.
+    is_exchanged: bool,
     /// Send time of the last applied read.
     read_at: Option<BootTime>,
     /// Time of the first read that listed any upstream.
@@ -375,16 +375,20 @@
 
     /// Records that work takes `factor` times as long as usual on the machine of `id` at `now`.
     pub fn record_pace(&mut self, id: &UpstreamId, factor: f64, now: BootTime) {
-        self.shares_machines = true;
         if let Some(row) = self.find_mut(id) {
             row.speed.record_pace(factor, now);
         }
     }
 
-    /// Whether upstreams share machines with others, as they state themselves, so that their speeds differ.
+    /// Whether nodes tell each other what they know of upstreams.
     #[must_use]
-    pub fn shares_machines(&self) -> bool {
-        self.shares_machines
+    pub fn is_exchanged(&self) -> bool {
+        self.is_exchanged
+    }
+
+    /// Sets whether nodes tell each other what they know of upstreams.
+    pub fn set_exchanged(&mut self, is_exchanged: bool) {
+        self.is_exchanged = is_exchanged;
     }
 
     /// Records the load that `id` reported at `now`.
--- a/samphiredeck_core/src/forward/upstreams/tracked.rs
+++ b/samphiredeck_core/src/forward/upstreams/tracked.rs
@@ -35,6 +35,17 @@
     pub at: BootTime,
 }
 
+/// Load that other nodes place on an upstream, as the collector tells it.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedLoad {
+    /// Their requests in flight.
+    pub requests: u32,
+    /// Prompt tokens to compute for those without a sign of a response.
+    pub pending_tokens: u64,
+    /// Time at which it was told.
+    pub at: BootTime,
+}
+
 /// One row of an [`UpstreamRegistry`](super::UpstreamRegistry).
 #[derive(Clone, Debug)]
 pub struct TrackedUpstream {
@@ -60,8 +71,8 @@
     pub pending_prefill_tokens: u64,
     /// Last reported load.
     pub(super) report: Option<LoadReport>,
-    /// Requests of other nodes there as the collector told, and when.
-    pub(super) shared_load: Option<(u32, BootTime)>,
+    /// Load of other nodes as the collector told it last.
+    pub(super) shared_load: Option<SharedLoad>,
     /// How fast it works, as far as known.
     pub speed: UpstreamSpeed,
     /// Time at which this start of the upstream became known.
@@ -146,19 +157,23 @@
         self.slots.decide(self.in_flight, queued, now)
     }
 
-    /// Sets the requests of other nodes, as the collector told at `now`.
-    pub(in crate::forward) fn set_shared_load(&mut self, requests: u32, now: BootTime) {
-        self.shared_load = Some((requests, now));
+    /// Sets the load of other nodes.
+    pub(in crate::forward) fn set_shared_load(&mut self, load: SharedLoad) {
+        self.shared_load = Some(load);
+    }
+
+    /// Load of other nodes as the collector told it, if that is recent enough to be used at `now`.
+    #[must_use]
+    pub fn shared_load(&self, now: BootTime) -> Option<SharedLoad> {
+        self.shared_load.filter(|load| now.since(load.at) < SHARED_LIFETIME)
     }
 
     /// Requests of other nodes as far as known, and how recent that is at `now`, from 0 to 1: what the collector told, or
     /// else the last report. `None` if there is neither.
     #[must_use]
     pub fn reported_load(&self, now: BootTime) -> Option<(f64, f64)> {
-        if let Some((requests, _)) =
-            self.shared_load.filter(|(_, at)| now.since(*at) < SHARED_LIFETIME)
-        {
-            return Some((f64::from(requests), 1.0));
+        if let Some(load) = self.shared_load(now) {
+            return Some((f64::from(load.requests), 1.0));
         }
         let report = self.report?;
         let requests = report.running.saturating_add(report.waiting);
@@ -167,11 +182,16 @@
         Some((f64::from(foreign), (1.0 - age).clamp(0.0, 1.0)))
     }
 
+    /// Age at `now` of the last report in a response to this node.
+    #[must_use]
+    pub fn own_report_age(&self, now: BootTime) -> Option<Duration> {
+        self.report.map(|report| now.since(report.at))
+    }
+
     /// Age at `now` of what the collector told, if that is recent enough to be used.
     #[must_use]
     pub fn shared_load_age(&self, now: BootTime) -> Option<Duration> {
-        let age = self.shared_load.map(|(_, at)| now.since(at));
-        age.filter(|age| *age < SHARED_LIFETIME)
+        self.shared_load(now).map(|load| now.since(load.at))
     }
 
     /// Age at `now` of what is known of the load of other nodes.
--- a/samphiredeck_core/src/forward/wait_estimate.rs
+++ b/samphiredeck_core/src/forward/wait_estimate.rs
@@ -15,7 +15,9 @@
 pub struct WaitEstimate {
     /// Until a slot is free.
     pub slot: Duration,
-    /// For the prompts that are computed before or beside that of the request, and its own.
+    /// For the prompts that are computed before or beside that of the request.
+    pub backlog: Duration,
+    /// For its own prompt.
     pub prefill: Duration,
     /// From the end of the prefill to the first token, or the service time of an upstream that is no engine.
     pub first_token: Duration,
@@ -27,7 +29,13 @@
     /// Sum of all parts.
     #[must_use]
     pub fn total(&self) -> Duration {
-        self.slot + self.prefill + self.first_token + self.lateness
+        self.queue() + self.prefill + self.first_token + self.lateness
+    }
+
+    /// Wait for others: until a slot is free and the prompts before that of the request are computed.
+    #[must_use]
+    pub fn queue(&self) -> Duration {
+        self.slot + self.backlog
     }
 }
 
@@ -38,8 +46,12 @@
     pub slots: f64,
     /// Requests of all nodes there.
     pub requests: f64,
-    /// Prompt tokens to compute for this node's requests without a sign of a response, and for the request itself.
-    pub own_tokens: f64,
+    /// Prompt tokens to compute for this node's requests without a sign of a response.
+    pub own_pending: f64,
+    /// The same for the requests of other nodes, if they have told.
+    pub other_pending: Option<f64>,
+    /// Prompt tokens to compute for the request itself.
+    pub prompt_tokens: f64,
     /// Factor by which work takes longer there than at a usual upstream of the pool.
     pub time_factor: f64,
     /// Time by which its responses were later than expected lately, in milliseconds.
@@ -52,15 +64,17 @@
     pub fn engine_wait(&self, speed: &PoolSpeed) -> WaitEstimate {
         let queued = (self.requests + 1.0 - self.slots).max(0.0);
         let running = self.requests.min(self.slots);
-        let prompt_ms = speed.prefill_ms(speed.prompt_tokens());
+        let prompt_ms = speed.mean_prefill_ms();
         let run_ms = speed.first_token_ms() + prompt_ms + speed.response_ms();
         // Slots are freed as runs end. Prefills take turns, so a run can't begin sooner than the prompt before is computed.
         let turn_ms = (run_ms / self.slots).max(prompt_ms);
-        let tokens = self.own_tokens + running * PREFILL_SHARE * speed.prompt_tokens();
+        let assumed = running * PREFILL_SHARE * speed.prompt_tokens();
+        let backlog_tokens = self.own_pending + self.other_pending.unwrap_or(assumed);
         let factor = self.time_factor;
         WaitEstimate {
             slot: millis(queued * turn_ms * factor),
-            prefill: millis(speed.prefill_ms(tokens) * factor),
+            backlog: millis(speed.prefill_ms(backlog_tokens) * factor),
+            prefill: millis(speed.prefill_ms(self.prompt_tokens) * factor),
             first_token: millis(speed.first_token_ms() * factor),
             lateness: millis(self.lateness_ms),
         }
--- a/samphiredeck_core/tests/forward_addresses.rs
+++ b/samphiredeck_core/tests/forward_addresses.rs
@@ -69,6 +69,7 @@
         speed: PoolSpeed::default(),
         prompt_cache: &PromptCacheTable::default(),
         nodes: 1,
+        is_told: false,
         turn: None,
     };
     let domain = "a".parse().unwrap();
--- a/samphiredeck_core/tests/forward_speed.rs
+++ b/samphiredeck_core/tests/forward_speed.rs
@@ -120,7 +120,7 @@
     let nodes = 6;
     let parts = [part("base", 2_000), part("portfolio", 13_000)];
     let miss = |cache: &PromptCacheTable, affinity| {
-        cache.expected_miss((&upstream("u"), Some(1)), affinity, &parts, nodes, at(1_000))
+        cache.expected_miss((&upstream("u"), Some(1)), affinity, &parts, (nodes, false), at(1_000))
     };
     let mut caches = vec![PromptCacheTable::default(); 6];
     // Each node sends a request with these parts to their new affinity upstream.
@@ -132,13 +132,15 @@
         assert!(miss(cache, CacheAffinity::None) < 1.0, "the node knows that the part is there");
         // Another upstream, or a restart of this one, has not cached them.
         let other = (&upstream("v"), Some(1));
-        let full = cache.expected_miss(other, CacheAffinity::None, &parts, nodes, at(1_000));
+        let full =
+            cache.expected_miss(other, CacheAffinity::None, &parts, (nodes, false), at(1_000));
         assert!((full - 15_000.0).abs() < 1.0);
-        let second = cache.expected_miss(other, CacheAffinity::Second, &parts, nodes, at(1_000));
+        let second =
+            cache.expected_miss(other, CacheAffinity::Second, &parts, (nodes, false), at(1_000));
         assert!(second < full && second > 0.0);
         let restarted = (&upstream("u"), Some(2));
         assert!(
-            cache.expected_miss(restarted, CacheAffinity::None, &parts, nodes, at(1_000))
+            cache.expected_miss(restarted, CacheAffinity::None, &parts, (nodes, false), at(1_000))
                 > 14_999.0
         );
     }
@@ -151,7 +153,8 @@
     assert!(demand.engines_needed(64, &speed) < 1_000.0, "{demand:?}");
     let cache = PromptCacheTable::default();
     let parts = [part("absurd", u64::MAX)];
-    let miss = cache.expected_miss((&upstream("u"), None), CacheAffinity::None, &parts, 1, at(1));
+    let miss =
+        cache.expected_miss((&upstream("u"), None), CacheAffinity::None, &parts, (1, false), at(1));
     assert!(miss.is_finite());
 }
 
@@ -165,7 +168,7 @@
     // The oldest rows have not expired, so that the newest part is not remembered.
     let newest = [part("part19999", 100)];
     let u = (&upstream("u"), None);
-    assert!(cache.expected_miss(u, CacheAffinity::None, &newest, 1, at(20_000)) > 99.0);
+    assert!(cache.expected_miss(u, CacheAffinity::None, &newest, (1, false), at(20_000)) > 99.0);
     cache.record_sent(&upstream("u"), None, &newest, at(60_000));
-    assert!(cache.expected_miss(u, CacheAffinity::None, &newest, 1, at(60_000)) < 1.0);
+    assert!(cache.expected_miss(u, CacheAffinity::None, &newest, (1, false), at(60_000)) < 1.0);
 }
--- a/samphiredeck_core/tests/forward_states.rs
+++ b/samphiredeck_core/tests/forward_states.rs
@@ -84,6 +84,7 @@
         speed: PoolSpeed::default(),
         prompt_cache: &PromptCacheTable::default(),
         nodes: 1,
+        is_told: false,
         turn: None,
     };
     let choice = choose_upstream(registry, &request, &"a".parse().unwrap(), now, || 0.5);
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -86,6 +86,7 @@
         speed: PoolSpeed::default(),
         prompt_cache: &PromptCacheTable::default(),
         nodes: 8,
+        is_told: false,
         turn: None,
     };
     let choice =
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -7,6 +7,7 @@
         load_view::{LoadSums, ViewPage},
         member_list::MemberDelta,
         members::NodeHeartbeat,
+        prompt_cache::PartKey,
         store_readers::StoreStatus,
         stream_origins::StreamOrigin,
         suspects::exchange::PublishedSuspects,
@@ -300,6 +301,11 @@
         /// Sums, as far as they fit.
         page: ViewPage,
     },
+    /// Tells of shared prompt parts that were sent to upstreams.
+    Parts {
+        /// Keys of the parts and their upstreams.
+        keys: Vec<PartKey>,
+    },
 }
 
 /// Slots of one upstream that a node holds.
