--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -450,6 +450,10 @@
     placement: &Placement,
     elapsed: Duration,
 ) {
+    if admitted.engine {
+        let mut state = node.state();
+        state.speeds.speed_mut(&admitted.pool).record_wait(in_flight.expected(), elapsed);
+    }
     if admitted.engine && in_flight.is_alone && placement.is_prefill_certain {
         let mut state = node.state();
         let speed = state.speeds.speed_mut(&admitted.pool);
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -1,6 +1,6 @@
 //! Requests in flight at upstreams.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use samphiredeck_core::{
     boot_time::BootTime,
@@ -26,6 +26,8 @@
     pub sent_at: BootTime,
     /// Until the response starts.
     pending: Option<PendingResponse>,
+    /// Expected time until then.
+    expected: Duration,
     /// Whether the upstream had no other prompt to process when the request was sent, as far as
     /// known. The time to the first event then measures the upstream's speed.
     pub is_alone: bool,
@@ -56,7 +58,15 @@
         drop(guard);
         let upstream = placement.upstream.clone();
         let node = Rc::clone(node);
-        Self { node, upstream, started_ms, sent_at: now, pending: Some(pending), is_alone }
+        Self {
+            node,
+            upstream,
+            started_ms,
+            sent_at: now,
+            pending: Some(pending),
+            expected: placement.wait.total(),
+            is_alone,
+        }
     }
 
     /// Source of a response to the request with the attempt identifier `request`.
@@ -80,6 +90,11 @@
         }
     }
 
+    /// Time in which the response was expected to start.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
     /// Records whether the upstream failed.
     pub fn record_outcome(&self, failed: bool) {
         self.node.state().upstreams.record_outcome(&self.upstream, failed, clock::now());
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -205,6 +205,7 @@
             state.names.merge(catalog.names());
             let is_declared = |name: &str| catalog.routes().iter().any(|row| row.name == name);
             state.durations.retain(is_declared);
+            state.urgencies.retain_routes(is_declared);
             node.metrics.config.version.set(i64::try_from(catalog.version().0).unwrap_or(0));
             state.catalog = Some(Rc::new(catalog));
         }
--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -446,7 +446,11 @@
         own_pending: tokens(row.pending_prefill_tokens),
         other_pending: row.shared_load(now).map(|load| tokens(load.pending_tokens)),
         prompt_tokens: tokens(prefill_tokens),
-        time_factor,
+        time_factor: if request.is_told {
+            time_factor * request.speed.wait_factor()
+        } else {
+            time_factor
+        },
         lateness_ms: row.lateness_ms(now),
     };
     if request.engine {
--- a/samphiredeck_core/src/forward/pool_speed.rs
+++ b/samphiredeck_core/src/forward/pool_speed.rs
@@ -47,6 +47,14 @@
 const MEAN_WEIGHT_MIN: f64 = 0.02;
 /// Maximum factor between a sample and the mean before it.
 const MEAN_EXCESS_MAX: f64 = 10.0;
+/// Minimum wait whose error is recorded.
+const WAIT_MIN: Duration = Duration::from_millis(5);
+/// Maximum error of one wait that counts, as a natural logarithm: a factor of 2.7.
+const WAIT_ERROR_MAX: f64 = 1.0;
+/// Part of the error of one wait by which the factor moves.
+const WAIT_STEP: f64 = 0.08;
+/// Range of the factor.
+const WAIT_FACTOR_RANGE: (f64, f64) = (0.5, 5.0);
 /// Minimum number of output tokens of a response that measures the time between tokens.
 const OUTPUT_TOKENS_MIN: u64 = 8;
 
@@ -121,6 +129,8 @@
     output_tokens: TrackedQuantile,
     prompt_mean: TrackedMean,
     output_mean: TrackedMean,
+    /// Factor by which waits turn out longer than what the speeds tell. Within [`WAIT_FACTOR_RANGE`].
+    wait_factor: f64,
 }
 
 impl Default for PoolSpeed {
@@ -135,6 +145,7 @@
             output_tokens: TrackedQuantile::new(OUTPUT_START, 0.5),
             prompt_mean: TrackedMean::new(PROMPT_START),
             output_mean: TrackedMean::new(OUTPUT_START),
+            wait_factor: 1.0,
         }
     }
 }
@@ -194,6 +205,24 @@
         self.output_mean.value * self.token_interval_ms.value
     }
 
+    /// Factor by which waits turn out longer than what the speeds tell, as engines compute prompts between the tokens of other
+    /// requests.
+    #[must_use]
+    pub fn wait_factor(&self) -> f64 {
+        self.wait_factor
+    }
+
+    /// Records that the first event of a response came after `actual`, where `expected`, with the factor, was expected.
+    pub fn record_wait(&mut self, expected: Duration, actual: Duration) {
+        if expected < WAIT_MIN {
+            return;
+        }
+        let ratio = actual.max(WAIT_MIN).as_secs_f64() / expected.as_secs_f64();
+        let error = ratio.ln().clamp(-WAIT_ERROR_MAX, WAIT_ERROR_MAX);
+        let (min, max) = WAIT_FACTOR_RANGE;
+        self.wait_factor = (self.wait_factor * (error * WAIT_STEP).exp()).clamp(min, max);
+    }
+
     /// Mean time that an engine spends on the prompt of a request, in milliseconds.
     #[must_use]
     pub fn mean_prefill_ms(&self) -> f64 {
