Load: tests; pages of another domain are added up, one absurd speed is bounded

The sums of a domain with more than 110 busy upstreams are told in several pages, and each replaced the one before, so totals lacked most upstreams.

One absurd sample of an upstream without others gave a factor of 0.43 (test absurd_missing_and_lying_speeds), as the first sample is compared with nothing. The deviation from the pool is now bounded by the range of the factor.

--- a/samphiredeck/src/forward/load_exchange.rs
+++ b/samphiredeck/src/forward/load_exchange.rs
@@ -154,7 +154,7 @@
     let state = &mut *guard;
     match message {
         LoadMessage::Node { sums } => state.loads.record_node(sender, sums, now),
-        LoadMessage::Domain { page } => state.loads.record_collector(sender, page.sums, now),
+        LoadMessage::Domain { page } => state.loads.record_collector(sender, page, now),
         LoadMessage::Parts { keys } => {
             let followers = state.loads.followers(now);
             let keys = keys.into_iter().filter(|key| state.prompt_cache.record(*key, now));
--- a/samphiredeck_core/src/forward/load_view.rs
+++ b/samphiredeck_core/src/forward/load_view.rs
@@ -82,21 +82,31 @@
 #[derive(Clone, Debug)]
 struct CountSource {
     node: NodeName,
+    /// Number of the page that these are, and of all pages.
+    page: (u8, u8),
     sums: LoadSums,
     told_at: BootTime,
 }
 
-/// Sorted by node, without duplicates.
+/// Sorted by node and page, without duplicates. All pages of a node state the same number of pages.
 type CountSources = Vec<CountSource>;
 
-fn store(sources: &mut CountSources, node: &NodeName, mut sums: LoadSums, now: BootTime) {
+fn store(sources: &mut CountSources, node: &NodeName, told: ViewPage, now: BootTime) {
+    let ViewPage { page, pages, mut sums } = told;
     sums.counts.sort_by_key(|row| row.upstream);
     sums.counts.dedup_by_key(|row| row.upstream);
     sums.uses.sort_by_key(|row| row.workspace);
     sums.uses.dedup_by_key(|row| row.workspace);
-    sources.retain(|source| now.since(source.told_at) < SOURCE_LIFETIME);
-    let source = CountSource { node: node.clone(), sums, told_at: now };
-    match sources.binary_search_by(|other| other.node.cmp(node)) {
+    sources.retain(|source| {
+        let is_outdated = source.node == *node && source.page.1 != pages;
+        now.since(source.told_at) < SOURCE_LIFETIME && !is_outdated
+    });
+    if page > 0 {
+        // Every page states the number of nodes.
+        sums.nodes = 0;
+    }
+    let source = CountSource { node: node.clone(), page: (page, pages), sums, told_at: now };
+    match sources.binary_search_by(|other| (&other.node, other.page.0).cmp(&(node, page))) {
         Ok(at) => sources[at] = source,
         Err(at) => sources.insert(at, source),
     }
@@ -227,12 +237,12 @@
 
     /// Records counts that `node` told this one, its collector.
     pub fn record_node(&mut self, node: &NodeName, sums: LoadSums, now: BootTime) {
-        store(&mut self.nodes, node, sums, now);
+        store(&mut self.nodes, node, ViewPage { page: 0, pages: 1, sums }, now);
     }
 
-    /// Records sums that the collector `node` of another domain told.
-    pub fn record_collector(&mut self, node: &NodeName, sums: LoadSums, now: BootTime) {
-        store(&mut self.collectors, node, sums, now);
+    /// Records a page of the sums that the collector `node` of another domain told.
+    pub fn record_collector(&mut self, node: &NodeName, page: ViewPage, now: BootTime) {
+        store(&mut self.collectors, node, page, now);
     }
 
     /// Nodes that this one collects for at `now`.
--- a/samphiredeck_core/src/forward/upstream_speed.rs
+++ b/samphiredeck_core/src/forward/upstream_speed.rs
@@ -135,9 +135,11 @@
     #[must_use]
     pub fn time_factor(&self, row: &TrackedUpstream, now: BootTime) -> f64 {
         let weight = row.speed.weight(now);
+        let (min, max) = FACTOR_RANGE;
         let deviation = self.log_interval.map_or(0.0, |mean| row.speed.log_interval - mean);
+        // The first sample of an upstream is compared with nothing when it is recorded.
+        let deviation = deviation.clamp(min.ln(), max.ln());
         let learned = (deviation * weight / (weight + PRIOR_SAMPLES)).exp();
-        let (min, max) = FACTOR_RANGE;
         (learned * row.speed.current_pace(now)).clamp(min, max)
     }
 }
