Admission: tests; returning callers wait as long as their kind, shares by part, waits end at an eighth

If all workspaces were over their share, the one at five times its usual was treated like the others.

A request waited at the node for up to 30 ms beyond an eighth of its target (proptest).

--- a/samphiredeck/src/forward/admission.rs
+++ b/samphiredeck/src/forward/admission.rs
@@ -79,7 +79,8 @@
         latency_target: admitted.route.latency_target,
         pool_target: progress.pool_target,
         rank: progress.rank,
-        is_over_share: workspace.is_some_and(|name| state.uses.is_over_share(name, excess, now)),
+        is_over_share: workspace
+            .is_some_and(|name| state.uses.is_over_share(name, (excess, progress.draw), now)),
         has_returned: progress.has_returned,
         is_refusable: progress.verdict == RunVerdict::NotRun && progress.software.is_none(),
     };
--- a/samphiredeck_core/src/forward/admission.rs
+++ b/samphiredeck_core/src/forward/admission.rs
@@ -30,6 +30,9 @@
 /// Part of what the rest of the wait leaves of the latency target that a request may wait for a slot. The estimate is an
 /// old one.
 const PATIENCE_SHARE: f64 = 0.8;
+/// The same for a caller that has come back, so that it precedes new requests of its kind. A part of the time to the
+/// deadline instead let returning callers keep up a queue in which every request was late.
+const RETURNED_PATIENCE_SHARE: f64 = 1.0;
 /// Part of the latency target that the rest of the wait takes at most, so that long prompts are not refused for their
 /// length.
 const OWN_SHARE_MAX: f64 = 0.5;
@@ -37,8 +40,6 @@
 const RANK_FACTOR: f64 = 0.5;
 /// Share of the requests of each kind that may wait as long as the most urgent ones.
 const FLOOR_SHARE: f64 = 0.1;
-/// Part of its remaining time that a caller which has come back may wait for a slot.
-const RETURNED_SHARE: f64 = 0.3;
 /// Part of the latency target for which a request may wait at the node until a slot is free elsewhere.
 const NODE_WAIT_SHARE: f64 = 0.125;
 /// Interval between two looks for a slot.
@@ -117,9 +118,6 @@
 
     /// Time that it may wait for a slot at an upstream, if `rest` is the rest of its wait there. `draw` is uniform in 0 to 1.
     fn patience(&self, rest: Duration, draw: f64) -> Duration {
-        if self.has_returned {
-            return self.time_left.mul_f64(RETURNED_SHARE);
-        }
         let (rank, target) = match self.waiting_rank() {
             0 => (0, self.latency_target),
             _ if draw < FLOOR_SHARE => (0, self.latency_target),
@@ -128,7 +126,8 @@
         let rest = rest.min(target.mul_f64(OWN_SHARE_MAX));
         let exponent = i32::try_from(rank).unwrap_or(i32::MAX);
         let left = target.saturating_sub(rest).saturating_sub(self.age);
-        left.mul_f64(PATIENCE_SHARE * RANK_FACTOR.powi(exponent))
+        let share = if self.has_returned { RETURNED_PATIENCE_SHARE } else { PATIENCE_SHARE };
+        left.mul_f64(share * RANK_FACTOR.powi(exponent))
     }
 
     fn refusal_reason(&self) -> RefusalReason {
@@ -164,8 +163,9 @@
     if wait.queue() <= patience || !request.is_refusable {
         return AdmissionDecision::Send;
     }
-    if request.age < request.latency_target.mul_f64(NODE_WAIT_SHARE) {
-        return AdmissionDecision::WaitUntil(now + LOOK_PERIOD.mul_f64(0.5 + jitter));
+    let left = request.latency_target.mul_f64(NODE_WAIT_SHARE).saturating_sub(request.age);
+    if !left.is_zero() {
+        return AdmissionDecision::WaitUntil(now + LOOK_PERIOD.mul_f64(0.5 + jitter).min(left));
     }
     let excess = wait.queue().saturating_sub(patience) + RANK_DELAY * request.waiting_rank();
     let retry_after = retry_after(excess, request.time_left, jitter);
--- a/samphiredeck_core/src/forward/admission/fair_share.rs
+++ b/samphiredeck_core/src/forward/admission/fair_share.rs
@@ -89,10 +89,17 @@
         self.shared = Some((uses, now));
     }
 
-    /// Whether `workspace` asks for more than its fair share at `now`, where demand exceeds the room by the factor
-    /// `excess`. A single workspace is never over its share.
+    /// Whether a request of `workspace` at `now` is beyond its fair share, where demand exceeds the room by the factor
+    /// `excess`. Of the requests of a workspace, that is the part by which it asks for more than its share, chosen by
+    /// `draw`, which is uniform in 0 to 1: if all of them counted, workspaces that are a little over their share would
+    /// be treated like one that is far over it. A single workspace is never over its share.
     #[must_use]
-    pub fn is_over_share(&self, workspace: &WorkspaceName, excess: f64, now: BootTime) -> bool {
+    pub fn is_over_share(
+        &self,
+        workspace: &WorkspaceName,
+        (excess, draw): (f64, f64),
+        now: BootTime,
+    ) -> bool {
         let key = WorkspaceKey::of(workspace);
         let shared = self.shared.as_ref().filter(|(_, at)| now.since(*at) < SHARED_LIFETIME);
         let uses = match shared {
@@ -106,7 +113,7 @@
         let rate = f64::from(uses[at].rate);
         let rates: Vec<f64> = uses.iter().map(|row| f64::from(row.rate)).collect();
         let room = rates.iter().sum::<f64>() / excess;
-        rate > fair_level(rates, room) * TOLERANCE
+        draw * rate >= fair_level(rates, room) * TOLERANCE
     }
 }
 
--- a/samphiredeck_core/src/forward/upstream_speed.rs
+++ b/samphiredeck_core/src/forward/upstream_speed.rs
@@ -63,25 +63,24 @@
         1.0 + (factor - 1.0) * (1.0 - age).clamp(0.0, 1.0)
     }
 
-    /// Records the mean time between the events of one response at `now`.
-    pub fn record(&mut self, interval: Duration, now: BootTime) {
+    /// Records the mean time between the events of one response at `now`, given that of the pool.
+    pub fn record(&mut self, interval: Duration, pool: &PoolPace, now: BootTime) {
         let interval_ms = interval.as_secs_f64() * 1_000.0;
         let (min, max) = INTERVAL_RANGE_MS;
         if !(min..=max).contains(&interval_ms) {
             return;
         }
-        self.add(interval_ms.ln(), 1.0, now);
+        self.add((interval_ms.ln(), 1.0), pool, now);
     }
 
-    /// Adds a mean that stands for `samples` samples. Values far from the known mean are moved towards it.
-    fn add(&mut self, log_interval: f64, samples: f64, now: BootTime) {
+    /// Adds a mean that stands for `samples` samples. Values far from the known mean, or from that of the pool as long as
+    /// there is none, are moved towards it: one absurd first sample would take dozens of others to make up for.
+    fn add(&mut self, (log_interval, samples): (f64, f64), pool: &PoolPace, now: BootTime) {
         let known = self.weight(now);
-        let value = if known < 1.0 {
-            log_interval
-        } else {
-            let range = DEVIATION_MAX;
-            log_interval.clamp(self.log_interval - range, self.log_interval + range)
-        };
+        let mean = if known < 1.0 { pool.log_interval } else { Some(self.log_interval) };
+        let range = DEVIATION_MAX;
+        let value =
+            mean.map_or(log_interval, |mean| log_interval.clamp(mean - range, mean + range));
         let total = known + samples;
         self.log_interval = (self.log_interval * known + value * samples) / total;
         self.samples = total.min(SAMPLES_MAX);
@@ -137,7 +136,7 @@
         let weight = row.speed.weight(now);
         let (min, max) = FACTOR_RANGE;
         let deviation = self.log_interval.map_or(0.0, |mean| row.speed.log_interval - mean);
-        // The first sample of an upstream is compared with nothing when it is recorded.
+        // The first samples of a pool are compared with nothing when they are recorded.
         let deviation = deviation.clamp(min.ln(), max.ln());
         let learned = (deviation * weight / (weight + PRIOR_SAMPLES)).exp();
         (learned * row.speed.current_pace(now)).clamp(min, max)
@@ -153,12 +152,18 @@
         interval: Duration,
         now: BootTime,
     ) {
+        let Some(pace) = self.pace_of(id, now) else { return };
         let row = self.find_mut(id).filter(|row| row.entry.started_ms == started_ms);
         if let Some(row) = row {
-            row.speed.record(interval, now);
+            row.speed.record(interval, &pace, now);
         }
     }
 
+    /// Pace of the pool of `id`.
+    fn pace_of(&self, id: &UpstreamId, now: BootTime) -> Option<PoolPace> {
+        self.find(id).map(|row| PoolPace::of(self, &row.entry.pool, now))
+    }
+
     /// Upstreams whose speed is known, with what to tell others about it, best known first.
     #[must_use]
     pub fn share_speeds(&self, now: BootTime) -> Vec<SharedSpeed> {
@@ -190,11 +195,12 @@
         if !(min..=max).contains(&interval_ms) || samples < 1.0 {
             return false;
         }
+        let Some(pace) = self.pace_of(&shared.upstream, now) else { return false };
         let row = self.find_mut(&shared.upstream);
         let Some(row) = row.filter(|row| row.entry.started_ms == shared.started_ms) else {
             return false;
         };
-        row.speed.add(interval_ms.ln(), samples, now);
+        row.speed.add((interval_ms.ln(), samples), &pace, now);
         true
     }
 }
--- a/samphiredeck_core/tests/forward_load.rs
+++ b/samphiredeck_core/tests/forward_load.rs
@@ -106,8 +106,8 @@
     let slot = |requests| load(16.0, requests).engine_wait(&speed).slot;
     assert!(slot(16.0) > Duration::ZERO);
     assert!((16..60).map(f64::from).all(|requests| slot(requests + 1.0) > slot(requests)));
-    let slow = UpstreamLoad { time_factor: 2.4, ..load(16.0, 30.0) }.engine_wait(&speed);
-    assert!((slow.slot.as_secs_f64() / slot(30.0).as_secs_f64() - 2.4).abs() < 1e-6);
+    let at_slow = UpstreamLoad { time_factor: 2.4, ..load(16.0, 30.0) }.engine_wait(&speed);
+    assert!((at_slow.slot.as_secs_f64() / slot(30.0).as_secs_f64() - 2.4).abs() < 1e-6);
 }
 
 /// The split of the wait for a service must not change where requests went before it.
