Even load: requests that ended since a view are left out, dedicated engines idle less

Cause: the requests that other nodes have begun since a view were added to all that were in flight then, so that nearly all engines looked equally full; and engines dedicated to long prompts idled while others held 40 requests, since 80 ms were added to their wait.

Change: of the requests of a view, the part that has ended by now is left out, and as many are taken to have begun at the least loaded engines. Where nodes tell each other the prompts that wait, dedicated engines cost 10 ms.

--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -74,6 +74,9 @@
 const DEDICATED_POOL_SIZE_MIN: usize = 4;
 /// Cost of a dedicated long-prompt upstream to other requests, in milliseconds.
 const DEDICATED_COST_MS: f64 = 80.0;
+/// The same where nodes tell each other the prompts that wait: a long one then shows in the wait, and dedicated upstreams must
+/// not idle while others are full.
+const DEDICATED_COST_TOLD_MS: f64 = 10.0;
 /// Cost of a non-dedicated upstream to a long prompt, in milliseconds.
 const NON_DEDICATED_COST_MS: f64 = 150.0;
 /// Rendezvous key that selects the dedicated long-prompt upstreams.
@@ -287,6 +290,7 @@
         }
         match (long, dedicated.contains(&&row.entry.id)) {
             (true, false) if !dedicated.is_empty() => cost += NON_DEDICATED_COST_MS,
+            (false, true) if registry.is_exchanged() => cost += DEDICATED_COST_TOLD_MS,
             (false, true) => cost += DEDICATED_COST_MS,
             _ => {}
         }
--- a/samphiredeck_core/src/forward/pool_room.rs
+++ b/samphiredeck_core/src/forward/pool_room.rs
@@ -23,6 +23,8 @@
 pub struct PoolLoad {
     /// Mean of the requests of other nodes per slot. Zero or above.
     per_slot: f64,
+    /// Part of the requests of the views that have not ended since.
+    kept: f64,
     /// Requests per slot up to which other nodes have filled the least loaded upstreams since the reports.
     level: f64,
 }
@@ -47,14 +49,17 @@
         }
         let per_slot = if weight > 0.0 { load / weight } else { 0.0 };
         if shared.is_empty() {
-            return Self { per_slot, level: 0.0 };
+            return Self { per_slot, kept: 1.0, level: 0.0 };
         }
         #[expect(clippy::cast_precision_loss, reason = "a pool has far fewer upstreams")]
         let age_s = age_s / shared.len() as f64;
-        // As many requests begin in a time as are in flight, if that is the time for which each is.
+        // Some of the requests have ended since the view, and about as many have begun elsewhere.
+        let kept = 1.0 - (age_s / held.as_secs_f64().max(HELD_MIN_S)).min(1.0);
         let in_flight: f64 = shared.iter().map(|load| load.requests).sum();
-        let arrivals = in_flight * age_s / held.as_secs_f64().max(HELD_MIN_S);
-        Self { per_slot, level: fill_level(shared, arrivals) }
+        for load in &mut shared {
+            load.requests *= kept;
+        }
+        Self { per_slot, kept, level: fill_level(shared, in_flight * (1.0 - kept)) }
     }
 
     /// Number of requests of other nodes at the upstream of `row` at `now`: those of its last report as far as that is
@@ -67,7 +72,11 @@
             return usual * row.assumed_share(now);
         };
         let known = foreign * recency + usual * (1.0 - recency);
-        if row.shared_load_age(now).is_some() { known.max(self.level * slots) } else { known }
+        if row.shared_load_age(now).is_some() {
+            (known * self.kept).max(self.level * slots)
+        } else {
+            known
+        }
     }
 }
 
