Logs: lines that name no request share a bound, those of requests come first

Cause: each kind of line had its own rate, so that a cluster of 88 nodes wrote 2,500 to 3,000 lines a second about suspects while engines crashed. With a slow reader of the output they also filled the queue, and lines of requests were dropped.

Change: log_bounds.rs decides. Kinds that name no request share a tenth of log.lines_per_second (10 of 100 by default, 880 lines a second for 88 nodes), half of it kept for kinds without a line in the same second, and take only the first half of the queue. Lines about requests keep the rate of their kind and the whole queue. "part-cleared" names a request but is about a suspect. Lines left out are counted by kind in the next line, as before, and in the metric left_out_lines.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -236,6 +236,7 @@
     metrics.paths.lost.set(i64::try_from(state.paths.count_lost()).unwrap_or(i64::MAX));
     metrics.accepting.set(i64::try_from(accepting).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(node.log.dropped_lines()).unwrap_or(i64::MAX));
+    metrics.left_out_lines.set(i64::try_from(node.log.left_out_lines()).unwrap_or(i64::MAX));
 }
 
 /// Reloads the settings. Invalid settings leave the current ones in place.
--- a/samphiredeck/src/forward/decision_log.rs
+++ b/samphiredeck/src/forward/decision_log.rs
@@ -1,11 +1,22 @@
 //! Structured log on standard output, one JSON object per line for each decision.
 //!
 //! A separate thread writes the lines from a bounded queue, so a stalled reader of the output never
-//! blocks the node. Each kind of line is rate-limited; suppressed lines are counted and reported.
+//! blocks the node. The lines are bounded by `log_bounds.rs`; those left out are counted and reported.
 
-use std::{cell::RefCell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io::{self, Stdout, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use samphiredeck_core::boot_time::BootTime;
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::log_bounds::{LineSubject, LogBounds},
+};
 use serde_json::{Map, Value};
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 
@@ -13,18 +24,32 @@
 
 /// Maximum number of queued lines. Further lines are dropped.
 const QUEUE_LINES_MAX: usize = 4_096;
-/// Length of a rate-limiting period in milliseconds.
-const PERIOD_MS: u64 = 1_000;
 /// Time between two lines that are written once a minute.
 const MINUTE: Duration = Duration::from_secs(60);
 
-/// Number of lines of one kind in the current period.
+/// Standard output that counts the lines taken from the queue.
 #[derive(Debug)]
-struct KindCounter {
-    kind: &'static str,
-    period: u64,
-    lines: u32,
-    suppressed: u64,
+struct CountedOutput {
+    output: Stdout,
+    taken: Arc<AtomicUsize>,
+}
+
+impl Write for CountedOutput {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.output.write(buf)
+    }
+
+    fn write_all(&mut self, buf: &[u8]) -> io::Result<()> {
+        let written = self.output.write_all(buf);
+        // Counted after the write, as a line that the output does not take yet is still held. A line that could not be
+        // written is gone too.
+        self.taken.fetch_add(1, Ordering::Relaxed);
+        written
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.output.flush()
+    }
 }
 
 /// Rate-limited writer of decision log lines.
@@ -34,9 +59,10 @@
     /// Flushes queued lines before the process exits.
     _guard: WorkerGuard,
     node: String,
-    rate: u32,
-    /// Sorted by kind, without duplicates.
-    kinds: RefCell<Vec<KindCounter>>,
+    bounds: RefCell<LogBounds>,
+    /// Lines given to the queue, and those that the output has taken from it.
+    sent: Cell<usize>,
+    taken: Arc<AtomicUsize>,
     /// Kinds and subjects of the lines that are written once a minute, with the time of the last
     /// one. Sorted by kind and subject, without duplicates.
     minute_lines: RefCell<Vec<(&'static str, &'static str, BootTime)>>,
@@ -47,36 +73,42 @@
     pub fn start(node: String, rate: u32) -> Self {
         let builder =
             NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES_MAX);
-        let (writer, guard) = builder.finish(std::io::stdout());
+        let taken = Arc::<AtomicUsize>::default();
+        let output = CountedOutput { output: io::stdout(), taken: Arc::clone(&taken) };
+        let (writer, guard) = builder.finish(output);
         Self {
             writer: RefCell::new(writer),
             _guard: guard,
             node,
-            rate,
-            kinds: RefCell::new(Vec::new()),
+            bounds: RefCell::new(LogBounds::new(rate, QUEUE_LINES_MAX)),
+            sent: Cell::new(0),
+            taken,
             minute_lines: RefCell::new(Vec::new()),
         }
     }
 
-    /// Writes a line of kind `kind` with `fields`, a JSON object, unless the rate limit is
-    /// exceeded.
+    /// Writes a line of kind `kind` with `fields`, a JSON object, if its bounds permit it. The line is about
+    /// the request that it names.
     pub fn record(&self, kind: &'static str, fields: Value) {
         let now = clock::now();
-        let Some(suppressed) = self.check_rate(kind, now) else { return };
+        let subject = LineSubject::of(kind, fields.get("request").is_some());
+        let admitted = self.bounds.borrow_mut().admit(kind, subject, self.queued_lines(), now);
+        let Some(left_out) = admitted else { return };
         let mut line = Map::new();
         line.insert("at_ms".to_owned(), clock::wall_ms().into());
         line.insert("boot_ms".to_owned(), now.as_millis().into());
         line.insert("node".to_owned(), self.node.as_str().into());
         line.insert("kind".to_owned(), kind.into());
-        if suppressed > 0 {
-            line.insert("left_out".to_owned(), suppressed.into());
+        if left_out > 0 {
+            line.insert("left_out".to_owned(), left_out.into());
         }
         if let Value::Object(fields) = fields {
             line.extend(fields);
         }
         let text = format!("{}\n", Value::Object(line));
         // Writing never fails: a full queue drops the line and counts it.
-        drop(std::io::Write::write_all(&mut *self.writer.borrow_mut(), text.as_bytes()));
+        drop(self.writer.borrow_mut().write_all(text.as_bytes()));
+        self.sent.set(self.sent.get() + 1);
     }
 
     /// Writes a line of kind `kind` with `fields`, unless one of the same kind and subject was written
@@ -98,28 +130,14 @@
         self.writer.borrow().error_counter().dropped_lines()
     }
 
-    /// Counts a line against the rate limit. Returns the number of lines of its kind suppressed
-    /// before it, or `None` if this line exceeds the limit too.
-    fn check_rate(&self, kind: &'static str, now: BootTime) -> Option<u64> {
-        let mut kinds = self.kinds.borrow_mut();
-        let at = match kinds.binary_search_by_key(&kind, |counter| counter.kind) {
-            Ok(at) => at,
-            Err(at) => {
-                kinds.insert(at, KindCounter { kind, period: 0, lines: 0, suppressed: 0 });
-                at
-            }
-        };
-        let counter = &mut kinds[at];
-        let period = now.as_millis() / PERIOD_MS;
-        if counter.period != period {
-            counter.period = period;
-            counter.lines = 0;
-        }
-        if counter.lines >= self.rate {
-            counter.suppressed += 1;
-            return None;
-        }
-        counter.lines += 1;
-        Some(std::mem::take(&mut counter.suppressed))
+    /// Number of lines left out by their bounds.
+    pub fn left_out_lines(&self) -> u64 {
+        self.bounds.borrow().left_out()
+    }
+
+    /// Number of lines that wait to be written.
+    fn queued_lines(&self) -> usize {
+        let gone = self.taken.load(Ordering::Relaxed) + self.dropped_lines();
+        self.sent.get().saturating_sub(gone)
     }
 }
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -282,6 +282,8 @@
     pub leader: LeaderMetrics,
     /// Number of dropped log lines.
     pub dropped_lines: Gauge,
+    /// Log lines left out by their bounds.
+    pub left_out_lines: Gauge,
 }
 
 impl ForwardMetrics {
@@ -314,6 +316,7 @@
             nodes: Gauge::default(),
             leader: LeaderMetrics::default(),
             dropped_lines: Gauge::default(),
+            left_out_lines: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Requests by how they ended", metrics.requests.clone());
@@ -381,6 +384,8 @@
         registry.register("nodes", "Nodes alive", metrics.nodes.clone());
         metrics.leader.register(&mut registry);
         registry.register("dropped_lines", "Log lines dropped", metrics.dropped_lines.clone());
+        let left_out = metrics.left_out_lines.clone();
+        registry.register("left_out_lines", "Log lines left out by their bounds", left_out);
         Self { registry, ..metrics }
     }
 
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -162,7 +162,7 @@
     pub bounds: BoundSettings,
     /// Memory of the instance in bytes.
     pub memory: usize,
-    /// Maximum number of log lines per kind and second. At least 1.
+    /// Maximum number of log lines per kind and second. At least 1. Kinds that are not about a request share a tenth.
     pub log_rate: u32,
 }
 
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -22,6 +22,7 @@
 pub mod limit_queue;
 pub mod list_delta;
 pub mod load_view;
+pub mod log_bounds;
 pub mod member_list;
 pub mod members;
 pub mod node_groups;
