Streams: bytes that complete no event don't hide a stall

Cause: the silence of an upstream was counted from the last frame of its body, so a byte or a comment each 200 ms kept a stream from counting as silent until its deadline, and a comment ended the resumption elsewhere. Change: the silence counts from the last event with data; comments count until the first event only.

--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt;
 use samphiredeck_core::{
+    boot_time::BootTime,
     forward::{
         catalog::RetryPolicy,
         event_order::{EventGate, OrderError, ResumePoint},
@@ -82,18 +83,20 @@
     let mut ended = ended;
     let mut next_step = None;
     let mut batches = 0;
+    let mut silence = SilenceClock::start();
     loop {
         let step = match (next_step.take(), pending.take()) {
             (Some(step), _) => step,
             (None, Some(batch)) => StreamStep::Events(batch),
             (None, None) if ended => StreamStep::Ended,
             (None, None) => {
-                let max_silence = max_silence(&admitted, &progress);
-                read_step(&admitted, &mut source, &sender, max_silence).await
+                let silent_in = silence.time_left(max_silence(&admitted, &progress));
+                read_step(&admitted, &mut source, &sender, silent_in).await
             }
         };
         let stream_break = match step {
             StreamStep::Events(batch) => {
+                let has_event = !batch.ids.is_empty();
                 if batches > 0 {
                     source.record_events(batch.ids.len());
                 }
@@ -101,16 +104,14 @@
                     Ok(true) => {
                         source.held_events = gate.held_bytes();
                         batches += 1;
+                        silence.record(has_event);
                         progress.caller_heard_at = Some(clock::now());
                         if batches >= BATCHES_PROVING {
                             record_proof(&admitted, &mut progress, &trace.node);
                         }
                         continue;
                     }
-                    Ok(false) => {
-                        trace.finish("caller-left", 0, "");
-                        return;
-                    }
+                    Ok(false) => return trace.finish("caller-left", 0, ""),
                     Err(error) => StreamBreak::new(error.to_string()),
                 }
             }
@@ -127,8 +128,8 @@
                 let point = gate.resume_point();
                 match end_silence(&admitted, &mut progress, &trace, source, &sender, point).await {
                     SilenceEnd::GoesOn(kept, step) => {
-                        source = *kept;
-                        next_step = step;
+                        (source, next_step) = (*kept, step);
+                        silence.restart();
                     }
                     SilenceEnd::Resumed(resumed) => {
                         StreamingResponse { first_batch: pending, ended, source, .. } = *resumed;
@@ -136,24 +137,18 @@
                         batches = 0;
                     }
                     SilenceEnd::Lost => {
-                        trace.finish("broken-off", 200, "no upstream goes on after a silence");
-                        return;
-                    }
-                    SilenceEnd::CallerLeft => {
-                        trace.finish("caller-left", 0, "");
-                        return;
+                        return trace.finish(
+                            "broken-off",
+                            200,
+                            "no upstream goes on after a silence",
+                        );
                     }
+                    SilenceEnd::CallerLeft => return trace.finish("caller-left", 0, ""),
                 }
                 continue;
             }
-            StreamStep::TimedOut => {
-                trace.finish("broken-off", 200, "no time left");
-                return;
-            }
-            StreamStep::CallerLeft => {
-                trace.finish("caller-left", 0, "");
-                return;
-            }
+            StreamStep::TimedOut => return trace.finish("broken-off", 200, "no time left"),
+            StreamStep::CallerLeft => return trace.finish("caller-left", 0, ""),
         };
         gate.rewind();
         let point = gate.resume_point();
@@ -166,10 +161,7 @@
         drop(source);
         let resumed = select! {
             resumed = resume(&admitted, &mut progress, &trace, point) => resumed,
-            () = sender.closed() => {
-                trace.finish("caller-left", 0, "");
-                return;
-            }
+            () = sender.closed() => return trace.finish("caller-left", 0, ""),
         };
         let Some(resumed) = resumed else {
             trace.finish("broken-off", 200, "upstream broke the stream");
@@ -179,6 +171,36 @@
         ended = resumed.ended;
         source = resumed.source;
         batches = 0;
+        silence.restart();
+    }
+}
+
+/// Time since the last event of a stream.
+struct SilenceClock {
+    since: BootTime,
+    has_events: bool,
+}
+
+impl SilenceClock {
+    fn start() -> Self {
+        Self { since: clock::now(), has_events: false }
+    }
+
+    fn restart(&mut self) {
+        self.since = clock::now();
+    }
+
+    /// Records that events or comments were passed on. Comments keep a stream alive only until its first event.
+    fn record(&mut self, has_event: bool) {
+        self.has_events |= has_event;
+        if has_event || !self.has_events {
+            self.restart();
+        }
+    }
+
+    /// Time until a stream that may be silent for `max_silence` counts as silent.
+    fn time_left(&self, max_silence: Duration) -> Duration {
+        max_silence.saturating_sub(clock::now().since(self.since))
     }
 }
 
@@ -295,7 +317,7 @@
             source.in_flight.record_outcome(true);
             return SilenceEnd::Resumed(resumed);
         }
-        step = read_step(admitted, &mut source, sender, Duration::MAX) => step,
+        step = read_event(admitted, &mut source, sender) => step,
         () = overlap => StreamStep::Silent,
     };
     if !matches!(step, StreamStep::Broken(_) | StreamStep::Silent) {
@@ -334,19 +356,38 @@
     Ok(released.is_empty() || sender.send(released).await)
 }
 
+/// Reads up to the next event. Comments between are left out: they don't show that a silent upstream goes on.
+async fn read_event(
+    admitted: &AdmittedRequest,
+    source: &mut UpstreamStream,
+    sender: &StreamSender,
+) -> StreamStep {
+    loop {
+        match read_step(admitted, source, sender, Duration::MAX).await {
+            StreamStep::Events(batch) if batch.ids.is_empty() => {}
+            step => return step,
+        }
+    }
+}
+
+/// Reads up to the end of the next event or comment, for at most `max_silence`. Bytes that complete none don't
+/// extend that time, since callers wait for whole events.
 async fn read_step(
     admitted: &AdmittedRequest,
     source: &mut UpstreamStream,
     sender: &StreamSender,
     max_silence: Duration,
 ) -> StreamStep {
+    let begun_at = clock::now();
     loop {
-        let time_left = admitted.deadline.since(clock::now());
+        let now = clock::now();
+        let time_left = admitted.deadline.since(now);
+        let silent_in = max_silence.saturating_sub(now.since(begun_at));
         let frame = select! {
             frame = source.body.frame() => frame,
             () = sender.closed() => return StreamStep::CallerLeft,
-            () = sleep(time_left.min(max_silence)) => {
-                if time_left <= max_silence {
+            () = sleep(time_left.min(silent_in)) => {
+                if time_left <= silent_in {
                     return StreamStep::TimedOut;
                 }
                 return StreamStep::Silent;
