Stop: connections accepted just before the close are served

Cause: the listener was closed with connections in its queue, and connections without a request were closed at once, even if one had been received. Change: the queue is emptied first, and connections stay open for up to 500 ms for a request.

--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::forward::{
+    clock,
     node::{ForwardNode, ShutdownPhase},
     operator::respond_to_operator,
     serve::serve_request,
@@ -33,6 +34,9 @@
 const HEAD_BYTES_DEFAULT: usize = 16_384;
 /// Minimum buffer size that `hyper` accepts, in bytes.
 const HEAD_BYTES_MIN: usize = 8_192;
+/// Time for which a stopping node waits for a request on a connection without one. Covers the time from the
+/// connection to the request of a caller that has just connected, and requests that were received already.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -53,28 +57,39 @@
     loop {
         let accepted = select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Closing) => return Ok(()),
+            _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) if node.open_connections() < CALLER_CONNECTIONS_MAX => {
-                let open_connection = Rc::clone(&node.caller_connections);
-                let node = Rc::clone(&node);
-                actix_web::rt::spawn(async move {
-                    serve_connection(node, stream).await;
-                    drop(open_connection);
-                });
-            }
-            // Closing the connection without reading from it tells the caller that nothing ran.
-            Ok((stream, _)) => {
-                drop(stream);
-                node.log.record("callers-full", json!({ "most": CALLER_CONNECTIONS_MAX }));
-            }
+            Ok((stream, _)) => start_connection(&node, stream),
             Err(error) => {
                 node.log.record("accept-failed", json!({ "reason": error.to_string() }));
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // The kernel has accepted the queued connections. Closing the listener would reset them.
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        start_connection(&node, TcpStream::from_std(stream)?);
+    }
+    Ok(())
+}
+
+/// Serves the connection `stream`, unless there are too many.
+fn start_connection(node: &Rc<ForwardNode>, stream: TcpStream) {
+    if node.open_connections() >= CALLER_CONNECTIONS_MAX {
+        // Closing the connection without reading from it tells the caller that nothing ran.
+        drop(stream);
+        node.log.record("callers-full", json!({ "most": CALLER_CONNECTIONS_MAX }));
+        return;
+    }
+    let open_connection = Rc::clone(&node.caller_connections);
+    let node = Rc::clone(node);
+    actix_web::rt::spawn(async move {
+        serve_connection(node, stream).await;
+        drop(open_connection);
+    });
 }
 
 async fn serve_connection(node: Rc<ForwardNode>, stream: TcpStream) {
@@ -99,9 +114,16 @@
     let mut phase = node.phase.subscribe();
     let closing = async { phase.wait_for(|phase| *phase >= ShutdownPhase::Closing).await.is_ok() };
     // A connection error affects only its caller. The log has a line for each of its requests.
+    // `graceful_shutdown` closes a connection without a request at once, even if one was received that is not
+    // read yet.
+    let closing = async {
+        _ = closing.await;
+        let ends_at = node.ends_at.get().unwrap_or_else(clock::now);
+        sleep(LAST_REQUEST_WAIT.min(ends_at.since(clock::now()) / 2)).await;
+    };
     select! {
         ended = connection.as_mut() => drop(ended),
-        _ = closing => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             drop(connection.await);
         }
