Upstreams: a list from before a freeze is not used

Cause: after a freeze, the configuration was confirmed at once, and requests were placed by the old upstream list. Change: a list older than 2.5 s after which no read has failed holds requests until the next read; checked again before the send. While the store fails, the last list is used as before. Keys and units were right before, too.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -47,6 +47,8 @@
 const SEND_TIME_MIN: Duration = Duration::from_millis(20);
 /// Reason for not sending a request to an upstream whose limit or slots leave none to this node.
 const LIMIT_REASON: &str = "limit or slots of the upstream";
+/// Poll interval for the upstream list of a node that was frozen.
+const LIST_POLL_PERIOD: Duration = Duration::from_millis(10);
 /// Maximum number of failed connection attempts per request.
 const CONNECT_FAILURES_MAX: usize = 3;
 
@@ -77,6 +79,10 @@
                 time_left,
             ));
         }
+        if node.state().upstreams.is_outdated(now) {
+            sleep(LIST_POLL_PERIOD).await;
+            continue;
+        }
         if resume.is_none() && progress.verdict == RunVerdict::NotRun {
             check_key(admitted, node)?;
         }
@@ -404,6 +410,9 @@
     if !node.state().freshness.allows_admission(now) {
         return Some("configuration not known to be the newest");
     }
+    if node.state().upstreams.is_outdated(now) {
+        return Some("upstream list not read for too long");
+    }
     if !node.state().upstreams.accepts(&placement.upstream, now) {
         return Some("takes no requests any more");
     }
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -256,6 +256,7 @@
                 sleep_with_jitter(LIST_PERIOD).await;
             }
             Err(error) => {
+                node.state().upstreams.record_read_failure(clock::now());
                 query_random_peers(&node).await;
                 monitor.record_failure(&error).await;
             }
--- a/samphiredeck_core/src/forward/upstreams.rs
+++ b/samphiredeck_core/src/forward/upstreams.rs
@@ -25,6 +25,9 @@
 /// Gap between two reads of the list after which entries of live upstreams may have expired: more
 /// than two heartbeats of upstreams.
 const READ_GAP_MIN: Duration = Duration::from_millis(2_500);
+/// Age from which the list is not used if no read has failed since, as on a node that was frozen. Followers' lists
+/// are up to 2 s old in operation.
+const OUTDATED_AGE: Duration = Duration::from_millis(2_500);
 /// Number of recent list changes kept for nodes that hold an older list: those of two seconds.
 const RECENT_CHANGES_MAX: usize = 5;
 /// Weight of the newest response in the lateness of its upstream.
@@ -79,6 +82,8 @@
     shares_machines: bool,
     /// Send time of the last applied read.
     read_at: Option<BootTime>,
+    /// Time of the last read that failed.
+    read_failed_at: Option<BootTime>,
     /// Time of the first read that listed any upstream.
     first_listed_at: Option<BootTime>,
     /// Newest version among the applied reads.
@@ -116,6 +121,20 @@
         self.read_at
     }
 
+    /// Records that a read failed at `now`.
+    pub fn record_read_failure(&mut self, now: BootTime) {
+        self.read_failed_at = Some(now);
+    }
+
+    /// Whether the list is old at `now` because the node did not try to read it, as after a freeze. The next read
+    /// tells within a moment which upstreams have left. While the store fails, the last list is used.
+    #[must_use]
+    pub fn is_outdated(&self, now: BootTime) -> bool {
+        let Some(read_at) = self.read_at else { return false };
+        let tried_at = self.read_failed_at.map_or(read_at, |failed_at| failed_at.max(read_at));
+        now.since(tried_at) >= OUTDATED_AGE
+    }
+
     /// Digest of the current list.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/samphiredeck_core/tests/forward_upstreams.rs
+++ b/samphiredeck_core/tests/forward_upstreams.rs
@@ -445,3 +445,23 @@
         assert_eq!(node.digest(), reader.digest());
     }
 }
+
+/// After a freeze, the list named an upstream that had left meanwhile. Without the store, the last list is all there is.
+#[test]
+fn list_is_outdated_after_a_freeze_and_not_while_reads_fail() {
+    let mut registry = UpstreamRegistry::default();
+    assert!(!registry.is_outdated(at(60_000)), "nothing to use before the first read");
+    read(&mut registry, &["a"], 1_000);
+    assert!(!registry.is_outdated(at(3_000)));
+    assert!(registry.is_outdated(at(5_000)), "frozen for four seconds");
+    read(&mut registry, &[], 5_050);
+    assert!(!registry.is_outdated(at(5_060)));
+    // An outage: each read fails, at most 2 s after the one before.
+    for second in 7..30 {
+        registry.record_read_failure(at(second * 1_000));
+        assert!(!registry.is_outdated(at(second * 1_000 + 999)));
+    }
+    assert!(registry.is_outdated(at(35_000)), "frozen in an outage, until the next read fails");
+    registry.record_read_failure(at(35_900));
+    assert!(!registry.is_outdated(at(35_901)));
+}
