Tasks: panics are logged, and background tasks start again

Cause: the runtime catches a panic in a task, so the node went on without it, and only standard error told so.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -49,6 +49,7 @@
 mod suspect_checks;
 mod suspect_exchange;
 mod suspect_rows;
+mod task_guard;
 mod tunnel_client;
 mod tunnel_messages;
 mod tunnel_server;
@@ -79,6 +80,7 @@
     metrics::StateLabels,
     node::{ForwardNode, ShutdownPhase},
     settings::{ForwardSettings, load_forward_settings},
+    task_guard::spawn_guarded,
     upstream_response::RESPONSE_BYTES_MAX,
 };
 
@@ -182,26 +184,36 @@
     }
 }
 
-/// Spawns the background tasks and listeners. Each runs until the process exits.
+/// Spawns the background tasks and listeners. Each runs until the process exits, also after a panic.
 fn start_tasks(node: &Rc<ForwardNode>, listeners: NodeListeners) {
-    spawn(store_watch::watch_config(Rc::clone(node)));
-    spawn(store_watch::watch_upstreams(Rc::clone(node)));
-    spawn(shared_rows::sync_shared_rows(Rc::clone(node)));
-    spawn(leader::run_leader(Rc::clone(node)));
-    spawn(stream_versions::announce_origins(Rc::clone(node)));
-    spawn(origin_rows::sync_origins(Rc::clone(node)));
-    spawn(suspect_exchange::announce_suspects(Rc::clone(node)));
-    spawn(suspect_exchange::compare_suspects(Rc::clone(node)));
-    spawn(limit_exchange::announce_limits(Rc::clone(node)));
-    spawn(limit_exchange::compare_limits(Rc::clone(node)));
-    spawn(speed_exchange::announce_speeds(Rc::clone(node)));
-    spawn(load_exchange::exchange_loads(Rc::clone(node)));
-    spawn(slot_exchange::announce_brittle(Rc::clone(node)));
-    spawn(slot_exchange::return_slots(Rc::clone(node)));
-    spawn(quota_decision::watch_reach(Rc::clone(node)));
-    spawn(upstream_paths::probe_paths(Rc::clone(node)));
-    spawn(tunnel_server::accept_tunnels(Rc::clone(node)));
-    spawn(maintain(Rc::clone(node)));
+    macro_rules! guard {
+        ($($task:path),* $(,)?) => {
+            $(
+                let guarded = Rc::clone(node);
+                spawn_guarded(move || $task(Rc::clone(&guarded)));
+            )*
+        };
+    }
+    guard!(
+        store_watch::watch_config,
+        store_watch::watch_upstreams,
+        shared_rows::sync_shared_rows,
+        leader::run_leader,
+        stream_versions::announce_origins,
+        origin_rows::sync_origins,
+        suspect_exchange::announce_suspects,
+        suspect_exchange::compare_suspects,
+        limit_exchange::announce_limits,
+        limit_exchange::compare_limits,
+        speed_exchange::announce_speeds,
+        load_exchange::exchange_loads,
+        slot_exchange::announce_brittle,
+        slot_exchange::return_slots,
+        quota_decision::watch_reach,
+        upstream_paths::probe_paths,
+        tunnel_server::accept_tunnels,
+        maintain,
+    );
     spawn(ingress::accept_callers(Rc::clone(node), listeners.caller));
     spawn(ingress::serve_readiness(Rc::clone(node), listeners.ready));
     spawn(ingress::serve_metrics(Rc::clone(node), listeners.metrics));
@@ -212,6 +224,9 @@
     loop {
         node.connections.remove_expired();
         update_gauges(&node);
+        for reason in node.panics.take() {
+            node.log.record("panic", json!({ "reason": reason }));
+        }
         sleep(MAINTENANCE_PERIOD).await;
     }
 }
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -18,7 +18,7 @@
     clock, connection_pool::ConnectionPool, decision_log::DecisionLog,
     http_connection::HttpConnection, limit_exchange::LimitOutbox, metrics::ForwardMetrics,
     peer_socket::PeerSocket, settings::ForwardSettings, state::ForwardState,
-    suspect_exchange::SuspectOutbox,
+    suspect_exchange::SuspectOutbox, task_guard::PanicNotes,
 };
 
 /// Phase of a graceful shutdown.
@@ -68,6 +68,8 @@
     /// State that decisions are based on.
     state: RefCell<ForwardState>,
     pub log: DecisionLog,
+    /// Panics of tasks that are not logged yet.
+    pub panics: PanicNotes,
     pub metrics: ForwardMetrics,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
@@ -112,6 +114,7 @@
             peer_socket: RefCell::new(None),
             state: RefCell::new(state),
             log,
+            panics: PanicNotes::register(),
             metrics: ForwardMetrics::new(),
             connections: ConnectionPool::default(),
             suspect_outbox: SuspectOutbox::default(),
