Runs: callers don't wait for the retry budget beside free engines

Cause: a retry without budget waited for it, one retry a second and node, also while no request waited for an engine; a stream that never goes on failed after 40 attempts, one a second. Change: while the queue is empty, a retry without budget is queued at once. A run that is not patient fails after 16 attempts without progress that broke or had an unusable response, about 5 s with the backoff.

--- a/samphiredeck/src/control/dispatch.rs
+++ b/samphiredeck/src/control/dispatch.rs
@@ -30,7 +30,7 @@
 /// Delay after which a refused caller is advised to retry.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Retry deferred until the retry budget of its workspace allows it.
+/// Retry deferred until the retry budget of its workspace allows it or no request waits.
 #[derive(Debug)]
 pub(super) struct DeferredRetry {
     ticket: RequestTicket,
@@ -333,7 +333,7 @@
         // Only a request that may have run repeats work at an upstream, so only that one is
         // charged to the retry budget.
         let workspace = self.runs[at].workspace.clone();
-        if cause == RerouteCause::Failed && !self.retries.take(&workspace, now) {
+        if cause == RerouteCause::Failed && !self.permits_retry(&workspace, now) {
             self.deferred_retries.push(DeferredRetry { ticket, deadline });
             return;
         }
@@ -342,7 +342,14 @@
         self.place_waiting(now);
     }
 
-    /// Requeues deferred retries that the budget of their workspace now allows, oldest first.
+    /// Whether a retry of `workspace` may be queued now. The budget protects the requests that wait for an
+    /// upstream. While none does, a retry without budget displaces no other work, and its caller would wait
+    /// for nothing.
+    fn permits_retry(&mut self, workspace: &WorkspaceName, now: Instant) -> bool {
+        self.retries.take(workspace, now) || self.queue.is_empty()
+    }
+
+    /// Requeues deferred retries that may be queued now, oldest first.
     pub(super) fn requeue_deferred_retries(&mut self, now: Instant) {
         for retry in std::mem::take(&mut self.deferred_retries) {
             let Some(at) = self.run_position(retry.ticket) else { continue };
@@ -351,7 +358,7 @@
             }
             let workspace = self.runs[at].workspace.clone();
             // A retry past its deadline is requeued as well, and the queue refuses it at once.
-            if now < retry.deadline && !self.retries.take(&workspace, now) {
+            if now < retry.deadline && !self.permits_retry(&workspace, now) {
                 self.deferred_retries.push(retry);
                 continue;
             }
--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -42,6 +42,10 @@
 const RESUME_PLACE_WITHIN: Duration = Duration::from_secs(86_400);
 /// Consecutive failures without progress after which a run that is not patient fails.
 const CONSECUTIVE_FAILURES_MAX: u32 = 40;
+/// Consecutive attempts that broke or had an unusable response, without progress, after which a run that
+/// is not patient fails. With the backoff they take about five seconds, after which its caller should hear of
+/// the failure. An engine that restarts refuses connections meanwhile, which does not count here.
+const BROKEN_ATTEMPTS_MAX: u32 = 16;
 /// Number of engines that may crash under a run without progress. It fails then, whatever its class, since
 /// it would crash the others, too.
 const CRASHES_MAX: u32 = 3;
@@ -80,6 +84,8 @@
     attempts: u32,
     /// Consecutive failures without progress.
     failures: u32,
+    /// Those of them after which the request may have run.
+    broken_attempts: u32,
     /// Engines that crashed under the run since its last token.
     crashes: u32,
     /// Addresses of other engines at which an attempt broke since then. Without duplicates.
@@ -112,6 +118,7 @@
             prompt_counted: resumed,
             attempts: u32::from(resumed),
             failures: 0,
+            broken_attempts: 0,
             crashes: 0,
             broken_at: Vec::new(),
             first_token_at: None,
@@ -262,11 +269,14 @@
             target: RUN,
             "Attempt of request {} at {} failed: {error}.", self.spec.request, placement.upstream
         );
+        let refused = error.verdict == RunVerdict::NotRun;
         self.failures += 1;
-        if self.failures >= CONSECUTIVE_FAILURES_MAX && self.spec.class != PriorityClass::Patient {
+        self.broken_attempts += u32::from(!refused);
+        let is_exhausted = self.failures >= CONSECUTIVE_FAILURES_MAX
+            || self.broken_attempts >= BROKEN_ATTEMPTS_MAX;
+        if is_exhausted && self.spec.class != PriorityClass::Patient {
             return Err(Refusal::new(RefusalReason::RetryBudget, BACKOFF_MAX));
         }
-        let refused = error.verdict == RunVerdict::NotRun;
         if !refused && self.failures == 1 {
             return Ok(placement);
         }
--- a/samphiredeck/src/runner/attempt.rs
+++ b/samphiredeck/src/runner/attempt.rs
@@ -140,6 +140,7 @@
     fn record_token(&mut self, counts: &AttemptCounts) {
         let now = Instant::now();
         self.failures = 0;
+        self.broken_attempts = 0;
         self.crashes = 0;
         self.broken_at.clear();
         self.last_token_at = Some(now);
--- a/samphiredeck_core/src/retry_budget.rs
+++ b/samphiredeck_core/src/retry_budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget, which keeps retries from multiplying the load.
 //!
 //! An admitted request is not dropped when the budget is exhausted. Its retry waits until the
-//! budget permits it.
+//! budget permits it, or until no request waits that it could delay.
 
 use std::time::Instant;
 
--- a/samphiredeck_standins/tests/broken_streams.rs
+++ b/samphiredeck_standins/tests/broken_streams.rs
@@ -1,6 +1,9 @@
 //! Engines whose streams break off, and that respond with something else when they are asked to go on.
 
+use std::time::{Duration, Instant};
+
 use eyre::ensure;
+use futures_util::future::join_all;
 use samphiredeck_standins::{
     client::ChatRequest,
     engine::{EngineFaults, WrongRest},
@@ -9,6 +12,10 @@
 
 /// Number of tokens of a response.
 const TOKENS: u64 = 12;
+/// Maximum time for which a caller waits for a stream that breaks off once. A whole one takes under a second.
+const RESUMED_WITHIN: Duration = Duration::from_secs(3);
+/// Maximum time for which a caller waits for a stream that never goes on.
+const FAILED_WITHIN: Duration = Duration::from_secs(10);
 /// Text of errors.
 const ERROR_TEXT: &str = "sick";
 /// Number of wrong responses after which a run has been given up.
@@ -86,7 +93,10 @@
         let faults = EngineFaults { wrong_rests: wrong_rests.clone(), ..faults };
         fixture.set_engine_faults(0, &faults).await?;
         let request = ChatRequest::new(&format!("berth {number}"), TOKENS);
+        let started = Instant::now();
         let result = fixture.system.client.chat(fixture.node(number), &request).await;
+        let elapsed = started.elapsed();
+        ensure!(elapsed < FAILED_WITHIN, "the caller waited for {elapsed:?}");
         let expected = request.expected_text();
         ensure!(!result.complete, "{faults:?}: {result:?}");
         ensure!(!result.text.is_empty() && expected.starts_with(&result.text), "{result:?}");
@@ -94,3 +104,33 @@
     }
     Ok(())
 }
+
+/// More streams break off than the retry budget of a node holds, while the engine has room. Their callers
+/// waited for the budget, which grows by one a second.
+#[actix_web::test]
+async fn broken_streams_do_not_wait_for_the_retry_budget_beside_a_free_engine() -> eyre::Result<()>
+{
+    let fixture = Fixture::start(&FixtureSpec { engines: 1, ..FixtureSpec::default() }).await?;
+    let rest = wrong_rests().remove(0);
+    for round in 0..5 {
+        // Each stream breaks off once, and its first two resumptions fail.
+        let streams = 4;
+        let wrong_rests = vec![rest.clone(); 2 * streams];
+        let truncated = u32::try_from(streams)?;
+        let faults = EngineFaults { truncated, wrong_rests, ..breaks()[0].clone() };
+        fixture.set_engine_faults(0, &faults).await?;
+        let started = Instant::now();
+        let fixture = &fixture;
+        let all = (0..streams).map(|number| async move {
+            let request = ChatRequest::new(&format!("berth {round} {number}"), TOKENS);
+            let result = fixture.system.client.chat(fixture.node(0), &request).await;
+            (request, result)
+        });
+        for (request, result) in join_all(all).await {
+            ensure!(result.is_correct(&request), "round {round}: {result:?}");
+        }
+        let elapsed = started.elapsed();
+        ensure!(elapsed < RESUMED_WITHIN, "round {round}: the callers waited for {elapsed:?}");
+    }
+    Ok(())
+}
