Runs: a stream that gets nothing usable fails after 5 s

Cause: a bound of 16 attempts took 24.8 s, since each attempt waits until the failing engine is tried again. Change: a run that is not patient fails after 5 s without progress, if six attempts broke or were unusable. Measured: broken_streams::stream_that_does_not_go_on_ends_without_its_errors passes its limit of 10 s a stream.

--- a/samphiredeck/src/runner.rs
+++ b/samphiredeck/src/runner.rs
@@ -42,10 +42,12 @@
 const RESUME_PLACE_WITHIN: Duration = Duration::from_secs(86_400);
 /// Consecutive failures without progress after which a run that is not patient fails.
 const CONSECUTIVE_FAILURES_MAX: u32 = 40;
-/// Consecutive attempts that broke or had an unusable response, without progress, after which a run that
-/// is not patient fails. With the backoff they take about five seconds, after which its caller should hear of
-/// the failure. An engine that restarts refuses connections meanwhile, which does not count here.
-const BROKEN_ATTEMPTS_MAX: u32 = 16;
+/// Time without progress after which a run that is not patient fails, if at least [`BROKEN_ATTEMPTS_MIN`] attempts
+/// broke or had an unusable response. Its caller has no use for a response that stands still for longer, and each
+/// further attempt waits until the engine is tried again after its failures.
+const BROKEN_TIME_MAX: Duration = Duration::from_secs(5);
+/// An engine that restarts refuses connections, which does not count, so that few of its runs get this far.
+const BROKEN_ATTEMPTS_MIN: u32 = 6;
 /// Number of engines that may crash under a run without progress. It fails then, whatever its class, since
 /// it would crash the others, too.
 const CRASHES_MAX: u32 = 3;
@@ -86,6 +88,8 @@
     failures: u32,
     /// Those of them after which the request may have run.
     broken_attempts: u32,
+    /// Time of the first of them.
+    broken_since: Option<Instant>,
     /// Engines that crashed under the run since its last token.
     crashes: u32,
     /// Addresses of other engines at which an attempt broke since then. Without duplicates.
@@ -119,6 +123,7 @@
             attempts: u32::from(resumed),
             failures: 0,
             broken_attempts: 0,
+            broken_since: None,
             crashes: 0,
             broken_at: Vec::new(),
             first_token_at: None,
@@ -271,9 +276,13 @@
         );
         let refused = error.verdict == RunVerdict::NotRun;
         self.failures += 1;
-        self.broken_attempts += u32::from(!refused);
-        let is_exhausted = self.failures >= CONSECUTIVE_FAILURES_MAX
-            || self.broken_attempts >= BROKEN_ATTEMPTS_MAX;
+        if !refused {
+            self.broken_attempts += 1;
+            self.broken_since.get_or_insert_with(Instant::now);
+        }
+        let is_broken = self.broken_attempts >= BROKEN_ATTEMPTS_MIN
+            && self.broken_since.is_some_and(|since| since.elapsed() >= BROKEN_TIME_MAX);
+        let is_exhausted = is_broken || self.failures >= CONSECUTIVE_FAILURES_MAX;
         if is_exhausted && self.spec.class != PriorityClass::Patient {
             return Err(Refusal::new(RefusalReason::RetryBudget, BACKOFF_MAX));
         }
--- a/samphiredeck/src/runner/attempt.rs
+++ b/samphiredeck/src/runner/attempt.rs
@@ -141,6 +141,7 @@
         let now = Instant::now();
         self.failures = 0;
         self.broken_attempts = 0;
+        self.broken_since = None;
         self.crashes = 0;
         self.broken_at.clear();
         self.last_token_at = Some(now);
