--- a/samphiredeck/src/runner/attempt.rs
+++ b/samphiredeck/src/runner/attempt.rs
@@ -140,6 +140,8 @@
     fn record_token(&mut self, counts: &AttemptCounts) {
         let now = Instant::now();
         self.failures = 0;
+        self.broken_attempts = 0;
+        self.broken_since = None;
         self.crashes = 0;
         self.broken_at.clear();
         self.last_token_at = Some(now);
