--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -34,6 +34,7 @@
 pub mod quota;
 pub mod quota_reach;
 pub mod retry_budget;
+pub mod rollout;
 pub mod route_durations;
 pub mod store_eras;
 pub mod store_readers;
--- /dev/null
+++ b/samphiredeck_core/src/forward/rollout/version_share.rs
@@ -0,0 +1,416 @@
+//! Which software versions a node may choose now, by pool.
+//!
+//! Upstreams of a new version appear in the list before any node knows of an order, and stay there while the leader is
+//! lost, the store is unavailable or this node is cut off. So a version beside the one that serves the pool gets nothing
+//! without a lease, which expires by this node's own clock.
+
+use std::time::Duration;
+
+use crate::{
+    boot_time::BootTime,
+    ids::{PoolName, SoftwareVersion},
+};
+
+use super::{
+    ExposureCounts, RolloutDirective, RolloutReport,
+    phases::RolloutPhase,
+    tally::{ResponseEnd, RouteReport, VersionTally},
+};
+
+/// Maximum number of routes in a report, so that it fits into a datagram.
+const REPORT_ROUTES: usize = 3;
+
+/// Time without a message about a rollout under way after which it may have ended: longer than a lost leader is missed.
+const MISSED_END_AFTER: Duration = Duration::from_secs(10);
+
+/// Rollout of a pool, as this node knows it.
+#[derive(Clone, Debug)]
+struct KnownRollout {
+    directive: RolloutDirective,
+    /// Time until which the lease is valid.
+    lease_until: BootTime,
+    /// Time of the last message about the rollout.
+    heard_at: BootTime,
+    counts: ExposureCounts,
+    /// Sorted by route.
+    routes: Vec<RouteReport>,
+    next_route: usize,
+}
+
+impl KnownRollout {
+    /// Whether the new version stays out of use even if it is the only one listed. A node that heard of a rollout
+    /// under way long ago may have missed its end.
+    fn bars_new(&self, now: BootTime) -> bool {
+        match self.directive.phase {
+            RolloutPhase::RolledBack => true,
+            RolloutPhase::Ordered | RolloutPhase::Probing | RolloutPhase::Widening => {
+                now.since(self.heard_at) < MISSED_END_AFTER
+            }
+            RolloutPhase::Moving | RolloutPhase::Completed | RolloutPhase::Superseded => false,
+        }
+    }
+
+    fn holds_lease(&self, now: BootTime) -> bool {
+        now < self.lease_until
+    }
+
+    /// Whether a request may be sent to the new version at `now`.
+    fn permits(&self, now: BootTime) -> bool {
+        match self.directive.phase {
+            RolloutPhase::Probing | RolloutPhase::Widening => {
+                let limit = self.directive.lease.map_or(0, |lease| lease.limit);
+                self.holds_lease(now) && self.counts.exposed < limit
+            }
+            RolloutPhase::Moving => self.holds_lease(now),
+            RolloutPhase::Completed => true,
+            RolloutPhase::Ordered | RolloutPhase::RolledBack | RolloutPhase::Superseded => false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct PoolShare {
+    pool: PoolName,
+    /// Version that serves the pool.
+    base: SoftwareVersion,
+    rollout: Option<KnownRollout>,
+}
+
+/// Versions that a choice must avoid.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AvoidedVersions {
+    /// Versions to avoid if others take the request.
+    pub preferably: Vec<SoftwareVersion>,
+    /// Versions to avoid in any case.
+    pub always: Vec<SoftwareVersion>,
+}
+
+/// Versions that this node may choose, by pool.
+#[derive(Clone, Debug, Default)]
+pub struct VersionShare {
+    /// Whether the operator has set bounds.
+    enabled: bool,
+    /// Sorted by pool.
+    pools: Vec<PoolShare>,
+}
+
+/// Upstream version as listed, with the start of its upstream.
+#[derive(Clone, Debug)]
+pub struct ListedVersion {
+    /// Pool of the upstream.
+    pub pool: PoolName,
+    /// Version of the upstream.
+    pub software: SoftwareVersion,
+    /// Start of the upstream in Unix milliseconds, if reported.
+    pub started_ms: Option<u64>,
+}
+
+/// Version that most probably served a pool before the others that are listed: that of the upstream that started first.
+fn oldest_version(listed: &[ListedVersion], pool: &PoolName) -> Option<SoftwareVersion> {
+    let of_pool = listed.iter().filter(|entry| entry.pool == *pool);
+    let key = |entry: &&ListedVersion| {
+        let same = |other: &&ListedVersion| other.pool == *pool && other.software == entry.software;
+        let count = listed.iter().filter(same).count();
+        (entry.started_ms.unwrap_or(u64::MAX), usize::MAX - count, entry.software.clone())
+    };
+    of_pool.min_by_key(key).map(|entry| entry.software.clone())
+}
+
+impl VersionShare {
+    /// Creates the share of a node. Unless `enabled`, all versions may be chosen.
+    #[must_use]
+    pub fn new(enabled: bool) -> Self {
+        Self { enabled, pools: Vec::new() }
+    }
+
+    /// Whether the operator has set bounds.
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
+        self.enabled
+    }
+
+    fn find(&self, pool: &PoolName) -> Option<&PoolShare> {
+        self.pools.binary_search_by(|share| share.pool.cmp(pool)).ok().map(|at| &self.pools[at])
+    }
+
+    fn find_mut(&mut self, pool: &PoolName) -> Option<&mut PoolShare> {
+        self.pools.binary_search_by(|share| share.pool.cmp(pool)).ok().map(|at| &mut self.pools[at])
+    }
+
+    /// Version that serves `pool`, as known to this node.
+    #[must_use]
+    pub fn base(&self, pool: &PoolName) -> Option<&SoftwareVersion> {
+        self.find(pool).map(|share| &share.base)
+    }
+
+    /// Applies the list of upstreams. The first version of a pool serves it. Another one takes its place when all
+    /// upstreams of the first are gone and no rollout has left that other one. Returns the pools whose version changed.
+    pub fn observe_list(
+        &mut self,
+        listed: &[ListedVersion],
+        now: BootTime,
+    ) -> Vec<(PoolName, Option<SoftwareVersion>, SoftwareVersion)> {
+        let mut changes = Vec::new();
+        if !self.enabled {
+            return changes;
+        }
+        let mut pools: Vec<&PoolName> = listed.iter().map(|entry| &entry.pool).collect();
+        pools.sort();
+        pools.dedup();
+        for pool in pools {
+            let Some(oldest) = oldest_version(listed, pool) else { continue };
+            match self.pools.binary_search_by(|share| share.pool.cmp(pool)) {
+                Err(at) => {
+                    changes.push((pool.clone(), None, oldest.clone()));
+                    let share = PoolShare { pool: pool.clone(), base: oldest, rollout: None };
+                    self.pools.insert(at, share);
+                }
+                Ok(at) => {
+                    let share = &mut self.pools[at];
+                    let is_listed =
+                        |entry: &ListedVersion| entry.pool == *pool && entry.software == share.base;
+                    let is_barred = share.rollout.as_ref().is_some_and(|rollout| {
+                        oldest == rollout.directive.to && rollout.bars_new(now)
+                    });
+                    if !is_barred && !listed.iter().any(is_listed) {
+                        let before = std::mem::replace(&mut share.base, oldest.clone());
+                        changes.push((pool.clone(), Some(before), oldest));
+                    }
+                }
+            }
+        }
+        changes
+    }
+
+    /// Versions among `listed` that a request to `pool` must avoid. `begun` is the version that has begun its stream.
+    /// `draw` is uniform in 0 to 1. Requests that were sent before avoid the new version.
+    #[must_use]
+    pub fn avoided(
+        &self,
+        pool: &PoolName,
+        listed: &[SoftwareVersion],
+        (begun, is_retry): (Option<&SoftwareVersion>, bool),
+        draw: f64,
+        now: BootTime,
+    ) -> AvoidedVersions {
+        let Some(share) = self.find(pool).filter(|_| self.enabled) else {
+            return AvoidedVersions::default();
+        };
+        let without = |kept: &[&SoftwareVersion]| -> Vec<SoftwareVersion> {
+            listed.iter().filter(|version| !kept.contains(version)).cloned().collect()
+        };
+        let base_only = without(&[&share.base]);
+        let Some(rollout) = share.rollout.as_ref().filter(|rollout| rollout.permits(now)) else {
+            return AvoidedVersions { preferably: Vec::new(), always: base_only };
+        };
+        let directive = &rollout.directive;
+        let both = without(&[&share.base, &directive.to]);
+        if begun.is_some() {
+            return AvoidedVersions { preferably: Vec::new(), always: both };
+        }
+        let new_only = without(&[&directive.to]);
+        match directive.phase {
+            RolloutPhase::Moving | RolloutPhase::Completed => {
+                AvoidedVersions { preferably: new_only, always: both }
+            }
+            _ if !is_retry && draw * 1_000.0 < f64::from(directive.share_permille) => {
+                AvoidedVersions { preferably: new_only, always: base_only }
+            }
+            _ => AvoidedVersions { preferably: Vec::new(), always: base_only },
+        }
+    }
+
+    /// Counts a request that is about to be sent to `software` in `pool`. Returns whether it may be.
+    pub fn take(&mut self, pool: &PoolName, software: &SoftwareVersion, now: BootTime) -> bool {
+        if !self.enabled {
+            return true;
+        }
+        let Some(share) = self.find_mut(pool) else { return true };
+        let is_base = share.base == *software;
+        let Some(rollout) = &mut share.rollout else { return is_base };
+        if rollout.directive.to == *software && !is_base {
+            if !rollout.permits(now) {
+                return false;
+            }
+            rollout.counts.exposed += 1;
+        } else if !is_base {
+            return false;
+        }
+        rollout.counts.arrivals += 1;
+        true
+    }
+
+    /// Takes back the count of a request of which no byte was sent.
+    pub fn give_back(&mut self, pool: &PoolName, software: &SoftwareVersion) {
+        let Some(share) = self.find_mut(pool) else { return };
+        let is_base = share.base == *software;
+        let Some(rollout) = &mut share.rollout else { return };
+        // The request may have been counted under an order before.
+        rollout.counts.arrivals = rollout.counts.arrivals.saturating_sub(1);
+        if rollout.directive.to == *software && !is_base {
+            rollout.counts.exposed = rollout.counts.exposed.saturating_sub(1);
+        }
+    }
+
+    fn tally(
+        &mut self,
+        pool: &PoolName,
+        software: &SoftwareVersion,
+        route: &str,
+    ) -> Option<&mut VersionTally> {
+        let rollout = self.find_mut(pool)?.rollout.as_mut()?;
+        let is_new = rollout.directive.to == *software;
+        if (!is_new && rollout.directive.base != *software) || rollout.directive.phase.is_final() {
+            return None;
+        }
+        let found = rollout.routes.binary_search_by(|report| report.route.as_str().cmp(route));
+        let at = found.unwrap_or_else(|at| {
+            let report = RouteReport { route: route.to_owned(), ..RouteReport::default() };
+            rollout.routes.insert(at, report);
+            at
+        });
+        let report = &mut rollout.routes[at];
+        Some(if is_new { &mut report.new } else { &mut report.base })
+    }
+
+    /// Records how a request of `route` at `software` in `pool` ended.
+    pub fn record_end(
+        &mut self,
+        pool: &PoolName,
+        software: &SoftwareVersion,
+        route: &str,
+        end: ResponseEnd,
+    ) {
+        if let Some(tally) = self.tally(pool, software, route) {
+            tally.record_end(end);
+        }
+    }
+
+    /// Records the time to the first event, or to the whole response.
+    pub fn record_start(
+        &mut self,
+        pool: &PoolName,
+        software: &SoftwareVersion,
+        route: &str,
+        time: Duration,
+    ) {
+        if let Some(tally) = self.tally(pool, software, route) {
+            tally.starts.record(time);
+        }
+    }
+
+    /// Records the mean time between the events of a stream.
+    pub fn record_gap(
+        &mut self,
+        pool: &PoolName,
+        software: &SoftwareVersion,
+        route: &str,
+        time: Duration,
+    ) {
+        if let Some(tally) = self.tally(pool, software, route) {
+            tally.gaps.record(time);
+        }
+    }
+
+    /// Applies what a leader tells. Returns the phase before if the phase or the order has changed.
+    pub fn apply_directive(
+        &mut self,
+        directive: RolloutDirective,
+        now: BootTime,
+    ) -> Option<Option<RolloutPhase>> {
+        if !self.enabled {
+            return None;
+        }
+        let at = match self.pools.binary_search_by(|share| share.pool.cmp(&directive.pool)) {
+            Ok(at) => at,
+            Err(at) => {
+                let (pool, base) = (directive.pool.clone(), directive.base.clone());
+                self.pools.insert(at, PoolShare { pool, base, rollout: None });
+                at
+            }
+        };
+        let share = &mut self.pools[at];
+        let lease_until = directive.lease.map_or(BootTime::default(), |lease| {
+            BootTime::from_millis(lease.asked_ms.saturating_add(lease.valid_ms))
+        });
+        let serving = match directive.phase {
+            RolloutPhase::Completed => directive.to.clone(),
+            _ => directive.base.clone(),
+        };
+        let known = share.rollout.as_mut().filter(|known| {
+            let known = &known.directive;
+            known.order == directive.order
+                && (known.to == directive.to && known.base == directive.base)
+        });
+        let Some(known) = known else {
+            let is_older = share.rollout.as_ref().is_some_and(|known| {
+                let known = &known.directive;
+                directive.fence < known.fence || directive.order < known.order
+            });
+            if is_older {
+                return None;
+            }
+            let before = share.rollout.as_ref().map(|known| known.directive.phase);
+            share.base = serving;
+            // The lease answers a report about another order.
+            let directive = RolloutDirective { lease: None, ..directive };
+            share.rollout = Some(KnownRollout {
+                directive,
+                lease_until: BootTime::default(),
+                heard_at: now,
+                counts: ExposureCounts::default(),
+                routes: Vec::new(),
+                next_route: 0,
+            });
+            return Some(before);
+        };
+        let before = known.directive.phase;
+        if directive.fence < known.directive.fence || directive.phase < before {
+            return None;
+        }
+        if directive.phase == before {
+            let asked_ms = directive.lease.map(|lease| lease.asked_ms);
+            let known_ms = known.directive.lease.map(|lease| lease.asked_ms);
+            if directive.fence == known.directive.fence && asked_ms < known_ms {
+                return None;
+            }
+        }
+        known.directive = directive;
+        known.lease_until = lease_until;
+        known.heard_at = now;
+        share.base = serving;
+        (known.directive.phase != before).then_some(Some(before))
+    }
+
+    /// Phase of the rollout of `pool`, as known to this node.
+    #[must_use]
+    pub fn phase(&self, pool: &PoolName) -> Option<RolloutPhase> {
+        self.find(pool)?.rollout.as_ref().map(|rollout| rollout.directive.phase)
+    }
+
+    /// Report about the rollout of `pool` at `now`, with `base_in_flight` requests at upstreams of the old version. Reports
+    /// tell of some routes at a time.
+    pub fn report(
+        &mut self,
+        pool: &PoolName,
+        now: BootTime,
+        in_flight: impl Fn(&SoftwareVersion) -> u32,
+    ) -> Option<RolloutReport> {
+        let rollout = self.find_mut(pool)?.rollout.as_mut()?;
+        let count = rollout.routes.len();
+        let taken =
+            (0..count.min(REPORT_ROUTES)).map(|offset| (rollout.next_route + offset) % count);
+        let routes: Vec<RouteReport> = taken.map(|at| rollout.routes[at].clone()).collect();
+        rollout.next_route = (rollout.next_route + REPORT_ROUTES) % count.max(1);
+        let directive = &rollout.directive;
+        Some(RolloutReport {
+            pool: pool.clone(),
+            order: directive.order,
+            asked_ms: now.as_millis(),
+            phase: directive.phase,
+            counts: rollout.counts,
+            base_in_flight: in_flight(&directive.base),
+            routes,
+        })
+    }
+}
