Rollout: orders, leader, leases and reports between nodes

Cause: the decisions of a rollout had nothing that reads orders, writes steps and tells nodes.

The leader reads orders once a second, writes each step with the lease's row as a condition, and exchanges directives and reports with the nodes (new datagram Rollouts after Loads). Placement avoids what VersionShare does not permit. Outcomes are counted by route and version.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -34,6 +34,7 @@
 mod request_progress;
 mod response_body;
 mod response_scan;
+mod rollout;
 mod send_permit;
 mod serve;
 pub mod settings;
@@ -188,6 +189,8 @@
     spawn(store_watch::watch_upstreams(Rc::clone(node)));
     spawn(shared_rows::sync_shared_rows(Rc::clone(node)));
     spawn(leader::run_leader(Rc::clone(node)));
+    spawn(rollout::leader::run_rollouts(Rc::clone(node)));
+    spawn(rollout::watch_versions(Rc::clone(node)));
     spawn(stream_versions::announce_origins(Rc::clone(node)));
     spawn(origin_rows::sync_origins(Rc::clone(node)));
     spawn(suspect_exchange::announce_suspects(Rc::clone(node)));
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -25,11 +25,12 @@
 use crate::forward::{
     clock,
     http_connection::HttpConnection,
-    in_flight::InFlightRequest,
+    in_flight::{InFlightRequest, VersionEvidence},
     limit_queue::wait_for_turn,
     node::ForwardNode,
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
     request_progress::{ConnectionKind, RequestProgress, deadline_error, unanswered_error},
+    rollout::{record_abandoned, take_version, version_evidence},
     send_permit::PermitLease,
     serve::unknown_key,
     silent_upstream::{ExchangeEnd, LeftUpstream, SendEnd, SentRequest, receive_or_replace},
@@ -214,13 +215,14 @@
     // Until here the request keeps its place before others that wait.
     progress.ticket = None;
     let mut in_flight = InFlightRequest::start(node, placement, &admitted.metadata.prompt_parts);
+    in_flight.evidence = Some(version_evidence(admitted, node, placement, &software));
     loop {
         progress.connected = None;
         let (connection, kind) = open_connection(admitted, node, &in_flight, address).await?;
         progress.connected = Some(kind);
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
-        let reason = withdrawal_reason(admitted, node, placement, &permit, sent_at);
+        let reason = withdrawal_reason(admitted, node, &permit, &in_flight);
         if let Some(reason) = reason {
             node.keep_connection(&placement.upstream, connection, None);
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
@@ -240,8 +242,7 @@
         let ExchangeEnd { connection, received, .. } = end;
         in_flight = end.in_flight;
         if received.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unsent) {
-            progress.attempts -= 1;
-            permit.set_consumed(false);
+            record_unsent(progress, &mut permit, node, &in_flight);
         }
         return match received {
             Err(failure)
@@ -258,7 +259,7 @@
                 if response.status.is_success() {
                     record_proof(admitted, progress, node);
                 }
-                record_service_time(admitted, node, &response, sent_at);
+                record_service_time(admitted, node, &in_flight, &response, sent_at);
                 count_usage(admitted, progress, node, sent_at);
                 if !metadata.closes_connection {
                     node.keep_connection(&placement.upstream, connection, metadata.keep_alive);
@@ -320,6 +321,20 @@
     }
 }
 
+/// Records that no byte of the request was sent.
+fn record_unsent(
+    progress: &mut RequestProgress,
+    permit: &mut PermitLease,
+    node: &ForwardNode,
+    in_flight: &InFlightRequest,
+) {
+    progress.attempts -= 1;
+    permit.set_consumed(false);
+    if let Some(VersionEvidence { pool, software, .. }) = &in_flight.evidence {
+        node.state().versions.give_back(pool, software);
+    }
+}
+
 /// Takes an idle connection to the upstream of `in_flight`, or opens one to its `address`.
 async fn open_connection(
     admitted: &AdmittedRequest,
@@ -360,6 +375,7 @@
         count_usage(admitted, progress, &trace.node, sent_at);
     }
     in_flight.record_outcome(true);
+    in_flight.record_failure(failure.outcome, failure.closed);
     if failure.closed && failure.outcome == SendOutcome::Broken {
         handle_closed(admitted, progress, trace, in_flight).await;
     }
@@ -384,30 +400,31 @@
         }
         let mut state = trace.node.state();
         state.upstreams.record_outcome(&placement.upstream, true, clock::now());
+        record_abandoned(&mut state, admitted, &placement.upstream);
     }
     response.ok_or(failure)
 }
 
-/// Why the request must not be sent to the upstream of `placement` any more, as known after its
+/// Why the request must not be sent to the upstream of `in_flight` any more, as known after its
 /// connection was opened: the upstream has left, asked for time or named a limit, the request or a part
 /// of it has crashed upstreams, or the configuration may have changed meanwhile.
 fn withdrawal_reason(
     admitted: &AdmittedRequest,
     node: &ForwardNode,
-    placement: &Placement,
     permit: &PermitLease,
-    now: BootTime,
+    in_flight: &InFlightRequest,
 ) -> Option<&'static str> {
+    let now = in_flight.sent_at;
     if !permit.permits_send() {
         return Some(LIMIT_REASON);
     }
     if !node.state().freshness.allows_admission(now) {
         return Some("configuration not known to be the newest");
     }
-    if !node.state().upstreams.accepts(&placement.upstream, now) {
+    if !node.state().upstreams.accepts(&in_flight.upstream, now) {
         return Some("takes no requests any more");
     }
-    barring_reason(admitted, node)
+    barring_reason(admitted, node).or_else(|| take_version(node, in_flight))
 }
 
 /// Sends `request` on `connection` and receives the response, or the first event of its stream.
@@ -429,20 +446,22 @@
     ExchangeEnd { connection, in_flight, received }
 }
 
-/// Records the time that a plain upstream took for its whole `response`.
+/// Records the whole `response` of an upstream, and the time that a plain one took for it.
 fn record_service_time(
     admitted: &AdmittedRequest,
     node: &ForwardNode,
+    in_flight: &InFlightRequest,
     response: &CompleteResponse,
     sent_at: BootTime,
 ) {
+    let elapsed = clock::now().since(sent_at);
+    in_flight.record_complete(response.status, elapsed);
     if !admitted.engine && response.status.is_success() {
-        let elapsed = clock::now().since(sent_at);
         node.state().speeds.speed_mut(&admitted.pool).record_service(elapsed);
     }
 }
 
-/// Records the time that an engine took for the first event of a stream, if it measures the speed.
+/// Records the time that an upstream took for the first event of a stream. An engine's may measure the speed.
 fn record_first_token(
     admitted: &AdmittedRequest,
     node: &ForwardNode,
@@ -450,6 +469,7 @@
     placement: &Placement,
     elapsed: Duration,
 ) {
+    in_flight.record_start_time(elapsed);
     if admitted.engine && in_flight.is_alone && placement.is_prefill_certain {
         let mut state = node.state();
         let speed = state.speeds.speed_mut(&admitted.pool);
--- a/samphiredeck/src/forward/in_flight.rs
+++ b/samphiredeck/src/forward/in_flight.rs
@@ -1,18 +1,32 @@
 //! Requests in flight at upstreams.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
+use http::StatusCode;
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
+        outcome::SendOutcome,
         placement::{Placement, PromptPart},
+        rollout::tally::ResponseEnd,
         upstreams::PendingResponse,
     },
-    ids::UpstreamId,
+    ids::{PoolName, SoftwareVersion, UpstreamId},
 };
 
 use crate::forward::{clock, node::ForwardNode, upstream_changes::ResponseSource};
 
+/// What the outcome of a request tells of.
+#[derive(Debug)]
+pub struct VersionEvidence {
+    pub pool: PoolName,
+    pub software: SoftwareVersion,
+    pub route: String,
+    /// Whether the time to the first event measures the version: the prompt's shared parts are probably cached, and the
+    /// upstream is not warming up.
+    pub is_timed: bool,
+}
+
 /// Counts a request as in flight at its upstream until dropped.
 #[derive(Debug)]
 pub struct InFlightRequest {
@@ -28,6 +42,8 @@
     /// Whether the upstream had no other prompt to process when the request was sent, as far as
     /// known. The time to the first event then measures the upstream's speed.
     pub is_alone: bool,
+    /// `None` until the version of the upstream is known.
+    pub evidence: Option<VersionEvidence>,
 }
 
 impl InFlightRequest {
@@ -52,7 +68,15 @@
         drop(guard);
         let upstream = placement.upstream.clone();
         let node = Rc::clone(node);
-        Self { node, upstream, started_ms, sent_at: now, pending: Some(pending), is_alone }
+        Self {
+            node,
+            upstream,
+            started_ms,
+            sent_at: now,
+            pending: Some(pending),
+            is_alone,
+            evidence: None,
+        }
     }
 
     /// Source of a response to the request with the attempt identifier `request`.
@@ -76,6 +100,47 @@
         }
     }
 
+    /// Records how the request ended, for the judgement of the upstream's version.
+    pub fn record_end(&self, end: ResponseEnd) {
+        let Some(VersionEvidence { pool, software, route, .. }) = &self.evidence else { return };
+        self.node.state().versions.record_end(pool, software, route, end);
+    }
+
+    /// Records a complete response that took `time`, for the judgement of the upstream's version.
+    pub fn record_complete(&self, status: StatusCode, time: Duration) {
+        let is_error = status.is_server_error();
+        self.record_end(if is_error { ResponseEnd::Failed } else { ResponseEnd::Complete });
+        self.record_start_time(time);
+    }
+
+    /// Records that there was no response of use, for the judgement of the upstream's version. Refusals tell of load.
+    pub fn record_failure(&self, outcome: SendOutcome, closed: bool) {
+        match outcome {
+            SendOutcome::Broken if closed => self.record_end(ResponseEnd::Closed),
+            SendOutcome::Broken | SendOutcome::Failed => self.record_end(ResponseEnd::Failed),
+            SendOutcome::Unsent
+            | SendOutcome::NoPath
+            | SendOutcome::Withdrawn
+            | SendOutcome::Rejected
+            | SendOutcome::Misdirected => {}
+        }
+    }
+
+    /// Records the time to the first event, or to the whole response.
+    pub fn record_start_time(&self, time: Duration) {
+        let Some(evidence) = self.evidence.as_ref().filter(|evidence| evidence.is_timed) else {
+            return;
+        };
+        let VersionEvidence { pool, software, route, .. } = evidence;
+        self.node.state().versions.record_start(pool, software, route, time);
+    }
+
+    /// Records the mean time between events.
+    pub fn record_gap_time(&self, time: Duration) {
+        let Some(VersionEvidence { pool, software, route, .. }) = &self.evidence else { return };
+        self.node.state().versions.record_gap(pool, software, route, time);
+    }
+
     /// Records whether the upstream failed.
     pub fn record_outcome(&self, failed: bool) {
         self.node.state().upstreams.record_outcome(&self.upstream, failed, clock::now());
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -70,6 +70,30 @@
     Histogram::new(exponential_buckets(0.002, 2.0, 16))
 }
 
+/// Label of a step of a rollout.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RolloutLabels {
+    pub phase: String,
+}
+
+/// Metrics of rollouts.
+#[derive(Debug, Default)]
+pub struct RolloutMetrics {
+    /// Steps that this node took as the leader, by the phase that they began.
+    pub steps: Family<RolloutLabels, Counter>,
+    /// Orders that were not followed.
+    pub refused: Counter,
+}
+
+impl RolloutMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let steps = "Steps of rollouts taken as the leader";
+        registry.register("rollout_steps", steps, self.steps.clone());
+        let refused = "Orders for rollouts that were not followed";
+        registry.register("rollout_orders_refused", refused, self.refused.clone());
+    }
+}
+
 /// Metrics of the slots of brittle upstreams.
 #[derive(Debug, Default)]
 pub struct SlotMetrics {
@@ -268,6 +292,7 @@
     /// Limits that upstreams named.
     pub limits: LimitMetrics,
     pub slots: SlotMetrics,
+    pub rollouts: RolloutMetrics,
     /// Number of engine crashes at which requests of this node waited for their first event.
     pub engine_crashes: Counter,
     /// Number of requests refused for a prompt part that crashes engines.
@@ -307,6 +332,7 @@
             admissions: Family::default(),
             limits: LimitMetrics::default(),
             slots: SlotMetrics::default(),
+            rollouts: RolloutMetrics::default(),
             engine_crashes: Counter::default(),
             part_refusals: Counter::default(),
             part_trials: Counter::default(),
@@ -358,6 +384,7 @@
         registry.register("admissions", admissions, metrics.admissions.clone());
         metrics.limits.register(&mut registry);
         metrics.slots.register(&mut registry);
+        metrics.rollouts.register(&mut registry);
         registry.register(
             "engine_crashes",
             "Requests that waited at an engine when it crashed",
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -17,8 +17,8 @@
 use crate::forward::{
     clock, connection_pool::ConnectionPool, decision_log::DecisionLog,
     http_connection::HttpConnection, limit_exchange::LimitOutbox, metrics::ForwardMetrics,
-    peer_socket::PeerSocket, settings::ForwardSettings, state::ForwardState,
-    suspect_exchange::SuspectOutbox,
+    peer_socket::PeerSocket, rollout::leader::LeaderRollouts, settings::ForwardSettings,
+    state::ForwardState, suspect_exchange::SuspectOutbox,
 };
 
 /// Phase of a graceful shutdown.
@@ -79,6 +79,8 @@
     pub suspect_outbox: SuspectOutbox,
     /// Limits of upstreams that other nodes are to be told of.
     pub limit_outbox: LimitOutbox,
+    /// Rollouts, while this node is the leader.
+    pub rollouts: LeaderRollouts,
     /// Notified when other nodes are to be told of brittle pools.
     pub brittle_changed: Notify,
     /// Notified when a request at an upstream has ended, which may free a slot.
@@ -116,6 +118,7 @@
             connections: ConnectionPool::default(),
             suspect_outbox: SuspectOutbox::default(),
             limit_outbox: LimitOutbox::default(),
+            rollouts: LeaderRollouts::default(),
             brittle_changed: Notify::new(),
             request_ended: Notify::new(),
             queue_moved: Notify::new(),
--- a/samphiredeck/src/forward/peer_messages.rs
+++ b/samphiredeck/src/forward/peer_messages.rs
@@ -23,6 +23,7 @@
     node::ForwardNode,
     peer_socket::{PeerSocket, QueryError, ReceivedDatagram},
     quota_decision::decide_quota,
+    rollout::exchange::handle_rollout_message,
     slot_exchange::handle_slot_message,
     speed_exchange::handle_speed_message,
     suspect_exchange::{answer_comparison, handle_update},
@@ -298,7 +299,8 @@
         | ForwardDatagram::Limits(_)
         | ForwardDatagram::Slots(_)
         | ForwardDatagram::Speeds(_)
-        | ForwardDatagram::Loads(_) => {}
+        | ForwardDatagram::Loads(_)
+        | ForwardDatagram::Rollouts(_) => {}
         _ => node.state().liveness.record_contact(&received.sender, now),
     }
 }
@@ -389,6 +391,9 @@
             handle_slot_message(node, socket, (&sender, from), message).await;
         }
         ForwardDatagram::Loads(message) => handle_load_message(node, &sender, message),
+        ForwardDatagram::Rollouts(message) => {
+            handle_rollout_message(node, socket, (&sender, from), message).await;
+        }
         ForwardDatagram::Speeds(message) => handle_speed_message(node, &sender, &message),
         ForwardDatagram::ReleaseTrial { key } => node.state().suspects.release_trial(key),
         ForwardDatagram::ReleaseUnits { workspace, units } => {
--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -8,6 +8,7 @@
         catalog::RetryPolicy,
         event_order::{EventGate, OrderError, ResumePoint},
         events::EventBatch,
+        rollout::tally::ResponseEnd,
         upstream_speed::EVENTS_MIN,
     },
     verdict::RunVerdict,
@@ -76,10 +77,8 @@
     stream: Box<StreamingResponse>,
     sender: StreamSender,
 ) {
-    let StreamingResponse { first_batch, ended, mut source, .. } = *stream;
+    let StreamingResponse { first_batch: mut pending, mut ended, mut source, .. } = *stream;
     let mut gate = EventGate::after(admitted.metadata.last_event_id);
-    let mut pending = first_batch;
-    let mut ended = ended;
     let mut next_step = None;
     let mut batches = 0;
     loop {
@@ -147,6 +146,7 @@
                 continue;
             }
             StreamStep::TimedOut => {
+                source.in_flight.record_end(ResponseEnd::Failed);
                 trace.finish("broken-off", 200, "no time left");
                 return;
             }
@@ -157,10 +157,7 @@
         };
         gate.rewind();
         let point = gate.resume_point();
-        source.in_flight.record_outcome(true);
-        if stream_break.closed && batches < BATCHES_PROVING {
-            handle_closed(&admitted, &mut progress, &trace, &source.in_flight).await;
-        }
+        record_break(&admitted, &mut progress, &trace, (&source, batches), &stream_break).await;
         log_break(&admitted, &progress, &trace, &source, &stream_break, point);
         // Closes the connection to cancel the old run before another upstream resumes it.
         drop(source);
@@ -175,13 +172,27 @@
             trace.finish("broken-off", 200, "upstream broke the stream");
             return;
         };
-        pending = resumed.first_batch;
-        ended = resumed.ended;
-        source = resumed.source;
+        StreamingResponse { first_batch: pending, ended, source, .. } = *resumed;
         batches = 0;
     }
 }
 
+/// Records that the upstream of `source` has failed after `batches` batches of events.
+async fn record_break(
+    admitted: &AdmittedRequest,
+    progress: &mut RequestProgress,
+    trace: &RequestTrace,
+    (source, batches): (&UpstreamStream, u32),
+    stream_break: &StreamBreak,
+) {
+    source.in_flight.record_outcome(true);
+    let end = if stream_break.closed { ResponseEnd::Closed } else { ResponseEnd::Failed };
+    source.in_flight.record_end(end);
+    if stream_break.closed && batches < BATCHES_PROVING {
+        handle_closed(admitted, progress, trace, &source.in_flight).await;
+    }
+}
+
 /// Completes the response to the caller after the last event of `source`.
 async fn complete_stream(
     admitted: &AdmittedRequest,
@@ -190,6 +201,7 @@
     sender: StreamSender,
 ) {
     source.in_flight.record_outcome(false);
+    source.in_flight.record_end(ResponseEnd::Complete);
     record_speed(admitted, &trace, &source);
     if !source.metadata.closes_connection {
         let upstream = source.in_flight.upstream.clone();
@@ -293,6 +305,7 @@
         resumed = resumption.as_mut() => {
             let Some(resumed) = resumed else { return SilenceEnd::GoesOn(Box::new(source), None) };
             source.in_flight.record_outcome(true);
+            source.in_flight.record_end(ResponseEnd::Failed);
             return SilenceEnd::Resumed(resumed);
         }
         step = read_step(admitted, &mut source, sender, Duration::MAX) => step,
@@ -302,6 +315,7 @@
         return SilenceEnd::GoesOn(Box::new(source), Some(step));
     }
     source.in_flight.record_outcome(true);
+    source.in_flight.record_end(ResponseEnd::Failed);
     drop(source);
     select! {
         resumed = resumption => resumed.map_or(SilenceEnd::Lost, SilenceEnd::Resumed),
@@ -318,6 +332,7 @@
         let (events, last_at) = source.later_events;
         if events >= EVENTS_MIN {
             let interval = last_at.since(source.first_event_at) / events;
+            source.in_flight.record_gap_time(interval);
             let (id, started_ms) = (&source.in_flight.upstream, source.in_flight.started_ms);
             state.upstreams.record_event_interval(id, started_ms, interval, clock::now());
         }
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -3,7 +3,7 @@
 use std::{fmt, fs, net::SocketAddr, path::Path};
 
 use samphiredeck_core::{
-    forward::{quota::QuotaSlack, retry_budget::RetryLimit},
+    forward::{quota::QuotaSlack, retry_budget::RetryLimit, rollout::ExposureBounds},
     ids::{DomainName, IdError, NodeName},
     units::Millis,
 };
@@ -90,6 +90,9 @@
     quota_overage: f64,
     quota_slack: f64,
     quota_window: Millis,
+    exposure_share: Option<f64>,
+    exposure_slack: Option<f64>,
+    rollback: Option<Millis>,
 }
 
 /// Section `log`.
@@ -145,6 +148,8 @@
     pub retry_limit: RetryLimit,
     /// Amount by which quotas may be exceeded.
     pub quota_slack: QuotaSlack,
+    /// What a bad software version may get. `None` if versions are not rolled out by this system.
+    pub exposure: Option<ExposureBounds>,
 }
 
 /// Validated settings.
@@ -208,6 +213,31 @@
     }
 }
 
+impl RawBounds {
+    /// Bounds of rollouts, which are set together.
+    fn exposure(&self, validator: &mut SettingsValidator) -> Option<ExposureBounds> {
+        let (share, slack, rollback) = (self.exposure_share, self.exposure_slack, self.rollback);
+        if share.is_none() && slack.is_none() && rollback.is_none() {
+            return None;
+        }
+        let mut require = |is_set: bool, field: &str| {
+            if !is_set {
+                validator.reject(field, "must be set, as other bounds of rollouts are");
+            }
+        };
+        require(share.is_some(), "bounds.exposure_share");
+        require(slack.is_some(), "bounds.exposure_slack");
+        require(rollback.is_some(), "bounds.rollback");
+        let (share, slack, rollback) = (share?, slack?, rollback?);
+        if !(share > 0.0 && share <= 1.0) {
+            validator.reject("bounds.exposure_share", format!("must be in 0 to 1, got {share}"));
+        }
+        validator.require_non_negative("bounds.exposure_slack", slack);
+        validator.require_positive("bounds.rollback", rollback);
+        Some(ExposureBounds { share, slack, rollback: rollback.to_duration() })
+    }
+}
+
 impl TryFrom<RawForward> for ForwardSettings {
     type Error = FieldErrors;
 
@@ -236,6 +266,7 @@
         validator.require_non_negative("bounds.repeat_extra", bounds.repeat_extra);
         validator.require_non_negative("bounds.quota_overage", bounds.quota_overage);
         validator.require_non_negative("bounds.quota_slack", bounds.quota_slack);
+        let exposure = bounds.exposure(&mut validator);
         if raw.log.lines_per_second == 0 {
             validator.reject("log.lines_per_second", "must be at least 1");
         }
@@ -269,6 +300,7 @@
                         tokens: bounds.quota_slack,
                         window: bounds.quota_window.to_duration(),
                     },
+                    exposure,
                 },
                 memory: raw.limits.memory_mb.saturating_mul(1_024 * 1_024),
                 log_rate: raw.log.lines_per_second,
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -28,6 +28,7 @@
         },
         quota_reach::QuotaReach,
         retry_budget::RetryBudget,
+        rollout::version_share::VersionShare,
         route_durations::RouteDurations,
         store_readers::{ConfigStatus, ListStatus, StoreStatus},
         stream_origins::{OriginTable, StreamOrigin},
@@ -146,6 +147,8 @@
     pub loads: LoadExchange,
     /// Speeds of the pools, as measured by this node.
     pub speeds: PoolSpeedTable,
+    /// Software versions that may be chosen.
+    pub versions: VersionShare,
     /// Times that requests took, by route.
     pub durations: RouteDurations,
     /// Shared prompt parts that this node sent to upstreams.
@@ -200,6 +203,7 @@
             uses: WorkspaceUses::default(),
             loads: LoadExchange::default(),
             speeds: PoolSpeedTable::default(),
+            versions: VersionShare::new(bounds.exposure.is_some()),
             durations: RouteDurations::default(),
             prompt_cache: PromptCacheTable::default(),
             clock: ClusterClock::default(),
--- a/samphiredeck/src/forward/upstream_choice.rs
+++ b/samphiredeck/src/forward/upstream_choice.rs
@@ -11,9 +11,10 @@
         deadline::{fits_deadline, retry_after_pause},
         demand::DemandRate,
         placement::{LimitForecast, Placement, PlacementRequest, choose_upstream, forecast_limits},
+        rollout::version_share::AvoidedVersions,
         upstream_limit::NodeTurn,
     },
-    ids::{NodeName, PoolName, UpstreamId},
+    ids::{NodeName, PoolName, SoftwareVersion, UpstreamId},
     verdict::RunVerdict,
 };
 use serde_json::json;
@@ -25,6 +26,7 @@
     node::ForwardNode,
     request::{AdmittedRequest, ErrorResponse, RequestTrace, retry_delay},
     request_progress::{RequestProgress, unanswered_error},
+    rollout::avoided_versions,
     state::ForwardState,
 };
 
@@ -69,10 +71,12 @@
     let ahead = state.limit_queue.count_ahead(&admitted.pool, admitted.priority, number);
     let turn = state.node_turn(&settings.name, now);
     let usable_turn = turn.filter(|_| ahead == 0);
+    let avoided = avoided_versions(&mut state, admitted, progress, now);
     let choice = PlacementContext {
         node: &settings.name,
         progress,
         tried: &progress.tried,
+        avoided: &avoided,
         turn: usable_turn,
     };
     let placement = find_placement(admitted, &choice, node, &state, now);
@@ -99,6 +103,7 @@
             node: &settings.name,
             progress,
             tried: &progress.tried,
+            avoided: &avoided,
             turn: Some(turn),
         };
         let request = placement_request(admitted, &choice, &state);
@@ -154,6 +159,8 @@
     progress: &'a RequestProgress,
     /// Upstreams that must not be chosen.
     tried: &'a [UpstreamId],
+    /// Versions that must not be chosen.
+    avoided: &'a AvoidedVersions,
     /// Turn of this node at upstreams with a limit, if the request may be sent to them.
     turn: Option<NodeTurn>,
 }
@@ -172,14 +179,23 @@
     let is_new_stream =
         admitted.route.retry_policy == RetryPolicy::Resumable && request.software.is_none();
     let joining = state.upstreams.versions.joining(&admitted.pool, now);
+    let AvoidedVersions { preferably, always } = choice.avoided;
+    let joined = |others: &[SoftwareVersion]| [always.as_slice(), others].concat();
+    let mut avoided = Vec::new();
     if is_new_stream && !joining.is_empty() {
-        request.avoided_software = &joining;
+        avoided.push(joined(&joining));
+    }
+    if !preferably.is_empty() {
+        avoided.push(joined(preferably));
+    }
+    for versions in &avoided {
+        request.avoided_software = versions;
         let choice = choose_upstream(&state.upstreams, &request, domain, now, random::<f64>);
         if choice.is_some() {
             return choice;
         }
-        request.avoided_software = &[];
     }
+    request.avoided_software = always;
     choose_upstream(&state.upstreams, &request, domain, now, random::<f64>)
 }
 
@@ -197,7 +213,7 @@
         misdirected: &choice.progress.misdirected,
         only: choice.progress.only.as_ref(),
         software: choice.progress.software.as_ref(),
-        avoided_software: &[],
+        avoided_software: &choice.avoided.always,
         max_connections: state.connection_share(admitted.max_connections),
         max_event_gap: admitted.route.max_event_gap,
         speed: state.speeds.speed(&admitted.pool),
@@ -224,7 +240,9 @@
         && state.retry_budget.has_room(&admitted.pool, now);
     let tried: Vec<UpstreamId> = progress.tried.iter().chain([silent]).cloned().collect();
     let turn = state.node_turn(&settings.name, now);
-    let choice = PlacementContext { node: &settings.name, progress, tried: &tried, turn };
+    let avoided = avoided_versions(&mut state, admitted, progress, now);
+    let choice =
+        PlacementContext { node: &settings.name, progress, tried: &tried, avoided: &avoided, turn };
     let placement = find_placement(admitted, &choice, node, &state, now);
     let time_left = due_at.since(now);
     is_permitted
--- a/samphiredeck_core/src/forward/rollout/control.rs
+++ b/samphiredeck_core/src/forward/rollout/control.rs
@@ -39,11 +39,13 @@
 /// Highest share of requests of a pool with few of them, for which the slack is most of the budget.
 const PROBING_SHARE_MAX: f64 = 1.0 / 3.0;
 /// Time for which a new leader only collects reports: they hold what nodes counted under the leader before.
-const COLLECT_TIME: Duration = Duration::from_millis(1_000);
+const COLLECT_TIME: Duration = Duration::from_secs(1);
 /// Minimum time between two rows that only raise the reserved number.
 const RESERVE_PERIOD: Duration = Duration::from_millis(500);
 /// Time after which a report no longer shows what a node does.
-const REPORT_MAX: Duration = Duration::from_millis(1_000);
+const REPORT_MAX: Duration = Duration::from_secs(1);
+/// Interval at which a node that knows the end of a rollout is told it again: it may have been started anew.
+const REPEAT_PERIOD: Duration = Duration::from_secs(5);
 /// Minimum time for which all new requests go to the new version before the end.
 const MOVING_MIN_MS: i64 = 1_000;
 
@@ -80,6 +82,8 @@
     nodes: Vec<NodeStatus>,
     /// Outcomes since the last look, sorted by route.
     period: Vec<RouteReport>,
+    /// End of the rollout that a node knows of.
+    known_end: Option<RolloutPhase>,
     begun_at: BootTime,
     written_at: BootTime,
 }
@@ -98,6 +102,7 @@
             judge: VersionJudge::default(),
             nodes: Vec::new(),
             period: Vec::new(),
+            known_end: None,
             begun_at: now,
             written_at: now,
         }
@@ -143,6 +148,9 @@
         if report.order != self.row.order {
             return;
         }
+        if matches!(report.phase, RolloutPhase::Completed | RolloutPhase::RolledBack) {
+            self.known_end = Some(report.phase);
+        }
         let sender = (node, incarnation);
         if !self.budget.record_report(sender, report.asked_ms, report.counts, now) {
             return;
@@ -269,6 +277,9 @@
     pub fn next_row(&self, view: PoolView<'_>, now: BootTime, now_ms: i64) -> Option<RolloutRow> {
         let row = self.with_counts();
         let open = OpenRollout::of(row.clone())?;
+        if let Some(phase) = self.known_end {
+            return Some(open.adopt_end(phase, now_ms));
+        }
         let bad = self.judge.verdict().map(|bad| {
             format!(
                 "{:?} on {}: {:.1}, expected {:.3}",
@@ -289,7 +300,10 @@
                 Some(reason) => Some(rollout.roll_back(now_ms, reason)),
                 None if elapsed >= LAST_PART => Some(rollout.roll_back(now_ms, unproven())),
                 None if is_collecting => None,
-                None => (elapsed >= PROBING_PART && is_judged).then(|| rollout.widen(now_ms)),
+                // Late, the share may be used up by leases of nodes and leaders that ended, along with what they had
+                // counted. Widening permits more, and its end requires responses.
+                None => (elapsed >= PROBING_PART && (is_judged || is_late))
+                    .then(|| rollout.widen(now_ms)),
             },
             OpenRollout::Widening(rollout) => {
                 let whole: f64 = WIDENING_STEPS.iter().map(|(part, _)| part).sum();
@@ -320,7 +334,7 @@
     fn reserve_more(&self, row: RolloutRow, now: BootTime, now_ms: i64) -> Option<RolloutRow> {
         let allowance = self.allowance(now_ms);
         let is_due = row.reserved == 0 || now.since(self.written_at) >= RESERVE_PERIOD;
-        (is_due && allowance > row.reserved).then(|| RolloutRow { reserved: allowance, ..row })
+        (is_due && allowance > row.reserved).then_some(RolloutRow { reserved: allowance, ..row })
     }
 
     /// What the nodes are to be told at `now`.
@@ -364,7 +378,17 @@
                 lease,
             }
         };
-        members.iter().map(|node| (node.clone(), directive(node))).collect()
+        let is_told = |node: &&NodeName| {
+            let found = self.nodes.binary_search_by(|known| known.node.cmp(node)).ok();
+            found.is_some_and(|at| {
+                let known = &self.nodes[at];
+                self.row.phase.is_final()
+                    && known.phase == self.row.phase
+                    && now.since(known.reported_at) < REPEAT_PERIOD
+            })
+        };
+        let told = members.iter().filter(|node| !is_told(node));
+        told.map(|node| (node.clone(), directive(node))).collect()
     }
 
     /// Leases without a limit, which only end with their time.
--- a/samphiredeck_core/src/forward/rollout/phases.rs
+++ b/samphiredeck_core/src/forward/rollout/phases.rs
@@ -150,18 +150,30 @@
         }
     }
 
-    /// Ends the rollout, since its order was withdrawn or replaced.
-    #[must_use]
-    pub fn supersede(self, now_ms: i64, reason: &str) -> RolloutRow {
-        let mut row = match self {
+    fn into_row(self) -> RolloutRow {
+        match self {
             Self::Ordered(rollout) => rollout.row,
             Self::Probing(rollout) => rollout.row,
             Self::Widening(rollout) => rollout.row,
             Self::Moving(rollout) => rollout.row,
-        };
+        }
+    }
+
+    /// Ends the rollout, since its order was withdrawn or replaced.
+    #[must_use]
+    pub fn supersede(self, now_ms: i64, reason: &str) -> RolloutRow {
+        let mut row = self.into_row();
         reason.clone_into(&mut row.reason);
         enter(row, RolloutPhase::Superseded, now_ms)
     }
+
+    /// Ends the rollout with `phase`, as nodes know it: the store has lost that row.
+    #[must_use]
+    pub fn adopt_end(self, phase: RolloutPhase, now_ms: i64) -> RolloutRow {
+        let mut row = self.into_row();
+        "known to nodes".clone_into(&mut row.reason);
+        enter(row, phase, now_ms)
+    }
 }
 
 fn enter(row: RolloutRow, phase: RolloutPhase, now_ms: i64) -> RolloutRow {
--- a/samphiredeck_core/src/forward/rollout/version_share.rs
+++ b/samphiredeck_core/src/forward/rollout/version_share.rs
@@ -214,7 +214,7 @@
                 AvoidedVersions { preferably: new_only, always: both }
             }
             _ if !is_retry && draw * 1_000.0 < f64::from(directive.share_permille) => {
-                AvoidedVersions { preferably: new_only, always: base_only }
+                AvoidedVersions { preferably: new_only, always: both }
             }
             _ => AvoidedVersions { preferably: Vec::new(), always: base_only },
         }
@@ -365,7 +365,8 @@
             return Some(before);
         };
         let before = known.directive.phase;
-        if directive.fence < known.directive.fence || directive.phase < before {
+        let is_lower = directive.phase < before || (before.is_final() && directive.phase != before);
+        if directive.fence < known.directive.fence || is_lower {
             return None;
         }
         if directive.phase == before {
--- a/samphiredeck_core/tests/forward_rollout.rs
+++ b/samphiredeck_core/tests/forward_rollout.rs
@@ -33,6 +33,10 @@
     format!("n{number}").parse().unwrap()
 }
 
+fn to_f64(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap())
+}
+
 fn at(millis: u64) -> BootTime {
     BootTime::from_millis(millis)
 }
@@ -98,7 +102,9 @@
     share.apply_directive(directive(RolloutPhase::Probing, None), at(0));
     let lease = ExposureLease { asked_ms: 100, valid_ms: 1_000, limit: 2 };
     share.apply_directive(directive(RolloutPhase::Probing, Some(lease)), at(150));
-    assert_eq!(avoided(&share, at(200)).preferably, [version("v1")]);
+    let chosen = avoided(&share, at(200));
+    assert_eq!(chosen.preferably, [version("v1")]);
+    assert!(!chosen.always.contains(&version("v2")), "no version is left");
     assert!(share.take(&pool(), &version("v2"), at(200)));
     assert!(share.take(&pool(), &version("v2"), at(1_099)));
     assert!(!share.take(&pool(), &version("v2"), at(1_099)), "beyond the limit");
@@ -184,7 +190,9 @@
             tally.record_end(ResponseEnd::Complete);
             tally.starts.record(Duration::from_millis(u64::from((80 + number % 7 * 20) * factor)));
         }
-        (0..failed).for_each(|_| tally.record_end(ResponseEnd::Failed));
+        for _ in 0..failed {
+            tally.record_end(ResponseEnd::Failed);
+        }
     }
     report
 }
@@ -215,7 +223,9 @@
     let mut periods = vec![outcomes((30, 0), (0, 0), 1); 4];
     periods.extend(vec![outcomes((30, 0), (3, 0), 4); 100]);
     let mut judge = VersionJudge::default();
-    periods.iter().for_each(|period| judge.record(std::slice::from_ref(period)));
+    for period in &periods {
+        judge.record(std::slice::from_ref(period));
+    }
     assert_eq!(judge.verdict().unwrap().aspect, BadAspect::Start);
     assert!(periods_to_verdict(&periods).unwrap() < 20);
 }
@@ -231,7 +241,9 @@
     assert_eq!(periods_to_verdict(&trouble), None);
     // The crash of one upstream with 16 slots.
     let mut crash = outcomes((50, 0), (5, 0), 1);
-    (0..16).for_each(|_| crash.new.record_end(ResponseEnd::Closed));
+    for _ in 0..16 {
+        crash.new.record_end(ResponseEnd::Closed);
+    }
     assert_eq!(periods_to_verdict(&[outcomes((50, 0), (5, 0), 1), crash]), None);
 }
 
@@ -342,7 +354,7 @@
             if now.is_multiple_of(250) {
                 self.step_leader(&mut draw, faults);
             }
-            self.credit += rate * STEP_MS as f64 / 1_000.0;
+            self.credit += rate * to_f64(STEP_MS) / 1_000.0;
             while self.credit >= 1.0 {
                 self.credit -= 1.0;
                 let index = usize::try_from(draw(count as u64)).unwrap();
@@ -358,7 +370,7 @@
         let now = at(self.now);
         let share = &mut self.nodes[index].1;
         let listed = [version("v1"), version("v2")];
-        let chance = draw(1_000) as f64 / 1_000.0;
+        let chance = to_f64(draw(1_000)) / 1_000.0;
         let avoided = share.avoided(&pool(), &listed, (None, false), chance, now);
         let wants_new = avoided.preferably.contains(&version("v1"));
         let is_new = wants_new && share.take(&pool(), &version("v2"), now);
@@ -455,8 +467,8 @@
     ) {
         let mut model = PoolModel::new(count);
         model.run(rate, bad_from, &faults);
-        let permitted = model.arrivals as f64 * 0.1 + 50.0;
-        prop_assert!(model.exposed as f64 <= permitted, "{} of {}", model.exposed, model.arrivals);
+        let permitted = to_f64(model.arrivals) * 0.1 + 50.0;
+        prop_assert!(to_f64(model.exposed) <= permitted, "{} of {}", model.exposed, model.arrivals);
         if let Some(bad_at) = model.bad_at {
             prop_assert!(model.last_exposed_at <= bad_at + 5_000, "{} after {bad_at}", model.last_exposed_at);
             prop_assert_eq!(model.row.phase, RolloutPhase::RolledBack);
@@ -482,6 +494,6 @@
         let mut model = PoolModel::new(count);
         model.run_to(DURATION_MS / 4, rate, u64::MAX, &faults);
         let (arrivals, exposed) = (model.arrivals, model.exposed);
-        prop_assert!(exposed as f64 >= 0.08 * arrivals as f64, "{exposed} of {arrivals}");
+        prop_assert!(to_f64(exposed) >= 0.08 * to_f64(arrivals), "{exposed} of {arrivals}");
     }
 }
--- a/samphiredeck_wire/src/forward.rs
+++ b/samphiredeck_wire/src/forward.rs
@@ -7,13 +7,14 @@
         load_view::{LoadSums, ViewPage},
         member_list::MemberDelta,
         members::NodeHeartbeat,
+        rollout::{RolloutDirective, RolloutReport},
         store_readers::StoreStatus,
         stream_origins::StreamOrigin,
         suspects::exchange::PublishedSuspects,
         upstream_limit::exchange::SharedLimit,
         upstream_speed::SharedSpeed,
     },
-    ids::{AttemptKey, PoolName, RowVersion, SuspectKey, UpstreamId, WorkspaceName},
+    ids::{AttemptKey, Incarnation, PoolName, RowVersion, SuspectKey, UpstreamId, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -224,6 +225,8 @@
     Speeds(SpeedMessage),
     /// Message about requests in flight at upstreams. Unknown to earlier builds, which refuse it.
     Loads(LoadMessage),
+    /// Message about a rollout. Unknown to earlier builds, which refuse it.
+    Rollouts(RolloutMessage),
 }
 
 /// Message about the limits that upstreams have named.
@@ -302,6 +305,23 @@
     },
 }
 
+/// Message about the move of a pool to another software version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RolloutMessage {
+    /// Tells the receiver what it may send to the new version, and asks for a report.
+    Direct {
+        /// What the leader tells.
+        directive: RolloutDirective,
+    },
+    /// Replies to [`Direct`](Self::Direct).
+    Report {
+        /// Run of the sender, since counts are those of one run.
+        incarnation: Incarnation,
+        /// Counts of the sender.
+        report: RolloutReport,
+    },
+}
+
 /// Slots of one upstream that a node holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldSlots {
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -5,6 +5,7 @@
         agreed_windows::EraRecord,
         leader::LeaderRecord,
         members::MemberHeartbeat,
+        rollout::phases::RolloutRow,
         stream_origins::PublishedOrigins,
         suspects::exchange::PublishedSuspects,
         usage::{WindowCounts, WindowIndex},
@@ -19,6 +20,8 @@
 pub const SHARED_TABLE: &str = "samphiredeck";
 /// Table of the store that holds the origins of streams.
 pub const ORIGINS_TABLE: &str = "samphiredeck-origins";
+/// Table of the store that holds the rows of rollouts, by pool.
+pub const ROLLOUTS_TABLE: &str = "samphiredeck-rollouts";
 /// Key of the row that names the leader: the one node that acts on behalf of the whole system.
 pub const LEADER_ROW_KEY: &str = "duty";
 /// Key of the row that holds the secret from which the key of the nodes' datagrams is derived.
@@ -109,6 +112,15 @@
     decode_content(value)
 }
 
+/// Decodes a row of [`ROLLOUTS_TABLE`].
+///
+/// # Errors
+///
+/// Returns why the content can't be decoded.
+pub fn decode_rollout(value: &[u8]) -> Result<RolloutRow, RecordError> {
+    decode_content(value)
+}
+
 /// Encodes the content of a row.
 ///
 /// # Errors
--- a/samphiredeck_wire/tests/recorded.rs
+++ b/samphiredeck_wire/tests/recorded.rs
@@ -9,6 +9,7 @@
         clock::ClockOffset,
         load_view::LoadSums,
         members::NodeHeartbeat,
+        rollout::{ExposureCounts, RolloutReport, phases::RolloutPhase},
         store_readers::StoreStatus,
         stream_origins::StreamOrigin,
         suspects::exchange::{PublishedSuspects, SharedProof, SuspectUpdate},
@@ -19,7 +20,8 @@
 };
 use samphiredeck_wire::{
     forward::{
-        ForwardDatagram, LimitMessage, LoadMessage, RelayedMembers, SlotMessage, SpeedMessage,
+        ForwardDatagram, LimitMessage, LoadMessage, RelayedMembers, RolloutMessage, SlotMessage,
+        SpeedMessage,
     },
     tunnel::{TunnelPurpose, TunnelReply, TunnelRequest},
 };
@@ -183,13 +185,24 @@
     let slots = ForwardDatagram::Slots(SlotMessage::Announce { pools });
     let speeds = ForwardDatagram::Speeds(SpeedMessage::Announce { speeds: Vec::new() });
     let loads = ForwardDatagram::Loads(LoadMessage::Node { sums: LoadSums::default() });
+    let report = RolloutReport {
+        pool: "pool".parse().unwrap(),
+        order: RowVersion(7),
+        asked_ms: 5,
+        phase: RolloutPhase::Probing,
+        counts: ExposureCounts::default(),
+        base_in_flight: 0,
+        routes: Vec::new(),
+    };
+    let incarnation = Incarnation(3);
+    let rollouts = ForwardDatagram::Rollouts(RolloutMessage::Report { incarnation, report });
     let count = u8::try_from(DATAGRAMS.len()).unwrap();
-    for (kind, datagram) in (count..).zip([slots, speeds, loads]) {
+    for (kind, datagram) in (count..).zip([slots, speeds, loads, rollouts]) {
         assert_eq!(to_stdvec(&datagram).unwrap()[0], kind);
     }
     let replies = u8::try_from(TUNNEL_REPLIES.len()).unwrap();
     assert_eq!(to_stdvec(&TunnelReply::NoPathToPool).unwrap(), [replies]);
-    for kind in [count + 3, 100, 127] {
+    for kind in [count + 4, 100, 127] {
         from_bytes::<ForwardDatagram>(&[kind, 0, 0, 0]).unwrap_err();
         from_bytes::<TunnelReply>(&[kind, 0, 0, 0]).unwrap_err();
     }
