--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -34,6 +34,7 @@
 mod request_progress;
 mod response_body;
 mod response_scan;
+mod rollout;
 mod send_permit;
 mod serve;
 pub mod settings;
@@ -199,6 +200,8 @@
         store_watch::watch_upstreams,
         shared_rows::sync_shared_rows,
         leader::run_leader,
+        rollout::leader::run_rollouts,
+        rollout::watch_versions,
         stream_versions::announce_origins,
         origin_rows::sync_origins,
         suspect_exchange::announce_suspects,
--- a/samphiredeck/src/forward/admission.rs
+++ b/samphiredeck/src/forward/admission.rs
@@ -17,7 +17,7 @@
 use crate::forward::{
     metrics::AdmissionLabels,
     request::{AdmittedRequest, ErrorResponse, RequestTrace},
-    request_progress::{RequestProgress, unanswered_error},
+    request_progress::{RequestArrival, RequestProgress, unanswered_error},
     state::ForwardState,
 };
 
@@ -32,23 +32,23 @@
     WaitUntil(BootTime),
 }
 
-/// Records what the shares of `admitted` depend on. Called once for each request.
+/// Records a request that has arrived, and returns what its admission depends on.
 pub fn record_arrival(
     state: &mut ForwardState,
     admitted: &AdmittedRequest,
-    progress: &mut RequestProgress,
     now: BootTime,
-) {
+) -> RequestArrival {
     let urgency = (admitted.priority, admitted.route.latency_target);
-    (progress.rank, progress.pool_target) = state.urgencies.record(&admitted.pool, urgency, now);
-    if let Some(stated) = admitted.metadata.deadline {
-        progress.has_returned = state.urgencies.record_deadline(&admitted.route.name, stated);
-    }
-    progress.has_returned |= admitted.metadata.last_event_id.is_some();
+    let (rank, pool_target) = state.urgencies.record(&admitted.pool, urgency, now);
+    let stated = admitted.metadata.deadline;
+    let is_late =
+        stated.is_some_and(|stated| state.urgencies.record_deadline(&admitted.route.name, stated));
     if let (true, Some(workspace)) = (admitted.engine, &admitted.workspace) {
         let tokens = admitted.metadata.tokens.map_or(0, |(prompt, output)| prompt + output);
         state.uses.record(workspace, tokens, now);
     }
+    let has_returned = is_late || admitted.metadata.last_event_id.is_some();
+    RequestArrival { rank, pool_target, has_returned }
 }
 
 /// Decides whether `admitted` is sent to its `placement` at `now`.
@@ -65,6 +65,7 @@
 ) -> Result<AdmissionStep, ErrorResponse> {
     let node = &trace.node;
     let state = node.state();
+    let Some(arrival) = progress.arrival else { return Ok(AdmissionStep::Send) };
     // Without the exchange of loads, a node knows too little of the slots to refuse by them.
     if !state.upstreams.is_exchanged() || placement.wait.queue().is_zero() {
         return Ok(AdmissionStep::Send);
@@ -77,11 +78,11 @@
         age: now.since(trace.arrived_at),
         time_left,
         latency_target: admitted.route.latency_target,
-        pool_target: progress.pool_target,
-        rank: progress.rank,
+        pool_target: arrival.pool_target,
+        rank: arrival.rank,
         is_over_share: workspace
             .is_some_and(|name| state.uses.is_over_share(name, (excess, progress.draw), now)),
-        has_returned: progress.has_returned,
+        has_returned: arrival.has_returned,
         is_refusable: progress.verdict == RunVerdict::NotRun && progress.software.is_none(),
     };
     drop(state);
--- a/samphiredeck/src/forward/request_progress.rs
+++ b/samphiredeck/src/forward/request_progress.rs
@@ -35,6 +35,17 @@
     Tunnel,
 }
 
+/// What admission depends on, as known when a request is placed first.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestArrival {
+    /// Urgency among the requests of its pool.
+    pub rank: UrgencyRank,
+    /// Least latency target among those of its pool that are as urgent or more urgent.
+    pub pool_target: Duration,
+    /// Whether its caller was refused before and has come back.
+    pub has_returned: bool,
+}
+
 /// State of a request over all its attempts.
 #[derive(Debug)]
 pub struct RequestProgress {
@@ -61,14 +72,8 @@
     pub software: Option<SoftwareVersion>,
     /// Place in the queue for upstreams with limits, while the request waits.
     pub ticket: Option<QueueTicket>,
-    /// Whether the request was added to the demand.
-    pub demanded: bool,
-    /// Urgency among the requests of its pool.
-    pub rank: UrgencyRank,
-    /// Least latency target among those of its pool that are as urgent or more urgent.
-    pub pool_target: Duration,
-    /// Whether its caller was refused before and has come back.
-    pub has_returned: bool,
+    /// What admission depends on. `None` until the request was added to the demand.
+    pub arrival: Option<RequestArrival>,
     /// Uniform in 0 to 1. Decides whether the request belongs to those of its kind that are sent in any case.
     pub draw: f64,
     /// Number of engines that crashed while the request waited there for its first event.
@@ -99,10 +104,7 @@
             verdict: RunVerdict::NotRun,
             software,
             ticket: None,
-            demanded: false,
-            rank: UrgencyRank::default(),
-            pool_target: Duration::ZERO,
-            has_returned: false,
+            arrival: None,
             draw: random(),
             crashes_met: 0,
             trial: None,
