--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -370,10 +370,7 @@
         );
         registry.register("in_flight", "Requests being served", metrics.in_flight.clone());
         metrics.store.register(&mut registry);
-        let exceeded = "Requests and responses that ended as too many bytes were held";
-        registry.register("bytes_exceeded", exceeded, metrics.bytes_exceeded.clone());
-        let budget = "Bytes that may be held for requests and responses";
-        registry.register("byte_budget", budget, metrics.byte_budget.clone());
+        metrics.register_bytes(&mut registry);
         metrics.config.register(&mut registry);
         registry.register("list_age_seconds", "Age of the list", metrics.list_age.clone());
         registry.register("accepting", "Upstreams that take new work", metrics.accepting.clone());
@@ -416,6 +413,13 @@
         Self { registry, ..metrics }
     }
 
+    fn register_bytes(&self, registry: &mut Registry) {
+        let exceeded = "Requests and responses that ended as too many bytes were held";
+        registry.register("bytes_exceeded", exceeded, self.bytes_exceeded.clone());
+        let budget = "Bytes that may be held for requests and responses";
+        registry.register("byte_budget", budget, self.byte_budget.clone());
+    }
+
     /// Encodes all metrics as text.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/samphiredeck_core/src/forward/rollout/version_share.rs
+++ b/samphiredeck_core/src/forward/rollout/version_share.rs
@@ -204,7 +204,6 @@
         let Some(rollout) = &share.rollout else { return AvoidedVersions::default() };
         let directive = &rollout.directive;
         match directive.phase {
-            RolloutPhase::Superseded => return AvoidedVersions::default(),
             RolloutPhase::RolledBack => {
                 let is_barred = |version: &&SoftwareVersion| **version == directive.to;
                 let always = listed.iter().filter(is_barred).cloned().collect();
@@ -215,7 +214,9 @@
                 let preferably = listed.iter().filter(is_old).cloned().collect();
                 return AvoidedVersions { preferably, always: Vec::new() };
             }
-            RolloutPhase::Completed => return AvoidedVersions::default(),
+            RolloutPhase::Completed | RolloutPhase::Superseded => {
+                return AvoidedVersions::default();
+            }
             _ => {}
         }
         if !rollout.permits(now) {
