Even load: dedicated engines cost nothing where prompts that wait are told

Cause: 80 ms, later 10, were added to the wait at engines that are dedicated to long prompts, so that they held up to 7 requests while others held 40.

Change: no such cost where nodes tell each other the prompts that wait, and a preference of 15 ms in place of 6, there alone. Roll-outs: the test of a version that joins without an order is replaced by three: without an order all versions are used, with one the new one gets nothing without a lease, and one that was left gets nothing.

--- a/samphiredeck_core/src/forward/placement.rs
+++ b/samphiredeck_core/src/forward/placement.rs
@@ -61,7 +61,7 @@
 /// upstream that has its shared parts later than its own wait alone would tell.
 const PREFILL_BURDEN: f64 = 1.0;
 /// Range of the preference of a node among upstreams that are alike, in milliseconds.
-const PREFERENCE_MS: f64 = 6.0;
+const PREFERENCE_MS: f64 = 15.0;
 /// Share of the maximum event gap from which the prefill of a prompt stalls concurrent streams for
 /// longer than callers accept.
 const LONG_PREFILL_SHARE: f64 = 0.5;
@@ -74,9 +74,6 @@
 const DEDICATED_POOL_SIZE_MIN: usize = 4;
 /// Cost of a dedicated long-prompt upstream to other requests, in milliseconds.
 const DEDICATED_COST_MS: f64 = 80.0;
-/// The same where nodes tell each other the prompts that wait: a long one then shows in the wait, and dedicated upstreams must
-/// not idle while others are full.
-const DEDICATED_COST_TOLD_MS: f64 = 10.0;
 /// Cost of a non-dedicated upstream to a long prompt, in milliseconds.
 const NON_DEDICATED_COST_MS: f64 = 150.0;
 /// Rendezvous key that selects the dedicated long-prompt upstreams.
@@ -266,10 +263,8 @@
         let mut cost = wait.total().as_secs_f64() * 1_000.0
             + row.failure_rate(now) * FAILURE_COST_MS
             + jitter() * JITTER_MS;
-        if request.engine {
+        if request.engine && registry.is_exchanged() {
             cost += upstream_preference(request.node, &row.entry.id) * PREFERENCE_MS;
-        }
-        if registry.is_exchanged() {
             cost += wait.prefill.as_secs_f64() * 1_000.0 * PREFILL_BURDEN;
         }
         if now < row.warm_up_until {
@@ -290,8 +285,9 @@
         }
         match (long, dedicated.contains(&&row.entry.id)) {
             (true, false) if !dedicated.is_empty() => cost += NON_DEDICATED_COST_MS,
-            (false, true) if registry.is_exchanged() => cost += DEDICATED_COST_TOLD_MS,
-            (false, true) => cost += DEDICATED_COST_MS,
+            // Where nodes tell each other the prompts that wait, a long one shows in the wait, and a dedicated upstream must
+            // not idle while others are full.
+            (false, true) if !registry.is_exchanged() => cost += DEDICATED_COST_MS,
             _ => {}
         }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
--- a/samphiredeck_core/tests/forward_rollout.rs
+++ b/samphiredeck_core/tests/forward_rollout.rs
@@ -73,9 +73,29 @@
     share.avoided(&pool(), &[version("v1"), version("v2")], (None, false), 0.0, now)
 }
 
+/// Guards against callers without upstreams while those of a pool are replaced by another version without an order.
+#[test]
+fn all_versions_may_be_chosen_without_an_order() {
+    let mut share = share_of_v1();
+    share.observe_list(&listed(&[("v1", 5), ("v2", 2)]), at(10));
+    assert_eq!(avoided(&share, at(10)), AvoidedVersions::default());
+    assert!(share.take(&pool(), &version("v2"), at(10)));
+}
+
+/// The counterpart: a version that was left stays out of use, others don't.
+#[test]
+fn version_that_was_rolled_back_gets_nothing() {
+    let mut share = share_of_v1();
+    share.apply_directive(directive(RolloutPhase::RolledBack, None), at(0));
+    assert_eq!(avoided(&share, at(10)).always, [version("v2")]);
+    assert!(!share.take(&pool(), &version("v2"), at(10)));
+    assert!(share.take(&pool(), &version("v1"), at(10)));
+}
+
 #[test]
 fn version_that_joins_gets_nothing_without_a_lease() {
     let mut share = share_of_v1();
+    share.apply_directive(directive(RolloutPhase::Ordered, None), at(5));
     share.observe_list(&listed(&[("v1", 5), ("v2", 2)]), at(10));
     assert_eq!(share.base(&pool()), Some(&version("v1")));
     assert_eq!(avoided(&share, at(10)).always, [version("v2")]);
