Rollout: the time between events is recorded before the state is borrowed

Cause: at the end of a stream of an engine the state of the node was borrowed twice, once for the speed and once for the version. The task panicked and its caller's connection closed: with bounds of exposure in the settings, no long stream was served.

--- a/samphiredeck/src/forward/relay.rs
+++ b/samphiredeck/src/forward/relay.rs
@@ -349,17 +349,20 @@
 
 /// Records the speed at which the response of `source`, which is complete, was generated.
 fn record_speed(admitted: &AdmittedRequest, trace: &RequestTrace, source: &UpstreamStream) {
-    if admitted.engine {
-        let elapsed = clock::now().since(source.first_event_at);
-        let mut state = trace.node.state();
-        state.speeds.speed_mut(&admitted.pool).record_output(admitted.output_tokens(), elapsed);
-        let (events, last_at) = source.later_events;
-        if events >= EVENTS_MIN {
-            let interval = last_at.since(source.first_event_at) / events;
-            source.in_flight.record_gap_time(interval);
-            let (id, started_ms) = (&source.in_flight.upstream, source.in_flight.started_ms);
-            state.upstreams.record_event_interval(id, started_ms, interval, clock::now());
-        }
+    if !admitted.engine {
+        return;
+    }
+    let elapsed = clock::now().since(source.first_event_at);
+    let (events, last_at) = source.later_events;
+    let interval = (events >= EVENTS_MIN).then(|| last_at.since(source.first_event_at) / events);
+    if let Some(interval) = interval {
+        source.in_flight.record_gap_time(interval);
+    }
+    let mut state = trace.node.state();
+    state.speeds.speed_mut(&admitted.pool).record_output(admitted.output_tokens(), elapsed);
+    if let Some(interval) = interval {
+        let (id, started_ms) = (&source.in_flight.upstream, source.in_flight.started_ms);
+        state.upstreams.record_event_interval(id, started_ms, interval, clock::now());
     }
 }
 
