--- a/samphiredeck_core/src/forward/rollout/version_share.rs
+++ b/samphiredeck_core/src/forward/rollout/version_share.rs
@@ -2,7 +2,8 @@
 //!
 //! Upstreams of a new version stay in the list while the leader is lost, the store is unavailable or this node is cut off.
 //! So from an order on, the new version gets nothing without a lease, which expires by this node's own clock. Without an
-//! order, all versions are used: the upstreams of a pool may be replaced one after the other.
+//! order, all versions are used, since the upstreams of a pool may be replaced one after the other: one that has joined gets
+//! requests for some seconds only that no other takes, as an order may not be known yet.
 
 use std::time::Duration;
 
@@ -23,6 +24,10 @@
 /// Time without a message about a rollout under way after which it may have ended: longer than a lost leader is missed.
 const MISSED_END_AFTER: Duration = Duration::from_secs(10);
 
+/// Time for which a version that has joined is left to an order that this node may not know yet. Covers the leader's read of
+/// the order and of the list.
+const JOIN_HOLD: Duration = Duration::from_secs(4);
+
 /// Rollout of a pool, as this node knows it.
 #[derive(Clone, Debug)]
 struct KnownRollout {
@@ -73,9 +78,26 @@
     pool: PoolName,
     /// Version that serves the pool.
     base: SoftwareVersion,
+    /// Other listed versions, with the time at which they were listed first.
+    joined: Vec<(SoftwareVersion, BootTime)>,
     rollout: Option<KnownRollout>,
 }
 
+impl PoolShare {
+    /// Notes which versions beside the one that serves the pool are listed at `now`.
+    fn observe_joined(&mut self, listed: &[ListedVersion], now: BootTime) {
+        let of_pool = listed.iter().filter(|entry| entry.pool == self.pool);
+        let others: Vec<&SoftwareVersion> =
+            of_pool.map(|entry| &entry.software).filter(|version| **version != self.base).collect();
+        self.joined.retain(|(version, _)| others.contains(&version));
+        for version in others {
+            if self.joined.iter().all(|(known, _)| known != version) {
+                self.joined.push((version.clone(), now));
+            }
+        }
+    }
+}
+
 /// Versions that a choice must avoid.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AvoidedVersions {
@@ -162,11 +184,17 @@
             match self.pools.binary_search_by(|share| share.pool.cmp(pool)) {
                 Err(at) => {
                     changes.push((pool.clone(), None, oldest.clone()));
-                    let share = PoolShare { pool: pool.clone(), base: oldest, rollout: None };
+                    let share = PoolShare {
+                        pool: pool.clone(),
+                        base: oldest,
+                        joined: Vec::new(),
+                        rollout: None,
+                    };
                     self.pools.insert(at, share);
                 }
                 Ok(at) => {
                     let share = &mut self.pools[at];
+                    share.observe_joined(listed, now);
                     let is_listed =
                         |entry: &ListedVersion| entry.pool == *pool && entry.software == share.base;
                     let is_barred = share.rollout.as_ref().is_some_and(|rollout| {
@@ -201,7 +229,11 @@
         };
         let base_only = without(&[&share.base]);
         // Upstreams may be replaced by those of another version without an order.
-        let Some(rollout) = &share.rollout else { return AvoidedVersions::default() };
+        let Some(rollout) = &share.rollout else {
+            let held = share.joined.iter().filter(|(_, at)| now.since(*at) < JOIN_HOLD);
+            let preferably = held.map(|(version, _)| version.clone()).collect();
+            return AvoidedVersions { preferably, always: Vec::new() };
+        };
         let directive = &rollout.directive;
         match directive.phase {
             RolloutPhase::RolledBack => {
@@ -346,7 +378,7 @@
             Ok(at) => at,
             Err(at) => {
                 let (pool, base) = (directive.pool.clone(), directive.base.clone());
-                self.pools.insert(at, PoolShare { pool, base, rollout: None });
+                self.pools.insert(at, PoolShare { pool, base, joined: Vec::new(), rollout: None });
                 at
             }
         };
