Wait: running requests count, also where prompts that wait are told

Cause: with no prompt told to wait, an engine with 15 running requests looked like one with 2, and was filled beyond its slots before the next view.

Change: the backlog is at least what running requests are assumed to have. Roll-outs: a version that is not noted yet counts as just joined.

--- a/samphiredeck_core/src/forward/rollout/version_share.rs
+++ b/samphiredeck_core/src/forward/rollout/version_share.rs
@@ -230,8 +230,12 @@
         let base_only = without(&[&share.base]);
         // Upstreams may be replaced by those of another version without an order.
         let Some(rollout) = &share.rollout else {
-            let held = share.joined.iter().filter(|(_, at)| now.since(*at) < JOIN_HOLD);
-            let preferably = held.map(|(version, _)| version.clone()).collect();
+            // One that is not noted yet has just joined.
+            let is_held = |version: &&SoftwareVersion| {
+                let known = share.joined.iter().find(|(known, _)| known == *version);
+                **version != share.base && known.is_none_or(|(_, at)| now.since(*at) < JOIN_HOLD)
+            };
+            let preferably = listed.iter().filter(is_held).cloned().collect();
             return AvoidedVersions { preferably, always: Vec::new() };
         };
         let directive = &rollout.directive;
--- a/samphiredeck_core/src/forward/wait_estimate.rs
+++ b/samphiredeck_core/src/forward/wait_estimate.rs
@@ -69,7 +69,9 @@
         // Slots are freed as runs end. Prefills take turns, so a run can't begin sooner than the prompt before is computed.
         let turn_ms = (run_ms / self.slots).max(prompt_ms);
         let assumed = running * PREFILL_SHARE * speed.prompt_tokens();
-        let backlog_tokens = self.own_pending + self.other_pending.unwrap_or(assumed);
+        // Prompts that are told to wait may be none: the more requests run, the sooner the next ones fill the upstream.
+        let others = self.other_pending.unwrap_or(0.0).max(assumed);
+        let backlog_tokens = self.own_pending + others;
         let factor = self.time_factor;
         WaitEstimate {
             slot: millis(queued * turn_ms * factor),
