Stop: the last moment at which a request is taken is a time, not two sleeps

Cause: the node took requests for 2.6 s after the signal, and 0.5 s longer on each connection, from the turn at which its task woke. Both slide on a busy node, and neither was compared with the clock when a request was admitted.

Change: StopSchedule holds the moments of a stop as times of the clock that includes time spent suspended. A request that is received after the notice to the load balancer is taken only if its deadline passes before the end, and refused at once as not run otherwise. A log line, stop-refused, tells when it was received, when it was checked and what was expected.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -43,6 +43,7 @@
 mod slot_exchange;
 mod speed_exchange;
 mod state;
+mod stop_checks;
 mod store_returns;
 mod store_status;
 mod store_watch;
@@ -70,11 +71,12 @@
 
 use actix_web::rt::{System, spawn};
 use eyre::WrapErr;
+use samphiredeck_core::{boot_time::BootTime, forward::stop_schedule::StopSchedule};
 use serde_json::json;
 use tokio::{
     select,
     signal::unix::{Signal, SignalKind, signal},
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 use crate::forward::{
@@ -85,13 +87,6 @@
     upstream_response::RESPONSE_BYTES_MAX,
 };
 
-/// Time for which a stopping node keeps accepting connections. The load balancer probes once a
-/// second and removes a node after two failed probes.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
-/// Part of the grace period left unused, so that the process exits before it is killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(1_200);
-/// Time for which a stopping node answers the requests that its upstreams have not responded to.
-const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Poll interval while draining.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(40);
 /// Interval of connection cleanup and gauge updates.
@@ -278,34 +273,41 @@
 
 /// Shuts down in order: reports not ready, stops accepting, then waits for running requests.
 async fn stop(node: &Rc<ForwardNode>) {
-    let grace = node.settings().bounds.grace.to_duration().saturating_sub(GRACE_MARGIN);
-    let started_at = clock::now();
+    let schedule = StopSchedule::new(clock::now(), node.settings().bounds.grace.to_duration());
     let running = || node.metrics.in_flight.get();
-    node.log.record("stop", json!({ "running": running(), "grace_ms": grace.as_millis() }));
-    let ends_at = started_at + grace.saturating_sub(ANSWER_TIME);
-    node.ends_at.set(Some(ends_at));
+    let after = |at: BootTime| at.since(schedule.signalled_at).as_millis();
+    let fields = json!({
+        "running": running(), "admits_ms": after(schedule.admits_until),
+        "answers_ms": after(schedule.answers_at), "ends_ms": after(schedule.ends_at),
+    });
+    node.log.record("stop", fields);
+    node.stop_schedule.set(Some(schedule));
     node.phase.send_replace(ShutdownPhase::Draining);
-    sleep(BALANCER_NOTICE.min(grace / 2)).await;
+    wait_until(schedule.closes_at, || false).await;
     node.phase.send_replace(ShutdownPhase::Closing);
     // A connection stays open until its caller has received the last response.
     let is_drained = || running() == 0 && node.open_connections() == 0 && node.open_tunnels() == 0;
-    while !is_drained() && clock::now() < ends_at {
-        sleep(DRAIN_POLL_PERIOD).await;
-    }
-    let (in_order, unanswered) = (is_drained(), running());
+    let in_order = wait_until(schedule.answers_at, is_drained).await;
+    let unanswered = running();
     if !in_order {
         node.phase.send_replace(ShutdownPhase::Ending);
-        let answered = async {
-            while !is_drained() {
-                sleep(DRAIN_POLL_PERIOD).await;
-            }
-        };
-        drop(timeout(ANSWER_TIME, answered).await);
+        wait_until(schedule.ends_at, is_drained).await;
     }
     shared_rows::publish_final_counts(node).await;
     let fields = json!({
         "running": running(), "in_order": in_order, "unanswered": unanswered,
-        "after_ms": clock::now().since(started_at).as_millis(),
+        "after_ms": after(clock::now()),
     });
     node.log.record("stopped", fields);
 }
+
+/// Waits until `is_done`, or until `at` on the clock that includes time spent suspended. Returns the last result of `is_done`.
+async fn wait_until(at: BootTime, is_done: impl Fn() -> bool) -> bool {
+    loop {
+        let left = at.since(clock::now());
+        if is_done() || left.is_zero() {
+            return is_done();
+        }
+        sleep(left.min(DRAIN_POLL_PERIOD)).await;
+    }
+}
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -116,8 +116,8 @@
     // read yet.
     let closing = async {
         _ = closing.await;
-        let ends_at = node.ends_at.get().unwrap_or_else(clock::now);
-        sleep(LAST_REQUEST_WAIT.min(ends_at.since(clock::now()) / 2)).await;
+        let answers_at = node.stop_schedule.get().map_or_else(clock::now, |stop| stop.answers_at);
+        sleep(LAST_REQUEST_WAIT.min(answers_at.since(clock::now()) / 2)).await;
     };
     select! {
         ended = connection.as_mut() => drop(ended),
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -11,7 +11,8 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
-        byte_budget::ByteBudget, descriptor_shares::DescriptorShares, store_eras::StoreEras,
+        byte_budget::ByteBudget, descriptor_shares::DescriptorShares, stop_schedule::StopSchedule,
+        store_eras::StoreEras,
     },
     ids::{Incarnation, UpstreamId},
 };
@@ -97,8 +98,8 @@
     /// Cloned by each open tunnel of another node.
     pub tunnels: Rc<()>,
     pub phase: watch::Sender<ShutdownPhase>,
-    /// Time by which requests must have ended, once the node is stopping.
-    pub ends_at: Cell<Option<BootTime>>,
+    /// Moments of the stop, once the node is stopping.
+    pub stop_schedule: Cell<Option<StopSchedule>>,
     pub started_at: BootTime,
     /// Cloned by each open connection of a caller.
     pub caller_connections: Rc<()>,
@@ -133,7 +134,7 @@
             path_lost: Notify::new(),
             tunnels: Rc::new(()),
             phase: watch::Sender::new(ShutdownPhase::Serving),
-            ends_at: Cell::new(None),
+            stop_schedule: Cell::new(None),
             started_at: clock::now(),
             caller_connections: Rc::new(()),
             descriptors: DescriptorShares::of(getrlimit(Resource::Nofile).current),
@@ -180,14 +181,6 @@
         }
     }
 
-    /// Whether a request of `route` that arrives at `now` is not expected to end before this node does. Unless it is known how
-    /// long requests of the route take, it is.
-    pub fn ends_before(&self, route: &str, now: BootTime) -> bool {
-        let Some(ends_at) = self.ends_at.get() else { return false };
-        let expected = self.state().durations.expected(route).unwrap_or_default();
-        now + expected >= ends_at
-    }
-
     /// Number of open connections of callers.
     pub fn open_connections(&self) -> usize {
         Rc::strong_count(&self.caller_connections) - 1
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -36,6 +36,7 @@
     request::{AdmittedRequest, ErrorResponse, RequestTrace, with_jitter},
     request_progress::{ENDING_REASON, ENDING_RETRY_DELAY, RequestProgress, ending_error},
     response_body::ResponseBody,
+    stop_checks::check_stop,
     stream_versions::resolve_origin,
     upstream_response::UpstreamResponse,
 };
@@ -103,13 +104,11 @@
         return Err(ErrorResponse::not_retryable(StatusCode::NOT_FOUND, "no route"));
     };
     trace.route.clone_from(&route.name);
-    if node.ends_before(&route.name, clock::now()) {
-        return Err(ErrorResponse::not_executed(ENDING_REASON, ENDING_RETRY_DELAY));
-    }
-    let workspace = find_workspace(&catalog, &route, &metadata)?;
-    trace.workspace = workspace.map(|row| row.name.to_string()).unwrap_or_default();
     let time_limit = metadata.deadline.unwrap_or(TIME_LIMIT_DEFAULT);
     let deadline = trace.arrived_at + time_limit.min(route.timeout);
+    check_stop(trace, clock::now(), deadline)?;
+    let workspace = find_workspace(&catalog, &route, &metadata)?;
+    trace.workspace = workspace.map(|row| row.name.to_string()).unwrap_or_default();
     let (body, buffered) = read_body(&node, &catalog, payload, deadline).await?;
     let origin = resolve_origin(trace, &route, &metadata).await?;
     let tokens = metadata.tokens.map(|(prompt, output)| prompt + output);
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -39,6 +39,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod route_durations;
+pub mod stop_schedule;
 pub mod store_eras;
 pub mod store_readers;
 pub mod stream_origins;
