Stop: margins follow the grace period

With a grace period of 6 s streams were cut off after 4.8 s, with one of 3 s after 1.8 s: before the last sixth, in which alone a response may be cut off.

Cause: a margin of 1.2 s at the end, whatever the period is.

Change: 15 in 100 of the period are left unused, 1.2 s at most (8 s: as before). Requests are answered, new work taken and connections accepted for shares of the rest where it is short. The publication of final counts is bounded by half of the time that is left.

stop_moments::streams_are_cut_off_late_in_each_grace_period (3, 5, 6, 10 s) and forward_stop_schedule::responses_are_cut_off_in_the_last_sixth_of_each_grace_period failed before and pass.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -76,7 +76,7 @@
 use tokio::{
     select,
     signal::unix::{Signal, SignalKind, signal},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::forward::{
@@ -293,7 +293,10 @@
         node.phase.send_replace(ShutdownPhase::Ending);
         wait_until(schedule.ends_at, is_drained).await;
     }
-    shared_rows::publish_final_counts(node).await;
+    let time_left = schedule.killed_at.since(clock::now()) / 2;
+    if timeout(time_left, shared_rows::publish_final_counts(node)).await.is_err() {
+        node.log.record("counts-unpublished", json!({ "reason": "no time left" }));
+    }
     let fields = json!({
         "running": running(), "in_order": in_order, "unanswered": unanswered,
         "after_ms": after(clock::now()),
--- a/samphiredeck_core/src/forward/stop_schedule.rs
+++ b/samphiredeck_core/src/forward/stop_schedule.rs
@@ -14,10 +14,18 @@
 /// Time for which a stopping node takes new work. The load balancer probes once a second and removes a node after two
 /// failed probes. Callers may be cut off only if they sent within 3 s after the signal, which a busy node may handle late.
 const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
-/// Part of the grace period left unused, so that the process exits before it is killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(1_200);
-/// Time for which a stopping node answers the requests that its upstreams have not responded to.
-const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Maximum part of the grace period left unused, so that the process exits before it is killed.
+const GRACE_MARGIN_MAX: Duration = Duration::from_millis(1_200);
+/// Share of the grace period left unused. Callers may be cut off only in the last sixth of it.
+const GRACE_MARGIN_SHARE: f64 = 0.15;
+/// Maximum time for which a stopping node answers the requests that its upstreams have not responded to.
+const ANSWER_TIME_MAX: Duration = Duration::from_millis(400);
+/// Share of the used part of the grace period for it.
+const ANSWER_SHARE: f64 = 0.08;
+/// Share of the used part of the grace period for which new work is taken, if that is less than the notice.
+const ADMITTING_SHARE: f64 = 0.5;
+/// Share of the used part of the grace period for which connections are accepted, if that is less than the notice.
+const ACCEPTING_SHARE: f64 = 0.75;
 
 /// Request at a stopping node that has not been sent to an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -51,13 +59,13 @@
     /// Schedule of a node that has received the signal at `signalled_at` and is killed after `grace`.
     #[must_use]
     pub fn new(signalled_at: BootTime, grace: Duration) -> Self {
-        let used = grace.saturating_sub(GRACE_MARGIN);
-        let notice = BALANCER_NOTICE.min(used / 2);
+        let used = grace.saturating_sub(GRACE_MARGIN_MAX.min(grace.mul_f64(GRACE_MARGIN_SHARE)));
+        let answer_time = ANSWER_TIME_MAX.min(used.mul_f64(ANSWER_SHARE));
         Self {
             signalled_at,
-            admits_until: signalled_at + notice,
-            closes_at: signalled_at + notice,
-            answers_at: signalled_at + used.saturating_sub(ANSWER_TIME).max(notice),
+            admits_until: signalled_at + BALANCER_NOTICE.min(used.mul_f64(ADMITTING_SHARE)),
+            closes_at: signalled_at + BALANCER_NOTICE.min(used.mul_f64(ACCEPTING_SHARE)),
+            answers_at: signalled_at + used.saturating_sub(answer_time),
             ends_at: signalled_at + used,
             killed_at: signalled_at + grace,
         }
--- a/samphiredeck_core/tests/forward_stop_schedule.rs
+++ b/samphiredeck_core/tests/forward_stop_schedule.rs
@@ -68,3 +68,20 @@
         assert!(admits_until.since(signalled_at) <= Duration::from_millis(2_600), "{millis}");
     }
 }
+
+/// Guards against streams that are cut off before the last sixth of a grace period, and against a process that is killed before
+/// it has published its counts.
+#[test]
+fn responses_are_cut_off_in_the_last_sixth_of_each_grace_period() {
+    for millis in (500..40_000).step_by(97) {
+        let grace = Duration::from_millis(millis);
+        let schedule = StopSchedule::new(SIGNALLED_AT, grace);
+        assert!(schedule.ends_at.since(SIGNALLED_AT) >= grace * 5 / 6, "{grace:?}: {schedule:?}");
+        let left = schedule.killed_at.since(schedule.ends_at);
+        assert!(left >= (grace / 8).min(Duration::from_secs(1)), "{grace:?}: {schedule:?}");
+        let notice = schedule.closes_at.since(SIGNALLED_AT);
+        assert!(notice >= (grace * 3 / 5).min(Duration::from_millis(2_600)), "{grace:?}");
+        let answering = schedule.ends_at.since(schedule.answers_at);
+        assert!(answering >= (grace / 20).min(Duration::from_millis(400)), "{grace:?}");
+    }
+}
