Stop: the time that is left is checked up to the send

At a stopping node, streams whose upload ended 3.4 s after the signal were passed on and cut off, and requests that waited for a limited upstream were passed on when their turn came, with too little time to end.

Cause: the time that is left was compared once, when the head had arrived.

Change: it is compared again when the body is complete, at each look for an upstream, with the wait that the limits and slots foretell, and right before the send. A request whose turn comes too late is refused as soon as that is known. One that may have run is not refused.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -34,6 +34,7 @@
     send_permit::PermitLease,
     serve::unknown_key,
     silent_upstream::{ExchangeEnd, LeftUpstream, SendEnd, SentRequest, receive_or_replace},
+    stop_checks::{check_placed, check_waiting},
     stream_versions::record_origin,
     suspect_checks::{barring_reason, check_suspects, handle_closed, record_proof},
     upstream_choice::{PlaceDecision, place, pool_retry_delay, record_misdirection},
@@ -93,6 +94,7 @@
         let placement = match place(admitted, progress, trace, now, time_left)? {
             PlaceDecision::Send(placement) => placement,
             PlaceDecision::Hold(until) => {
+                check_waiting(admitted, progress, trace, until.since(now))?;
                 select! {
                     () = node.request_ended.notified() => {}
                     () = sleep(until.since(now)) => {}
@@ -100,10 +102,12 @@
                 continue;
             }
             PlaceDecision::Wait { forecast, ahead } => {
+                check_waiting(admitted, progress, trace, forecast.after(ahead).since(now))?;
                 wait_for_turn(admitted, progress, trace, forecast, ahead).await?;
                 continue;
             }
         };
+        check_placed(admitted, progress, trace, &placement)?;
         if progress.attempts > 0 || !progress.misdirected.is_empty() {
             if !node.state().retry_budget.take(&admitted.pool, now) {
                 return Err(unanswered_error(progress, "no budget for another send", time_left));
@@ -228,7 +232,9 @@
         progress.connected = Some(kind);
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
-        let reason = withdrawal_reason(admitted, node, &permit, &in_flight);
+        let late = check_placed(admitted, progress, trace, placement).err();
+        let reason = late.map(|refusal| refusal.reason);
+        let reason = reason.or_else(|| withdrawal_reason(admitted, node, &permit, &in_flight));
         if let Some(reason) = reason {
             node.keep_connection(&placement.upstream, connection, None);
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -166,6 +166,8 @@
     pub priority: u8,
     /// Time by which the response must be complete.
     pub deadline: BootTime,
+    /// Time at which the whole request had been received.
+    pub received_at: BootTime,
     /// Version of the configuration that the request was admitted under.
     pub config_version: u64,
 }
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -110,6 +110,8 @@
     let workspace = find_workspace(&catalog, &route, &metadata)?;
     trace.workspace = workspace.map(|row| row.name.to_string()).unwrap_or_default();
     let (body, buffered) = read_body(&node, &catalog, payload, deadline).await?;
+    let received_at = clock::now();
+    check_stop(trace, received_at, deadline)?;
     let origin = resolve_origin(trace, &route, &metadata).await?;
     let tokens = metadata.tokens.map(|(prompt, output)| prompt + output);
     let reservation = reserve_quota(trace, workspace, tokens).await?;
@@ -134,6 +136,7 @@
         workspace: workspace_name,
         priority: workspace.and_then(|row| row.priority).unwrap_or(route.priority),
         deadline,
+        received_at,
         config_version: catalog.version().0,
         pool: pool_name,
         metadata,
--- a/samphiredeck/src/forward/stop_checks.rs
+++ b/samphiredeck/src/forward/stop_checks.rs
@@ -1,14 +1,21 @@
 //! Refuses requests that a stopping node can't serve to their end.
+//!
+//! A request may be received slowly, wait for a limit or a slot, or be refused by an upstream, so the time that is left is
+//! checked at each of these steps, up to the send.
 
 use std::time::Duration;
 
-use samphiredeck_core::{boot_time::BootTime, forward::stop_schedule::LateRequest};
+use samphiredeck_core::{
+    boot_time::BootTime,
+    forward::{placement::Placement, stop_schedule::LateRequest},
+    verdict::RunVerdict,
+};
 use serde_json::json;
 
 use crate::forward::{
     clock,
-    request::{ErrorResponse, RequestTrace},
-    request_progress::{ENDING_REASON, ENDING_RETRY_DELAY},
+    request::{AdmittedRequest, ErrorResponse, RequestTrace},
+    request_progress::{ENDING_REASON, ENDING_RETRY_DELAY, RequestProgress},
 };
 
 /// Checks that this node still takes a request whose last byte was received at `received_at`, and whose response must be
@@ -22,10 +29,57 @@
     received_at: BootTime,
     deadline: BootTime,
 ) -> Result<(), ErrorResponse> {
-    let node = &trace.node;
-    let Some(schedule) = node.stop_schedule.get() else { return Ok(()) };
+    let expected = trace.node.state().durations.expected(&trace.route);
+    check_expected(trace, received_at, deadline, expected)
+}
+
+/// Checks that `admitted` may still be sent after a wait of `wait`. A request that may have run is not checked: it can't be
+/// refused any more.
+///
+/// # Errors
+///
+/// Returns the refusal, as [`check_stop`] does.
+pub fn check_waiting(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    trace: &RequestTrace,
+    wait: Duration,
+) -> Result<(), ErrorResponse> {
+    if progress.verdict != RunVerdict::NotRun {
+        return Ok(());
+    }
+    let expected = trace.node.state().durations.expected(&trace.route);
+    let expected = expected.map_or(wait, |time| time + wait);
+    check_expected(trace, admitted.received_at, admitted.deadline, Some(expected))
+}
+
+/// Checks that `admitted` may be sent to its `placement` now.
+///
+/// # Errors
+///
+/// Returns the refusal, as [`check_stop`] does.
+pub fn check_placed(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    trace: &RequestTrace,
+    placement: &Placement,
+) -> Result<(), ErrorResponse> {
+    if progress.verdict != RunVerdict::NotRun || trace.node.stop_schedule.get().is_none() {
+        return Ok(());
+    }
+    let expected = trace.node.state().durations.expected(&trace.route);
+    let expected = expected.max(Some(placement.wait.total()));
+    check_expected(trace, admitted.received_at, admitted.deadline, expected)
+}
+
+fn check_expected(
+    trace: &RequestTrace,
+    received_at: BootTime,
+    deadline: BootTime,
+    expected: Option<Duration>,
+) -> Result<(), ErrorResponse> {
+    let Some(schedule) = trace.node.stop_schedule.get() else { return Ok(()) };
     let now = clock::now();
-    let expected = node.state().durations.expected(&trace.route);
     if schedule.admits(&LateRequest { received_at, deadline, expected }, now) {
         return Ok(());
     }
@@ -35,6 +89,6 @@
         "received_ms": millis(received_at.since(schedule.signalled_at)),
         "left_ms": millis(deadline.since(now)), "expected_ms": expected.map(millis),
     });
-    node.log.record("stop-refused", fields);
+    trace.node.log.record("stop-refused", fields);
     Err(ErrorResponse::not_executed(ENDING_REASON, ENDING_RETRY_DELAY))
 }
