Stop: a generation is expected to take what its tokens need

A stopping node passed on a stream that stated 400 output tokens, 16 s at the speed of its pool, and cut it off, since the streams of its route had taken half a second until then.

Cause: only the last 32 requests of the route were asked, nine in ten of them. They tell nothing of a request that is much longer, and a node that has just started knows none.

Change: the time of a request to an engine is at least the expected wait and the time that its pool takes for the tokens that it states.

stop_moments::long_generations_are_told_by_their_tokens failed before and passes; a short stream of the same route is served in it.

--- a/samphiredeck/src/forward/stop_checks.rs
+++ b/samphiredeck/src/forward/stop_checks.rs
@@ -68,10 +68,24 @@
         return Ok(());
     }
     let expected = trace.node.state().durations.expected(&trace.route);
-    let expected = expected.max(Some(placement.wait.total()));
+    let expected = expected.max(generation_time(admitted, trace, placement));
     check_expected(trace, admitted.received_at, admitted.deadline, expected)
 }
 
+/// Time that an engine takes for all tokens that `admitted` permits. `None` if the request does not state them.
+fn generation_time(
+    admitted: &AdmittedRequest,
+    trace: &RequestTrace,
+    placement: &Placement,
+) -> Option<Duration> {
+    let (_, output_tokens) = admitted.metadata.tokens.filter(|_| admitted.engine)?;
+    let interval_ms = trace.node.state().speeds.speed(&admitted.pool).token_interval_ms();
+    #[expect(clippy::cast_precision_loss, reason = "responses have far fewer tokens")]
+    let millis = output_tokens as f64 * interval_ms;
+    let generation = Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or(Duration::MAX);
+    Some(placement.wait.total().saturating_add(generation))
+}
+
 fn check_expected(
     trace: &RequestTrace,
     received_at: BootTime,
