Stop: the length of a generation is the estimate that its pool's speed is measured by

Cause: the most tokens that a request permits, times an interval that is measured against the estimate of callers, which is lower.

Change: the same estimate in both.

--- a/samphiredeck/src/forward/stop_checks.rs
+++ b/samphiredeck/src/forward/stop_checks.rs
@@ -72,13 +72,15 @@
     check_expected(trace, admitted.received_at, admitted.deadline, expected)
 }
 
-/// Time that an engine takes for all tokens that `admitted` permits. `None` if the request does not state them.
+/// Time that an engine is expected to take for `admitted`, by the number of its tokens. `None` if the request does not state it.
 fn generation_time(
     admitted: &AdmittedRequest,
     trace: &RequestTrace,
     placement: &Placement,
 ) -> Option<Duration> {
-    let (_, output_tokens) = admitted.metadata.tokens.filter(|_| admitted.engine)?;
+    admitted.metadata.tokens.filter(|_| admitted.engine)?;
+    // The interval is measured against the same estimate.
+    let output_tokens = admitted.output_tokens();
     let interval_ms = trace.node.state().speeds.speed(&admitted.pool).token_interval_ms();
     #[expect(clippy::cast_precision_loss, reason = "responses have far fewer tokens")]
     let millis = output_tokens as f64 * interval_ms;
