Usage: names of workspaces outlive the configuration and the processes that read it

Cause: identifiers of long names are hashes, whose text only a process that has read a configuration with it knows, and the report sent the identifier where it knew no text. So did X-Tenant, the address of a rollout's status and the holder of a duty.

Change: nothing is sent under an identifier. Agreed counts of such workspaces hold the names in place of the identifiers, so that they are repeated exactly; builds that can't read them report none of these windows, and counts agreed on without names are not repeated. The nodes that read the store keep the names in rows of their own, which a leader reads for counts of workspaces that it does not know.

Rows of deployments without such names are unchanged, byte for byte (usage_rows).

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -19,6 +19,7 @@
 mod limit_queue;
 mod load_exchange;
 mod metrics;
+mod name_rows;
 mod node;
 mod operator;
 mod origin_rows;
--- a/samphiredeck/src/forward/agreed_rows.rs
+++ b/samphiredeck/src/forward/agreed_rows.rs
@@ -9,7 +9,8 @@
 };
 use samphiredeck_platform::store::{StoreRows, StoreTransaction, TransactionOutcome};
 use samphiredeck_wire::record::{
-    ERA_ROW_KEY, RecordError, SharedRecord, decode_record, encode_record, usage_key,
+    AgreedUsage, ERA_ROW_KEY, RecordError, SharedRecord, decode_record, encode_record,
+    encode_usage, usage_key,
 };
 use serde_json::json;
 
@@ -43,7 +44,8 @@
             node.log.record("era-begun", json!({ "era": era.0, "start_ms": start_ms }));
         }
     }
-    let stored: Vec<WindowIndex> = decode_usage(response).map(|counts| counts.window).collect();
+    let stored: Vec<WindowIndex> =
+        decode_usage(response).map(|usage| usage.counts.window).collect();
     let lost: Vec<WindowCounts> = {
         let state = node.state();
         let lost = state.agreed_windows.find_lost(&stored).into_iter();
@@ -51,7 +53,8 @@
     };
     for counts in lost {
         let key = (usage_key(counts.window), RowVersion(0));
-        if write_row(node, client, key, encode_record(&counts)).await? {
+        let value = encode_usage(&counts, &node.state().names);
+        if write_row(node, client, key, value).await? {
             let fields = json!({
                 "window": counts.window.0, "requests": counts.total(), "digest": counts.digest(),
                 "era": era.0,
@@ -66,8 +69,10 @@
 /// the store's.
 fn record_rows(node: &ForwardNode, response: &StoreRows) -> Option<RowVersion> {
     let mut state = node.state();
-    for counts in decode_usage(response) {
-        if !state.agreed_windows.record(&counts) {
+    for usage in decode_usage(response) {
+        let counts = &usage.counts;
+        state.names.merge(&usage.names);
+        if !state.agreed_windows.record(counts, usage.is_named()) {
             let fields = json!({ "window": counts.window.0, "digest": counts.digest() });
             node.log.record_once_a_minute("usage-disputed", "usage", fields);
         }
@@ -87,9 +92,9 @@
 }
 
 /// Committed usage in the rows. Rows that can't be decoded are logged with the other shared rows.
-fn decode_usage(response: &StoreRows) -> impl Iterator<Item = WindowCounts> {
+fn decode_usage(response: &StoreRows) -> impl Iterator<Item = AgreedUsage> {
     response.rows.iter().filter_map(|row| match decode_record(&row.key, row.value.as_deref()?) {
-        Ok(Some(SharedRecord::Usage(counts))) => Some(counts),
+        Ok(Some(SharedRecord::Usage(usage))) => Some(usage),
         _ => None,
     })
 }
--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to upstreams until one responds or no further attempt is permitted.
 
-use std::{borrow::Cow, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -14,8 +14,7 @@
         placement::Placement,
         upstream_list::ListedUpstream,
     },
-    ids::{KeyHash, UpstreamId, WorkspaceName},
-    name_text::NameTexts,
+    ids::{KeyHash, UpstreamId},
     verdict::RunVerdict,
 };
 use samphiredeck_platform::headers::{ForwardMetadata, encode_forward_headers};
@@ -136,16 +135,7 @@
             admitted.route.retry_policy,
             attempts_left,
         );
-        let fields = json!({
-            "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
-            "connected": progress.connected.map(|kind| format!("{kind:?}")), "pool": admitted.pool.as_str(),
-            "heard_ms": node.state().upstream_heard_at.map(|at| clock::now().since(at).as_millis()),
-            "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
-            "closed": failure.closed, "parts": admitted.shared_part_ids(),
-            "key": admitted.key.to_string(), "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
-            "sent": progress.attempts, "age_ms": trace.age_ms(),
-        });
-        node.log.record("send-failed", fields);
+        log_failure(admitted, progress, trace, &placement, &failure, step);
         let time_left = admitted.deadline.since(clock::now());
         match (step, failure.response) {
             (NextStep::SendAgain, _) => {}
@@ -169,6 +159,27 @@
     }
 }
 
+fn log_failure(
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    trace: &RequestTrace,
+    placement: &Placement,
+    failure: &SendFailure,
+    step: NextStep,
+) {
+    let node = &trace.node;
+    let fields = json!({
+        "request": trace.attempt_id, "upstream": placement.upstream.as_str(),
+        "connected": progress.connected.map(|kind| format!("{kind:?}")), "pool": admitted.pool.as_str(),
+        "heard_ms": node.state().upstream_heard_at.map(|at| clock::now().since(at).as_millis()),
+        "outcome": format!("{:?}", failure.outcome), "reason": failure.reason,
+        "closed": failure.closed, "parts": admitted.shared_part_ids(),
+        "key": admitted.key.to_string(), "verdict": progress.verdict.to_string(), "next": format!("{step:?}"),
+        "sent": progress.attempts, "age_ms": trace.age_ms(),
+    });
+    node.log.record("send-failed", fields);
+}
+
 /// Checks that the key of a request that has waited since its admission was not revoked meanwhile.
 fn check_key(admitted: &AdmittedRequest, node: &ForwardNode) -> Result<(), ErrorResponse> {
     let catalog = node.state().catalog.clone();
@@ -184,17 +195,14 @@
 /// Builds the request for the upstream of `placement`.
 fn build_request(
     admitted: &AdmittedRequest,
-    names: &NameTexts,
     placement: &Placement,
     time_left: Duration,
     resume: Option<ResumePoint>,
 ) -> Request<Full<Bytes>> {
-    let workspace = admitted.workspace.as_ref().map(WorkspaceName::as_str);
-    let workspace = workspace.map(|name| names.text_of(name).unwrap_or(Cow::Borrowed(name)));
     let fields = ForwardMetadata {
         upstream: &placement.upstream,
         remaining: time_left,
-        workspace: workspace.as_deref(),
+        workspace: admitted.workspace_text.as_deref(),
         priority: admitted.priority,
         last_event_id: resume.and_then(|point| point.last_id),
     };
@@ -233,14 +241,12 @@
         let sent_at = clock::now();
         in_flight.sent_at = sent_at;
         let late = check_placed(admitted, progress, trace, placement).err();
-        let reason = late.map(|refusal| refusal.reason);
-        let reason = reason.or_else(|| withdrawal_reason(admitted, node, &permit, &in_flight));
-        if let Some(reason) = reason {
+        if let Some(reason) = withdrawal_reason(admitted, node, &permit, &in_flight, late) {
             node.keep_connection(&placement.upstream, connection, None);
             return Err(SendFailure::new(SendOutcome::Withdrawn, reason));
         }
         let time_left = admitted.deadline.since(sent_at);
-        let request = build_request(admitted, &node.state().names, placement, time_left, resume);
+        let request = build_request(admitted, placement, time_left, resume);
         record_sent(progress, &mut permit, &placement.upstream);
         let exchange =
             exchange(admitted, trace, connection, request, in_flight, resume).boxed_local();
@@ -419,13 +425,17 @@
 
 /// Why the request must not be sent to the upstream of `in_flight` any more, as known after its
 /// connection was opened: the upstream has left, asked for time or named a limit, the request or a part
-/// of it has crashed upstreams, or the configuration may have changed meanwhile.
+/// of it has crashed upstreams, or the configuration may have changed meanwhile. `late` is the refusal of a node that stops.
 fn withdrawal_reason(
     admitted: &AdmittedRequest,
     node: &ForwardNode,
     permit: &PermitLease,
     in_flight: &InFlightRequest,
+    late: Option<ErrorResponse>,
 ) -> Option<&'static str> {
+    if let Some(refusal) = late {
+        return Some(refusal.reason);
+    }
     let now = in_flight.sent_at;
     if !permit.permits_send() {
         return Some(LIMIT_REASON);
--- a/samphiredeck/src/forward/leader.rs
+++ b/samphiredeck/src/forward/leader.rs
@@ -60,6 +60,8 @@
     /// Fencing token under which `planners` and `reported` were built.
     state_fence: Option<FencingToken>,
     last_order_round: BootTime,
+    /// Time of the last read of the names in the store.
+    names_read_at: BootTime,
     /// Time until which nothing is sent to the platform's API.
     paused_until: BootTime,
 }
@@ -76,6 +78,7 @@
         fence: None,
         state_fence: None,
         last_order_round: BootTime::default(),
+        names_read_at: BootTime::default(),
         paused_until: BootTime::default(),
     };
     // By then most nodes have found a reader, so that only a few contend for the lease.
--- a/samphiredeck/src/forward/leader/capacity_orders.rs
+++ b/samphiredeck/src/forward/leader/capacity_orders.rs
@@ -15,7 +15,9 @@
     },
     ids::{DomainName, PoolName},
 };
-use samphiredeck_platform::orders::{OrderOutcome, decode_outcome, encode_capacity_order};
+use samphiredeck_platform::orders::{
+    OrderOutcome, OrderSender, decode_outcome, encode_capacity_order,
+};
 use serde_json::json;
 
 use crate::forward::clock;
@@ -131,7 +133,8 @@
         let settings = self.node.settings();
         let client = self.orders.as_mut()?;
         let names = self.node.state().names.clone();
-        let result = match encode_capacity_order(&pool.name, order, &names, &settings.name, fence) {
+        let sender = OrderSender { holder: &settings.name, fence, names: &names };
+        let result = match encode_capacity_order(&pool.name, order, &sender) {
             Ok(call) => client.call(call, LEADER_CALL_TIMEOUT).await,
             Err(error) => Err(error.into()),
         };
--- a/samphiredeck/src/forward/leader/usage_reports.rs
+++ b/samphiredeck/src/forward/leader/usage_reports.rs
@@ -1,5 +1,7 @@
 //! Usage reports, which only the leader sends.
 
+use std::time::Duration;
+
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
@@ -7,18 +9,18 @@
         leader::LEADER_CALL_TIMEOUT,
         usage::{REPORT_LOOKBACK, WindowCounts, WindowIndex},
     },
-    ids::RowVersion,
+    ids::{RowVersion, WorkspaceName},
 };
 use samphiredeck_platform::{
-    orders::{OrderOutcome, decode_outcome, encode_usage_report},
+    orders::{OrderOutcome, OrderSender, decode_outcome, encode_usage_report},
     store::{StoreRow, StoreTransaction, TransactionOutcome},
 };
 use samphiredeck_wire::record::{
-    LEADER_ROW_KEY, SharedRecord, decode_record, encode_record, usage_key,
+    LEADER_ROW_KEY, SharedRecord, decode_record, encode_usage, usage_key,
 };
 use serde_json::json;
 
-use crate::forward::clock;
+use crate::forward::{clock, name_rows::read_names, node::ForwardNode};
 
 use super::{LeaderTasks, RETRY_DELAY, WRITE_TIMEOUT, describe_outcome, shared_row_key};
 
@@ -30,6 +32,8 @@
 const COUNTS_DEADLINE_MS: i64 = 4_400;
 /// Time before the due time of a report at which it is sent with incomplete counts.
 const REPORT_MARGIN_MS: i64 = 1_500;
+/// Minimum time between two reads of the names in the store.
+const NAMES_READ_PERIOD: Duration = Duration::from_secs(1);
 /// Number of windows whose committed usage is kept in the store.
 const COMMITTED_WINDOWS_KEPT: i64 = 12;
 
@@ -54,8 +58,12 @@
                     continue;
                 }
                 WindowStep::Sum => {
-                    let Some(sum) = self.sum_settled(window, now_ms - end_ms) else { continue };
-                    sum
+                    let Some((counts, complete)) = self.sum_settled(window, now_ms - end_ms) else {
+                        continue;
+                    };
+                    let counts = self.keep_named(counts, now_ms - end_ms).await;
+                    let Some(counts) = counts else { continue };
+                    (counts, complete)
                 }
             };
             let Some(committed) = self.commit_usage(counts, complete).await else { return };
@@ -91,6 +99,39 @@
         (!sum.counts.is_empty()).then_some((sum, complete))
     }
 
+    /// The part of `counts`, of a window that ended `age_ms` ago, that can be reported: of workspaces whose names are known.
+    /// `None` if that is nothing, or the other names may still be read in time.
+    async fn keep_named(&mut self, mut counts: WindowCounts, age_ms: i64) -> Option<WindowCounts> {
+        let is_named = |node: &ForwardNode, workspace: &WorkspaceName| {
+            node.state().names.text_of(workspace.as_str()).is_some()
+        };
+        let has_all =
+            |node: &ForwardNode| counts.counts.iter().all(|row| is_named(node, &row.workspace));
+        if has_all(&self.node) {
+            return Some(counts);
+        }
+        if clock::now().since(self.names_read_at) >= NAMES_READ_PERIOD {
+            self.names_read_at = clock::now();
+            if let Err(error) = read_names(&self.node, &mut self.store).await {
+                let fields = json!({ "window": counts.window.0, "reason": error.to_string() });
+                self.node.log.record("names-unread", fields);
+            }
+        }
+        if has_all(&self.node) {
+            return Some(counts);
+        }
+        let settings = self.node.settings();
+        let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
+        if age_ms < due - REPORT_MARGIN_MS {
+            return None;
+        }
+        let left_out = counts.retain(|workspace| is_named(&self.node, workspace));
+        self.node.metrics.leader.unnamed_requests.inc_by(left_out);
+        let fields = json!({ "window": counts.window.0, "requests": left_out });
+        self.node.log.record("usage-unnamed", fields);
+        (!counts.counts.is_empty()).then_some(counts)
+    }
+
     fn log_withheld(&mut self, window: WindowIndex, reason: WithholdReason) {
         let has_requests = !self.node.state().members.sum_window(window).counts.is_empty();
         if !has_requests || self.withheld.contains(&(window, reason)) {
@@ -116,7 +157,7 @@
         let fence = self.current_fence()?;
         let key = shared_row_key(&usage_key(counts.window));
         let expired = WindowIndex(counts.window.0 - COMMITTED_WINDOWS_KEPT);
-        let value = match encode_record(&counts) {
+        let value = match encode_usage(&counts, &self.node.state().names) {
             Ok(value) => value,
             Err(error) => {
                 self.node.log.record("usage-unwritable", json!({ "reason": error.to_string() }));
@@ -150,7 +191,7 @@
                     "row": version.number(), "era": version.era().0,
                 });
                 self.node.log.record("usage-agreed", fields);
-                self.node.state().agreed_windows.record(&counts);
+                self.node.state().agreed_windows.record(&counts, true);
                 Some(counts)
             }
             Ok(TransactionOutcome::Conflict(rows)) => self.find_committed(&counts, &rows, sent_at),
@@ -174,10 +215,10 @@
         let window = counts.window;
         let committed =
             rows.iter().find_map(|row| match decode_record(&row.key, row.value.as_deref()?) {
-                Ok(Some(SharedRecord::Usage(committed))) => Some((committed, row.version)),
+                Ok(Some(SharedRecord::Usage(usage))) => Some((usage, row.version)),
                 _ => None,
             });
-        let Some((committed, version)) = committed else {
+        let Some((usage, version)) = committed else {
             let is_missing = rows.iter().all(|row| row.key == LEADER_ROW_KEY);
             let reason =
                 if is_missing { "the lease has changed" } else { "committed row is unreadable" };
@@ -188,14 +229,20 @@
             }
             return None;
         };
-        let is_agreed = self.node.state().agreed_windows.record(&committed);
+        let is_named = usage.is_named();
+        let committed = usage.counts;
+        let is_agreed = {
+            let mut state = self.node.state();
+            state.names.merge(&usage.names);
+            state.agreed_windows.record(&committed, is_named)
+        };
         let fields = json!({
             "window": window.0, "requests": committed.total(), "digest": committed.digest(),
             "own": counts.total(), "own_digest": counts.digest(), "row": version.number(),
-            "era": version.era().0, "disputed": !is_agreed,
+            "era": version.era().0, "disputed": !is_agreed, "named": is_named,
         });
         self.node.log.record("usage-found", fields);
-        is_agreed.then_some(committed)
+        (is_agreed && is_named).then_some(committed)
     }
 
     /// Reports committed counts. Returns whether the platform accepted them.
@@ -204,7 +251,8 @@
         let settings = self.node.settings();
         let Some(client) = self.orders.as_mut() else { return false };
         let names = self.node.state().names.clone();
-        let result = match encode_usage_report(counts, &names, &settings.name, fence) {
+        let sender = OrderSender { holder: &settings.name, fence, names: &names };
+        let result = match encode_usage_report(counts, &sender) {
             Ok(call) => client.call(call, LEADER_CALL_TIMEOUT).await,
             Err(error) => Err(error.into()),
         };
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -238,6 +238,8 @@
     pub fence: Gauge,
     /// Number of usage windows that were not reported, since they may have been reported before.
     pub windows_withheld: Counter,
+    /// Number of requests that were not reported, since the name of their workspace is not known.
+    pub unnamed_requests: Counter,
 }
 
 impl LeaderMetrics {
@@ -248,6 +250,11 @@
             "Windows of usage that may have been reported before the store returned",
             self.windows_withheld.clone(),
         );
+        registry.register(
+            "usage_unnamed_requests",
+            "Requests that were not reported, since the name of their workspace is not known",
+            self.unnamed_requests.clone(),
+        );
     }
 }
 
--- a/samphiredeck/src/forward/name_rows.rs
+++ b/samphiredeck/src/forward/name_rows.rs
@@ -125,7 +125,9 @@
         }
     }
     client.transact(&transaction, STORE_TIMEOUT).await?;
-    missing.iter().for_each(|(id, _)| rows.add(id));
+    for (id, _) in &missing {
+        rows.add(id);
+    }
     if is_leader {
         rows.stored.retain(|(id, _)| !expired.contains(id));
     }
--- a/samphiredeck/src/forward/request.rs
+++ b/samphiredeck/src/forward/request.rs
@@ -160,6 +160,8 @@
     pub max_connections: u32,
     /// Workspace, unless the route is public.
     pub workspace: Option<WorkspaceName>,
+    /// Name of the workspace, as upstreams are told it.
+    pub workspace_text: Option<String>,
     /// Key of the whole request. Attempts with the same target, workspace and body have the same.
     pub key: SuspectKey,
     /// Priority, 0 is the highest.
--- a/samphiredeck/src/forward/rollout/leader/orders.rs
+++ b/samphiredeck/src/forward/rollout/leader/orders.rs
@@ -41,7 +41,10 @@
                 None => Err("the value is not valid base64".to_owned()),
             };
             match decoded {
-                Ok(order) => self.orders.push((order, version)),
+                Ok(order) => {
+                    self.node.state().names.record(order.pool.as_str(), service);
+                    self.orders.push((order, version));
+                }
                 Err(reason) => {
                     self.refuse(service, version, reason);
                     // An order that can't be read changes nothing: the one before stays in force.
--- a/samphiredeck/src/forward/rollout/leader/rows.rs
+++ b/samphiredeck/src/forward/rollout/leader/rows.rs
@@ -125,9 +125,11 @@
             }
         };
         let state = OrderState::of(row.phase);
-        if let Some(state) = state.filter(|state| before.and_then(OrderState::of) != Some(*state)) {
+        let changed = state.filter(|state| before.and_then(OrderState::of) != Some(*state));
+        // The status of a service is not written under another name.
+        if let (Some(state), Some(key)) = (changed, status_key) {
             let status = OrderStatus { state, to: row.to.clone() };
-            writes.push((status_key, encode_status(&status).ok()?));
+            writes.push((key, encode_status(&status).ok()?));
         }
         let lease_key = StoreKey { table: SHARED_TABLE.to_owned(), key: LEADER_ROW_KEY.to_owned() };
         let transaction = StoreTransaction {
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -1,6 +1,6 @@
 //! Serves requests of callers, from their arrival to the response.
 
-use std::{rc::Rc, time::Duration};
+use std::{borrow::Cow, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{
@@ -122,6 +122,7 @@
     let pool = catalog.find_pool(&pool_name);
     let engine = pool.is_some_and(|pool| pool.engine);
     let workspace_name = workspace.map(|row| row.name.clone());
+    let workspace_text = workspace.map(|row| workspace_text(&node, row)).transpose()?;
     let caller = workspace_name.as_ref().map_or("", WorkspaceName::as_str);
     let target = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let key = SuspectKey::of_request(&[parts.method.as_str(), &name, target, caller], &body);
@@ -134,6 +135,7 @@
         engine,
         max_connections: pool.map_or(u32::MAX, |pool| pool.max_connections),
         workspace: workspace_name,
+        workspace_text,
         priority: workspace.and_then(|row| row.priority).unwrap_or(route.priority),
         deadline,
         received_at,
@@ -198,6 +200,18 @@
     }
 }
 
+/// Name of `workspace` as the operator wrote it.
+fn workspace_text(node: &ForwardNode, workspace: &WorkspaceRow) -> Result<String, ErrorResponse> {
+    let state = node.state();
+    let text = state.names.text_of(workspace.name.as_str()).map(Cow::into_owned);
+    text.ok_or_else(|| {
+        ErrorResponse::not_executed(
+            "the workspace has no known name",
+            with_jitter(UNREADABLE_RETRY_DELAY),
+        )
+    })
+}
+
 /// Response to a request with a key that no workspace of `catalog` holds, as far as it can be read.
 pub fn unknown_key(catalog: &ForwardCatalog, key: KeyHash) -> ErrorResponse {
     if catalog.is_unreadable_key(key) {
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -157,6 +157,8 @@
 pub struct ForwardSettings {
     /// Name of the node.
     pub name: NodeName,
+    /// The name as the platform writes it.
+    pub name_text: String,
     /// Failure domain of the node.
     pub domain: DomainName,
     /// Addresses to listen on.
@@ -276,6 +278,7 @@
         let parsed = (|| {
             Some(Self {
                 name: name?,
+                name_text: raw.node.name.clone(),
                 domain: domain?,
                 listen: ListenSettings {
                     caller: caller?,
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -28,6 +28,7 @@
     clock,
     dependency::{DependencyMonitor, STORE_TIMEOUT, sleep_with_jitter},
     heartbeats::{apply_member_count, own_heartbeat, send_to_reader},
+    name_rows::{NameRows, publish_names},
     node::ForwardNode,
     peer_messages,
     platform_client::{PlatformCallError, PlatformClient},
@@ -93,6 +94,7 @@
     let mut client = PlatformClient::store(&node, "shared rows");
     let mut monitor = DependencyMonitor::new(&node, "shared rows");
     let mut schedule = SyncSchedule::default();
+    let mut names = NameRows::default();
     loop {
         if schedule.time_until_read(&node).is_zero() {
             match read_rows(&node, &mut client, &mut schedule).await {
@@ -110,6 +112,9 @@
         if let Err(error) = publish(&node, &mut client, &mut schedule).await {
             monitor.record_failure(&error).await;
         }
+        if let Err(error) = publish_names(&node, &mut client, &mut names).await {
+            monitor.record_failure(&error).await;
+        }
         let wait = schedule.time_until_read(&node).min(schedule.time_until_publish(&node));
         sleep_with_jitter(wait.clamp(Duration::from_millis(20), WAKE_PERIOD)).await;
     }
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -168,9 +168,11 @@
     /// Creates the initial state, before anything is known.
     pub fn new(settings: &ForwardSettings) -> Self {
         let bounds = settings.bounds;
+        let mut names = NameTexts::default();
+        names.record(settings.name.as_str(), &settings.name_text);
         Self {
             catalog: None,
-            names: NameTexts::default(),
+            names,
             config_row: ConfigRow::default(),
             config_value: None,
             newer_config_reported: false,
--- a/samphiredeck_core/src/forward/agreed_windows.rs
+++ b/samphiredeck_core/src/forward/agreed_windows.rs
@@ -4,6 +4,8 @@
 //! sum may differ from them. Each node that reads the store remembers the counts that it has seen, and only those are committed again.
 //! A window that ended before the store returned is summed by a node that has been the leader since its end, and by nobody else:
 //! others can't know whether it was reported.
+//!
+//! Counts that a build agreed on without the names of its workspaces are not reported again: which names it sent is not known.
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +48,8 @@
     PerhapsReported,
     /// Two different counts were committed for the window.
     Disputed,
+    /// The counts were committed without the names under which they were reported.
+    UnknownNames,
 }
 
 /// Committed counts of one window.
@@ -54,6 +58,8 @@
     counts: WindowCounts,
     /// Whether other counts were read since.
     disputed: bool,
+    /// Whether the names of all workspaces were committed with the counts.
+    named: bool,
 }
 
 /// Committed counts of the newest windows, as far as this node has read them in any era of the store.
@@ -66,8 +72,9 @@
 
 impl AgreedWindows {
     /// Records counts that were read from the store or committed. Counts that differ from those known before leave
-    /// the window disputed. Returns whether they are the same, or the first ones.
-    pub fn record(&mut self, counts: &WindowCounts) -> bool {
+    /// the window disputed. `named` tells whether the names of all workspaces were committed with them. Returns whether
+    /// they are the same, or the first ones.
+    pub fn record(&mut self, counts: &WindowCounts, named: bool) -> bool {
         match self.windows.binary_search_by_key(&counts.window, |row| row.counts.window) {
             Ok(at) => {
                 let row = &mut self.windows[at];
@@ -75,7 +82,7 @@
                 row.counts == *counts
             }
             Err(at) => {
-                let row = AgreedWindow { counts: counts.clone(), disputed: false };
+                let row = AgreedWindow { counts: counts.clone(), disputed: false, named };
                 self.windows.insert(at, row);
                 if self.windows.len() > REMEMBERED_WINDOWS {
                     self.windows.remove(0);
@@ -122,6 +129,9 @@
             if row.disputed {
                 return WindowStep::Withhold(WithholdReason::Disputed);
             }
+            if !row.named {
+                return WindowStep::Withhold(WithholdReason::UnknownNames);
+            }
             return WindowStep::Repeat(row.counts.clone());
         }
         // Nobody commits the counts of a window before its end.
--- a/samphiredeck_core/src/forward/usage.rs
+++ b/samphiredeck_core/src/forward/usage.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Removes the workspaces that `is_kept` does not name. Returns the number of their requests.
+    pub fn retain(&mut self, is_kept: impl Fn(&WorkspaceName) -> bool) -> u64 {
+        let before = self.total();
+        self.counts.retain(|row| is_kept(&row.workspace));
+        before - self.total()
+    }
+
     /// Sum over all workspaces.
     #[must_use]
     pub fn total(&self) -> u64 {
--- a/samphiredeck_core/src/name_text.rs
+++ b/samphiredeck_core/src/name_text.rs
@@ -59,7 +59,7 @@
 /// Reads the name back that `id` stands for. `None` if `id` is a hash.
 #[must_use]
 pub fn decode_name(id: &str) -> Option<Cow<'_, str>> {
-    if id.starts_with(HASHED) {
+    if is_hashed(id) {
         return None;
     }
     let Some(escaped) = id.strip_prefix(ESCAPED) else { return Some(Cow::Borrowed(id)) };
@@ -78,7 +78,16 @@
     String::from_utf8(bytes).ok().map(Cow::Owned)
 }
 
+/// Whether `id` is a hash, from which the name can't be read back.
+#[must_use]
+pub fn is_hashed(id: &str) -> bool {
+    id.starts_with(HASHED)
+}
+
 /// Names that identifiers stand for, also those that can't be read back from them.
+///
+/// A process knows the names of the configurations that it has read, and those that others have written to the store. What
+/// leaves the system under a name that is not known is not sent: an identifier is no name.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NameTexts {
     /// Identifier and name, sorted by identifier, without duplicates. Only those that are hashes.
@@ -103,6 +112,12 @@
         }
     }
 
+    /// Identifiers that can't be read back, with their names, sorted by identifier.
+    #[must_use]
+    pub fn rows(&self) -> &[(String, String)] {
+        &self.rows
+    }
+
     /// Name that `id` stands for. `None` if it is a hash of a name that was not recorded.
     #[must_use]
     pub fn text_of<'a>(&'a self, id: &'a str) -> Option<Cow<'a, str>> {
--- a/samphiredeck_core/tests/forward_agreed_windows.rs
+++ b/samphiredeck_core/tests/forward_agreed_windows.rs
@@ -26,12 +26,12 @@
 #[test]
 fn counts_that_were_committed_are_reported_again_and_no_others() {
     let mut windows = windows();
-    assert!(windows.record(&counts(7, 141)));
-    assert!(windows.record(&counts(7, 141)));
+    assert!(windows.record(&counts(7, 141), true));
+    assert!(windows.record(&counts(7, 141), true));
     let step = windows.next_step(WindowIndex(7), START_MS - 1, ERA, Some(0));
     assert_eq!(step, WindowStep::Repeat(counts(7, 141)));
     // Another node has committed other counts: either may have been reported.
-    assert!(!windows.record(&counts(7, 94)));
+    assert!(!windows.record(&counts(7, 94), true));
     let step = windows.next_step(WindowIndex(7), START_MS - 1, ERA, Some(0));
     assert_eq!(step, WindowStep::Withhold(WithholdReason::Disputed));
 }
@@ -64,7 +64,7 @@
 fn rows_that_the_store_has_lost_are_found() {
     let mut windows = windows();
     for window in 1..=20 {
-        windows.record(&counts(window, 5));
+        windows.record(&counts(window, 5), true);
     }
     let stored: Vec<WindowIndex> = (8..=18).map(WindowIndex).collect();
     let lost = |stored: &[WindowIndex]| -> Vec<i64> {
@@ -75,3 +75,15 @@
     assert_eq!(lost(&(1..=20).map(WindowIndex).collect::<Vec<_>>()), [0; 0]);
     assert_eq!(lost(&[]).len(), 8);
 }
+
+/// Guards against counts that are repeated under other names than those they were reported with.
+#[test]
+fn counts_that_were_committed_without_names_are_not_reported_again() {
+    let mut windows = AgreedWindows::default();
+    assert!(windows.record(&counts(7, 141), false));
+    assert!(windows.record(&counts(8, 50), true));
+    let step = |window| windows.next_step(WindowIndex(window), 0, StoreEra::default(), Some(0));
+    assert_eq!(step(7), WindowStep::Withhold(WithholdReason::UnknownNames));
+    assert_eq!(step(8), WindowStep::Repeat(counts(8, 50)));
+    assert_eq!(windows.find_lost(&[WindowIndex(8)]), [&counts(7, 141)]);
+}
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -11,9 +11,10 @@
         usage::{WindowCounts, WindowIndex},
         version_history::PublishedHistory,
     },
-    ids::NodeName,
+    ids::{IdError, NodeName, WorkspaceName},
+    name_text::{NameTexts, is_hashed},
 };
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
 /// Table of the store that holds the rows.
@@ -22,6 +23,8 @@
 pub const ORIGINS_TABLE: &str = "samphiredeck-origins";
 /// Table of the store that holds the rows of rollouts, by pool.
 pub const ROLLOUTS_TABLE: &str = "samphiredeck-rollouts";
+/// Table of the store that holds the names that can't be read back from their identifiers, by identifier.
+pub const NAMES_TABLE: &str = "samphiredeck-names";
 /// Key of the row that names the leader: the one node that acts on behalf of the whole system.
 pub const LEADER_ROW_KEY: &str = "duty";
 /// Key of the row that holds the secret from which the key of the nodes' datagrams is derived.
@@ -39,6 +42,9 @@
 const USAGE_PREFIX: &str = "usage.";
 /// Version of the row format, written as the first byte of every row.
 const FORMAT_VERSION: u8 = 3;
+/// First byte of the rows of agreed usage that hold names in place of identifiers. Builds that don't know it report no such
+/// window: they may not know the names under which it was reported.
+const NAMED_FORMAT: u8 = 4;
 
 /// Reason why a row can't be encoded or decoded.
 #[derive(Debug, Error)]
@@ -52,6 +58,34 @@
     /// The content can't be encoded, or is not of the type that belongs to the key.
     #[error("row can't be encoded or decoded: {0}")]
     Codec(#[from] postcard::Error),
+    /// The name of a workspace can't be carried by any header.
+    #[error("name can't be used: {0}")]
+    Name(#[from] IdError),
+}
+
+/// Agreed usage of one window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgreedUsage {
+    /// Counts, which are final.
+    pub counts: WindowCounts,
+    /// Names that can't be read back from the identifiers in `counts`, if they were agreed with them.
+    pub names: NameTexts,
+}
+
+impl AgreedUsage {
+    /// Whether the names of all workspaces are known.
+    #[must_use]
+    pub fn is_named(&self) -> bool {
+        self.counts.counts.iter().all(|row| self.names.text_of(row.workspace.as_str()).is_some())
+    }
+}
+
+/// Content of a row of agreed usage with names.
+#[derive(Serialize, Deserialize)]
+struct NamedUsage {
+    window: WindowIndex,
+    /// Names of workspaces and their counts.
+    counts: Vec<(String, u64)>,
 }
 
 /// Content of a shared row.
@@ -66,7 +100,7 @@
     /// Suspected prompt parts known to a node.
     Suspects(PublishedSuspects),
     /// Agreed usage of one time window.
-    Usage(WindowCounts),
+    Usage(AgreedUsage),
     /// Begin of the newest era of the store.
     Era(EraRecord),
     /// Secret from which the key of the nodes' datagrams is derived.
@@ -130,6 +164,49 @@
     Ok(postcard::to_extend(record, vec![FORMAT_VERSION])?)
 }
 
+/// Encodes agreed `counts`. Where identifiers of workspaces can't be read back, the row holds the names of all, as far as
+/// `names` has them.
+///
+/// # Errors
+///
+/// Returns [`RecordError::Codec`] if the content can't be encoded.
+pub fn encode_usage(counts: &WindowCounts, names: &NameTexts) -> Result<Vec<u8>, RecordError> {
+    let text_of = |id: &WorkspaceName| names.text_of(id.as_str()).map(std::borrow::Cow::into_owned);
+    let is_plain = counts.counts.iter().all(|row| !is_hashed(row.workspace.as_str()));
+    let rows: Option<Vec<(String, u64)>> =
+        counts.counts.iter().map(|row| Some((text_of(&row.workspace)?, row.count))).collect();
+    match rows {
+        Some(rows) if !is_plain => {
+            let content = NamedUsage { window: counts.window, counts: rows };
+            Ok(postcard::to_extend(&content, vec![NAMED_FORMAT])?)
+        }
+        _ => encode_record(counts),
+    }
+}
+
+fn decode_usage(value: &[u8]) -> Result<AgreedUsage, RecordError> {
+    let Some((&NAMED_FORMAT, content)) = value.split_first() else {
+        return Ok(AgreedUsage { counts: decode_content(value)?, names: NameTexts::default() });
+    };
+    let NamedUsage { window, counts: rows } = postcard::from_bytes(content)?;
+    let (mut counts, mut names) = (WindowCounts::new(window), NameTexts::default());
+    for (text, count) in rows {
+        let workspace = WorkspaceName::of_text(&text)?;
+        names.record(workspace.as_str(), &text);
+        counts.add(&workspace, count);
+    }
+    Ok(AgreedUsage { counts, names })
+}
+
+/// Decodes a row of [`NAMES_TABLE`].
+///
+/// # Errors
+///
+/// Returns why the content can't be decoded.
+pub fn decode_name_row(value: &[u8]) -> Result<String, RecordError> {
+    decode_content(value)
+}
+
 fn decode_content<T: DeserializeOwned>(value: &[u8]) -> Result<T, RecordError> {
     match value.split_first() {
         Some((&FORMAT_VERSION, content)) => Ok(postcard::from_bytes(content)?),
@@ -164,7 +241,7 @@
         return Ok(Some(SharedRecord::Suspects(decode_content(value)?)));
     }
     if key.starts_with(USAGE_PREFIX) {
-        return Ok(Some(SharedRecord::Usage(decode_content(value)?)));
+        return Ok(Some(SharedRecord::Usage(decode_usage(value)?)));
     }
     Ok(None)
 }
--- a/samphiredeck_wire/tests/usage_rows.rs
+++ b/samphiredeck_wire/tests/usage_rows.rs
@@ -63,8 +63,9 @@
 /// Guards against rows that outgrow what the store takes.
 #[test]
 fn hundreds_of_long_names_fit_into_a_row() {
-    let texts: Vec<String> =
-        (0..300).map(|number| format!("{number:03} {}", "Ä Ferry Group ".repeat(5).trim())).collect();
+    let texts: Vec<String> = (0..300)
+        .map(|number| format!("{number:03} {}", "Ä Ferry Group ".repeat(5).trim()))
+        .collect();
     assert!(texts.iter().all(|text| text.chars().count() >= 64));
     let (counts, names) = counts_of(&texts);
     let value = encode_usage(&counts, &names).unwrap();
