Settings: bounds may be fractions, and an unreadable one ends no node

Cause: lengths of time were read as whole numbers, and a field that can't be read ended the process, which the platform starts again.

Change: Span reads decimal numbers with fraction and exponent, exact to 1 ns and rounded down. A node that starts with a field that it can't read answers probes with 503 and the field's name, and starts when the file can be read; a running one keeps what it has. Both set the metric settings_refused.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -39,6 +39,7 @@
 mod send_permit;
 mod serve;
 pub mod settings;
+mod settings_wait;
 mod shared_rows;
 mod silent_upstream;
 mod slot_exchange;
@@ -84,6 +85,7 @@
     metrics::StateLabels,
     node::{ForwardNode, ShutdownPhase},
     settings::{ForwardSettings, load_forward_settings},
+    settings_wait::wait_for_settings,
     task_guard::spawn_guarded,
     upstream_response::RESPONSE_BYTES_MAX,
 };
@@ -102,12 +104,12 @@
     metrics: TcpListener,
 }
 
-/// Runs a node with the settings in `path` until it receives a termination signal.
+/// Runs a node with the settings in `path` until it receives a termination signal. Waits for settings that can be read.
 pub fn run_forward(path: &Path) -> eyre::Result<()> {
     System::new().block_on(async {
         // Until a signal is handled, it ends the process.
-        let signals = NodeSignals::register()?;
-        let settings = load_forward_settings(path)?;
+        let mut signals = NodeSignals::register()?;
+        let Some(settings) = wait_for_settings(path, &mut signals).await? else { return Ok(()) };
         let listeners = bind_listeners(&settings)?;
         serve(settings, listeners, path.to_owned(), signals).await
     })
@@ -255,7 +257,9 @@
 
 /// Reloads the settings. Invalid settings leave the current ones in place.
 fn reload(node: &ForwardNode, path: &Path, cause: &str) {
-    match load_forward_settings(path) {
+    let loaded = load_forward_settings(path);
+    node.metrics.config.settings_refused.set(loaded.is_err().into());
+    match loaded {
         Ok(settings) if settings == *node.settings() => {
             if cause == "signal" {
                 node.log.record("reload", json!({ "cause": cause, "changed": false }));
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -152,7 +152,7 @@
 }
 
 /// Serves responses that depend on the request line alone, on at most `most` connections.
-async fn serve_plain(
+pub async fn serve_plain(
     listener: StdTcpListener,
     most: usize,
     handler: impl Fn(&Request<Incoming>) -> (StatusCode, Bytes) + 'static,
--- a/samphiredeck/src/forward/leader/usage_reports.rs
+++ b/samphiredeck/src/forward/leader/usage_reports.rs
@@ -86,7 +86,8 @@
     /// expected, or no requests ran.
     fn sum_settled(&self, window: WindowIndex, age_ms: i64) -> Option<(WindowCounts, bool)> {
         let settings = self.node.settings();
-        let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
+        let due =
+            i64::try_from(settings.bounds.usage_due.to_duration().as_millis()).unwrap_or(i64::MAX);
         let end_ms = window.end_ms(settings.bounds.usage_window.to_duration());
         let state = self.node.state();
         let complete = state.members.is_usage_complete(end_ms);
@@ -121,7 +122,8 @@
             return Some(counts);
         }
         let settings = self.node.settings();
-        let due = i64::try_from(settings.bounds.usage_due.0).unwrap_or(i64::MAX);
+        let due =
+            i64::try_from(settings.bounds.usage_due.to_duration().as_millis()).unwrap_or(i64::MAX);
         if age_ms < due - REPORT_MARGIN_MS {
             return None;
         }
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -127,6 +127,8 @@
     pub age: Gauge<f64, AtomicU64>,
     /// 1 while the newest configuration can't be read.
     pub unreadable: Gauge,
+    /// Whether the settings file can't be read, 0 or 1.
+    pub settings_refused: Gauge,
     /// Number of fields of the one in force that can't be read.
     pub issues: Gauge,
 }
@@ -137,6 +139,9 @@
         registry.register("config_age_seconds", "Age of its proof", self.age.clone());
         let unreadable = "Whether the newest configuration can't be read";
         registry.register("config_unreadable", unreadable, self.unreadable.clone());
+        let refused =
+            "Whether the settings file can't be read, so that those of before are in force";
+        registry.register("settings_refused", refused, self.settings_refused.clone());
         let issues = "Fields of the active configuration that can't be read";
         registry.register("config_unreadable_fields", issues, self.issues.clone());
     }
--- a/samphiredeck/src/forward/settings.rs
+++ b/samphiredeck/src/forward/settings.rs
@@ -5,9 +5,10 @@
 use samphiredeck_core::{
     forward::{quota::QuotaSlack, retry_budget::RetryLimit, rollout::ExposureBounds},
     ids::{DomainName, IdError, NodeName},
-    units::Millis,
+    units::Span,
 };
 use serde::Deserialize;
+use serde_json::Value;
 use thiserror::Error;
 
 /// Validation errors, as pairs of a field and a reason.
@@ -40,12 +41,12 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct RawMemory {
-    memory_mb: usize,
+    memory_mb: Value,
 }
 
 impl Default for RawMemory {
     fn default() -> Self {
-        Self { memory_mb: 256 }
+        Self { memory_mb: 256.into() }
     }
 }
 
@@ -75,24 +76,24 @@
     orders: Option<String>,
 }
 
-/// Section `bounds`.
+/// Section `bounds`. The fields are checked one by one, so that an error names all that are wrong.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawBounds {
-    revoke: Option<Millis>,
-    grace: Millis,
-    lease: Millis,
-    usage_window: Millis,
-    usage_due: Millis,
-    repeat_window: Millis,
-    repeat_ratio: f64,
-    repeat_extra: f64,
-    quota_overage: f64,
-    quota_slack: f64,
-    quota_window: Millis,
-    exposure_share: Option<f64>,
-    exposure_slack: Option<f64>,
-    rollback: Option<Millis>,
+    revoke: Option<Value>,
+    grace: Value,
+    lease: Value,
+    usage_window: Value,
+    usage_due: Value,
+    repeat_window: Value,
+    repeat_ratio: Value,
+    repeat_extra: Value,
+    quota_overage: Value,
+    quota_slack: Value,
+    quota_window: Value,
+    exposure_share: Option<Value>,
+    exposure_slack: Option<Value>,
+    rollback: Option<Value>,
 }
 
 /// Section `log`.
@@ -135,15 +136,15 @@
 pub struct BoundSettings {
     /// Maximum time for which a revoked key may be used. `None` if keys stay valid while the
     /// configuration can't be read.
-    pub revoke: Option<Millis>,
+    pub revoke: Option<Span>,
     /// Time between the termination signal and the kill.
-    pub grace: Millis,
+    pub grace: Span,
     /// Duration of the leader lease after a renewal.
-    pub lease: Millis,
+    pub lease: Span,
     /// Length of a usage window.
-    pub usage_window: Millis,
+    pub usage_window: Span,
     /// Time after the end of a window at which its usage report is due.
-    pub usage_due: Millis,
+    pub usage_due: Span,
     /// Limit on retries over all nodes.
     pub retry_limit: RetryLimit,
     /// Amount by which quotas may be exceeded.
@@ -202,42 +203,95 @@
         parsed.map_err(|reason| self.reject(field, reason)).ok()
     }
 
-    fn require_positive(&mut self, field: &str, value: Millis) {
-        if value.0 == 0 {
-            self.reject(field, "must be at least 1ms");
+    /// Length of time that is longer than nothing.
+    fn span(&mut self, field: &str, value: &Value) -> Option<Span> {
+        let Some(text) = value.as_str() else {
+            self.reject(field, format!("must be a text with a number and a unit, got {value}"));
+            return None;
+        };
+        let span: Span = self.parse(field, text)?;
+        if span.to_duration().is_zero() {
+            self.reject(field, "must be more than 0");
+            return None;
         }
+        Some(span)
     }
 
-    fn require_non_negative(&mut self, field: &str, value: f64) {
-        if !value.is_finite() || value < 0.0 {
+    /// Number that is not negative.
+    fn number(&mut self, field: &str, value: &Value) -> Option<f64> {
+        let number = value.as_f64().filter(|number| number.is_finite() && *number >= 0.0);
+        if number.is_none() {
             self.reject(field, format!("must be a non-negative number, got {value}"));
         }
+        number
     }
 }
 
+/// Bytes of `mebibytes`, rounded down.
+fn whole_bytes(mebibytes: f64) -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number is not negative, and casts saturate"
+    )]
+    let bytes = (mebibytes * 1_024.0 * 1_024.0) as usize;
+    bytes
+}
+
 impl RawBounds {
     /// Bounds of rollouts, which are set together.
     fn exposure(&self, validator: &mut SettingsValidator) -> Option<ExposureBounds> {
-        let (share, slack, rollback) = (self.exposure_share, self.exposure_slack, self.rollback);
-        if share.is_none() && slack.is_none() && rollback.is_none() {
+        let fields = [&self.exposure_share, &self.exposure_slack, &self.rollback];
+        if fields.iter().all(|field| field.is_none()) {
             return None;
         }
-        let mut require = |is_set: bool, field: &str| {
-            if !is_set {
-                validator.reject(field, "must be set, as other bounds of rollouts are");
-            }
-        };
-        require(share.is_some(), "bounds.exposure_share");
-        require(slack.is_some(), "bounds.exposure_slack");
-        require(rollback.is_some(), "bounds.rollback");
+        let names = ["bounds.exposure_share", "bounds.exposure_slack", "bounds.rollback"];
+        for (name, _) in names.iter().zip(fields).filter(|(_, field)| field.is_none()) {
+            validator.reject(name, "must be set, as other bounds of rollouts are");
+        }
+        let [share, slack, rollback] = fields;
+        let share = validator.number(names[0], share.as_ref()?);
+        let slack = validator.number(names[1], slack.as_ref()?);
+        let rollback = validator.span(names[2], rollback.as_ref()?);
         let (share, slack, rollback) = (share?, slack?, rollback?);
         if !(share > 0.0 && share <= 1.0) {
-            validator.reject("bounds.exposure_share", format!("must be in 0 to 1, got {share}"));
+            validator.reject(names[0], format!("must be in 0 to 1, got {share}"));
         }
-        validator.require_non_negative("bounds.exposure_slack", slack);
-        validator.require_positive("bounds.rollback", rollback);
         Some(ExposureBounds { share, slack, rollback: rollback.to_duration() })
     }
+
+    fn check(&self, validator: &mut SettingsValidator) -> Option<BoundSettings> {
+        let revoke = self.revoke.as_ref().map(|value| validator.span("bounds.revoke", value));
+        let grace = validator.span("bounds.grace", &self.grace);
+        let lease = validator.span("bounds.lease", &self.lease);
+        let usage_window = validator.span("bounds.usage_window", &self.usage_window);
+        let usage_due = validator.span("bounds.usage_due", &self.usage_due);
+        let repeat_window = validator.span("bounds.repeat_window", &self.repeat_window);
+        let repeat_ratio = validator.number("bounds.repeat_ratio", &self.repeat_ratio);
+        let repeat_extra = validator.number("bounds.repeat_extra", &self.repeat_extra);
+        let quota_overage = validator.number("bounds.quota_overage", &self.quota_overage);
+        let quota_slack = validator.number("bounds.quota_slack", &self.quota_slack);
+        let quota_window = validator.span("bounds.quota_window", &self.quota_window);
+        let exposure = self.exposure(validator);
+        Some(BoundSettings {
+            revoke: revoke.map_or(Some(None), |revoke| revoke.map(Some))?,
+            grace: grace?,
+            lease: lease?,
+            usage_window: usage_window?,
+            usage_due: usage_due?,
+            retry_limit: RetryLimit {
+                ratio: repeat_ratio?,
+                extra: repeat_extra?,
+                window: repeat_window?.to_duration(),
+            },
+            quota_slack: QuotaSlack {
+                overage: quota_overage?,
+                tokens: quota_slack?,
+                window: quota_window?.to_duration(),
+            },
+            exposure,
+        })
+    }
 }
 
 impl TryFrom<RawForward> for ForwardSettings {
@@ -254,25 +308,12 @@
         let store = validator.parse("platform.store", &raw.platform.store);
         let orders = raw.platform.orders.as_deref().filter(|text| !text.is_empty());
         let orders = orders.map(|text| validator.parse("platform.orders", text));
-        let bounds = raw.bounds;
-        validator.require_positive("bounds.grace", bounds.grace);
-        validator.require_positive("bounds.lease", bounds.lease);
-        validator.require_positive("bounds.usage_window", bounds.usage_window);
-        validator.require_positive("bounds.usage_due", bounds.usage_due);
-        validator.require_positive("bounds.repeat_window", bounds.repeat_window);
-        validator.require_positive("bounds.quota_window", bounds.quota_window);
-        if let Some(revoke) = bounds.revoke {
-            validator.require_positive("bounds.revoke", revoke);
-        }
-        validator.require_non_negative("bounds.repeat_ratio", bounds.repeat_ratio);
-        validator.require_non_negative("bounds.repeat_extra", bounds.repeat_extra);
-        validator.require_non_negative("bounds.quota_overage", bounds.quota_overage);
-        validator.require_non_negative("bounds.quota_slack", bounds.quota_slack);
-        let exposure = bounds.exposure(&mut validator);
+        let bounds = raw.bounds.check(&mut validator);
         if raw.log.lines_per_second == 0 {
             validator.reject("log.lines_per_second", "must be at least 1");
         }
-        if raw.limits.memory_mb == 0 {
+        let memory = validator.number("limits.memory_mb", &raw.limits.memory_mb);
+        if memory.is_some_and(|mebibytes| mebibytes < 1.0) {
             validator.reject("limits.memory_mb", "must be at least 1");
         }
         let parsed = (|| {
@@ -287,25 +328,8 @@
                     peer: peer?,
                 },
                 platform: PlatformSettings { store: store?, orders: orders.flatten() },
-                bounds: BoundSettings {
-                    revoke: bounds.revoke,
-                    grace: bounds.grace,
-                    lease: bounds.lease,
-                    usage_window: bounds.usage_window,
-                    usage_due: bounds.usage_due,
-                    retry_limit: RetryLimit {
-                        ratio: bounds.repeat_ratio,
-                        extra: bounds.repeat_extra,
-                        window: bounds.repeat_window.to_duration(),
-                    },
-                    quota_slack: QuotaSlack {
-                        overage: bounds.quota_overage,
-                        tokens: bounds.quota_slack,
-                        window: bounds.quota_window.to_duration(),
-                    },
-                    exposure,
-                },
-                memory: raw.limits.memory_mb.saturating_mul(1_024 * 1_024),
+                bounds: bounds?,
+                memory: whole_bytes(memory?),
                 log_rate: raw.log.lines_per_second,
             })
         })();
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -47,7 +47,7 @@
         WorkspaceName,
     },
     name_text::NameTexts,
-    units::Millis,
+    units::Span,
 };
 use samphiredeck_wire::forward::RelayedMembers;
 
@@ -178,7 +178,7 @@
             newer_config_reported: false,
             reader: None,
             has_chosen_reader: false,
-            freshness: CatalogFreshness::new(bounds.revoke.map(Millis::to_duration)),
+            freshness: CatalogFreshness::new(bounds.revoke.map(Span::to_duration)),
             upstreams: UpstreamRegistry::default(),
             upstream_heard_at: None,
             paths: PathTable::default(),
--- a/samphiredeck_core/src/forward/usage.rs
+++ b/samphiredeck_core/src/forward/usage.rs
@@ -27,18 +27,25 @@
     /// Window that contains the Unix time `unix_ms` in milliseconds.
     #[must_use]
     pub fn of(unix_ms: i64, length: Duration) -> Self {
-        let length = i64::try_from(length.as_millis()).unwrap_or(i64::MAX).max(1);
-        Self(unix_ms.div_euclid(length))
+        let window = (i128::from(unix_ms) * NANOS_PER_MS).div_euclid(nanos(length));
+        Self(i64::try_from(window).unwrap_or(i64::MAX))
     }
 
     /// End of the window as Unix time in milliseconds.
     #[must_use]
     pub fn end_ms(self, length: Duration) -> i64 {
-        let length = i64::try_from(length.as_millis()).unwrap_or(i64::MAX).max(1);
-        (self.0 + 1).saturating_mul(length)
+        let end = (i128::from(self.0) + 1).saturating_mul(nanos(length)) / NANOS_PER_MS;
+        i64::try_from(end).unwrap_or(i64::MAX)
     }
 }
 
+const NANOS_PER_MS: i128 = 1_000_000;
+
+/// Length of a window in nanoseconds, at least 1. Windows are numbered from the epoch, so a part of a millisecond counts.
+fn nanos(length: Duration) -> i128 {
+    i128::try_from(length.as_nanos()).unwrap_or(i128::MAX).max(1)
+}
+
 /// Count of one workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkspaceCount {
--- a/samphiredeck_core/src/units.rs
+++ b/samphiredeck_core/src/units.rs
@@ -1,5 +1,7 @@
 //! Durations, sizes, prices and token counts, parsed from text with a unit.
 
+mod span;
+
 use std::{
     fmt::{self, Display, Formatter},
     str::FromStr,
@@ -8,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+pub use self::span::{Span, SpanError};
+
 /// Reason why a text is not a quantity.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{text:?} is not a {quantity}; write a whole number and a unit out of: {units}")]
--- a/samphiredeck_core/tests/forward_duties.rs
+++ b/samphiredeck_core/tests/forward_duties.rs
@@ -343,3 +343,21 @@
     assert_eq!(find("k3"), None);
     assert_eq!(catalog.find_workspace(&workspace("y")).unwrap().priority, Some(3));
 }
+
+/// Guards against windows whose numbers drift from the platform's where their length is no whole number of milliseconds.
+#[test]
+fn windows_of_any_length_are_numbered_from_the_epoch() {
+    const NOW_MS: i64 = 1_767_225_600_123;
+    for (nanos, index) in [
+        (5_000_000_000_u64, 353_445_120),
+        (7_500_000_000, 235_630_080),
+        (7_000_500_000, 252_442_768),
+        (333_333_333, 5_301_676_805),
+    ] {
+        let length = Duration::from_nanos(nanos);
+        let window = WindowIndex::of(NOW_MS, length);
+        assert_eq!(window, WindowIndex(index), "{length:?}");
+        assert!(window.end_ms(length) > NOW_MS - 1, "{length:?}");
+        assert!(WindowIndex(index - 1).end_ms(length) <= NOW_MS, "{length:?}");
+    }
+}
