Origins: at most 50 expired rows are removed at a time

Cause: a node that starts takes over the expired rows of all nodes, and removed all of them in the transaction that writes new origins. With more than 99 the store refused that and each later one, so that the node published no origins any more.

--- a/samphiredeck/src/forward/origin_rows.rs
+++ b/samphiredeck/src/forward/origin_rows.rs
@@ -28,6 +28,8 @@
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of streams in a row, so that it fits into the store's rows.
 const ROW_STREAMS_MAX: usize = 1_500;
+/// Number of expired rows that are removed at a time. Leaves room for what is written with them.
+const REMOVED_AT_ONCE: usize = StoreTransaction::ENTRIES_MAX / 2;
 /// Interval at which expired rows are removed while there is nothing to publish.
 const REMOVAL_PERIOD: Duration = Duration::from_secs(5);
 
@@ -49,6 +51,7 @@
         sleep_with_jitter(LOAD_RETRY_DELAY).await;
     };
     let mut removed_at = clock::now();
+    let mut has_backlog = false;
     loop {
         let nodes = node.state().members.count();
         sleep(PUBLISH_PERIOD * (1 + nodes / PERIOD_NODES)).await;
@@ -58,13 +61,17 @@
             state.reader.is_none() && !state.origins.unpublished(1, clock::now()).is_empty()
         };
         let now = clock::now();
-        if !has_new && now.since(removed_at) < REMOVAL_PERIOD {
+        if !has_new && !has_backlog && now.since(removed_at) < REMOVAL_PERIOD {
             continue;
         }
         removed_at = now;
-        if let Err(error) = publish_origins(&node, &mut client, &mut rows, has_new).await {
-            log_failure(&node, "written", &error);
-        }
+        has_backlog = match publish_origins(&node, &mut client, &mut rows, has_new).await {
+            Ok(has_backlog) => has_backlog,
+            Err(error) => {
+                log_failure(&node, "written", &error);
+                false
+            }
+        };
     }
 }
 
@@ -108,19 +115,22 @@
     Ok(rows)
 }
 
-/// Writes a row with new origins, if `has_new`, and removes `rows` that have expired.
+/// Writes a row with new origins, if `has_new`, and removes some of the `rows` that have expired. Returns whether there are
+/// more of them.
 async fn publish_origins(
     node: &ForwardNode,
     client: &mut PlatformClient,
     rows: &mut Vec<OriginRow>,
     has_new: bool,
-) -> Result<(), PlatformCallError> {
+) -> Result<bool, PlatformCallError> {
     let now = clock::now();
-    let Some(store_ms) = node.state().clock.store_ms(now) else { return Ok(()) };
+    let Some(store_ms) = node.state().clock.store_ms(now) else { return Ok(false) };
     let key = |key: &str| StoreKey { table: ORIGINS_TABLE.to_owned(), key: key.to_owned() };
     let mut transaction = StoreTransaction::default();
-    let expired = rows.iter().filter(|row| row.expires_ms < store_ms);
-    transaction.removals = expired.map(|row| key(&row.key)).collect();
+    let is_expired = |row: &&OriginRow| row.expires_ms < store_ms;
+    let removed: Vec<String> =
+        rows.iter().filter(is_expired).map(|row| row.key.clone()).take(REMOVED_AT_ONCE).collect();
+    transaction.removals = removed.iter().map(|name| key(name)).collect();
     let mut streams = Vec::new();
     if has_new {
         streams = node.state().origins.unpublished(ROW_STREAMS_MAX, now);
@@ -134,20 +144,20 @@
             Err(error) => {
                 let fields = json!({ "reason": error.to_string() });
                 node.log.record("origins-unwritable", fields);
-                return Ok(());
+                return Ok(false);
             }
         }
         // It is removed later even if the response is lost.
         rows.push(OriginRow { key: name, expires_ms: published.expires_ms() });
     }
     if transaction.writes.is_empty() && transaction.removals.is_empty() {
-        return Ok(());
+        return Ok(false);
     }
     let outcome = client.transact(&transaction, STORE_TIMEOUT).await?;
     if matches!(outcome, TransactionOutcome::Committed(_)) {
-        rows.retain(|row| row.expires_ms >= store_ms);
+        rows.retain(|row| !removed.contains(&row.key));
         let attempts = streams.iter().map(|(attempt, _, _)| *attempt);
         node.state().origins.mark_published(attempts);
     }
-    Ok(())
+    Ok(rows.iter().any(|row| row.expires_ms < store_ms))
 }
