--- a/samphiredeck_standins/src/process.rs
+++ b/samphiredeck_standins/src/process.rs
@@ -104,6 +104,12 @@
         if sent.success() { Ok(()) } else { Err(eyre!("signal {name} could not be sent")) }
     }
 
+    /// Process id.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|status| status.is_some())
