Show that units of requests that ran are given back

Cause: while a request runs at a slow upstream and another one that is asked beside it can't take it, the reservation of its units counts as not consumed, and is returned after the response.

--- /dev/null
+++ b/review/standins-3/client.rs
@@ -0,0 +1,90 @@
+//! Stand-in for clients.
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    time::{Duration, Instant},
+};
+
+use crate::http::Wire;
+
+/// Request of a client.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    pub id: String,
+    pub method: &'static str,
+    pub path: String,
+    pub key: String,
+    pub deadline: Duration,
+    /// Prompt tokens and output tokens.
+    pub tokens: Option<(u64, u64)>,
+}
+
+/// What a client saw of one attempt.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub request: ClientRequest,
+    pub sent_at: Instant,
+    pub took: Duration,
+    /// Status, or `None` without a whole answer.
+    pub status: Option<u16>,
+    pub retry_after: Option<Duration>,
+    pub body: String,
+    pub reason: String,
+}
+
+/// Sends `request` on a new connection and waits for the whole answer, up to the deadline.
+pub fn send(node: SocketAddr, request: &ClientRequest) -> Outcome {
+    let sent_at = Instant::now();
+    let mut outcome = Outcome {
+        request: request.clone(),
+        sent_at,
+        took: Duration::ZERO,
+        status: None,
+        retry_after: None,
+        body: String::new(),
+        reason: String::new(),
+    };
+    let exchanged = exchange(node, request, &mut outcome);
+    if let Err(error) = exchanged {
+        outcome.status = None;
+        outcome.reason = error.to_string();
+    }
+    outcome.took = sent_at.elapsed();
+    outcome
+}
+
+fn exchange(
+    node: SocketAddr,
+    request: &ClientRequest,
+    outcome: &mut Outcome,
+) -> std::io::Result<()> {
+    let stream = TcpStream::connect_timeout(&node, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(request.deadline + Duration::from_millis(700)))?;
+    let mut wire = Wire::new(stream);
+    let tokens = request.tokens.map_or(String::new(), |(prompt, output)| {
+        format!("X-Model: m\r\nX-Token-Usage: {prompt},{output}\r\n")
+    });
+    let head = format!(
+        "{} {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Api-Key: {}\r\nX-Deadline-Ms: {}\r\n{tokens}\
+         Content-Length: 0\r\nConnection: close\r\n\r\n",
+        request.method,
+        request.path,
+        request.id,
+        request.key,
+        request.deadline.as_millis()
+    );
+    wire.write(head.as_bytes())?;
+    let Some(head) = wire.read_head()? else {
+        return Err(std::io::Error::new(
+            std::io::ErrorKind::UnexpectedEof,
+            "closed without an answer",
+        ));
+    };
+    let status = head.word(1).parse().ok();
+    outcome.retry_after =
+        head.get("retry-after").and_then(|text| text.parse().ok()).map(Duration::from_secs_f64);
+    let body = wire.read_body(&head, true)?;
+    outcome.body = String::from_utf8_lossy(&body).into_owned();
+    outcome.status = status;
+    Ok(())
+}
