Show that requests whose key moves to another tenant get a 401

Cause: a node finds the tenant of a key before it reads the body, and looks the key up again before the send if the configuration has changed. A key that another tenant holds now is answered like an unknown one. Both versions allow the request, and a 401 is final for its client.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -112,6 +112,7 @@
     let end = match name {
         "quota-after-crash" => quota_after_crash(&mut case),
         "repeats-after-kill" => repeats_after_kill(&mut case),
+        "key-moved" => key_moved(&mut case),
         other => End::NotRun(format!("no case {other}")),
     };
     case.finish(end)
@@ -204,6 +205,7 @@
             key: key.to_owned(),
             deadline: Duration::from_millis(2_000),
             tokens: Some((tokens - 100, 100)),
+            upload: (0, Duration::ZERO),
         };
         send_beside(callers[sent % callers.len()], request, &outcomes);
     };
@@ -296,6 +298,7 @@
                             key: "key-one".to_owned(),
                             deadline: Duration::from_millis(1_500),
                             tokens: None,
+                            upload: (0, Duration::ZERO),
                         };
                         let outcome = send(callers[(sent + attempt) % callers.len()], &request);
                         let (status, wait) = (outcome.status, outcome.retry_after);
@@ -381,6 +384,85 @@
     if excess > 0.0 { End::Broken(summary) } else { End::Held(summary) }
 }
 
+/// A key moves from one tenant to another while clients send bodies. Both configurations allow their requests.
+fn key_moved(case: &mut Case) -> End {
+    let store = Store::start();
+    let route = "{\"name\":\"post\",\"host\":\"h.example\",\"prefix\":\"/post/\",\"route_kind\":\"non_idempotent\",\
+                 \"timeout_ms\":15000,\"target_latency_ms\":600,\"priority\":2,\"service\":\"app\",\"max_attempts\":1}";
+    let tenant = |name: &str, keys: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"api_keys\":[{keys}],\"unit\":\"tokens\",\"uncached_tokens\":200,\"rate_per_s\":0,\"burst\":0}}"
+        )
+    };
+    let tenants =
+        |north: &str, south: &str| format!("{},{}", tenant("north", north), tenant("south", south));
+    let (before, after) =
+        (tenants("\"key-a\",\"key-b\"", "\"key-c\""), tenants("\"key-b\"", "\"key-c\",\"key-a\""));
+    store.put("op", "config", Some(&config(1, route, &before, 110)));
+    let arrivals = Arc::default();
+    let runners: Vec<Runner> = (0..3)
+        .map(|number| {
+            Runner::start(&format!("i-{number}"), (24, 96), &arrivals, |_| {
+                Work::Answer(Duration::from_millis(15))
+            })
+        })
+        .collect();
+    for (number, runner) in runners.iter().enumerate() {
+        runner.register(&store, "app", ZONES[number], HEARTBEAT);
+    }
+    let mut nodes = match start_nodes(2, &store, &case.work) {
+        Ok(nodes) => nodes,
+        Err(reason) => return End::NotRun(reason),
+    };
+    let callers: Vec<SocketAddr> = nodes.iter().map(|node| node.caller).collect();
+    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    let until = Instant::now() + Duration::from_secs(14);
+    // Each client sends one request after the other, over a slow link.
+    let clients: Vec<_> = (0..40_usize)
+        .map(|client| {
+            let (node, outcomes) = (callers[client % callers.len()], Arc::clone(&outcomes));
+            thread::spawn(move || {
+                for turn in 0.. {
+                    if Instant::now() >= until {
+                        break;
+                    }
+                    let request = ClientRequest {
+                        id: format!("u{client:02}-{turn:02}"),
+                        method: "POST",
+                        path: "/post/item".to_owned(),
+                        key: "key-a".to_owned(),
+                        deadline: Duration::from_millis(15_000),
+                        tokens: None,
+                        upload: (64_000, Duration::from_secs(2)),
+                    };
+                    let outcome = send(node, &request);
+                    outcomes.lock().expect("no poison").push(outcome);
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(7));
+    if case.trouble {
+        case.note("configuration 2: key-a moves from north to south");
+        store.put("op", "config", Some(&config(2, route, &after, 110)));
+    }
+    for client in clients {
+        drop(client.join());
+    }
+    nodes.iter_mut().for_each(Node::kill);
+    let outcomes = outcomes.lock().expect("no poison").clone();
+    let arrivals = arrivals.lock().expect("no poison").clone();
+    case.note_traffic(&outcomes, &arrivals);
+    let denied = outcomes.iter().filter(|outcome| outcome.status == Some(401)).count();
+    let allowed = 5.0 + outcomes.len() as f64 / 500.0;
+    let summary = format!(
+        "{denied} of {} requests with a key that both configurations hold were answered 401, {allowed:.1} are allowed",
+        outcomes.len()
+    );
+    case.note(summary.clone());
+    if denied as f64 > allowed { End::Broken(summary) } else { End::Held(summary) }
+}
+
 /// Limit of a tenant, in tokens.
 #[derive(Clone, Copy)]
 struct Limit {
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -7,6 +7,9 @@
 
 use crate::http::Wire;
 
+/// Parts in which a client sends a body.
+const UPLOAD_PARTS: usize = 20;
+
 /// Request of a client.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -17,6 +20,8 @@
     pub deadline: Duration,
     /// Prompt tokens and output tokens.
     pub tokens: Option<(u64, u64)>,
+    /// Bytes of the body, and the time that the client takes to send them.
+    pub upload: (usize, Duration),
 }
 
 /// What a client saw of one attempt.
@@ -28,7 +33,6 @@
     /// Status, or `None` without a whole answer.
     pub status: Option<u16>,
     pub retry_after: Option<Duration>,
-    pub body: String,
     pub reason: String,
 }
 
@@ -41,7 +45,6 @@
         took: Duration::ZERO,
         status: None,
         retry_after: None,
-        body: String::new(),
         reason: String::new(),
     };
     let exchanged = exchange(node, request, &mut outcome);
@@ -66,14 +69,21 @@
     });
     let head = format!(
         "{} {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Api-Key: {}\r\nX-Deadline-Ms: {}\r\n{tokens}\
-         Content-Length: 0\r\nConnection: close\r\n\r\n",
+         Content-Length: {}\r\nConnection: close\r\n\r\n",
         request.method,
         request.path,
         request.id,
         request.key,
-        request.deadline.as_millis()
+        request.deadline.as_millis(),
+        request.upload.0
     );
     wire.write(head.as_bytes())?;
+    let (bytes, time) = request.upload;
+    for part in 0..UPLOAD_PARTS.min(bytes) {
+        std::thread::sleep(time / u32::try_from(UPLOAD_PARTS).expect("a small number"));
+        let (from, to) = (bytes * part / UPLOAD_PARTS, bytes * (part + 1) / UPLOAD_PARTS);
+        wire.write(&vec![b'x'; to - from])?;
+    }
     let Some(head) = wire.read_head()? else {
         return Err(std::io::Error::new(
             std::io::ErrorKind::UnexpectedEof,
@@ -84,7 +94,9 @@
     outcome.retry_after =
         head.get("retry-after").and_then(|text| text.parse().ok()).map(Duration::from_secs_f64);
     let body = wire.read_body(&head, true)?;
-    outcome.body = String::from_utf8_lossy(&body).into_owned();
+    if status.is_some_and(|status: u16| status >= 400) {
+        outcome.reason = String::from_utf8_lossy(&body).into_owned();
+    }
     outcome.status = status;
     Ok(())
 }
