--- a/review/standins-3/cases.rs
+++ b/review/standins-3/tests/cases.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    client::{ClientRequest, Outcome, send},
+    client::{ClientRequest, Outcome, send, send_kept},
     node::Node,
     runner::{Arrival, Runner, Work},
     store::Store,
@@ -113,6 +113,7 @@
         "quota-after-crash" => quota_after_crash(&mut case),
         "repeats-after-kill" => repeats_after_kill(&mut case),
         "key-moved" => key_moved(&mut case),
+        "heads-allowed-later" => heads_allowed_later(&mut case),
         other => End::NotRun(format!("no case {other}")),
     };
     case.finish(end)
@@ -138,10 +139,21 @@
 
 /// Configuration with one service, whose runners accept `max_connections` each.
 fn config(version: u64, routes: &str, tenants: &str, max_connections: u32) -> String {
+    config_with_heads(version, routes, tenants, max_connections, 16_384)
+}
+
+/// The same with a limit of the bytes of a head.
+fn config_with_heads(
+    version: u64,
+    routes: &str,
+    tenants: &str,
+    max_connections: u32,
+    head_bytes: u32,
+) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{routes}],\
          \"services\":[{{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_connections\":{max_connections}}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
+         \"limits\":{{\"max_header_bytes\":{head_bytes},\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{tenants}]}}"
     )
 }
@@ -206,6 +218,7 @@
             deadline: Duration::from_millis(2_000),
             tokens: Some((tokens - 100, 100)),
             upload: (0, Duration::ZERO),
+            padding: 0,
         };
         send_beside(callers[sent % callers.len()], request, &outcomes);
     };
@@ -249,6 +262,7 @@
 
 /// Runners fail part of their requests, and all nodes are killed once and start again.
 fn repeats_after_kill(case: &mut Case) -> End {
+    const SPELL: Duration = Duration::from_secs(4);
     let grey = case.trouble;
     let kill = case.trouble && std::env::var("TROUBLE").map_or(true, |text| text != "grey");
     let store = Store::start();
@@ -299,6 +313,7 @@
                             deadline: Duration::from_millis(1_500),
                             tokens: None,
                             upload: (0, Duration::ZERO),
+                            padding: 0,
                         };
                         let outcome = send(callers[(sent + attempt) % callers.len()], &request);
                         let (status, wait) = (outcome.status, outcome.retry_after);
@@ -309,7 +324,7 @@
                         thread::sleep(wait.unwrap_or(Duration::from_millis(50)));
                     }
                 });
-                thread::sleep(Duration::from_millis(16));
+                thread::sleep(Duration::from_micros(3_400));
             }
         })
     };
@@ -322,7 +337,7 @@
         }
     };
     set_failing(case, true);
-    thread::sleep(Duration::from_millis(4_500));
+    thread::sleep(SPELL);
     set_failing(case, false);
     if kill {
         case.note("all nodes are killed");
@@ -337,7 +352,7 @@
     }
     thread::sleep(Duration::from_millis(300));
     set_failing(case, true);
-    thread::sleep(Duration::from_millis(5_000));
+    thread::sleep(SPELL);
     set_failing(case, false);
     thread::sleep(Duration::from_millis(2_000));
     stop.store(true, std::sync::atomic::Ordering::SeqCst);
@@ -434,6 +449,7 @@
                         deadline: Duration::from_millis(15_000),
                         tokens: None,
                         upload: (64_000, Duration::from_secs(2)),
+                        padding: 0,
                     };
                     let outcome = send(node, &request);
                     outcomes.lock().expect("no poison").push(outcome);
@@ -463,6 +479,86 @@
     if denied as f64 > allowed { End::Broken(summary) } else { End::Held(summary) }
 }
 
+/// A new configuration permits longer heads. Clients on kept connections use that later.
+fn heads_allowed_later(case: &mut Case) -> End {
+    let store = Store::start();
+    let route = "{\"name\":\"lookup\",\"host\":\"h.example\",\"prefix\":\"/lookup/\",\"route_kind\":\"idempotent\",\
+                 \"timeout_ms\":3000,\"target_latency_ms\":600,\"priority\":2,\"service\":\"app\",\"max_attempts\":2}";
+    let tenants = "{\"name\":\"one\",\"api_keys\":[\"key-one\"],\"unit\":\"tokens\",\"uncached_tokens\":200,\"rate_per_s\":0,\"burst\":0}";
+    let heads = |version, bytes| config_with_heads(version, route, tenants, 110, bytes);
+    let first = if case.trouble { heads(1, 8_192) } else { heads(1, 16_384) };
+    store.put("op", "config", Some(&first));
+    let arrivals = Arc::default();
+    let runners: Vec<Runner> = (0..3)
+        .map(|number| {
+            Runner::start(&format!("i-{number}"), (24, 96), &arrivals, |_| {
+                Work::Answer(Duration::from_millis(15))
+            })
+        })
+        .collect();
+    for (number, runner) in runners.iter().enumerate() {
+        runner.register(&store, "app", ZONES[number], HEARTBEAT);
+    }
+    let mut nodes = match start_nodes(2, &store, &case.work) {
+        Ok(nodes) => nodes,
+        Err(reason) => return End::NotRun(reason),
+    };
+    let callers: Vec<SocketAddr> = nodes.iter().map(|node| node.caller).collect();
+    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    let started = Instant::now();
+    let (long_from, until) = (Duration::from_secs(10), Duration::from_secs(14));
+    let clients: Vec<_> = (0..40_usize)
+        .map(|client| {
+            let (node, outcomes) = (callers[client % callers.len()], Arc::clone(&outcomes));
+            thread::spawn(move || {
+                let mut kept = None;
+                for turn in 0.. {
+                    if started.elapsed() >= until {
+                        break;
+                    }
+                    let is_long = started.elapsed() >= long_from;
+                    let request = ClientRequest {
+                        id: format!("h{client:02}-{turn:03}"),
+                        method: "GET",
+                        path: "/lookup/item".to_owned(),
+                        key: "key-one".to_owned(),
+                        deadline: Duration::from_millis(3_000),
+                        tokens: None,
+                        upload: (0, Duration::ZERO),
+                        padding: if is_long { 10_000 } else { 100 },
+                    };
+                    let outcome = send_kept(&mut kept, node, &request);
+                    outcomes.lock().expect("no poison").push(outcome);
+                    thread::sleep(Duration::from_millis(250));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(5));
+    if case.trouble {
+        case.note("configuration 2: max_header_bytes is 16384, before 8192");
+        store.put("op", "config", Some(&heads(2, 16_384)));
+    }
+    for client in clients {
+        drop(client.join());
+    }
+    nodes.iter_mut().for_each(Node::kill);
+    let outcomes = outcomes.lock().expect("no poison").clone();
+    let arrivals = arrivals.lock().expect("no poison").clone();
+    case.note_traffic(&outcomes, &arrivals);
+    let denied = outcomes.iter().filter(|outcome| outcome.status == Some(431)).count();
+    let allowed = 5.0 + outcomes.len() as f64 / 500.0;
+    let long = outcomes.iter().filter(|outcome| outcome.request.padding > 8_192).count();
+    let served = outcomes.iter().filter(|outcome| outcome.status == Some(200)).count();
+    let summary = format!(
+        "{denied} of {} requests, {long} of them with heads of 10,000 bytes that are within the limit, were answered 431, \
+         {allowed:.1} are allowed; {served} were served",
+        outcomes.len()
+    );
+    case.note(summary.clone());
+    if denied as f64 > allowed { End::Broken(summary) } else { End::Held(summary) }
+}
+
 /// Limit of a tenant, in tokens.
 #[derive(Clone, Copy)]
 struct Limit {
--- a/review/standins-3/client.rs
+++ b/review/standins-3/tests/client.rs
@@ -22,6 +22,8 @@
     pub tokens: Option<(u64, u64)>,
     /// Bytes of the body, and the time that the client takes to send them.
     pub upload: (usize, Duration),
+    /// Bytes of a header line of the client's own.
+    pub padding: usize,
 }
 
 /// What a client saw of one attempt.
@@ -38,6 +40,20 @@
 
 /// Sends `request` on a new connection and waits for the whole answer, up to the deadline.
 pub fn send(node: SocketAddr, request: &ClientRequest) -> Outcome {
+    send_on(&mut None, false, node, request)
+}
+
+/// Sends `request` on a connection that is kept, or on a new one if there is none, and waits for the whole answer.
+pub fn send_kept(kept: &mut Option<Wire>, node: SocketAddr, request: &ClientRequest) -> Outcome {
+    send_on(kept, true, node, request)
+}
+
+fn send_on(
+    kept: &mut Option<Wire>,
+    keep: bool,
+    node: SocketAddr,
+    request: &ClientRequest,
+) -> Outcome {
     let sent_at = Instant::now();
     let mut outcome = Outcome {
         request: request.clone(),
@@ -47,35 +63,48 @@
         retry_after: None,
         reason: String::new(),
     };
-    let exchanged = exchange(node, request, &mut outcome);
-    if let Err(error) = exchanged {
-        outcome.status = None;
-        outcome.reason = error.to_string();
+    match exchange(kept.take(), keep, node, request, &mut outcome) {
+        Ok(wire) => *kept = wire,
+        Err(error) => {
+            outcome.status = None;
+            outcome.reason = error.to_string();
+        }
     }
     outcome.took = sent_at.elapsed();
     outcome
 }
 
+/// Returns the connection if it can be used again.
 fn exchange(
+    kept: Option<Wire>,
+    keep: bool,
     node: SocketAddr,
     request: &ClientRequest,
     outcome: &mut Outcome,
-) -> std::io::Result<()> {
-    let stream = TcpStream::connect_timeout(&node, Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(request.deadline + Duration::from_millis(700)))?;
-    let mut wire = Wire::new(stream);
+) -> std::io::Result<Option<Wire>> {
+    let mut wire = match kept {
+        Some(wire) => wire,
+        None => Wire::new(TcpStream::connect_timeout(&node, Duration::from_secs(1))?),
+    };
+    wire.stream.set_read_timeout(Some(request.deadline + Duration::from_millis(700)))?;
     let tokens = request.tokens.map_or(String::new(), |(prompt, output)| {
         format!("X-Model: m\r\nX-Token-Usage: {prompt},{output}\r\n")
     });
     let head = format!(
         "{} {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Api-Key: {}\r\nX-Deadline-Ms: {}\r\n{tokens}\
-         Content-Length: {}\r\nConnection: close\r\n\r\n",
+         Content-Length: {}\r\n{}{}\r\n",
         request.method,
         request.path,
         request.id,
         request.key,
         request.deadline.as_millis(),
-        request.upload.0
+        request.upload.0,
+        if keep { "" } else { "Connection: close\r\n" },
+        if request.padding > 0 {
+            format!("X-Context: {}\r\n", "c".repeat(request.padding))
+        } else {
+            String::new()
+        }
     );
     wire.write(head.as_bytes())?;
     let (bytes, time) = request.upload;
@@ -98,5 +127,6 @@
         outcome.reason = String::from_utf8_lossy(&body).into_owned();
     }
     outcome.status = status;
-    Ok(())
+    let closes = head.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    Ok((keep && !closes).then_some(wire))
 }
--- a/review/standins-3/node.rs
+++ b/review/standins-3/tests/node.rs
@@ -2,9 +2,10 @@
 
 use std::{
     fs::{self, File},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -24,9 +25,21 @@
   "usage_due": "10s", "repeat_window": "10s", "repeat_ratio": 0.2, "repeat_extra": 58, "quota_overage": 0.1,
   "quota_slack": 140000, "quota_window": "8s" }"#;
 
+/// Address that nothing listens on, below the ports that the kernel gives to connections, so that none of these takes it before
+/// the node does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let offset =
+            std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst));
+        let port = u16::try_from(FIRST + offset % COUNT).expect("a port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Node {
@@ -77,19 +90,6 @@
         }
     }
 
-    /// Sends `signal` to the process.
-    pub fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let pid = child.id().to_string();
-            drop(Command::new("kill").args([&format!("-{signal}"), &pid]).status());
-        }
-    }
-
-    /// Whether the process runs.
-    pub fn runs(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Whether the node says that it is ready.
     pub fn is_ready(&self) -> bool {
         let Ok(stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)) else {
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/tests/runner.rs
@@ -22,8 +22,6 @@
     Answer(Duration),
     /// Works for this time and answers with its own 500.
     Fail(Duration),
-    /// Streams this many events, the first after the first time, the others each after the second time.
-    Stream { events: u64, first: Duration, gap: Duration },
 }
 
 /// Request that a runner received.
@@ -32,7 +30,6 @@
     pub id: String,
     pub runner: String,
     pub at: Instant,
-    pub path: String,
     pub tenant: String,
     pub tokens: u64,
     /// Whether it ran.
@@ -42,7 +39,6 @@
 type Decide = dyn Fn(&Head) -> Work + Send + Sync;
 
 struct Shared {
-    id: String,
     slots: usize,
     queue: usize,
     /// Requests that run and that wait.
@@ -72,7 +68,6 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let shared = Arc::new(Shared {
-            id: id.to_owned(),
             slots,
             queue,
             load: Mutex::default(),
@@ -174,7 +169,6 @@
             id: text("x-attempt-id"),
             runner: self.id.clone(),
             at: Instant::now(),
-            path: head.word(1).to_owned(),
             tenant: text("x-tenant"),
             tokens,
             ran,
@@ -229,25 +223,6 @@
                 }
                 wire.answer(500, &signed, b"failed")
             }
-            Work::Stream { events, first, gap } => {
-                let from =
-                    head.get("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0_u64);
-                if !work(wire, first) {
-                    return Err(std::io::ErrorKind::ConnectionAborted.into());
-                }
-                let begin = format!(
-                    "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                );
-                wire.write(begin.as_bytes())?;
-                for number in from + 1..=events {
-                    if number > from + 1 && !work(wire, gap) {
-                        return Err(std::io::ErrorKind::ConnectionAborted.into());
-                    }
-                    let event = format!("id: {number}\ndata: token {number}\n\n");
-                    wire.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-                }
-                wire.write(b"0\r\n\r\n")
-            }
         }
     }
 }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/tests/store.rs
@@ -45,22 +45,11 @@
     }
 }
 
-/// Call of the platform's API.
-#[derive(Clone, Debug)]
-pub struct ApiCall {
-    pub at: Instant,
-    pub path: String,
-    pub holder: String,
-    pub token: u64,
-    pub body: String,
-}
-
 /// Store and API on loopback.
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
-    pub calls: Arc<Mutex<Vec<ApiCall>>>,
     started: Instant,
 }
 
@@ -95,7 +84,6 @@
         let store = Self {
             address: listener.local_addr().expect("an address"),
             state: Arc::default(),
-            calls: Arc::default(),
             started: Instant::now(),
         };
         let served = store.clone();
@@ -145,17 +133,7 @@
                     (200, self.feed(&table, number("after"), number("wait_ms")))
                 }
                 "/rows-tx" => parse(&body).map_or((400, String::new()), |body| self.commit(&body)),
-                "/usage" | "/scaling" => {
-                    let text = |name| head.get(name).unwrap_or_default().to_owned();
-                    self.calls.lock().expect("no poison").push(ApiCall {
-                        at: Instant::now(),
-                        path: path.to_owned(),
-                        holder: text("x-duty-holder"),
-                        token: text("x-fencing-token").parse().unwrap_or(0),
-                        body: String::from_utf8_lossy(&body).into_owned(),
-                    });
-                    (200, String::new())
-                }
+                "/usage" | "/scaling" => (200, String::new()),
                 _ => (404, String::new()),
             };
             wire.answer(status, "Content-Type: application/json\r\n", text.as_bytes())?;
