Metrics: requests and repeats of the retry budget, by pool

Cause: repeats_total doesn't tell pools apart, and nothing tells what a node counts as the requests that fund them, so that a budget which is exceeded can't be traced to a pool, a node and a start of its process. Change: budget_requests_total and budget_repeats_total, both from zero at a start.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -112,6 +112,7 @@
                 return Err(unanswered_error(progress, "no budget for another send", time_left));
             }
             node.metrics.retries.inc();
+            node.metrics.budget.count_retry(&admitted.pool);
         }
         let failure = match send_once(admitted, progress, trace, &placement, resume).await {
             Ok(response) => return Ok(response),
--- a/samphiredeck/src/forward/metrics.rs
+++ b/samphiredeck/src/forward/metrics.rs
@@ -12,6 +12,7 @@
     },
     registry::Registry,
 };
+use samphiredeck_core::ids::PoolName;
 
 /// Labels of a finished request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -47,6 +48,12 @@
     pub decision: &'static str,
 }
 
+/// Label of what counts against the retry budget of a pool.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct BudgetLabels {
+    pub pool: String,
+}
+
 /// Label of a change of an upstream's limit.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct LimitLabels {
@@ -275,6 +282,8 @@
     pub total_time: Family<LatencyLabels, Histogram, fn() -> Histogram>,
     /// Number of retries.
     pub retries: Counter,
+    /// Retry budget.
+    pub budget: BudgetMetrics,
     /// Number of connections opened to upstreams.
     pub connections: Counter,
     /// Paths to upstreams.
@@ -323,6 +332,34 @@
     pub left_out_lines: Gauge,
 }
 
+/// Metrics of the retry budget.
+#[derive(Debug, Default)]
+pub struct BudgetMetrics {
+    /// Requests that fund retries, by pool.
+    pub requests: Family<BudgetLabels, Counter>,
+    /// Retries that were taken from the budget, by pool.
+    pub retries: Family<BudgetLabels, Counter>,
+}
+
+impl BudgetMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let requests = "Requests that fund repeats";
+        registry.register("budget_requests", requests, self.requests.clone());
+        let retries = "Repeats taken from the budget";
+        registry.register("budget_repeats", retries, self.retries.clone());
+    }
+
+    /// Counts a request for `pool`.
+    pub fn count_request(&self, pool: &PoolName) {
+        self.requests.get_or_create(&BudgetLabels { pool: pool.to_string() }).inc();
+    }
+
+    /// Counts a retry in `pool`.
+    pub fn count_retry(&self, pool: &PoolName) {
+        self.retries.get_or_create(&BudgetLabels { pool: pool.to_string() }).inc();
+    }
+}
+
 impl ForwardMetrics {
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("samphiredeck");
@@ -331,6 +368,7 @@
             first_response_time: Family::new_with_constructor(latency_histogram),
             total_time: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
+            budget: BudgetMetrics::default(),
             connections: Counter::default(),
             paths: PathMetrics::default(),
             platform_calls: Family::default(),
@@ -373,6 +411,7 @@
             "Sends beyond the first of a request",
             metrics.retries.clone(),
         );
+        metrics.budget.register(&mut registry);
         registry.register("connections", "Connections to upstreams", metrics.connections.clone());
         metrics.paths.register(&mut registry);
         registry.register(
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -145,6 +145,7 @@
         route,
     };
     node.state().retry_budget.record_request(&admitted.pool, trace.arrived_at);
+    node.metrics.budget.count_request(&admitted.pool);
     let software = origin.map(|origin| origin.software);
     Ok((admitted, RequestProgress::new(reservation, software), buffered))
 }
