Retry budget: requests and memberships fund retries, over all starts of a node

Cause: a node spent in one spell what a whole window had earned, and a start earned anew and got its share of the additional retries at once. Counters before the change: after kills in turn the new runs alone sent 106 of 252 retries in a window that permits 200. A share was a division by the nodes of the moment, so it grew while a node was away. Ruled out: retries that the budget doesn't see (without a kill 174 are counted and 174 arrive). Change: each request, and each moment of a confirmed membership, funds half of its part for one window. Retries of a window were funded in it or in the one before, by runs that don't overlap, so half of both is at most the larger one.

--- a/samphiredeck/src/forward/heartbeats.rs
+++ b/samphiredeck/src/forward/heartbeats.rs
@@ -100,7 +100,6 @@
     if count != count_before {
         node.log.record("members", json!({ "count": count, "before": count_before }));
     }
-    state.retry_budget.set_nodes(count);
     state.local_quota.set_nodes(count);
     node.metrics.nodes.set(i64::from(count));
 }
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -252,7 +252,7 @@
             schedule.sent_at = Some(now);
             let window = newest_complete_window(node).map(|(window, _)| window);
             write_group(node, client, false).await?;
-            node.state().published_at = Some(now);
+            node.state().record_published(now);
             schedule.written_at = Some(now);
             schedule.window = window;
         }
@@ -261,7 +261,7 @@
     if schedule.time_until_publish(node).is_zero() {
         schedule.sent_at = Some(now);
         if send_to_reader(node, false).await {
-            node.state().published_at = Some(now);
+            node.state().record_published(now);
         }
     }
     if schedule.written_at.is_some_and(|at| now.since(at) >= ABANDONED_AFTER) {
@@ -317,9 +317,9 @@
     if response.rows.iter().any(|row| row.key == suspects_key) {
         state.published_suspects = None;
     }
-    for (_, heartbeat) in
-        decode_groups(&response.rows).iter().filter(|(name, _)| *name == settings.name)
-    {
+    let heartbeats = decode_groups(&response.rows);
+    state.record_first_read(&heartbeats, &settings.name, started_ms, clock::now());
+    for (_, heartbeat) in heartbeats.iter().filter(|(name, _)| *name == settings.name) {
         state.usage_ledger.restore(&heartbeat.windows);
         let age_ms = u64::try_from(started_ms.saturating_sub(heartbeat.beat_ms)).unwrap_or(0);
         let lapsed = is_lapsed(Duration::from_millis(age_ms));
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -17,7 +17,9 @@
         limit_queue::LimitQueue,
         load_view::LoadExchange,
         member_list::MEMBER_PAGE_ENTRIES,
-        members::{MemberTable, NodeHeartbeat, is_lapsed},
+        members::{
+            MemberHeartbeat, MemberTable, NodeHeartbeat, is_established, is_lapsed, is_vacant,
+        },
         node_groups::NodeGroup,
         origin_query::VersionView,
         part_exchange::PartExchange,
@@ -70,6 +72,16 @@
 const SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Size of a part of the configuration in bytes, so that it fits into a datagram.
 const CONFIG_PART_BYTES: usize = 1_000;
+
+/// Which nodes had run when this one joined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum JoinKind {
+    /// None for a while, apart from those that started at the same time.
+    First,
+    /// Others, or this one itself.
+    BesideOthers,
+}
+
 /// State of this run of the node.
 #[derive(Debug)]
 pub struct ForwardState {
@@ -162,6 +174,8 @@
     pub leader_lease: LeaderLease,
     /// Store time at which the first run at this address started.
     pub since_ms: Option<i64>,
+    /// Which nodes had run when this one joined.
+    joined: JoinKind,
 }
 
 impl ForwardState {
@@ -200,7 +214,7 @@
             local_quota: LocalQuota::new(bounds.quota_slack, NODES_ASSUMED),
             liveness: PeerLiveness::default(),
             heard_at: None,
-            retry_budget: RetryBudget::new(bounds.retry_limit, NODES_ASSUMED),
+            retry_budget: RetryBudget::new(bounds.retry_limit),
             usage_ledger: UsageLedger::default(),
             agreed_windows: AgreedWindows::default(),
             demand: DemandMeter::default(),
@@ -214,6 +228,7 @@
             prompt_cache: PromptCacheTable::default(),
             clock: ClusterClock::default(),
             since_ms: None,
+            joined: JoinKind::BesideOthers,
             leader_lease: LeaderLease::new(
                 settings.name.clone(),
                 settings.listen.peer,
@@ -399,12 +414,44 @@
         store_ms.is_some_and(|store_ms| self.members.may_own_quotas(own, since_ms, store_ms))
     }
 
+    /// Records which nodes had run when this one, called `own`, read their `heartbeats` first, and the store's clock showed
+    /// `store_ms`.
+    pub fn record_first_read(
+        &mut self,
+        heartbeats: &[MemberHeartbeat],
+        own: &NodeName,
+        store_ms: i64,
+        now: BootTime,
+    ) {
+        if is_vacant(heartbeats, own, self.retry_budget.funding_span(), store_ms) {
+            self.joined = JoinKind::First;
+            self.retry_budget.fund_vacancy(self.members.count().max(NODES_ASSUMED), now);
+        }
+    }
+
+    /// Records that the heartbeat of this node was published at `now`.
+    pub fn record_published(&mut self, now: BootTime) {
+        self.published_at = Some(now);
+        let (since_ms, store_ms) = (self.since_ms, self.clock.store_ms(now));
+        let is_established =
+            since_ms.zip(store_ms).is_some_and(|(since, store)| is_established(since, store));
+        let nodes = self.members.count();
+        if is_established {
+            self.retry_budget.record_membership(nodes, now);
+        } else if self.joined == JoinKind::First {
+            self.retry_budget.record_membership(nodes.max(NODES_ASSUMED), now);
+        } else {
+            self.retry_budget.record_absence();
+        }
+    }
+
     /// Treats this node as new if other nodes may have considered it gone at `now`, so that all
     /// nodes accept it as a quota owner at the same time.
     pub fn rejoin_if_lapsed(&mut self, now: BootTime) {
         let lapsed = self.published_at.is_some_and(|at| is_lapsed(now.since(at)));
         if lapsed && let Some(store_ms) = self.clock.store_ms(now) {
             self.since_ms = Some(store_ms);
+            self.joined = JoinKind::BesideOthers;
         }
     }
 
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -51,6 +51,29 @@
     store_ms.saturating_sub(observed_ms) < OWNER_VIEW_AGE_MAX_MS
 }
 
+/// Whether a node that joined at `since_ms` is known, when the store's clock shows `store_ms`, to every node that reaches
+/// the store.
+#[must_use]
+pub fn is_established(since_ms: i64, store_ms: i64) -> bool {
+    store_ms >= since_ms.saturating_add(OWNER_AGE_MIN_MS)
+}
+
+/// Whether `heartbeats` show that no node ran for `span` before a start of node `own`, when the store's clock showed
+/// `store_ms`. Others that have just started, too, as at the first start of a cluster, don't count.
+#[must_use]
+pub fn is_vacant(
+    heartbeats: &[MemberHeartbeat],
+    own: &NodeName,
+    span: Duration,
+    store_ms: i64,
+) -> bool {
+    let span_ms = i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
+    !heartbeats.iter().any(|(node, heartbeat)| {
+        let is_recent = store_ms.saturating_sub(heartbeat.beat_ms) < span_ms;
+        is_recent && (node == own || is_established(heartbeat.since_ms, store_ms))
+    })
+}
+
 /// Heartbeat that a node publishes to the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeHeartbeat {
@@ -191,9 +214,8 @@
     /// all of them if none is old enough, as after a start of the whole cluster.
     #[must_use]
     pub fn quota_owner_candidates(&self, store_ms: Option<i64>) -> Vec<&NodeName> {
-        let is_old = |entry: &&MemberIdentity| {
-            store_ms.is_some_and(|at| at >= entry.since_ms.saturating_add(OWNER_AGE_MIN_MS))
-        };
+        let is_old =
+            |entry: &&MemberIdentity| store_ms.is_some_and(|at| is_established(entry.since_ms, at));
         let entries = self.list.entries();
         let old: Vec<&NodeName> = entries.iter().filter(is_old).map(|entry| &entry.node).collect();
         if old.is_empty() { entries.iter().map(|entry| &entry.node).collect() } else { old }
@@ -204,7 +226,7 @@
     /// must stop before they ask its successor.
     #[must_use]
     pub fn may_own_quotas(&self, own: &NodeName, own_since_ms: i64, store_ms: i64) -> bool {
-        let is_old = |since_ms: i64| store_ms >= since_ms.saturating_add(OWNER_AGE_MIN_MS);
+        let is_old = |since_ms: i64| is_established(since_ms, store_ms);
         let mut others = self.list.entries().iter().filter(|entry| entry.node != *own);
         self.is_recent(store_ms)
             && (is_old(own_since_ms) || !others.any(|entry| is_old(entry.since_ms)))
--- a/samphiredeck_core/src/forward/retry_budget.rs
+++ b/samphiredeck_core/src/forward/retry_budget.rs
@@ -1,17 +1,30 @@
-//! Retry budget that keeps retries from multiplying load.
+//! Retry budget that keeps retries from multiplying load, over all nodes and all their starts.
 //!
-//! When a pool fails or rejects many requests, a node may retry a fraction of the requests that
-//! callers sent to the pool, plus its share of a fixed number, within a sliding window.
+//! When a pool fails or rejects many requests, a node may retry a fraction of the requests that callers sent to the
+//! pool, plus its share of a fixed number, within a sliding window. A node that is killed leaves nothing behind that
+//! tells what it has spent, and its successor may start within the same window. So nothing is granted at once: each
+//! request, and each moment for which a node counts as a member, funds half of its part, for one window after it.
+//!
+//! # Bound
+//!
+//! Retries within a window were funded in that window or the one before it. Runs of a node don't overlap, and neither
+//! do the shares of nodes that count as members at the same moment. So whatever the order of kills, starts and joins,
+//! the retries of a window cost at most half of what two windows in a row earn, and one of the two earned that much.
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::{boot_time::BootTime, ids::PoolName};
+use crate::{boot_time::BootTime, forward::members::is_lapsed, ids::PoolName};
 
-/// Number of steps that the window is divided into.
-const STEPS: u32 = 20;
-/// Share of the declared budget that is used. The rest is a reserve, since the windows of nodes are
-/// not aligned.
-const USABLE_SHARE: f64 = 0.8;
+/// Number of steps that a window is divided into.
+const STEPS: u64 = 20;
+/// Steps that may pass until a retry reaches its upstream.
+const ARRIVAL_STEPS: u64 = 1;
+/// Steps for which retries count: a window and the one step that it does not begin with.
+const RETRY_STEPS: u64 = STEPS + ARRIVAL_STEPS;
+/// Steps for which requests and memberships fund retries.
+const FUNDING_STEPS: u64 = RETRY_STEPS + STEPS;
+/// Part of what a request or a moment of membership earns that it funds, since a window holds retries of two.
+const FUNDED_PART: f64 = 0.5;
 
 /// Declared limit on retries over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,7 +37,7 @@
     pub window: Duration,
 }
 
-/// Requests and retries within one step of the window.
+/// Requests and retries within one step.
 #[derive(Clone, Copy, Debug)]
 struct StepCount {
     step: u64,
@@ -34,81 +47,175 @@
 
 /// One row of a [`RetryBudget`].
 #[derive(Clone, Debug)]
-struct PoolWindow {
+struct PoolCounts {
     pool: PoolName,
-    /// Oldest first, at most [`STEPS`] + 1.
+    /// Oldest first, without duplicates, at most [`FUNDING_STEPS`] + 1.
     steps: VecDeque<StepCount>,
 }
 
-/// Retry budget of this node for each pool.
+impl PoolCounts {
+    /// Whether any of its counts matters in `step`.
+    fn is_recent(&self, step: u64) -> bool {
+        self.steps.back().is_some_and(|last| last.step + FUNDING_STEPS >= step)
+    }
+}
+
+/// Part of the additional retries of one step.
+#[derive(Clone, Copy, Debug)]
+struct StepShare {
+    step: u64,
+    /// Fraction of what all nodes earn in the step. At most 1.
+    fraction: f64,
+}
+
+/// Retry budget of this run of a node for each pool.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
-    /// Number of nodes that share the additional retries. At least 1.
-    nodes: u32,
+    /// Shares of the additional retries, which hold for each pool. Oldest first, without duplicates.
+    shares: VecDeque<StepShare>,
+    /// Time up to which this node has got its shares. `None` if it did not count as a member.
+    member_to: Option<BootTime>,
     /// Sorted by pool, without duplicates.
-    rows: Vec<PoolWindow>,
+    rows: Vec<PoolCounts>,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget, with `nodes` nodes sharing the limit.
+    /// Creates a budget that is not funded yet.
     #[must_use]
-    pub fn new(limit: RetryLimit, nodes: u32) -> Self {
-        Self { limit, nodes: nodes.max(1), rows: Vec::new() }
+    pub fn new(limit: RetryLimit) -> Self {
+        Self { limit, shares: VecDeque::new(), member_to: None, rows: Vec::new() }
     }
 
-    /// Sets the number of nodes that share the limit.
-    pub fn set_nodes(&mut self, nodes: u32) {
-        self.nodes = nodes.max(1);
+    /// Length of a step in milliseconds, at least 1.
+    fn step_ms(&self) -> u64 {
+        u64::try_from(self.limit.window.as_millis())
+            .map_or(u64::MAX, |window| window / STEPS)
+            .max(1)
     }
 
-    fn step_of(&self, now: BootTime) -> u64 {
-        let length = self.limit.window.as_millis() / u128::from(STEPS);
-        now.as_millis() / u64::try_from(length.max(1)).unwrap_or(1)
+    fn step_of(&self, at: BootTime) -> u64 {
+        at.as_millis() / self.step_ms()
     }
 
-    fn current_window(&mut self, pool: &PoolName, now: BootTime) -> &mut PoolWindow {
-        let step = self.step_of(now);
-        let at = match self.rows.binary_search_by(|row| row.pool.cmp(pool)) {
-            Ok(at) => at,
-            Err(at) => {
-                self.rows.insert(at, PoolWindow { pool: pool.clone(), steps: VecDeque::new() });
-                at
+    /// Time for which requests and memberships fund retries.
+    #[must_use]
+    pub fn funding_span(&self) -> Duration {
+        Duration::from_millis(self.step_ms().saturating_mul(FUNDING_STEPS))
+    }
+
+    /// Funds the time before `now`, in which no node has run. At most `nodes` nodes start now.
+    pub fn fund_vacancy(&mut self, nodes: u32, now: BootTime) {
+        let since = now.checked_sub(self.funding_span()).unwrap_or_default();
+        self.add_shares(since, now, nodes);
+    }
+
+    /// Records at `now` that the other nodes count this one as a member, of `nodes` in total, and funds the time since
+    /// the last record. Funds nothing if they may have dropped it meanwhile.
+    pub fn record_membership(&mut self, nodes: u32, now: BootTime) {
+        let since = self.member_to.replace(now).filter(|since| !is_lapsed(now.since(*since)));
+        if let Some(since) = since {
+            self.add_shares(since, now, nodes);
+        }
+    }
+
+    /// Records that the other nodes may not count this one as a member yet.
+    pub fn record_absence(&mut self) {
+        self.member_to = None;
+    }
+
+    /// Adds the shares of one of `nodes` nodes for the time from `since` to `until`.
+    fn add_shares(&mut self, since: BootTime, until: BootTime, nodes: u32) {
+        let length = self.step_ms();
+        let mut from = since;
+        while from < until {
+            let step = self.step_of(from);
+            let to = BootTime::from_millis((step + 1).saturating_mul(length)).min(until);
+            let part = to.since(from).div_duration_f64(Duration::from_millis(length));
+            let fraction = part / f64::from(nodes.max(1));
+            match self.shares.back_mut().filter(|last| last.step >= step) {
+                Some(last) => last.fraction += fraction,
+                None => self.shares.push_back(StepShare { step, fraction }),
             }
-        };
-        let row = &mut self.rows[at];
-        while row.steps.front().is_some_and(|old| old.step + u64::from(STEPS) < step) {
-            row.steps.pop_front();
+            from = to;
         }
-        if row.steps.back().is_none_or(|last| last.step < step) {
-            row.steps.push_back(StepCount { step, requests: 0.0, retries: 0.0 });
+        let oldest = self.step_of(until).saturating_sub(FUNDING_STEPS);
+        while self.shares.front().is_some_and(|share| share.step < oldest) {
+            self.shares.pop_front();
         }
-        row
     }
 
-    /// Records a request for `pool`, whether or not it is sent.
-    pub fn record_request(&mut self, pool: &PoolName, now: BootTime) {
-        if let Some(last) = self.current_window(pool, now).steps.back_mut() {
-            last.requests += 1.0;
+    /// Index of the row of `pool`. A new one replaces those whose counts don't matter in `step` any more.
+    fn find_or_insert(&mut self, pool: &PoolName, step: u64) -> usize {
+        if let Ok(row_at) = self.rows.binary_search_by(|row| row.pool.cmp(pool)) {
+            return row_at;
         }
+        self.rows.retain(|row| row.is_recent(step));
+        let row_at = self.rows.partition_point(|row| row.pool < *pool);
+        self.rows.insert(row_at, PoolCounts { pool: pool.clone(), steps: VecDeque::new() });
+        row_at
+    }
+
+    /// The counts of `pool` in the step of `at`.
+    fn counts_at(&mut self, pool: &PoolName, at: BootTime) -> &mut StepCount {
+        let step = self.step_of(at);
+        let row_at = self.find_or_insert(pool, step);
+        let steps = &mut self.rows[row_at].steps;
+        let newest = steps.back().map_or(step, |last| last.step.max(step));
+        while steps.front().is_some_and(|first| first.step + FUNDING_STEPS < newest) {
+            steps.pop_front();
+        }
+        let step_at = match steps.binary_search_by(|count| count.step.cmp(&step)) {
+            Ok(step_at) => step_at,
+            Err(step_at) => {
+                steps.insert(step_at, StepCount { step, requests: 0.0, retries: 0.0 });
+                step_at
+            }
+        };
+        &mut steps[step_at]
     }
 
-    /// Whether a retry is available.
-    pub fn has_room(&mut self, pool: &PoolName, now: BootTime) -> bool {
-        let limit = self.limit;
-        let share = limit.extra / f64::from(self.nodes);
-        let row = self.current_window(pool, now);
-        let requests: f64 = row.steps.iter().map(|step| step.requests).sum();
-        let retries: f64 = row.steps.iter().map(|step| step.retries).sum();
-        retries + 1.0 <= (requests * limit.ratio + share) * USABLE_SHARE
+    /// Records a request for `pool` that arrived at `at`, whether or not it is sent.
+    pub fn record_request(&mut self, pool: &PoolName, at: BootTime) {
+        self.counts_at(pool, at).requests += 1.0;
+    }
+
+    /// Number of retries of `pool` from step `first` on, and number that is funded from step `first_funding` on.
+    fn balance(&self, row: &PoolCounts, first: u64, first_funding: u64) -> (f64, f64) {
+        let recent = |step: u64| row.steps.iter().skip_while(move |count| count.step < step);
+        let retries: f64 = recent(first).map(|count| count.retries).sum();
+        let requests: f64 = recent(first_funding).map(|count| count.requests).sum();
+        let shares = self.shares.iter().skip_while(|share| share.step < first_funding);
+        let windows = shares.map(|share| share.fraction).sum::<f64>() / to_f64(STEPS);
+        (retries, (requests * self.limit.ratio + windows * self.limit.extra) * FUNDED_PART)
+    }
+
+    /// Whether a retry is available: it fits into each window that it may fall into.
+    #[must_use]
+    pub fn has_room(&self, pool: &PoolName, now: BootTime) -> bool {
+        let step = self.step_of(now);
+        let unused = PoolCounts { pool: pool.clone(), steps: VecDeque::new() };
+        let found = self.rows.binary_search_by(|row| row.pool.cmp(pool));
+        let row = found.map_or(&unused, |row_at| &self.rows[row_at]);
+        (step.saturating_sub(RETRY_STEPS)..=step).all(|first| {
+            // Retries taken from `first` on may fall into a window that begins one step later. Of what was funded
+            // within a window before that begin, the first step may have passed.
+            let first_funding = (first + ARRIVAL_STEPS + 1).saturating_sub(STEPS);
+            let (retries, funded) = self.balance(row, first, first_funding);
+            retries + 1.0 <= funded
+        })
     }
 
     /// Takes one retry from the budget. Returns whether one was available.
     pub fn take(&mut self, pool: &PoolName, now: BootTime) -> bool {
         let has_room = self.has_room(pool, now);
-        if has_room && let Some(last) = self.current_window(pool, now).steps.back_mut() {
-            last.retries += 1.0;
+        if has_room {
+            self.counts_at(pool, now).retries += 1.0;
         }
         has_room
     }
 }
+
+fn to_f64(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
