Retry budget: two thirds are funded by the window before, one third by the window itself

Change: the bound holds for any two parts that add up to one. A first start is funded at the first read, for as many nodes as the store names.

--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -137,10 +137,11 @@
     let sent_at = clock::now();
     let known_windows = node.state().agreed_windows.known();
     let response = client.read_table(SHARED_TABLE, STORE_TIMEOUT).await?;
-    if !std::mem::replace(&mut schedule.has_looked_for_others, true)
-        && !has_live_neighbours(node, &response, sent_at)
-    {
-        return Ok(ReadStep::LookAgain);
+    if !std::mem::replace(&mut schedule.has_looked_for_others, true) {
+        record_first_read(node, &response);
+        if !has_live_neighbours(node, &response, sent_at) {
+            return Ok(ReadStep::LookAgain);
+        }
     }
     if notice_return(node, &response, sent_at) {
         return Ok(ReadStep::Applied);
@@ -161,6 +162,13 @@
     Ok(ReadStep::Applied)
 }
 
+/// Records which nodes had run before this one, by its first read.
+fn record_first_read(node: &ForwardNode, response: &StoreRows) {
+    let heartbeats = decode_groups(&response.rows);
+    let store_ms = i64::try_from(response.clock_ms).unwrap_or(i64::MAX);
+    node.state().record_first_read(&heartbeats, &node.settings().name, store_ms, clock::now());
+}
+
 /// Whether other nodes of this failure domain are alive, or this node itself was until recently.
 fn has_live_neighbours(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) -> bool {
     let mut state = node.state();
@@ -317,9 +325,9 @@
     if response.rows.iter().any(|row| row.key == suspects_key) {
         state.published_suspects = None;
     }
-    let heartbeats = decode_groups(&response.rows);
-    state.record_first_read(&heartbeats, &settings.name, started_ms, clock::now());
-    for (_, heartbeat) in heartbeats.iter().filter(|(name, _)| *name == settings.name) {
+    for (_, heartbeat) in
+        decode_groups(&response.rows).iter().filter(|(name, _)| *name == settings.name)
+    {
         state.usage_ledger.restore(&heartbeat.windows);
         let age_ms = u64::try_from(started_ms.saturating_sub(heartbeat.beat_ms)).unwrap_or(0);
         let lapsed = is_lapsed(Duration::from_millis(age_ms));
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -18,7 +18,7 @@
         load_view::LoadExchange,
         member_list::MEMBER_PAGE_ENTRIES,
         members::{
-            MemberHeartbeat, MemberTable, NodeHeartbeat, is_established, is_lapsed, is_vacant,
+            MemberHeartbeat, MemberTable, NodeHeartbeat, count_if_vacant, is_established, is_lapsed,
         },
         node_groups::NodeGroup,
         origin_query::VersionView,
@@ -76,8 +76,8 @@
 /// Which nodes had run when this one joined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum JoinKind {
-    /// None for a while, apart from those that started at the same time.
-    First,
+    /// None for a while, apart from those that started at the same time. Before that, `nodes` nodes had run.
+    First { nodes: u32 },
     /// Others, or this one itself.
     BesideOthers,
 }
@@ -423,9 +423,10 @@
         store_ms: i64,
         now: BootTime,
     ) {
-        if is_vacant(heartbeats, own, self.retry_budget.funding_span(), store_ms) {
-            self.joined = JoinKind::First;
-            self.retry_budget.fund_vacancy(self.members.count().max(NODES_ASSUMED), now);
+        let span = self.retry_budget.funding_span();
+        if let Some(nodes) = count_if_vacant(heartbeats, own, span, store_ms) {
+            self.joined = JoinKind::First { nodes };
+            self.retry_budget.fund_vacancy(nodes, now);
         }
     }
 
@@ -435,13 +436,13 @@
         let (since_ms, store_ms) = (self.since_ms, self.clock.store_ms(now));
         let is_established =
             since_ms.zip(store_ms).is_some_and(|(since, store)| is_established(since, store));
-        let nodes = self.members.count();
-        if is_established {
-            self.retry_budget.record_membership(nodes, now);
-        } else if self.joined == JoinKind::First {
-            self.retry_budget.record_membership(nodes.max(NODES_ASSUMED), now);
-        } else {
-            self.retry_budget.record_absence();
+        let listed = self.members.count();
+        match self.joined {
+            _ if is_established => self.retry_budget.record_membership(listed, now),
+            JoinKind::First { nodes } => {
+                self.retry_budget.record_membership(nodes.max(listed), now);
+            }
+            JoinKind::BesideOthers => self.retry_budget.record_absence(),
         }
     }
 
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -58,20 +58,25 @@
     store_ms >= since_ms.saturating_add(OWNER_AGE_MIN_MS)
 }
 
-/// Whether `heartbeats` show that no node ran for `span` before a start of node `own`, when the store's clock showed
-/// `store_ms`. Others that have just started, too, as at the first start of a cluster, don't count.
+/// Number of nodes in `heartbeats`, if they show that none ran for `span` before a start of node `own`, when the store's clock
+/// showed `store_ms`. Others that have just started, too, as at the first start of a cluster, are not taken for running.
 #[must_use]
-pub fn is_vacant(
+pub fn count_if_vacant(
     heartbeats: &[MemberHeartbeat],
     own: &NodeName,
     span: Duration,
     store_ms: i64,
-) -> bool {
+) -> Option<u32> {
     let span_ms = i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
-    !heartbeats.iter().any(|(node, heartbeat)| {
+    let has_run = heartbeats.iter().any(|(node, heartbeat)| {
         let is_recent = store_ms.saturating_sub(heartbeat.beat_ms) < span_ms;
         is_recent && (node == own || is_established(heartbeat.since_ms, store_ms))
-    })
+    });
+    let mut nodes: Vec<&NodeName> = heartbeats.iter().map(|(node, _)| node).collect();
+    nodes.push(own);
+    nodes.sort_unstable();
+    nodes.dedup();
+    (!has_run).then(|| u32::try_from(nodes.len()).unwrap_or(u32::MAX))
 }
 
 /// Heartbeat that a node publishes to the store.
--- a/samphiredeck_core/src/forward/retry_budget.rs
+++ b/samphiredeck_core/src/forward/retry_budget.rs
@@ -2,16 +2,18 @@
 //!
 //! When a pool fails or rejects many requests, a node may retry a fraction of the requests that callers sent to the
 //! pool, plus its share of a fixed number, within a sliding window. A node that is killed leaves nothing behind that
-//! tells what it has spent, and its successor may start within the same window. So nothing is granted at once: each
-//! request, and each moment for which a node counts as a member, funds half of its part, for one window after it.
+//! tells what it has spent, and its successor may start within the same window. So retries are funded by requests, and
+//! by the time for which the node counts as a member: the larger part by what came in the window before, which a
+//! successor doesn't know, and the smaller part by what comes in the window itself.
 //!
 //! # Bound
 //!
-//! Retries within a window were funded in that window or the one before it. Runs of a node don't overlap, and neither
-//! do the shares of nodes that count as members at the same moment. So whatever the order of kills, starts and joins,
-//! the retries of a window cost at most half of what two windows in a row earn, and one of the two earned that much.
+//! The retries of a window cost at most [`PREVIOUS_PART`] of what all nodes earned in the window before it, and
+//! [`CURRENT_PART`] of what they earned in it. Runs of a node don't overlap, and neither do the shares of nodes that
+//! count as members at the same moment. So whatever the order of kills, starts and joins, that is at most what the larger
+//! one of two windows in a row earned.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, ops::Range, time::Duration};
 
 use crate::{boot_time::BootTime, forward::members::is_lapsed, ids::PoolName};
 
@@ -23,8 +25,11 @@
 const RETRY_STEPS: u64 = STEPS + ARRIVAL_STEPS;
 /// Steps for which requests and memberships fund retries.
 const FUNDING_STEPS: u64 = RETRY_STEPS + STEPS;
-/// Part of what a request or a moment of membership earns that it funds, since a window holds retries of two.
-const FUNDED_PART: f64 = 0.5;
+/// Part of the retries of a window that the one before it funds. At least [`CURRENT_PART`], and 1 together with it.
+const PREVIOUS_PART: f64 = 1.0 - CURRENT_PART;
+/// Part of the retries of a window that it funds itself, which is all that a run gets in its first window. A larger part
+/// leaves less for the begin of a spell of failures.
+const CURRENT_PART: f64 = 1.0 / 3.0;
 
 /// Declared limit on retries over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,7 +109,7 @@
         Duration::from_millis(self.step_ms().saturating_mul(FUNDING_STEPS))
     }
 
-    /// Funds the time before `now`, in which no node has run. At most `nodes` nodes start now.
+    /// Funds the time before `now`, in which no node has run, for one of `nodes` nodes.
     pub fn fund_vacancy(&mut self, nodes: u32, now: BootTime) {
         let since = now.checked_sub(self.funding_span()).unwrap_or_default();
         self.add_shares(since, now, nodes);
@@ -180,14 +185,13 @@
         self.counts_at(pool, at).requests += 1.0;
     }
 
-    /// Number of retries of `pool` from step `first` on, and number that is funded from step `first_funding` on.
-    fn balance(&self, row: &PoolCounts, first: u64, first_funding: u64) -> (f64, f64) {
-        let recent = |step: u64| row.steps.iter().skip_while(move |count| count.step < step);
-        let retries: f64 = recent(first).map(|count| count.retries).sum();
-        let requests: f64 = recent(first_funding).map(|count| count.requests).sum();
-        let shares = self.shares.iter().skip_while(|share| share.step < first_funding);
-        let windows = shares.map(|share| share.fraction).sum::<f64>() / to_f64(STEPS);
-        (retries, (requests * self.limit.ratio + windows * self.limit.extra) * FUNDED_PART)
+    /// What `row` and the shares earn in `steps`.
+    fn earned(&self, row: &PoolCounts, steps: &Range<u64>) -> f64 {
+        let counts = row.steps.iter().filter(|count| steps.contains(&count.step));
+        let shares = self.shares.iter().filter(|share| steps.contains(&share.step));
+        let requests: f64 = counts.map(|count| count.requests).sum();
+        let fraction = shares.map(|share| share.fraction).sum::<f64>() / to_f64(STEPS);
+        requests * self.limit.ratio + fraction * self.limit.extra
     }
 
     /// Whether a retry is available: it fits into each window that it may fall into.
@@ -198,10 +202,14 @@
         let found = self.rows.binary_search_by(|row| row.pool.cmp(pool));
         let row = found.map_or(&unused, |row_at| &self.rows[row_at]);
         (step.saturating_sub(RETRY_STEPS)..=step).all(|first| {
-            // Retries taken from `first` on may fall into a window that begins one step later. Of what was funded
-            // within a window before that begin, the first step may have passed.
-            let first_funding = (first + ARRIVAL_STEPS + 1).saturating_sub(STEPS);
-            let (retries, funded) = self.balance(row, first, first_funding);
+            let recent = row.steps.iter().filter(|count| count.step >= first);
+            let retries: f64 = recent.map(|count| count.retries).sum();
+            // Retries taken from `first` on may fall into a window that begins one step later. The first step of the window
+            // before it may be over when that one begins.
+            let begin = first + ARRIVAL_STEPS;
+            let previous = (begin + 1).saturating_sub(STEPS)..begin;
+            let funded = self.earned(row, &previous) * PREVIOUS_PART
+                + self.earned(row, &(begin..step + 1)) * CURRENT_PART;
             retries + 1.0 <= funded
         })
     }
--- a/samphiredeck_core/tests/forward_retry_budget.rs
+++ b/samphiredeck_core/tests/forward_retry_budget.rs
@@ -6,7 +6,7 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
-        members::{MemberHeartbeat, NodeHeartbeat, is_established, is_lapsed, is_vacant},
+        members::{MemberHeartbeat, NodeHeartbeat, count_if_vacant, is_established, is_lapsed},
         retry_budget::{RetryBudget, RetryLimit},
     },
     ids::{Incarnation, NodeName, PoolName},
@@ -18,8 +18,6 @@
 const LIST_LAG_MS: u64 = 3_000;
 /// Age of a heartbeat from which a node is not listed any more.
 const LISTED_MS: u64 = 7_500;
-/// Nodes that a first run assumes.
-const NODES_ASSUMED: u32 = 16;
 
 fn at(millis: u64) -> BootTime {
     BootTime::from_millis(millis)
@@ -48,7 +46,8 @@
     name: NodeName,
     /// `None` while the node does not run.
     budget: Option<RetryBudget>,
-    is_first_run: bool,
+    /// Number of nodes that had run earlier, on the first run for a while.
+    first_of: Option<u32>,
     since: u64,
     published: Option<u64>,
     next_publication: u64,
@@ -68,7 +67,7 @@
 }
 
 impl SimulatedCluster {
-    /// Starts `count` nodes at once.
+    /// Starts `count` nodes at once that have run earlier.
     fn start(count: usize, extra: f64) -> Self {
         let mut cluster = Self {
             limit: limit(extra),
@@ -79,25 +78,33 @@
             retries: Vec::new(),
         };
         for _ in 0..count {
-            cluster.join();
+            cluster.add();
+        }
+        cluster.rows.fill(Some(PublishedRow { since: 0, beat: 1, first_beat: 1 }));
+        for index in 0..count {
+            cluster.run(index);
         }
         cluster
     }
 
     /// Adds a node and starts it.
     fn join(&mut self) {
+        self.add();
+        self.run(self.nodes.len() - 1);
+    }
+
+    fn add(&mut self) {
         let index = self.nodes.len();
         self.nodes.push(SimulatedNode {
             name: format!("n{index:03}").parse().unwrap(),
             budget: None,
-            is_first_run: false,
+            first_of: None,
             since: 0,
             published: None,
             next_publication: 0,
             frozen_until: 0,
         });
         self.rows.push(None);
-        self.run(index);
     }
 
     fn heartbeats(&self) -> Vec<MemberHeartbeat> {
@@ -126,15 +133,15 @@
         let mut budget = RetryBudget::new(self.limit);
         let store_ms = i64::try_from(now).unwrap();
         let name = self.nodes[index].name.clone();
-        let is_first_run = is_vacant(&self.heartbeats(), &name, budget.funding_span(), store_ms);
-        if is_first_run {
-            budget.fund_vacancy(NODES_ASSUMED.max(self.listed(now)), at(now));
+        let first_of = count_if_vacant(&self.heartbeats(), &name, budget.funding_span(), store_ms);
+        if let Some(nodes) = first_of {
+            budget.fund_vacancy(nodes, at(now));
         }
         let row = self.rows[index];
         let kept = row.filter(|row| !is_lapsed(Duration::from_millis(now - row.beat)));
         let node = &mut self.nodes[index];
         node.budget = Some(budget);
-        node.is_first_run = is_first_run;
+        node.first_of = first_of;
         node.since = kept.map_or(now, |row| row.since);
         node.published = None;
         node.next_publication = now + 300;
@@ -159,14 +166,14 @@
         let node = &mut self.nodes[index];
         if node.published.is_some_and(|at| is_lapsed(Duration::from_millis(now - at))) {
             node.since = now;
-            node.is_first_run = false;
+            node.first_of = None;
         }
         let (since, now_ms) = (node.since.try_into().unwrap(), now.try_into().unwrap());
         let Some(budget) = &mut node.budget else { return };
         if is_established(since, now_ms) {
             budget.record_membership(listed, at(now));
-        } else if node.is_first_run {
-            budget.record_membership(listed.max(NODES_ASSUMED), at(now));
+        } else if let Some(nodes) = node.first_of {
+            budget.record_membership(nodes.max(listed), at(now));
         } else {
             budget.record_absence();
         }
