Limits on callers: checked where bytes are read, by the configuration of that moment

Cause: serve_connection took the limits when it accepted a connection and gave them to hyper, for its buffer and its timer. A connection accepted before the first configuration kept the defaults, smaller limits were not enforced, and header_timeout_ms was not used at all. Change: the stream of a connection counts the bytes of a head that is not complete, and its timer has the idle time or the time for heads, both by the limits in force. hyper keeps a hard bound of 1 MB; it gets a response no faster than it is sent, and room for a request only while there is one.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -5,6 +5,8 @@
 mod attempt;
 mod bounded_body;
 mod byte_lease;
+mod caller_connection;
+mod caller_stream;
 mod clock;
 mod connection_pool;
 mod decision_log;
--- a/samphiredeck/src/forward/ingress.rs
+++ b/samphiredeck/src/forward/ingress.rs
@@ -20,21 +20,13 @@
 };
 
 use crate::forward::{
-    clock,
+    caller_connection::serve_connection,
     node::{ForwardNode, ShutdownPhase},
     operator::respond_to_operator,
-    serve::serve_request,
 };
 
-/// Idle timeout of a connection while no configuration is loaded.
-const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
-/// Maximum size of a request head in bytes while no configuration is loaded.
-const HEAD_BYTES_DEFAULT: usize = 16_384;
-/// Minimum buffer size that `hyper` accepts, in bytes.
-const HEAD_BYTES_MIN: usize = 8_192;
-/// Time for which a stopping node waits for a request on a connection without one. Covers the time from the
-/// connection to the request of a caller that has just connected, and requests that were received already.
-const LAST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+/// Idle timeout of connections for probes and metrics.
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -90,44 +82,6 @@
     });
 }
 
-async fn serve_connection(node: Rc<ForwardNode>, stream: TcpStream) {
-    // Without this option, the last small segment of a response is delayed until an
-    // acknowledgement.
-    drop(stream.set_nodelay(true));
-    let limits = node.state().catalog.as_ref().map(|catalog| catalog.limits());
-    let head_bytes = limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.max_head_bytes);
-    let service_node = Rc::clone(&node);
-    let service = service_fn(move |request| {
-        let node = Rc::clone(&service_node);
-        async move { Ok::<_, Infallible>(serve_request(node, request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        // In `hyper`, this timeout covers the idle time before a request as well as its head.
-        .header_read_timeout(limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout))
-        .max_buf_size(head_bytes.max(HEAD_BYTES_MIN));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let mut phase = node.phase.subscribe();
-    let closing = async { phase.wait_for(|phase| *phase >= ShutdownPhase::Closing).await.is_ok() };
-    // A connection error affects only its caller. The log has a line for each of its requests.
-    // `graceful_shutdown` closes a connection without a request at once, even if one was received that is not
-    // read yet.
-    let closing = async {
-        _ = closing.await;
-        let answers_at = node.stop_schedule.get().map_or_else(clock::now, |stop| stop.answers_at);
-        sleep(LAST_REQUEST_WAIT.min(answers_at.since(clock::now()) / 2)).await;
-    };
-    select! {
-        ended = connection.as_mut() => drop(ended),
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            drop(connection.await);
-        }
-    }
-}
-
 /// Serves readiness probes of the load balancer.
 pub async fn serve_readiness(
     node: Rc<ForwardNode>,
@@ -176,7 +130,7 @@
                 async move { Ok::<_, Infallible>(response) }
             });
             let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT_DEFAULT);
+            builder.timer(TokioTimer::new()).header_read_timeout(PROBE_IDLE_TIMEOUT);
             // The client notices a failed connection itself.
             drop(builder.serve_connection(TokioIo::new(stream), service).await);
         });
--- a/samphiredeck/src/forward/node.rs
+++ b/samphiredeck/src/forward/node.rs
@@ -11,8 +11,8 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
-        byte_budget::ByteBudget, descriptor_shares::DescriptorShares, stop_schedule::StopSchedule,
-        store_eras::StoreEras,
+        byte_budget::ByteBudget, catalog::CallerLimits, descriptor_shares::DescriptorShares,
+        stop_schedule::StopSchedule, store_eras::StoreEras,
     },
     ids::{Incarnation, UpstreamId},
 };
@@ -97,6 +97,8 @@
     pub path_lost: Notify,
     /// Cloned by each open tunnel of another node.
     pub tunnels: Rc<()>,
+    /// Limits on callers by the configuration in force.
+    pub caller_limits: watch::Sender<CallerLimits>,
     pub phase: watch::Sender<ShutdownPhase>,
     /// Moments of the stop, once the node is stopping.
     pub stop_schedule: Cell<Option<StopSchedule>>,
@@ -133,6 +135,7 @@
             queue_moved: Notify::new(),
             path_lost: Notify::new(),
             tunnels: Rc::new(()),
+            caller_limits: watch::Sender::new(CallerLimits::default()),
             phase: watch::Sender::new(ShutdownPhase::Serving),
             stop_schedule: Cell::new(None),
             started_at: clock::now(),
--- a/samphiredeck/src/forward/store_watch.rs
+++ b/samphiredeck/src/forward/store_watch.rs
@@ -207,6 +207,8 @@
             state.durations.retain(is_declared);
             state.urgencies.retain_routes(is_declared);
             node.metrics.config.version.set(i64::try_from(catalog.version().0).unwrap_or(0));
+            let limits = catalog.limits();
+            node.caller_limits.send_if_modified(|known| std::mem::replace(known, limits) != limits);
             state.catalog = Some(Rc::new(catalog));
         }
         Some(Ok(_older)) => {}
--- a/samphiredeck_core/src/forward.rs
+++ b/samphiredeck_core/src/forward.rs
@@ -8,6 +8,7 @@
 pub mod awaited_response;
 pub mod brittle_pools;
 pub mod byte_budget;
+pub mod caller_wait;
 pub mod capacity;
 pub mod catalog;
 pub mod clock;
--- a/samphiredeck_core/src/forward/catalog.rs
+++ b/samphiredeck_core/src/forward/catalog.rs
@@ -124,7 +124,7 @@
 }
 
 /// Limits on requests and connections of callers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Maximum size of a request's head in bytes.
     pub max_head_bytes: usize,
@@ -136,6 +136,18 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for CallerLimits {
+    /// Limits while none are known.
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16_384,
+            max_body_bytes: 8 * 1_024 * 1_024,
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
 /// Part of a configuration that can't be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CatalogIssue {
