Uploads: the larger one of the limits at their begin and of the moment

What callers saw: an upload without a length that began before max_body_bytes was raised got 413, though the configuration in force permits it. Cause: read_body took the limit when the request was admitted, as connections took theirs when they were accepted. Change: the limit is asked for each part, and is the larger one of that at the begin and the one in force. A smaller limit refuses no upload that is on its way. Measured: caller_limits::uploads_on_their_way_take_the_larger_one_of_two_limits failed before (413) and passes.

--- a/samphiredeck/src/forward/bounded_body.rs
+++ b/samphiredeck/src/forward/bounded_body.rs
@@ -33,10 +33,10 @@
     Broken(#[from] hyper::Error),
 }
 
-/// Receives `body` of at most `limit` bytes, which `lease` holds.
+/// Receives `body`, which `lease` holds. `limit` returns the maximum number of its bytes at the moment.
 pub async fn collect_body(
     mut body: Incoming,
-    limit: usize,
+    limit: &dyn Fn() -> usize,
     lease: &mut ByteLease,
     when_full: WhenFull,
 ) -> Result<Bytes, BodyError> {
@@ -46,7 +46,7 @@
         let frame = frame?;
         let Some(mut chunk) = frame.data_ref().map(AsRef::as_ref) else { continue };
         length += chunk.len();
-        if length > limit {
+        if length > limit() {
             return Err(BodyError::TooLong);
         }
         // Chunks are copied, as each would keep a whole receive buffer. The parts don't move, so that no memory is left over.
--- a/samphiredeck/src/forward/serve.rs
+++ b/samphiredeck/src/forward/serve.rs
@@ -228,16 +228,18 @@
     body: Incoming,
     deadline: BootTime,
 ) -> Result<(Bytes, ByteLease), ErrorResponse> {
-    let limit = catalog.limits().max_body_bytes;
+    // The caller may know any configuration that was in force since it began to send.
+    let begun_limit = catalog.limits().max_body_bytes;
+    let limit = || begun_limit.max(node.caller_limits.borrow().max_body_bytes);
     let too_large =
         || ErrorResponse::not_retryable(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
     let declared = hyper::body::Body::size_hint(&body).exact();
-    if declared.is_some_and(|bytes| usize::try_from(bytes).is_ok_and(|bytes| bytes > limit)) {
+    if declared.is_some_and(|bytes| usize::try_from(bytes).is_ok_and(|bytes| bytes > limit())) {
         return Err(too_large());
     }
     let time_left = deadline.since(clock::now());
     let mut lease = ByteLease::new(node, ByteSource::Caller);
-    let collected = collect_body(body, limit, &mut lease, WhenFull::Fail);
+    let collected = collect_body(body, &limit, &mut lease, WhenFull::Fail);
     match timeout(time_left, collected).await {
         Ok(Ok(bytes)) => Ok((bytes, lease)),
         Ok(Err(BodyError::TooLong)) => Err(too_large()),
--- a/samphiredeck/src/forward/upstream_response.rs
+++ b/samphiredeck/src/forward/upstream_response.rs
@@ -225,7 +225,7 @@
             .await;
         }
     }
-    let body = collect_body(body, RESPONSE_BYTES_MAX, &mut lease, WhenFull::Wait).await;
+    let body = collect_body(body, &|| RESPONSE_BYTES_MAX, &mut lease, WhenFull::Wait).await;
     let body = body.map_err(|error| match error {
         BodyError::Broken(error) => SendFailure::unread(&error),
         error => SendFailure::new(SendOutcome::Broken, error.to_string()),
