Responses: a status that HTTP doesn't have, or 101, is none

What callers saw: an upstream that answered with status 101 got its answer through to the caller with its signature, on plain routes and streams; 600 and 999, too. Statuses under 100 and malformed ones were answered 502, as they should. Cause: hyper returns 101 to its user, since another protocol may follow, and takes any three digits from 100 on. Change: the one client of upstreams and of the platform takes 200 to 599 for a response. Others are broken ones: 502, or another upstream where the request may run again. Measured: early_responses::response_with_an_odd_status_does_not_reach_its_caller failed before (101 passed on) and passes. The tests of resets beside uploads passed before, too: 433 and 36 requests were answered early, no part was taken as whole.

--- a/samphiredeck/src/forward/http_connection.rs
+++ b/samphiredeck/src/forward/http_connection.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -143,14 +143,25 @@
         self.head.begin();
         let sent = self.sender.try_send_request(request).await;
         self.head.end();
-        sent.map_err(|mut error| {
+        let response = sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let error = error.into_error();
             SendError { unsent, closed: is_closed_by_peer(&error), reason: error.to_string() }
-        })
+        })?;
+        if !is_final(response.status()) {
+            let reason = format!("{} is not the status of a response", response.status().as_u16());
+            return Err(SendError { unsent: false, closed: false, reason });
+        }
+        Ok(response)
     }
 }
 
+/// Whether `status` may be that of a response: `hyper` returns 101, after which another protocol would follow, and statuses
+/// that HTTP doesn't have.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether `error` means that the peer closed the connection, as the end of its process does. Invalid
 /// bytes and timeouts don't.
 pub fn is_closed_by_peer(error: &hyper::Error) -> bool {
