--- a/samphiredeck_standins/tests/cut_responses.rs
+++ b/samphiredeck_standins/tests/cut_responses.rs
@@ -11,6 +11,7 @@
     proxy::ProxyCut,
 };
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -85,17 +86,27 @@
     Ok(())
 }
 
+/// How a service responds to calls.
+#[derive(Clone, Copy, Debug)]
+enum CallMode {
+    /// With this status line.
+    Status(&'static str),
+    /// With status 200 and a part of the body before it has read the call, and a reset.
+    EarlyReset,
+}
+
 /// Serves a service that closes its connection at the end of each response, which has no length.
-async fn serve_unframed(listener: TcpListener) {
+async fn serve_unframed(listener: TcpListener, mode: CallMode) {
     while let Ok((stream, _)) = listener.accept().await {
-        actix_web::rt::spawn(respond_unframed(stream));
+        actix_web::rt::spawn(respond_unframed(stream, mode));
     }
 }
 
-async fn respond_unframed(mut stream: TcpStream) {
+async fn respond_unframed(mut stream: TcpStream, mode: CallMode) {
     let mut request = String::new();
     // Calls end with their JSON body, and load requests have none.
-    while !request.ends_with('}') && !request.starts_with("GET ") {
+    let is_early = |text: &str| matches!(mode, CallMode::EarlyReset) && text.contains("\r\n\r\n");
+    while !request.ends_with('}') && !request.starts_with("GET ") && !is_early(&request) {
         let mut buffer = [0; 4_096];
         match stream.read(&mut buffer).await {
             Ok(length) if length > 0 => {
@@ -113,25 +124,39 @@
     } else {
         json!({ "posted": true }).to_string()
     };
+    let status = match mode {
+        CallMode::Status(status) if request.starts_with("POST ") => status,
+        CallMode::Status(_) | CallMode::EarlyReset => "200 OK",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {}\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 {status}\r\n{REQUEST_ID_HEADER}: {}\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n",
         id.unwrap_or_default()
     );
     drop(stream.write_all(head.as_bytes()).await);
     // The body comes on its own.
     tokio::time::sleep(Duration::from_millis(2)).await;
     drop(stream.write_all(body.as_bytes()).await);
+    if matches!(mode, CallMode::EarlyReset) && request.starts_with("POST ") {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        drop(SockRef::from(&stream).set_linger(Some(Duration::ZERO)));
+    }
 }
 
-#[actix_web::test]
-async fn service_response_without_a_length_is_taken_whole() -> eyre::Result<()> {
+/// Starts a node before a service that responds by `mode`.
+async fn start_with_service(mode: CallMode) -> eyre::Result<Fixture> {
     let spec = FixtureSpec { engines: 0, nodes: 1, ..FixtureSpec::default() };
     let mut fixture = Fixture::start(&spec).await?;
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let address = listener.local_addr()?;
-    actix_web::rt::spawn(serve_unframed(listener));
+    actix_web::rt::spawn(serve_unframed(listener, mode));
     fixture.system.add_service("ledger-1", "ledger", DOMAINS[0], Some(address)).await?;
     fixture.system.wait_upstreams(1, START_TIMEOUT).await?;
+    Ok(fixture)
+}
+
+#[actix_web::test]
+async fn service_response_without_a_length_is_taken_whole() -> eyre::Result<()> {
+    let fixture = start_with_service(CallMode::Status("200 OK")).await?;
     for number in 0..8 {
         let body = json!({ "ref": number });
         let (status, verdict, body) =
@@ -141,3 +166,18 @@
     }
     Ok(())
 }
+
+// Guards against a response with a status that HTTP doesn't have, or a part of one, as an answer for the caller.
+#[actix_web::test]
+async fn service_response_with_an_odd_status_or_an_early_reset_is_no_answer() -> eyre::Result<()> {
+    let odd = ["000 Odd", "101 Odd", "600 Odd", "999 Odd"].map(CallMode::Status);
+    for mode in odd.into_iter().chain([CallMode::EarlyReset]) {
+        let fixture = start_with_service(mode).await?;
+        let body = json!({ "ref": "x".repeat(200_000) });
+        let (status, verdict, body) =
+            fixture.system.client.call_service(fixture.node(0), PATH, None, &body).await;
+        let case = format!("{mode:?}: {status} {verdict} {body}");
+        ensure!(verdict == "may-have-run" && (500..600).contains(&status), "{case}");
+    }
+    Ok(())
+}
