Callers' connections: no refusal is written before the response ahead of it was sent; funding of retries in a file of its own

Cause: found by reading the change again: a refusal is written past hyper, which may still hold the end of the response before. Not seen: refusal_does_not_reach_the_response_before_it passes without the guard, too, since hyper reads no further head then. Change: the stream notes when all was flushed; without that the connection is closed and nothing is written.

--- a/samphiredeck/src/forward.rs
+++ b/samphiredeck/src/forward.rs
@@ -37,6 +37,7 @@
 mod request_progress;
 mod response_body;
 mod response_scan;
+mod retry_funding;
 mod rollout;
 mod send_permit;
 mod serve;
--- a/samphiredeck/src/forward/caller_connection.rs
+++ b/samphiredeck/src/forward/caller_connection.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header::CONNECTION};
+use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
 use hyper::{
     body::Incoming,
     server::conn::http1::{self, Connection},
@@ -22,7 +22,6 @@
     caller_wait::{HEAD_BYTES_MAX, WaitEnd, head_bytes_max},
     catalog::CallerLimits,
 };
-use samphiredeck_platform::headers::encode_refusal_headers;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -71,13 +70,13 @@
     let Some(end) = drive(&node, &state, &mut connection).await else { return };
     let limits = state.limits();
     let stream = connection.into_parts().io.into_inner().into_inner();
-    match refusal_text(end, limits) {
+    match refusal_text(end, limits).filter(|_| state.is_flushed()) {
         Some((status, reason)) => {
             let fields = json!({ "status": status.as_u16(), "reason": reason });
             node.log.record("head-refused", fields);
             refuse(stream, status, &reason).await;
         }
-        // Nothing was received that a response could belong to.
+        // Nothing was received that a response could belong to, or the caller has not received the response before it.
         None => drop(stream),
     }
 }
@@ -164,7 +163,7 @@
     let body = ResponseBody::full(Bytes::from(reason));
     let mut response = Response::new(CallerBody::new(body, exchange));
     *response.status_mut() = status;
-    *response.headers_mut() = refusal_headers();
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
@@ -192,25 +191,14 @@
     }
 }
 
-fn refusal_headers() -> HeaderMap {
-    let mut headers = encode_refusal_headers("", None);
-    headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    headers
-}
-
 /// Writes a response to a head that is not complete, and closes `stream`.
 async fn refuse(mut stream: TcpStream, status: StatusCode, reason: &str) {
-    let mut bytes =
-        format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", reason.len()).into_bytes();
-    for (name, value) in &refusal_headers() {
-        for part in [name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"] {
-            bytes.extend_from_slice(part);
-        }
-    }
-    bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(reason.as_bytes());
+    let length = reason.len();
+    let text = format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{reason}"
+    );
     let exchange = async {
-        stream.write_all(&bytes).await?;
+        stream.write_all(text.as_bytes()).await?;
         stream.shutdown().await?;
         let mut buffer = [0; 4_096];
         let mut discarded = 0;
--- a/samphiredeck/src/forward/caller_stream.rs
+++ b/samphiredeck/src/forward/caller_stream.rs
@@ -37,6 +37,8 @@
     wait: Cell<CallerWait>,
     /// Why the stream has failed.
     failure: Cell<Option<WaitEnd>>,
+    /// Whether all of the responses so far was sent.
+    is_flushed: Cell<bool>,
     /// Bytes of the current response that were given to `hyper` and not sent yet, apart from its head and framing.
     unsent: Cell<usize>,
     /// Body that waits until fewer bytes are unsent.
@@ -50,6 +52,7 @@
             node,
             wait: Cell::new(CallerWait::new(clock::now())),
             failure: Cell::new(None),
+            is_flushed: Cell::new(true),
             unsent: Cell::new(0),
             blocked: RefCell::default(),
         })
@@ -70,6 +73,11 @@
         self.failure.get()
     }
 
+    /// Whether all of the responses so far was sent.
+    pub fn is_flushed(&self) -> bool {
+        self.is_flushed.get()
+    }
+
     /// Records that the head of a request is complete. Returns the exchange that it begins.
     pub fn begin_exchange(self: &Rc<Self>) -> CallerExchange {
         self.update(CallerWait::begin_exchange);
@@ -100,6 +108,7 @@
 
 impl Drop for CallerExchange {
     fn drop(&mut self) {
+        self.0.is_flushed.set(false);
         self.0.update(|wait| wait.end_exchange(clock::now()));
     }
 }
@@ -207,7 +216,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        // `hyper` flushes the stream once it has written all that it holds.
+        this.state.is_flushed.set(true);
+        Pin::new(&mut this.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -17,9 +17,7 @@
         limit_queue::LimitQueue,
         load_view::LoadExchange,
         member_list::MEMBER_PAGE_ENTRIES,
-        members::{
-            MemberHeartbeat, MemberTable, NodeHeartbeat, count_if_vacant, is_established, is_lapsed,
-        },
+        members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
         origin_query::VersionView,
         part_exchange::PartExchange,
@@ -53,7 +51,7 @@
 };
 use samphiredeck_wire::forward::RelayedMembers;
 
-use crate::forward::{clock, settings::ForwardSettings};
+use crate::forward::{clock, retry_funding::JoinKind, settings::ForwardSettings};
 
 /// Number of nodes assumed to share budgets and quotas until the members are known. Larger than
 /// small deployments, so that a single node that has not read the store takes only a small share.
@@ -73,15 +71,6 @@
 /// Size of a part of the configuration in bytes, so that it fits into a datagram.
 const CONFIG_PART_BYTES: usize = 1_000;
 
-/// Which nodes had run when this one joined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum JoinKind {
-    /// None for a while, apart from those that started at the same time. Before that, `nodes` nodes had run.
-    First { nodes: u32 },
-    /// Others, or this one itself.
-    BesideOthers,
-}
-
 /// State of this run of the node.
 #[derive(Debug)]
 pub struct ForwardState {
@@ -175,7 +164,7 @@
     /// Store time at which the first run at this address started.
     pub since_ms: Option<i64>,
     /// Which nodes had run when this one joined.
-    joined: JoinKind,
+    pub joined: JoinKind,
 }
 
 impl ForwardState {
@@ -414,38 +403,6 @@
         store_ms.is_some_and(|store_ms| self.members.may_own_quotas(own, since_ms, store_ms))
     }
 
-    /// Records which nodes had run when this one, called `own`, read their `heartbeats` first, and the store's clock showed
-    /// `store_ms`.
-    pub fn record_first_read(
-        &mut self,
-        heartbeats: &[MemberHeartbeat],
-        own: &NodeName,
-        store_ms: i64,
-        now: BootTime,
-    ) {
-        let span = self.retry_budget.funding_span();
-        if let Some(nodes) = count_if_vacant(heartbeats, own, span, store_ms) {
-            self.joined = JoinKind::First { nodes };
-            self.retry_budget.fund_vacancy(nodes, now);
-        }
-    }
-
-    /// Records that the heartbeat of this node was published at `now`.
-    pub fn record_published(&mut self, now: BootTime) {
-        self.published_at = Some(now);
-        let (since_ms, store_ms) = (self.since_ms, self.clock.store_ms(now));
-        let is_established =
-            since_ms.zip(store_ms).is_some_and(|(since, store)| is_established(since, store));
-        let listed = self.members.count();
-        match self.joined {
-            _ if is_established => self.retry_budget.record_membership(listed, now),
-            JoinKind::First { nodes } => {
-                self.retry_budget.record_membership(nodes.max(listed), now);
-            }
-            JoinKind::BesideOthers => self.retry_budget.record_absence(),
-        }
-    }
-
     /// Treats this node as new if other nodes may have considered it gone at `now`, so that all
     /// nodes accept it as a quota owner at the same time.
     pub fn rejoin_if_lapsed(&mut self, now: BootTime) {
