--- a/samphiredeck_core/src/forward/retry_budget.rs
+++ b/samphiredeck_core/src/forward/retry_budget.rs
@@ -92,11 +92,10 @@
         Self { limit, shares: VecDeque::new(), member_to: None, rows: Vec::new() }
     }
 
-    /// Length of a step in milliseconds, at least 1.
+    /// Length of a step in milliseconds, at least 1. Rounded up, so that all steps together cover a window.
     fn step_ms(&self) -> u64 {
-        u64::try_from(self.limit.window.as_millis())
-            .map_or(u64::MAX, |window| window / STEPS)
-            .max(1)
+        let window = u64::try_from(self.limit.window.as_millis()).unwrap_or(u64::MAX);
+        window.div_ceil(STEPS).max(1)
     }
 
     fn step_of(&self, at: BootTime) -> u64 {
