--- a/samphiredeck/src/forward/retry_funding.rs
+++ b/samphiredeck/src/forward/retry_funding.rs
@@ -2,21 +2,12 @@
 
 use samphiredeck_core::{
     boot_time::BootTime,
-    forward::members::{MemberHeartbeat, count_if_vacant, is_established},
+    forward::members::{JoinKind, MemberHeartbeat, count_if_vacant, is_established},
     ids::NodeName,
 };
 
 use crate::forward::state::ForwardState;
 
-/// Which nodes had run when this one joined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum JoinKind {
-    /// None for a while, apart from those that started at the same time. Before that, `nodes` nodes had run.
-    First { nodes: u32 },
-    /// Others, or this one itself.
-    BesideOthers,
-}
-
 impl ForwardState {
     /// Records which nodes had run when this one, called `own`, read their `heartbeats` first, and the store's clock showed
     /// `store_ms`.
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -17,7 +17,7 @@
         limit_queue::LimitQueue,
         load_view::LoadExchange,
         member_list::MEMBER_PAGE_ENTRIES,
-        members::{MemberTable, NodeHeartbeat, is_lapsed},
+        members::{JoinKind, MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
         origin_query::VersionView,
         part_exchange::PartExchange,
@@ -51,7 +51,7 @@
 };
 use samphiredeck_wire::forward::RelayedMembers;
 
-use crate::forward::{clock, retry_funding::JoinKind, settings::ForwardSettings};
+use crate::forward::{clock, settings::ForwardSettings};
 
 /// Number of nodes assumed to share budgets and quotas until the members are known. Larger than
 /// small deployments, so that a single node that has not read the store takes only a small share.
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -58,6 +58,18 @@
     store_ms >= since_ms.saturating_add(OWNER_AGE_MIN_MS)
 }
 
+/// Which nodes had run when one joined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JoinKind {
+    /// None for a while, apart from those that started at the same time. Before that, `nodes` nodes had run.
+    First {
+        /// At least 1, with the one that joined.
+        nodes: u32,
+    },
+    /// Others, or this one itself.
+    BesideOthers,
+}
+
 /// Number of nodes in `heartbeats`, if they show that none ran for `span` before a start of node `own`, when the store's clock
 /// showed `store_ms`. Others that have just started, too, as at the first start of a cluster, are not taken for running.
 #[must_use]
