Retry budget: the first start of a cluster is funded once

A node that found no node in the store was funded for the time before its start at once. One that was killed before it was published was funded again by its next start, and first nodes that start together each took themselves for the only one. Change: funded is who finds its own row in the store after it found none of any node there, by one of n (n + 1) shares when n nodes are named, until one of them counts as a member. The time as a member counts from the moment at which it begins.

--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -18,7 +18,7 @@
 use samphiredeck_platform::store::{StoreKey, StoreRow, StoreRows, StoreTransaction};
 use samphiredeck_wire::record::{
     LEADER_ROW_KEY, SECRET_ROW_KEY, SHARED_TABLE, SharedRecord, decode_record, encode_record,
-    group_key, suspects_key, versions_key,
+    group_key, is_group_key, suspects_key, versions_key,
 };
 use serde_json::json;
 use tokio::time::sleep;
@@ -138,7 +138,9 @@
     let known_windows = node.state().agreed_windows.known();
     let response = client.read_table(SHARED_TABLE, STORE_TIMEOUT).await?;
     if !std::mem::replace(&mut schedule.has_looked_for_others, true) {
-        record_first_read(node, &response);
+        if !response.rows.iter().any(|row| is_group_key(&row.key)) {
+            node.state().record_vacancy(clock::now());
+        }
         if !has_live_neighbours(node, &response, sent_at) {
             return Ok(ReadStep::LookAgain);
         }
@@ -146,6 +148,13 @@
     if notice_return(node, &response, sent_at) {
         return Ok(ReadStep::Applied);
     }
+    if node.state().vacant_from.is_some() {
+        let heartbeats = decode_groups(&response.rows);
+        let funded = node.state().fund_first_start(&heartbeats, &node.settings().name, sent_at);
+        if let Some(nodes) = funded {
+            node.log.record("first-start", json!({ "nodes": nodes }));
+        }
+    }
     let is_first = schedule.read_at.is_none();
     schedule.read_at = Some(sent_at);
     if is_first && decode_groups(&response.rows).is_empty() {
@@ -162,13 +171,6 @@
     Ok(ReadStep::Applied)
 }
 
-/// Records which nodes had run before this one, by its first read.
-fn record_first_read(node: &ForwardNode, response: &StoreRows) {
-    let heartbeats = decode_groups(&response.rows);
-    let store_ms = i64::try_from(response.clock_ms).unwrap_or(i64::MAX);
-    node.state().record_first_read(&heartbeats, &node.settings().name, store_ms, clock::now());
-}
-
 /// Whether other nodes of this failure domain are alive, or this node itself was until recently.
 fn has_live_neighbours(node: &ForwardNode, response: &StoreRows, sent_at: BootTime) -> bool {
     let mut state = node.state();
@@ -196,6 +198,9 @@
         let Some(read_at) = self.read_at else { return Duration::ZERO };
         let now = clock::now();
         let state = node.state();
+        if state.vacant_from.is_some() && self.sent_at > self.read_at {
+            return Duration::ZERO;
+        }
         let is_leader = state.leader_lease.fence(now).is_some();
         let is_frequent = state.reader.is_none()
             || is_leader
--- a/samphiredeck/src/forward/state.rs
+++ b/samphiredeck/src/forward/state.rs
@@ -17,7 +17,7 @@
         limit_queue::LimitQueue,
         load_view::LoadExchange,
         member_list::MEMBER_PAGE_ENTRIES,
-        members::{JoinKind, MemberTable, NodeHeartbeat, is_lapsed},
+        members::{MemberTable, NodeHeartbeat, is_lapsed},
         node_groups::NodeGroup,
         origin_query::VersionView,
         part_exchange::PartExchange,
@@ -163,8 +163,8 @@
     pub leader_lease: LeaderLease,
     /// Store time at which the first run at this address started.
     pub since_ms: Option<i64>,
-    /// Which nodes had run when this one joined.
-    pub joined: JoinKind,
+    /// Time from which on the retry budget is still to be funded for the first start of the cluster.
+    pub vacant_from: Option<BootTime>,
 }
 
 impl ForwardState {
@@ -217,7 +217,7 @@
             prompt_cache: PromptCacheTable::default(),
             clock: ClusterClock::default(),
             since_ms: None,
-            joined: JoinKind::BesideOthers,
+            vacant_from: None,
             leader_lease: LeaderLease::new(
                 settings.name.clone(),
                 settings.listen.peer,
@@ -409,7 +409,7 @@
         let lapsed = self.published_at.is_some_and(|at| is_lapsed(now.since(at)));
         if lapsed && let Some(store_ms) = self.clock.store_ms(now) {
             self.since_ms = Some(store_ms);
-            self.joined = JoinKind::BesideOthers;
+            self.vacant_from = None;
         }
     }
 
--- a/samphiredeck_core/src/forward/members.rs
+++ b/samphiredeck_core/src/forward/members.rs
@@ -55,40 +55,13 @@
 /// the store.
 #[must_use]
 pub fn is_established(since_ms: i64, store_ms: i64) -> bool {
-    store_ms >= since_ms.saturating_add(OWNER_AGE_MIN_MS)
+    store_ms >= established_ms(since_ms)
 }
 
-/// Which nodes had run when one joined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum JoinKind {
-    /// None for a while, apart from those that started at the same time. Before that, `nodes` nodes had run.
-    First {
-        /// At least 1, with the one that joined.
-        nodes: u32,
-    },
-    /// Others, or this one itself.
-    BesideOthers,
-}
-
-/// Number of nodes in `heartbeats`, if they show that none ran for `span` before a start of node `own`, when the store's clock
-/// showed `store_ms`. Others that have just started, too, as at the first start of a cluster, are not taken for running.
+/// Time from which on [`is_established`] holds for a node that joined at `since_ms`.
 #[must_use]
-pub fn count_if_vacant(
-    heartbeats: &[MemberHeartbeat],
-    own: &NodeName,
-    span: Duration,
-    store_ms: i64,
-) -> Option<u32> {
-    let span_ms = i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
-    let has_run = heartbeats.iter().any(|(node, heartbeat)| {
-        let is_recent = store_ms.saturating_sub(heartbeat.beat_ms) < span_ms;
-        is_recent && (node == own || is_established(heartbeat.since_ms, store_ms))
-    });
-    let mut nodes: Vec<&NodeName> = heartbeats.iter().map(|(node, _)| node).collect();
-    nodes.push(own);
-    nodes.sort_unstable();
-    nodes.dedup();
-    (!has_run).then(|| u32::try_from(nodes.len()).unwrap_or(u32::MAX))
+pub fn established_ms(since_ms: i64) -> i64 {
+    since_ms.saturating_add(OWNER_AGE_MIN_MS)
 }
 
 /// Heartbeat that a node publishes to the store.
--- a/samphiredeck_core/src/forward/retry_budget.rs
+++ b/samphiredeck_core/src/forward/retry_budget.rs
@@ -79,8 +79,8 @@
     limit: RetryLimit,
     /// Shares of the additional retries, which hold for each pool. Oldest first, without duplicates.
     shares: VecDeque<StepShare>,
-    /// Time up to which this node has got its shares. `None` if it did not count as a member.
-    member_to: Option<BootTime>,
+    /// Time at which this node was published last.
+    published_at: Option<BootTime>,
     /// Sorted by pool, without duplicates.
     rows: Vec<PoolCounts>,
 }
@@ -89,7 +89,7 @@
     /// Creates a budget that is not funded yet.
     #[must_use]
     pub fn new(limit: RetryLimit) -> Self {
-        Self { limit, shares: VecDeque::new(), member_to: None, rows: Vec::new() }
+        Self { limit, shares: VecDeque::new(), published_at: None, rows: Vec::new() }
     }
 
     /// Length of a step in milliseconds, at least 1. Rounded up, so that all steps together cover a window.
@@ -108,38 +108,39 @@
         Duration::from_millis(self.step_ms().saturating_mul(FUNDING_STEPS))
     }
 
-    /// Funds the time before `now`, in which no node has run, for one of `nodes` nodes.
-    pub fn fund_vacancy(&mut self, nodes: u32, now: BootTime) {
-        let since = now.checked_sub(self.funding_span()).unwrap_or_default();
-        self.add_shares(since, now, nodes);
+    /// Funds the time from `since` to `until`, in which no node counted as a member yet, for one of the first nodes. The store
+    /// has named `nodes` of them at `until`, this one among them.
+    pub fn fund_first_start(&mut self, nodes: u32, since: BootTime, until: BootTime) {
+        self.add_shares(since, until, first_start_shares(nodes));
     }
 
-    /// Records at `now` that the other nodes count this one as a member, of `nodes` in total, and funds the time since
-    /// the last record. Funds nothing if they may have dropped it meanwhile.
-    pub fn record_membership(&mut self, nodes: u32, now: BootTime) {
-        let since = self.member_to.replace(now).filter(|since| !is_lapsed(now.since(*since)));
-        if let Some(since) = since {
-            self.add_shares(since, now, nodes);
-        }
+    /// Whether one of `nodes` first nodes gets a retry at all for the time before the first start.
+    #[must_use]
+    pub fn may_fund_first_start(&self, nodes: u32) -> bool {
+        self.limit.extra >= f64::from(first_start_shares(nodes))
     }
 
-    /// Records that the other nodes may not count this one as a member yet.
-    pub fn record_absence(&mut self) {
-        self.member_to = None;
+    /// Records at `now` that this node was published, and counts as a member since `member_since`, of `nodes` in total. Funds the
+    /// time since it was published last, but nothing if the others may have dropped it meanwhile.
+    pub fn record_membership(&mut self, nodes: u32, member_since: BootTime, now: BootTime) {
+        let last = self.published_at.replace(now).filter(|last| !is_lapsed(now.since(*last)));
+        if let Some(last) = last {
+            self.add_shares(last.max(member_since), now, nodes);
+        }
     }
 
-    /// Adds the shares of one of `nodes` nodes for the time from `since` to `until`.
-    fn add_shares(&mut self, since: BootTime, until: BootTime, nodes: u32) {
+    /// Adds one of `shares` shares of the time from `since` to `until`.
+    fn add_shares(&mut self, since: BootTime, until: BootTime, shares: u32) {
         let length = self.step_ms();
         let mut from = since;
         while from < until {
             let step = self.step_of(from);
             let to = BootTime::from_millis((step + 1).saturating_mul(length)).min(until);
             let part = to.since(from).div_duration_f64(Duration::from_millis(length));
-            let fraction = part / f64::from(nodes.max(1));
-            match self.shares.back_mut().filter(|last| last.step >= step) {
-                Some(last) => last.fraction += fraction,
-                None => self.shares.push_back(StepShare { step, fraction }),
+            let fraction = part / f64::from(shares.max(1));
+            match self.shares.binary_search_by(|share| share.step.cmp(&step)) {
+                Ok(share_at) => self.shares[share_at].fraction += fraction,
+                Err(share_at) => self.shares.insert(share_at, StepShare { step, fraction }),
             }
             from = to;
         }
@@ -223,6 +224,13 @@
     }
 }
 
+/// Number of shares of a moment of the first start, of which a node gets one that knows of `nodes` nodes. The `n`th node to be
+/// published knows of at least `n`, and `1 / (n * (n + 1))` over all `n` adds up to one.
+fn first_start_shares(nodes: u32) -> u32 {
+    let nodes = nodes.max(1);
+    nodes.saturating_mul(nodes.saturating_add(1))
+}
+
 fn to_f64(count: u64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/samphiredeck_core/tests/forward_retry_budget.rs
+++ b/samphiredeck_core/tests/forward_retry_budget.rs
@@ -6,10 +6,10 @@
 use samphiredeck_core::{
     boot_time::BootTime,
     forward::{
-        members::{MemberHeartbeat, NodeHeartbeat, count_if_vacant, is_established, is_lapsed},
+        members::{established_ms, is_lapsed},
         retry_budget::{RetryBudget, RetryLimit},
     },
-    ids::{Incarnation, NodeName, PoolName},
+    ids::PoolName,
 };
 
 const WINDOW_MS: u64 = 10_000;
@@ -43,11 +43,10 @@
 /// Node of a simulated cluster.
 #[derive(Clone, Debug)]
 struct SimulatedNode {
-    name: NodeName,
     /// `None` while the node does not run.
     budget: Option<RetryBudget>,
-    /// Number of nodes that had run earlier, on the first run for a while.
-    first_of: Option<u32>,
+    /// Time from which on its budget is to be funded for the first start.
+    vacant_from: Option<u64>,
     since: u64,
     published: Option<u64>,
     next_publication: u64,
@@ -67,8 +66,8 @@
 }
 
 impl SimulatedCluster {
-    /// Starts `count` nodes at once that have run earlier.
-    fn start(count: usize, extra: f64) -> Self {
+    /// Starts `count` nodes at once for the first time.
+    fn start_first(count: usize, extra: f64) -> Self {
         let mut cluster = Self {
             limit: limit(extra),
             now: 100_000,
@@ -80,6 +79,15 @@
         for _ in 0..count {
             cluster.add();
         }
+        for index in 0..count {
+            cluster.run(index);
+        }
+        cluster
+    }
+
+    /// Starts `count` nodes at once that have run earlier.
+    fn start(count: usize, extra: f64) -> Self {
+        let mut cluster = Self::start_first(count, extra);
         cluster.rows.fill(Some(PublishedRow { since: 0, beat: 1, first_beat: 1 }));
         for index in 0..count {
             cluster.run(index);
@@ -94,11 +102,9 @@
     }
 
     fn add(&mut self) {
-        let index = self.nodes.len();
         self.nodes.push(SimulatedNode {
-            name: format!("n{index:03}").parse().unwrap(),
             budget: None,
-            first_of: None,
+            vacant_from: None,
             since: 0,
             published: None,
             next_publication: 0,
@@ -107,41 +113,15 @@
         self.rows.push(None);
     }
 
-    fn heartbeats(&self) -> Vec<MemberHeartbeat> {
-        let rows = self.nodes.iter().zip(&self.rows);
-        rows.filter_map(|(node, row)| {
-            let row = (*row)?;
-            let heartbeat = NodeHeartbeat {
-                incarnation: Incarnation(1),
-                beat_ms: row.beat.try_into().unwrap(),
-                offset_ms: None,
-                counted_to_ms: None,
-                windows: Vec::new(),
-                peer: "127.0.0.1:1".parse().unwrap(),
-                domain: "a".parse().unwrap(),
-                since_ms: row.since.try_into().unwrap(),
-                demand: Vec::new(),
-            };
-            Some((node.name.clone(), heartbeat))
-        })
-        .collect()
-    }
-
     /// Starts the process of node `index`.
     fn run(&mut self, index: usize) {
         let now = self.now;
-        let mut budget = RetryBudget::new(self.limit);
-        let store_ms = i64::try_from(now).unwrap();
-        let name = self.nodes[index].name.clone();
-        let first_of = count_if_vacant(&self.heartbeats(), &name, budget.funding_span(), store_ms);
-        if let Some(nodes) = first_of {
-            budget.fund_vacancy(nodes, at(now));
-        }
+        let is_vacant = self.rows.iter().all(Option::is_none);
         let row = self.rows[index];
         let kept = row.filter(|row| !is_lapsed(Duration::from_millis(now - row.beat)));
         let node = &mut self.nodes[index];
-        node.budget = Some(budget);
-        node.first_of = first_of;
+        node.budget = Some(RetryBudget::new(self.limit));
+        node.vacant_from = is_vacant.then_some(now - 20_500);
         node.since = kept.map_or(now, |row| row.since);
         node.published = None;
         node.next_publication = now + 300;
@@ -166,23 +146,33 @@
         let node = &mut self.nodes[index];
         if node.published.is_some_and(|at| is_lapsed(Duration::from_millis(now - at))) {
             node.since = now;
-            node.first_of = None;
+            node.vacant_from = None;
         }
         let (since, now_ms) = (node.since.try_into().unwrap(), now.try_into().unwrap());
         let Some(budget) = &mut node.budget else { return };
-        if is_established(since, now_ms) {
-            budget.record_membership(listed, at(now));
-        } else if let Some(nodes) = node.first_of {
-            budget.record_membership(nodes.max(listed), at(now));
-        } else {
-            budget.record_absence();
-        }
+        let member_since = established_ms(since).min(now_ms);
+        budget.record_membership(listed, at(member_since.try_into().unwrap()), at(now));
         node.published = Some(now);
         node.next_publication = now + 900;
         let row = &mut self.rows[index];
         let same = row.filter(|row| row.since == node.since);
         let first_beat = same.map_or(now, |row| row.first_beat);
         *row = Some(PublishedRow { since: node.since, beat: now, first_beat });
+        self.fund_first_start(index);
+    }
+
+    fn fund_first_start(&mut self, index: usize) {
+        let rows: Vec<PublishedRow> = self.rows.iter().flatten().copied().collect();
+        let named = u32::try_from(rows.len()).unwrap();
+        let since = rows.iter().map(|row| established_ms(row.since.try_into().unwrap()));
+        let until = self.now.min(since.min().unwrap().try_into().unwrap());
+        let node = &mut self.nodes[index];
+        let (Some(from), Some(budget)) = (node.vacant_from, &mut node.budget) else { return };
+        let is_of_use = budget.may_fund_first_start(named);
+        if is_of_use {
+            budget.fund_first_start(named, at(from), at(until));
+        }
+        node.vacant_from = (is_of_use && until == self.now).then_some(until);
     }
 
     fn advance(&mut self, millis: u64) {
@@ -331,9 +321,11 @@
     #[test]
     fn retries_of_all_nodes_and_starts_stay_within_the_budget(
         (count, extra) in (1..16_usize, prop_oneof![Just(0.0), Just(56.0), Just(400.0)]),
+        is_first in any::<bool>(),
         steps in proptest::collection::vec(play_step(), 1..200)
     ) {
-        let mut cluster = SimulatedCluster::start(count, extra);
+        let start = if is_first { SimulatedCluster::start_first } else { SimulatedCluster::start };
+        let mut cluster = start(count, extra);
         for step in &steps {
             apply(&mut cluster, step);
         }
@@ -373,6 +365,63 @@
     }
 }
 
+// Guards against starts that each take the cluster for new, since none of them was published.
+#[test]
+fn first_starts_fund_the_retries_of_one_window() {
+    for (count, rate, extra) in SIZES {
+        for (pause, kills) in [(200, 6), (1_300, 3), (5_000, 1), (1_000, 0)] {
+            let mut cluster = SimulatedCluster::start_first(count, extra);
+            for _ in 0..kills {
+                cluster.play(rate, pause, true);
+                for index in 0..count {
+                    cluster.kill(index);
+                    cluster.run(index);
+                }
+            }
+            cluster.play(rate, 12_000, true);
+            let (retries, permitted) = cluster.worst_window();
+            assert!(
+                retries <= permitted,
+                "{count} nodes, {kills} kills: {retries} retries, {permitted} are permitted"
+            );
+        }
+    }
+}
+
+// Guards against first nodes that share the additional retries by the number that each has seen.
+#[test]
+fn first_nodes_that_see_each_other_late_share_the_budget() {
+    for (count, pause) in [(1, 0), (2, 500), (5, 0), (5, 900), (16, 100), (16, 400)] {
+        let mut cluster = SimulatedCluster::start_first(count, 400.0);
+        for (node, number) in cluster.nodes.iter_mut().zip(0..) {
+            node.next_publication += pause * number;
+        }
+        for _ in 0..150 {
+            cluster.advance(200);
+            for index in 0..count {
+                while cluster.retry(index, 0) {}
+            }
+        }
+        let (retries, permitted) = cluster.worst_window();
+        assert!(
+            retries <= permitted && retries >= 0.3 * permitted,
+            "{count} nodes, {pause} ms apart: {retries} retries, {permitted} are permitted"
+        );
+    }
+}
+
+// The counterpart: callers of a small new cluster get retries, however few requests it has had.
+#[test]
+fn first_start_of_a_small_cluster_funds_retries() {
+    for count in [1, 2, 3] {
+        let mut cluster = SimulatedCluster::start_first(count, 56.0);
+        cluster.advance(2_000);
+        for index in 0..count {
+            assert!(cluster.retry(index, 0), "{count} nodes, node {index}");
+        }
+    }
+}
+
 #[test]
 fn kills_in_turn_keep_the_budget() {
     for (count, rate, extra) in SIZES {
@@ -415,10 +464,10 @@
 #[test]
 fn time_without_a_publication_funds_nothing() {
     let mut budget = RetryBudget::new(limit(400.0));
-    budget.record_membership(1, at(100_000));
-    budget.record_membership(1, at(115_000));
+    budget.record_membership(1, at(0), at(100_000));
+    budget.record_membership(1, at(0), at(115_000));
     assert!(!budget.take(&pool(), at(115_000)));
-    budget.record_membership(1, at(116_000));
+    budget.record_membership(1, at(0), at(116_000));
     assert!(budget.take(&pool(), at(116_000)));
 }
 
--- a/samphiredeck_wire/src/record.rs
+++ b/samphiredeck_wire/src/record.rs
@@ -113,6 +113,12 @@
     format!("{GROUP_PREFIX}{node}")
 }
 
+/// Whether `key` is that of a row in which a node publishes the heartbeats of its group.
+#[must_use]
+pub fn is_group_key(key: &str) -> bool {
+    key.starts_with(GROUP_PREFIX)
+}
+
 /// Key of the row in which `node` publishes the software versions that it observed.
 #[must_use]
 pub fn versions_key(node: &NodeName) -> String {
