Retry budget: requests wait for the first funding of a new cluster

Change: such a request waits, for 3 s at most after the first read of the store. A node reads once more for its row, not with each heartbeat.

--- a/samphiredeck/src/forward/attempt.rs
+++ b/samphiredeck/src/forward/attempt.rs
@@ -109,6 +109,10 @@
         check_placed(admitted, progress, trace, &placement)?;
         if progress.attempts > 0 || !progress.misdirected.is_empty() {
             if !node.state().retry_budget.take(&admitted.pool, now) {
+                if node.state().awaits_first_funding(now) {
+                    sleep(LIST_POLL_PERIOD).await;
+                    continue;
+                }
                 return Err(unanswered_error(progress, "no budget for another send", time_left));
             }
             node.metrics.retries.inc();
--- a/samphiredeck/src/forward/retry_funding.rs
+++ b/samphiredeck/src/forward/retry_funding.rs
@@ -10,6 +10,10 @@
 
 use crate::forward::state::ForwardState;
 
+/// Time from the first read, at the first start of the cluster, until a read shows this node: with the delay of its first row,
+/// and another for a reader that publishes it.
+const FIRST_FUNDING_MAX: Duration = Duration::from_secs(3);
+
 impl ForwardState {
     /// Records that this node has read at `now` that no node has run yet.
     pub fn record_vacancy(&mut self, now: BootTime) {
@@ -17,6 +21,13 @@
         self.vacant_from = Some(since.unwrap_or_default());
     }
 
+    /// Whether the retry budget is not funded yet and soon will be.
+    pub fn awaits_first_funding(&self, now: BootTime) -> bool {
+        let span = self.retry_budget.funding_span() + FIRST_FUNDING_MAX;
+        self.retry_budget.is_unfunded()
+            && self.vacant_from.is_some_and(|from| now.since(from) < span)
+    }
+
     /// Funds the retry budget for the first start of the cluster, until one of its nodes counts as a member. The `heartbeats`
     /// were read at `sent_at`. Nothing is funded until they show this node, called `own`, as the others see it then, too. Returns
     /// the number of nodes that it was funded for.
--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -198,7 +198,7 @@
         let Some(read_at) = self.read_at else { return Duration::ZERO };
         let now = clock::now();
         let state = node.state();
-        if state.vacant_from.is_some() && self.sent_at > self.read_at {
+        if state.awaits_first_funding(now) && self.sent_at > self.read_at {
             return Duration::ZERO;
         }
         let is_leader = state.leader_lease.fence(now).is_some();
--- a/samphiredeck_core/src/forward/retry_budget.rs
+++ b/samphiredeck_core/src/forward/retry_budget.rs
@@ -120,6 +120,12 @@
         self.limit.extra >= f64::from(first_start_shares(nodes))
     }
 
+    /// Whether no time has funded it yet.
+    #[must_use]
+    pub fn is_unfunded(&self) -> bool {
+        self.shares.is_empty()
+    }
+
     /// Records at `now` that this node was published, and counts as a member since `member_since`, of `nodes` in total. Funds the
     /// time since it was published last, but nothing if the others may have dropped it meanwhile.
     pub fn record_membership(&mut self, nodes: u32, member_since: BootTime, now: BootTime) {
