Members: a node that begins to follow another reads the store for a while

Cause, by reading: a node that published a row of its own and then follows another may follow one that still follows it. Each relays its old list to the other, which counts as a relay, and reads the store only 4.5 s later: 'node 0 is alone' in the tests. Change: it reads as one whose list differs until its own row is abandoned.

--- a/samphiredeck/src/forward/shared_rows.rs
+++ b/samphiredeck/src/forward/shared_rows.rs
@@ -208,11 +208,13 @@
             || node.store_eras.borrow().is_untold()
             || node.peer_socket.borrow().is_none();
         let is_unrelayed = state.members_relayed_at.is_none_or(|at| now.since(at) >= RELAY_TIMEOUT);
+        // A node that has just begun to follow another and that one may relay their old lists to each other.
+        let was_reader = self.written_at.is_some();
         let period = if is_leader {
             LEADER_PERIOD
         } else if is_frequent {
             SHARED_PERIOD
-        } else if state.members_differ || is_unrelayed {
+        } else if state.members_differ || is_unrelayed || was_reader {
             REFETCH_PERIOD
         } else {
             Duration::MAX
